--- /dev/null
+++ b/Libraries/LibCore/Time.cpp
@@ -0,0 +1,49 @@
+#include <LibCore/Time.h>
+
+#include <array>
+#include <charconv>
+
+namespace GraniteField::Core {
+
+namespace {
+
+struct Unit {
+    std::string_view suffix;
+    std::int64_t milliseconds;
+};
+
+// NOTE: Largest unit first, so that formatting finds the shortest text. A count above the limit would
+//       overflow when it is added to a clock reading.
+constexpr std::array s_units {Unit {"h", 3'600'000}, Unit {"m", 60'000}, Unit {"s", 1'000}, Unit {"ms", 1}};
+constexpr std::int64_t s_largest_duration_milliseconds = std::int64_t {3'600'000} * 24 * 365;
+
+}
+
+std::optional<Milliseconds> parse_duration(std::string_view text)
+{
+    std::int64_t count = 0;
+    auto const* end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, count);
+    if (result.ec != std::errc {} || count < 0)
+        return std::nullopt;
+    std::string_view const suffix(result.ptr, static_cast<std::size_t>(end - result.ptr));
+    for (auto const& unit : s_units) {
+        if (unit.suffix != suffix)
+            continue;
+        if (count > s_largest_duration_milliseconds / unit.milliseconds)
+            return std::nullopt;
+        return Milliseconds(count * unit.milliseconds);
+    }
+    return std::nullopt;
+}
+
+std::string format_duration(Milliseconds duration)
+{
+    for (auto const& unit : s_units) {
+        if (duration.count() != 0 && duration.count() % unit.milliseconds == 0)
+            return std::to_string(duration.count() / unit.milliseconds) + std::string(unit.suffix);
+    }
+    return "0ms";
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/CallerExchange.cpp
@@ -0,0 +1,184 @@
+#include <LibEntry/CallerExchange.h>
+
+#include <LibEntry/CallInterpreter.h>
+
+#include <algorithm>
+#include <cstring>
+#include <memory>
+
+#include <sys/socket.h>
+
+namespace GraniteField::Entry {
+
+namespace {
+
+constexpr char const* s_request_header = "Granitefield-Request";
+constexpr char const* s_outcome_header = "Granitefield-Outcome";
+constexpr char const* s_replay_header = "Granitefield-Replayed";
+/// libmicrohttpd asks for at most this much of a stream at once.
+constexpr std::size_t s_block_bytes = 32'768;
+/// What the caller has taken is cut off the front when it grows beyond this.
+constexpr std::size_t s_compaction_bytes = 65'536;
+
+}
+
+void CallerExchange::answer(FullAnswer answer)
+{
+    std::lock_guard const lock(m_mutex);
+    m_answer = std::move(answer);
+    m_progress = Progress::Full;
+    resume();
+}
+
+void CallerExchange::begin_stream(int status, std::string content_type)
+{
+    std::lock_guard const lock(m_mutex);
+    m_answer.status = status;
+    m_answer.content_type = std::move(content_type);
+    m_progress = Progress::Streaming;
+    resume();
+}
+
+void CallerExchange::append(std::string_view bytes)
+{
+    std::lock_guard const lock(m_mutex);
+    m_pending.append(bytes);
+    resume();
+}
+
+void CallerExchange::finish()
+{
+    std::lock_guard const lock(m_mutex);
+    m_progress = Progress::Finished;
+    resume();
+}
+
+void CallerExchange::cut(std::string_view last_bytes)
+{
+    std::lock_guard const lock(m_mutex);
+    m_pending.append(last_bytes);
+    m_progress = Progress::Cut;
+    resume();
+}
+
+std::size_t CallerExchange::pending_bytes() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_pending.size() - m_taken;
+}
+
+bool CallerExchange::is_caller_gone() const
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_is_gone)
+        return true;
+    // libmicrohttpd does not watch a suspended connection. While it is suspended, its descriptor is
+    // certain to be open and its own, so that it can be asked here.
+    if (!m_is_suspended || m_connection == nullptr)
+        return false;
+    char byte = 0;
+    auto const got = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void CallerExchange::suspend()
+{
+    std::lock_guard const lock(m_mutex);
+    m_is_suspended = true;
+    MHD_suspend_connection(m_connection);
+}
+
+void CallerExchange::resume()
+{
+    if (!m_is_suspended || m_connection == nullptr)
+        return;
+    m_is_suspended = false;
+    MHD_resume_connection(m_connection);
+}
+
+bool CallerExchange::has_answer() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_progress != Progress::Waiting;
+}
+
+MHD_Result CallerExchange::respond()
+{
+    std::lock_guard const lock(m_mutex);
+    return m_progress == Progress::Full ? respond_full() : respond_stream();
+}
+
+void CallerExchange::add_common_headers(MHD_Response* response) const
+{
+    MHD_add_response_header(response, s_request_header, m_request.to_string().c_str());
+    if (!m_answer.content_type.empty())
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, m_answer.content_type.c_str());
+}
+
+MHD_Result CallerExchange::respond_full()
+{
+    auto* response = MHD_create_response_from_buffer(m_answer.body.size(), m_answer.body.data(), MHD_RESPMEM_MUST_COPY);
+    add_common_headers(response);
+    MHD_add_response_header(response, s_outcome_header, std::string(to_string(m_answer.outcome)).c_str());
+    if (m_answer.retry_after)
+        MHD_add_response_header(
+            response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(retry_after_seconds(*m_answer.retry_after)).c_str());
+    if (m_answer.is_replay)
+        MHD_add_response_header(response, s_replay_header, "yes");
+    auto const result = MHD_queue_response(m_connection, static_cast<unsigned>(m_answer.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+MHD_Result CallerExchange::respond_stream()
+{
+    m_stream_response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, s_block_bytes, read_stream, this, nullptr);
+    add_common_headers(m_stream_response);
+    // RFC 9110, section 6.6.2: announces the trailer that says how the answer ended.
+    MHD_add_response_header(m_stream_response, "Trailer", s_outcome_header);
+    MHD_add_response_header(m_stream_response, MHD_HTTP_HEADER_CACHE_CONTROL, "no-store");
+    auto const result = MHD_queue_response(m_connection, static_cast<unsigned>(m_answer.status), m_stream_response);
+    MHD_destroy_response(m_stream_response);
+    return result;
+}
+
+ssize_t CallerExchange::read_stream(void* exchange, std::uint64_t, char* buffer, std::size_t size)
+{
+    return static_cast<CallerExchange*>(exchange)->read(buffer, size);
+}
+
+ssize_t CallerExchange::read(char* buffer, std::size_t size)
+{
+    std::lock_guard const lock(m_mutex);
+    auto const available = m_pending.size() - m_taken;
+    if (available > 0) {
+        auto const count = std::min(available, size);
+        std::memcpy(buffer, m_pending.data() + m_taken, count);
+        m_taken += count;
+        if (m_taken == m_pending.size() || m_taken > s_compaction_bytes) {
+            m_pending.erase(0, m_taken);
+            m_taken = 0;
+        }
+        return static_cast<ssize_t>(count);
+    }
+    if (m_progress == Progress::Finished) {
+        MHD_add_response_footer(m_stream_response, s_outcome_header, std::string(to_string(Outcome::Done)).c_str());
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    if (m_progress == Progress::Cut)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    m_is_suspended = true;
+    MHD_suspend_connection(m_connection);
+    return 0;
+}
+
+void CallerExchange::detach(bool is_complete)
+{
+    std::lock_guard const lock(m_mutex);
+    m_connection = nullptr;
+    m_is_suspended = false;
+    if (!is_complete)
+        m_is_gone = true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/CallerServer.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/Identifiers.h>
+#include <LibEntry/Router.h>
+#include <LibEntry/SharedTable.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <microhttpd.h>
+
+namespace GraniteField::Entry {
+
+/// The HTTP server that callers talk to: a few threads with epoll for any number of connections. It checks
+/// requests and hands them to the router; a connection that waits for its answer is suspended.
+class CallerServer {
+public:
+    struct Settings {
+        Core::Address address;
+        unsigned threads {4};
+        unsigned largest_connection_count {20'000};
+        std::size_t largest_body_bytes {4U << 20U};
+        /// A connection on which nothing moves for this long is closed.
+        std::chrono::seconds idle_limit {60};
+    };
+
+    CallerServer(Settings, Core::Incarnation, Router&, SharedTable const&, Observe::MetricRegistry&);
+    ~CallerServer();
+    CallerServer(CallerServer const&) = delete;
+    CallerServer& operator=(CallerServer const&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+    /// Takes no new connections and asks the ones there are to close after their answer.
+    void stop_listening();
+
+private:
+    struct Connection;
+
+    static MHD_Result handle(
+        void*, MHD_Connection*, char const*, char const*, char const*, char const*, std::size_t*, void**);
+    static void* begin_connection(void*, char const*, MHD_Connection*);
+    static void end_request(void*, MHD_Connection*, void**, MHD_RequestTerminationCode);
+    MHD_Result handle(MHD_Connection*, char const* method, char const* upload, std::size_t& upload_size, Connection&);
+    MHD_Result submit(MHD_Connection*, char const* method, Connection&);
+    MHD_Result refuse(MHD_Connection*, ErrorAnswer const&, Core::RequestId);
+
+    Settings m_settings;
+    Core::Incarnation m_incarnation;
+    Router& m_router;
+    SharedTable const& m_table;
+    Observe::MetricRegistry& m_metrics;
+    std::atomic<std::uint64_t> m_next_sequence {1};
+    std::atomic<bool> m_is_closing {false};
+    MHD_Daemon* m_daemon {nullptr};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/RequestRuns.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <LibEntry/LinkSet.h>
+#include <LibEntry/RequestRun.h>
+#include <LibEntry/WorkspaceLimits.h>
+#include <LibObserve/DecisionRing.h>
+#include <LibObserve/Metrics.h>
+#include <LibObserve/SpanExporter.h>
+#include <LibPolicy/BackendChooser.h>
+#include <LibPolicy/RetryBudget.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/container/node_hash_map.h>
+
+namespace GraniteField::Entry {
+
+/// The ways to choose a backend server that a setting can name.
+enum class ChooserName {
+    PredictedWait,
+    RoundRobin,
+    LeastOutstanding,
+};
+
+/// All requests of an entry that have no final answer yet, and the rules by which they get one. On the
+/// router's thread only.
+class RequestRuns {
+public:
+    struct Settings {
+        ChooserName chooser {ChooserName::PredictedWait};
+        /// What a missed prompt prefix costs; bounds how far a warm cache may outweigh a shorter wait.
+        Core::Milliseconds missed_prefix_cost {30};
+        /// Side processes that a request is offered to before it is refused.
+        std::size_t largest_tries {3};
+        /// An attempt of which nothing is heard for this long is asked about.
+        Core::Milliseconds question_interval {500};
+        /// How much longer than the request's own limit the entry waits for the side process's word.
+        Core::Milliseconds give_up_grace {250};
+        /// A begun answer whose side process is silent for this long is cut.
+        Core::Milliseconds stall_limit {10'000};
+    };
+
+    RequestRuns(Settings, LinkSet&, Observe::MetricRegistry&, Observe::DecisionRing&, Observe::SpanExporter*);
+
+    /// Takes a call on, or gives it its final answer at once.
+    void begin(Call, std::shared_ptr<CallerExchange>, Core::MonotonicTime now);
+    /// A message about an attempt.
+    void handle(SideLink&, Protocol::Message::Envelope const&, Core::MonotonicTime now);
+    /// The link's side process is another run, or has forgotten this entry.
+    void handle_replaced(SideLink&, Core::MonotonicTime now);
+    /// The link's side process went silent.
+    void handle_lost(SideLink&, Core::MonotonicTime now);
+    /// The link's side process is there again and remembers.
+    void handle_came_back(SideLink&, Core::MonotonicTime now);
+    /// Limits in time, questions, and callers who are gone.
+    void tick(Core::MonotonicTime now);
+    /// Gives every request its final answer; for the process's end.
+    void abandon_all();
+
+    [[nodiscard]] std::size_t count() const { return m_runs.size(); }
+
+private:
+    using Runs = absl::node_hash_map<Core::RequestId, RequestRun>;
+
+    void give_ticket(Call const&, CallerExchange&);
+    /// Offers the request to the best backend server that has not refused it; `otherwise` is the final
+    /// answer when there is none.
+    void dispatch(RequestRun&, ErrorAnswer otherwise, Core::MonotonicTime now);
+    void dispatch_ticket(RequestRun&, Core::MonotonicTime now);
+    [[nodiscard]] SideLink* choose(RequestRun const&);
+    [[nodiscard]] bool send_dispatch(RequestRun&, SideLink&, Core::MonotonicTime now);
+    void leave_attempt(RequestRun&);
+    /// The present attempt did not run.
+    void retry_unstarted(RequestRun&, ErrorAnswer, Core::MonotonicTime now);
+    /// The present attempt may have run and will bring no answer.
+    void retry_lost(RequestRun&, ErrorAnswer, Core::MonotonicTime now);
+
+    void handle_accepted(SideLink&, RequestRun&, Protocol::Message::Accepted const&);
+    void handle_refused(SideLink&, RequestRun&, Protocol::Message::Refused const&, Core::MonotonicTime now);
+    void handle_started(SideLink&, RequestRun&, Protocol::Message::Started const&);
+    void handle_chunk(SideLink&, RequestRun&, Protocol::Message::Chunk const&, Core::MonotonicTime now);
+    void handle_finished(SideLink&, RequestRun&, Protocol::Message::Finished const&, Core::MonotonicTime now);
+    void handle_failed(SideLink&, RequestRun&, Protocol::Message::Failed const&, Core::MonotonicTime now);
+    void handle_unknown(SideLink&, RequestRun&, Core::MonotonicTime now);
+    void handle_stray(SideLink&, Protocol::Message::Envelope const&);
+    void note_in_load_report(SideLink&, RequestRun&, Protocol::Message::LoadReport const&);
+
+    void acknowledge(SideLink&, RequestRun&, bool is_final);
+    void acknowledge_stray(SideLink&, Policy::WorkKey const&);
+    void ask(SideLink&, RequestRun&, Core::MonotonicTime now);
+    void revoke(SideLink&, RequestRun&);
+
+    void tick_run(RequestRun&, Core::MonotonicTime now);
+    void give_up(RequestRun&, Core::MonotonicTime now);
+    void finish(RequestRun&, Outcome);
+    void fail(RequestRun&, ErrorAnswer);
+    void cut(RequestRun&, std::string const& code, std::string const& message);
+    void record_attainment(RequestRun&, Outcome);
+    void decide(RequestRun const&, std::string what);
+    [[nodiscard]] RequestRun* find(Policy::WorkKey const&, SideLink const&);
+    [[nodiscard]] std::vector<Core::RequestId> runs_at(SideLink const&);
+    void send_waiting_revocations(SideLink&);
+
+    Settings m_settings;
+    LinkSet& m_links;
+    Runs m_runs;
+    /// Revocations that could not be sent, by backend server; s_largest_waiting_revocations at most.
+    std::map<std::string, std::vector<Protocol::Message::Envelope>> m_waiting_revocations;
+    WorkspaceLimits m_limits;
+    Policy::RetryBudget m_retry_budget;
+    std::variant<Policy::PredictedWaitChooser, Policy::RoundRobinChooser, Policy::LeastOutstandingChooser> m_chooser;
+    Observe::MetricRegistry& m_metrics;
+    Observe::DecisionRing& m_decisions;
+    Observe::SpanExporter* m_spans;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Router.cpp
@@ -0,0 +1,201 @@
+#include <LibEntry/Router.h>
+
+#include <algorithm>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace GraniteField::Entry {
+
+namespace {
+
+constexpr Core::Milliseconds s_tick_interval {50};
+constexpr Core::Milliseconds s_status_interval {200};
+/// Calls and messages of one link that are taken in one turn before the others have theirs.
+constexpr int s_submissions_per_turn = 1'000;
+constexpr int s_messages_per_turn = 2'000;
+
+Core::Milliseconds elapsed(Core::MonotonicTime from, Core::MonotonicTime to)
+{
+    return std::chrono::duration_cast<Core::Milliseconds>(to - from);
+}
+
+Core::MonotonicTime now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+}
+
+Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, Observe::MetricRegistry& metrics,
+    Observe::DecisionRing& decisions, Observe::SpanExporter* spans)
+    : m_shared_table(table)
+    , m_metrics(metrics)
+    , m_links(context, settings.links)
+    , m_runs(settings.runs, m_links, metrics, decisions, spans)
+    , m_submissions(settings.ring_capacity)
+{
+    publish_status();
+    m_thread = std::thread([this] { run(); });
+}
+
+Router::~Router()
+{
+    m_should_stop = true;
+    m_wake.signal();
+    m_thread.join();
+}
+
+bool Router::try_submit(std::unique_ptr<Submission>& submission)
+{
+    if (!m_submissions.try_push(submission))
+        return false;
+    m_wake.signal();
+    return true;
+}
+
+void Router::set_leaving_hosts(std::set<std::string> hosts)
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_new_leaving_hosts = std::move(hosts);
+    }
+    m_wake.signal();
+}
+
+std::string Router::status() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_status;
+}
+
+void Router::run()
+{
+    while (!m_should_stop) {
+        wait_for_work();
+        // Messages come before the clock, so that a pause of this process itself is not taken for the
+        // silence of others.
+        take_messages();
+        follow_table();
+        take_submissions();
+        tick();
+        m_open_count = m_runs.count();
+    }
+    take_submissions();
+    m_runs.abandon_all();
+}
+
+void Router::wait_for_work()
+{
+    if (m_poll_generation != m_links.generation()) {
+        m_poll_items.assign(1, {nullptr, m_wake.descriptor(), ZMQ_POLLIN, 0});
+        for (auto const& [name, link] : m_links.all())
+            m_poll_items.push_back({link->socket().handle(), 0, ZMQ_POLLIN, 0});
+        m_poll_generation = m_links.generation();
+    }
+    zmq::poll(m_poll_items, s_tick_interval);
+    m_wake.drain();
+}
+
+void Router::take_submissions()
+{
+    for (int count = 0; count < s_submissions_per_turn; ++count) {
+        auto submission = m_submissions.try_pop();
+        if (!submission)
+            return;
+        m_runs.begin(std::move(submission->call), std::move(submission->exchange), now());
+    }
+    // What is left is taken in the next turn, without a wait.
+    m_wake.signal();
+}
+
+void Router::take_messages()
+{
+    for (auto const& [name, link] : m_links.all())
+        take_messages(*link);
+}
+
+void Router::take_messages(SideLink& link)
+{
+    for (int count = 0; count < s_messages_per_turn; ++count) {
+        auto const message = link.receive();
+        if (!message)
+            return;
+        auto const time = now();
+        apply(link, link.note_message(*message, time));
+        m_runs.handle(link, *message, time);
+    }
+    m_wake.signal();
+}
+
+void Router::apply(SideLink& link, SideLink::Change change)
+{
+    switch (change) {
+    case SideLink::Change::None:
+        return;
+    case SideLink::Change::CameBack:
+        return m_runs.handle_came_back(link, now());
+    case SideLink::Change::Replaced:
+        return m_runs.handle_replaced(link, now());
+    case SideLink::Change::Lost:
+        return m_runs.handle_lost(link, now());
+    }
+}
+
+void Router::follow_table()
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        if (m_new_leaving_hosts) {
+            m_links.set_leaving_hosts(std::move(*m_new_leaving_hosts));
+            m_new_leaving_hosts.reset();
+        }
+    }
+    auto const table = m_shared_table.current();
+    if (!table || m_followed_version == table->version())
+        return;
+    m_links.follow(*table);
+    m_followed_version = table->version();
+    LOG(INFO) << "entry: table version " << table->version().value() << " is in force";
+    m_metrics.gauge("granitefield_table_version").set(static_cast<std::int64_t>(table->version().value()));
+}
+
+void Router::tick()
+{
+    auto const time = now();
+    if (elapsed(m_last_tick, time) < s_tick_interval)
+        return;
+    m_last_tick = time;
+    for (auto const& [name, link] : m_links.all())
+        apply(*link, link->tick(time));
+    m_runs.tick(time);
+    // A row that moved gets its new link once the old one is closed.
+    if (m_links.close_removed())
+        m_followed_version.reset();
+    m_has_backends = std::ranges::any_of(m_links.all(), [](auto const& item) { return item.second->is_available(); });
+    m_metrics.gauge("granitefield_entry_open_requests").set(static_cast<std::int64_t>(m_runs.count()));
+    if (elapsed(m_last_status, time) >= s_status_interval)
+        publish_status();
+}
+
+void Router::publish_status()
+{
+    m_last_status = now();
+    nlohmann::json links = nlohmann::json::array();
+    for (auto const& [name, link] : m_links.all()) {
+        auto const& view = link->view();
+        nlohmann::json item {{"backend-server", name}, {"service", link->backend_server().service},
+            {"side", link->backend_server().side_address}, {"up", link->is_up()}, {"leaving", link->is_leaving()},
+            {"slots", view.slots}, {"running", view.running}, {"waiting", view.waiting_by_tier}, {"open", view.open},
+            {"incarnation", Core::to_hex(link->incarnation().value())}};
+        if (link->refused_version())
+            item["other-protocol-version"] = *link->refused_version();
+        links.push_back(std::move(item));
+    }
+    nlohmann::json const status {{"role", "entry"}, {"open-requests", m_runs.count()}, {"links", links},
+        {"table-version", m_followed_version ? nlohmann::json(m_followed_version->value()) : nlohmann::json()}};
+    std::lock_guard const lock(m_mutex);
+    m_status = status.dump();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Router.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibCore/BoundedRing.h>
+#include <LibCore/WakeEvent.h>
+#include <LibEntry/LinkSet.h>
+#include <LibEntry/RequestRuns.h>
+#include <LibEntry/SharedTable.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <zmq.hpp>
+
+namespace GraniteField::Entry {
+
+/// The entry's routing thread: takes calls from the HTTP server over a bounded ring, talks to the side
+/// processes, and follows the table.
+class Router {
+public:
+    struct Settings {
+        LinkSet::Settings links;
+        RequestRuns::Settings runs;
+        std::size_t ring_capacity {8192};
+    };
+
+    Router(Settings, zmq::context_t&, SharedTable const&, Observe::MetricRegistry&, Observe::DecisionRing&,
+        Observe::SpanExporter*);
+    ~Router();
+    Router(Router const&) = delete;
+    Router& operator=(Router const&) = delete;
+
+    struct Submission {
+        Call call;
+        std::shared_ptr<CallerExchange> exchange;
+    };
+
+    /// Hands a call to the router; false when its ring is full, and then nothing was taken. Any thread.
+    [[nodiscard]] bool try_submit(std::unique_ptr<Submission>&);
+    /// The platform's list of leaving hosts. Any thread.
+    void set_leaving_hosts(std::set<std::string>);
+    /// Looks at the table again soon. Any thread.
+    void wake() { m_wake.signal(); }
+
+    /// Requests without a final answer. Any thread.
+    [[nodiscard]] std::size_t open_count() const { return m_open_count; }
+    /// Whether at least one side process can be reached. Any thread.
+    [[nodiscard]] bool has_backends() const { return m_has_backends; }
+    /// What an operator sees, as JSON. Any thread.
+    [[nodiscard]] std::string status() const;
+
+private:
+    void run();
+    void wait_for_work();
+    void take_submissions();
+    void take_messages();
+    void take_messages(SideLink&);
+    void apply(SideLink&, SideLink::Change);
+    void follow_table();
+    void tick();
+    void publish_status();
+
+    SharedTable const& m_shared_table;
+    Observe::MetricRegistry& m_metrics;
+    LinkSet m_links;
+    RequestRuns m_runs;
+    Core::BoundedRing<Submission> m_submissions;
+    Core::WakeEvent m_wake;
+    std::optional<Core::TableVersion> m_followed_version;
+    std::vector<zmq::pollitem_t> m_poll_items;
+    std::optional<std::uint64_t> m_poll_generation;
+    Core::MonotonicTime m_last_tick;
+    Core::MonotonicTime m_last_status;
+
+    mutable std::mutex m_mutex;
+    std::optional<std::set<std::string>> m_new_leaving_hosts;
+    std::string m_status;
+    std::atomic<std::size_t> m_open_count {0};
+    std::atomic<bool> m_has_backends {false};
+    std::atomic<bool> m_should_stop {false};
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/SideLink.cpp
@@ -0,0 +1,196 @@
+#include <LibEntry/SideLink.h>
+
+#include <LibProtocol/ProtocolVersion.h>
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+namespace GraniteField::Entry {
+
+using Protocol::Message::Envelope;
+
+namespace {
+
+constexpr char const* s_log_prefix = "link: ";
+/// How often a side process that does not answer is greeted.
+constexpr Core::Milliseconds s_greeting_interval {200};
+constexpr int s_reconnect_milliseconds = 50;
+constexpr int s_longest_reconnect_milliseconds = 1'000;
+
+Core::Milliseconds elapsed(Core::MonotonicTime from, Core::MonotonicTime to)
+{
+    return std::chrono::duration_cast<Core::Milliseconds>(to - from);
+}
+
+}
+
+SideLink::SideLink(zmq::context_t& context, Settings settings, Table::BackendServer backend_server)
+    : m_settings(std::move(settings))
+    , m_backend_server(std::move(backend_server))
+    , m_socket(context, zmq::socket_type::dealer)
+{
+    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::sndhwm, Protocol::s_high_water_mark);
+    m_socket.set(zmq::sockopt::rcvhwm, Protocol::s_high_water_mark);
+    m_socket.set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
+    // Without a connection a send fails at once, so that nothing is written for a process that is not there.
+    m_socket.set(zmq::sockopt::immediate, true);
+    m_socket.set(zmq::sockopt::reconnect_ivl, s_reconnect_milliseconds);
+    m_socket.set(zmq::sockopt::reconnect_ivl_max, s_longest_reconnect_milliseconds);
+    m_socket.set(zmq::sockopt::ipv6, m_backend_server.side_address.starts_with('['));
+    m_socket.set(zmq::sockopt::routing_id, Core::to_hex(m_settings.own.value()));
+    m_socket.connect("tcp://" + m_backend_server.side_address);
+    m_view.name = m_backend_server.name;
+}
+
+bool SideLink::is_leaving() const
+{
+    return m_is_draining || m_is_listed_as_leaving || m_is_removed
+        || m_backend_server.state == Table::BackendServerState::Leaving;
+}
+
+bool SideLink::is_available() const
+{
+    return m_is_up && !is_leaving();
+}
+
+std::optional<Envelope> SideLink::receive()
+{
+    zmq::message_t frame;
+    while (m_socket.recv(frame, zmq::recv_flags::dontwait)) {
+        Envelope envelope;
+        bool const is_readable = !frame.more() && envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size()));
+        if (is_readable)
+            return envelope;
+        ++m_unreadable_count;
+    }
+    return std::nullopt;
+}
+
+bool SideLink::send(Envelope const& envelope)
+{
+    auto const size = envelope.ByteSizeLong();
+    zmq::message_t frame(size);
+    envelope.SerializeToArray(frame.data(), static_cast<int>(size));
+    return m_socket.send(frame, zmq::send_flags::dontwait).has_value();
+}
+
+void SideLink::greet()
+{
+    Envelope envelope;
+    envelope.set_protocol_version(Protocol::s_protocol_version);
+    envelope.mutable_hello()->set_entry_incarnation(m_settings.own.value());
+    envelope.mutable_hello()->set_entry_name(m_settings.entry_name);
+    static_cast<void>(send(envelope));
+}
+
+void SideLink::ping()
+{
+    Envelope envelope;
+    envelope.set_protocol_version(Protocol::s_protocol_version);
+    envelope.mutable_ping()->set_entry_incarnation(m_settings.own.value());
+    envelope.mutable_ping()->set_challenge(m_challenge);
+    static_cast<void>(send(envelope));
+}
+
+SideLink::Change SideLink::tick(Core::MonotonicTime now)
+{
+    if (!m_is_up) {
+        if (elapsed(m_last_call, now) >= s_greeting_interval) {
+            m_last_call = now;
+            greet();
+        }
+        return Change::None;
+    }
+    if (elapsed(m_last_heard, now) >= m_settings.patience) {
+        m_is_up = false;
+        LOG(WARNING) << s_log_prefix << m_backend_server.name << " is silent; it gets no new work";
+        return Change::Lost;
+    }
+    // A side process forgets an entry that says nothing, so the ping does not depend on what was heard.
+    if (elapsed(m_last_call, now) >= m_settings.heartbeat) {
+        m_last_call = now;
+        ping();
+    }
+    return Change::None;
+}
+
+SideLink::Change SideLink::note_message(Envelope const& envelope, Core::MonotonicTime now)
+{
+    if (envelope.body_case() == Envelope::kVersionRefused
+        || envelope.protocol_version() != Protocol::s_protocol_version) {
+        auto const version = envelope.body_case() == Envelope::kVersionRefused
+            ? envelope.version_refused().own_version()
+            : envelope.protocol_version();
+        if (!m_refused_version)
+            LOG(ERROR) << s_log_prefix << m_backend_server.name << " speaks protocol version " << version << ", not "
+                       << Protocol::s_protocol_version;
+        m_refused_version = version;
+        return Change::None;
+    }
+    m_last_heard = now;
+    if (envelope.body_case() == Envelope::kWelcome)
+        return note_welcome(envelope.welcome());
+    if (envelope.body_case() == Envelope::kPong) {
+        auto const& pong = envelope.pong();
+        note_load(pong.load());
+        if (pong.challenge() != m_challenge) {
+            m_challenge = pong.challenge();
+            ping();
+        }
+    }
+    return Change::None;
+}
+
+SideLink::Change SideLink::note_welcome(Protocol::Message::Welcome const& welcome)
+{
+    m_refused_version.reset();
+    if (welcome.backend_server() != m_backend_server.name || welcome.service() != m_backend_server.service) {
+        // Two rows with their addresses exchanged would otherwise send work to the wrong service.
+        LOG_EVERY_N(ERROR, 50) << s_log_prefix << "at " << m_backend_server.side_address << " stands "
+                               << welcome.backend_server() << " of " << welcome.service() << ", not "
+                               << m_backend_server.name << " of " << m_backend_server.service;
+        return Change::None;
+    }
+    bool const was_known = m_incarnation != Core::Incarnation();
+    bool const is_same = m_incarnation.value() == welcome.side_incarnation() && m_session == welcome.session();
+    bool const was_up = m_is_up;
+    m_incarnation = Core::Incarnation(welcome.side_incarnation());
+    m_session = welcome.session();
+    m_challenge = welcome.challenge();
+    m_is_up = true;
+    note_load(welcome.load());
+    if (is_same)
+        return was_up ? Change::None : Change::CameBack;
+    m_view.sent_by_tier = {};
+    return was_known ? Change::Replaced : Change::CameBack;
+}
+
+void SideLink::note_load(Protocol::Message::LoadReport const& load)
+{
+    m_side_uptime = Core::Milliseconds(static_cast<std::int64_t>(load.uptime_ms()));
+    m_is_draining = load.is_draining();
+    m_view.slots = std::max(load.slots(), 1U);
+    m_view.running = load.running();
+    m_view.headroom_slots = load.headroom_slots();
+    m_view.mean_service = Core::Milliseconds(load.mean_service_ms());
+    m_view.mean_first_token = Core::Milliseconds(load.mean_first_token_ms());
+    for (unsigned index = 0; index < Policy::s_tier_count; ++index)
+        m_view.waiting_by_tier[index] = index < static_cast<unsigned>(load.waiting_by_tier_size())
+            ? load.waiting_by_tier(static_cast<int>(index))
+            : 0;
+}
+
+void SideLink::note_sent(unsigned tier)
+{
+    ++m_view.sent_by_tier[tier - 1];
+}
+
+void SideLink::note_answered(unsigned tier)
+{
+    auto& sent = m_view.sent_by_tier[tier - 1];
+    sent -= std::min(sent, 1U);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -0,0 +1,120 @@
+#include <LibHTTP/HttpClient.h>
+
+#include <LibCore/Text.h>
+
+#include <LibHTTP/HeaderList.h>
+
+#include <atomic>
+
+#include <curl/curl.h>
+
+namespace GraniteField::HTTP {
+
+struct HttpClient::State {
+    CURL* handle {nullptr};
+    std::atomic<bool> is_aborted {false};
+};
+
+namespace {
+
+/// More than any answer of the platform or of a daemon holds.
+constexpr std::size_t s_largest_body_bytes = 64U << 20U;
+
+std::size_t take_body(char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& body = *static_cast<std::string*>(user);
+    if (body.size() + size * count > s_largest_body_bytes)
+        return 0;
+    body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t take_header(char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& headers = *static_cast<Headers*>(user);
+    std::string_view const line(data, size * count);
+    auto const colon = line.find(':');
+    if (colon != std::string_view::npos)
+        headers[Core::to_lower(line.substr(0, colon))] = Core::trim(line.substr(colon + 1));
+    return size * count;
+}
+
+int check_abort(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    return static_cast<std::atomic<bool>*>(user)->load() ? 1 : 0;
+}
+
+Effect effect_of(CURLcode code)
+{
+    bool const never_connected
+        = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT;
+    return never_connected ? Effect::None : Effect::Possible;
+}
+
+}
+
+void initialize_http_client()
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+HttpClient::HttpClient()
+    : m_state(std::make_unique<State>())
+{
+    m_state->handle = curl_easy_init();
+    if (m_state->handle == nullptr)
+        throw std::bad_alloc();
+}
+
+HttpClient::~HttpClient()
+{
+    curl_easy_cleanup(m_state->handle);
+}
+
+void HttpClient::abort()
+{
+    m_state->is_aborted = true;
+}
+
+ClientResponse HttpClient::send(ClientRequest const& request)
+{
+    auto* handle = m_state->handle;
+    ClientResponse response;
+    HeaderList headers;
+    for (auto const& header : request.headers)
+        headers.append(header);
+    // A body of any size goes out at once; without this libcurl may wait for "100 Continue" first.
+    headers.append("Expect:");
+
+    curl_easy_reset(handle);
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.list());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connect_timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, take_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+    curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, check_abort);
+    curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_state->is_aborted);
+    if (request.method == "HEAD")
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    if (!request.body.empty() || request.method == "PUT" || request.method == "POST") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+    }
+
+    auto const code = curl_easy_perform(handle);
+    if (code != CURLE_OK)
+        throw RequestFailed(
+            Core::concat(request.method, " ", request.url, ": ", curl_easy_strerror(code)), effect_of(code));
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    response.status = static_cast<int>(status);
+    return response;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/TableStore.cpp
@@ -0,0 +1,251 @@
+#include <LibPlatform/TableStore.h>
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Text.h>
+
+#include <algorithm>
+#include <set>
+
+#include <absl/time/clock.h>
+
+namespace GraniteField::Platform {
+
+namespace {
+
+constexpr std::string_view s_head_name = "granitefield-table-head";
+constexpr std::string_view s_page_prefix = "granitefield-table-page-";
+
+/// Rounds of reading, merging and writing before a change is given up as contended.
+constexpr int s_commit_rounds = 20;
+/// Tries to find out whether a write without an answer took effect.
+constexpr int s_verification_rounds = 5;
+/// Versions that a page outlives the last head that named it, so that a slow reader still finds it.
+constexpr std::uint64_t s_retired_page_versions = 16;
+
+std::string describe(std::vector<EditConflict::Cell> const& cells)
+{
+    std::string text;
+    for (auto const& cell : cells) {
+        Core::append(&text, text.empty() ? "" : "\n", cell.place.to_string(), ": you saw '", cell.expected,
+            "' and set '", cell.wanted, "', but it is '", cell.found, "' now");
+    }
+    return text;
+}
+
+/// The cells of an edit: itself, or all cells of a row that goes.
+std::vector<Table::CellPlace> touched_cells(Table::Edit const& edit)
+{
+    if (!edit.is_removal())
+        return {edit.place};
+    std::vector<Table::CellPlace> places;
+    for (auto const& column : Table::Table::column_names(edit.place.sheet))
+        places.push_back({edit.place.sheet, edit.place.row, column});
+    return places;
+}
+
+void check_conflicts(Table::Table const& base, Table::Table const& current, Table::Change const& change)
+{
+    if (base.version() == current.version())
+        return;
+    std::vector<EditConflict::Cell> conflicts;
+    for (auto const& edit : change) {
+        for (auto const& place : touched_cells(edit)) {
+            auto const expected = base.cell(place);
+            auto const found = current.cell(place);
+            if (expected != found && found != edit.value)
+                conflicts.push_back({place, expected.value_or("(no row)"), found.value_or("(no row)"),
+                    edit.value.value_or("(remove)")});
+        }
+    }
+    if (!conflicts.empty())
+        throw EditConflict(conflicts);
+}
+
+Table::ChangeRecord record_change(
+    Table::Table const& before, Table::Table const& after, std::string const& id, std::string const& author)
+{
+    Table::ChangeRecord record;
+    record.id = id;
+    record.version = after.version();
+    record.author = author;
+    record.unix_seconds = absl::ToUnixSeconds(absl::Now());
+    auto const edits = Table::difference(before, after);
+    record.cell_count = edits.size();
+    for (auto const& edit : edits) {
+        if (record.cells.size() == Table::s_recorded_cells)
+            break;
+        record.cells.push_back({edit.place, before.cell(edit.place).value_or(""), edit.value.value_or("")});
+    }
+    return record;
+}
+
+}
+
+EditConflict::EditConflict(std::vector<Cell> cells)
+    : std::runtime_error(describe(cells))
+    , m_cells(std::move(cells))
+{
+}
+
+TableStore::Snapshot TableStore::read_snapshot()
+{
+    auto const head_object = m_client.read(s_head_name);
+    if (head_object)
+        return load(*head_object);
+    Snapshot empty;
+    empty.head.pages.resize(Table::s_all_sheets.size() * Table::s_pages_of_a_sheet);
+    return empty;
+}
+
+TableStore::Snapshot TableStore::load(Object const& head_object)
+{
+    Snapshot snapshot;
+    snapshot.object_version = head_object.version;
+    snapshot.head = Table::decode_head(head_object.value);
+    std::vector<std::string> texts;
+    std::map<std::string, std::string> pages;
+    for (auto const& name : snapshot.head.pages) {
+        if (name.empty()) {
+            texts.emplace_back();
+            continue;
+        }
+        auto const cached = m_page_cache.find(name);
+        if (cached != m_page_cache.end()) {
+            texts.push_back(cached->second);
+        } else {
+            auto page = m_client.read(Core::concat(s_page_prefix, name));
+            if (!page)
+                throw PlatformUnavailable(Core::concat("the table page ", name, " is gone; the head has moved on"));
+            texts.push_back(std::move(page->value));
+        }
+        pages[name] = texts.back();
+    }
+    snapshot.table = Table::assemble_table(snapshot.head.version, texts);
+    m_page_cache = std::move(pages);
+    return snapshot;
+}
+
+void TableStore::remember(Snapshot const& snapshot)
+{
+    m_seen = snapshot.object_version.value_or(ObjectVersion());
+}
+
+Table::Table TableStore::read()
+{
+    auto snapshot = read_snapshot();
+    remember(snapshot);
+    return std::move(snapshot.table);
+}
+
+std::optional<Table::Table> TableStore::watch(Core::Milliseconds wait)
+{
+    auto const head_object = m_client.watch(s_head_name, m_seen, wait);
+    if (!head_object)
+        return std::nullopt;
+    auto snapshot = load(*head_object);
+    remember(snapshot);
+    return std::move(snapshot.table);
+}
+
+Table::TableHead TableStore::write_pages(
+    Snapshot const& snapshot, Table::Table const& changed, std::string const& change_id)
+{
+    auto head = snapshot.head;
+    head.version = changed.version();
+    std::set<std::size_t> touched;
+    for (auto const& edit : Table::difference(snapshot.table, changed))
+        touched.insert(Table::page_number(edit.place.sheet, edit.place.row));
+    for (auto const page : touched) {
+        auto const text = Table::encode_page(changed, page);
+        // The version in the name keeps a page of this round apart from one of a round that lost the race.
+        auto const name
+            = text.empty() ? std::string() : Core::concat(change_id, "-", changed.version().value(), "-", page);
+        if (!head.pages[page].empty())
+            head.retired_pages.push_back({head.pages[page], changed.version()});
+        head.pages[page] = name;
+        if (name.empty())
+            continue;
+        try {
+            m_client.create(Core::concat(s_page_prefix, name), text);
+        } catch (VersionConflict const&) {
+            // Only this change writes pages under this name, so the page is the one of an earlier try
+            // whose answer was lost.
+            continue;
+        }
+    }
+    return head;
+}
+
+void TableStore::write_head(Snapshot const& snapshot, Table::TableHead const& head)
+{
+    auto const text = Table::encode_head(head);
+    if (snapshot.object_version)
+        m_client.update(s_head_name, *snapshot.object_version, text);
+    else
+        m_client.create(s_head_name, text);
+}
+
+bool TableStore::is_in_force(std::string const& change_id)
+{
+    for (int round = 0; round < s_verification_rounds; ++round) {
+        try {
+            return read_snapshot().head.has_change(change_id);
+        } catch (PlatformUnavailable const&) {
+            continue;
+        }
+    }
+    throw EffectUnknown(Core::concat("no answer came to the write of change ", change_id,
+        ", and the platform can't be asked; 'granitefield table history' shows later whether it is in force"));
+}
+
+void TableStore::remove_retired_pages(Table::TableHead const& head)
+{
+    for (auto const& page : head.retired_pages) {
+        if (page.version.value() + s_retired_page_versions <= head.version.value())
+            m_client.remove(Core::concat(s_page_prefix, page.name));
+    }
+}
+
+Table::Table TableStore::commit(Table::Table const& base, Table::Change const& change, std::string const& author)
+{
+    auto const change_id = Core::to_hex(Core::draw_incarnation().value());
+    for (int round = 0; round < s_commit_rounds; ++round) {
+        auto const snapshot = read_snapshot();
+        if (snapshot.head.has_change(change_id))
+            return snapshot.table;
+        check_conflicts(base, snapshot.table, change);
+        auto const changed = snapshot.table.with(change);
+        if (Table::difference(snapshot.table, changed).empty())
+            return snapshot.table;
+        auto head = write_pages(snapshot, changed, change_id);
+        head.recent_changes.insert(
+            head.recent_changes.begin(), record_change(snapshot.table, changed, change_id, author));
+        if (head.recent_changes.size() > Table::s_recorded_changes)
+            head.recent_changes.resize(Table::s_recorded_changes);
+        auto const full_head = head;
+        std::erase_if(head.retired_pages,
+            [&](auto const& page) { return page.version.value() + s_retired_page_versions <= head.version.value(); });
+        try {
+            write_head(snapshot, head);
+        } catch (VersionConflict const&) {
+            continue;
+        } catch (PlatformUnavailable const&) {
+            if (!is_in_force(change_id))
+                continue;
+        }
+        try {
+            remove_retired_pages(full_head);
+        } catch (PlatformUnavailable const&) {
+            // NOTE: The change is in force. A page that stays behind costs the platform a few kilobytes.
+        }
+        return changed;
+    }
+    throw PlatformUnavailable("the table was changed by others at every try; nothing of this change is in force");
+}
+
+std::vector<Table::ChangeRecord> TableStore::history()
+{
+    return read_snapshot().head.recent_changes;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/AdmissionQueue.h
@@ -0,0 +1,463 @@
+#pragma once
+
+#include <LibPolicy/Discipline.h>
+#include <LibPolicy/FairShare.h>
+#include <LibPolicy/FloorAccount.h>
+#include <LibPolicy/Work.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
+
+namespace GraniteField::Policy {
+
+struct QueueLimits {
+    /// Attempts that run at once.
+    unsigned slots {1};
+    /// Attempts that wait at once, over all tiers.
+    unsigned queue_limit {64};
+    /// Slots that only the urgent tier takes.
+    unsigned headroom_slots {0};
+};
+
+enum class StartReason {
+    /// It was first in the order of tiers and deadlines.
+    Order,
+    /// Its class was owed a slot by its floor.
+    Floor,
+};
+
+struct Start {
+    Work work;
+    StartReason reason {StartReason::Order};
+};
+
+/// What became of an offered attempt.
+struct Offer {
+    /// Nothing: it waits now.
+    std::optional<Refusal> refusal;
+    /// With a refusal: when a try is likely to fare better.
+    Core::Milliseconds retry_after {0};
+    /// An attempt of a lower tier that had to give its place.
+    std::optional<Work> displaced;
+};
+
+/// An attempt that may not wait any longer.
+struct Expiry {
+    Work work;
+    Refusal refusal {Refusal::GaveUp};
+};
+
+/// The queue and the slots of one backend server: which attempt starts, waits or is refused.
+///
+/// Rules, for a discipline with tiers: no attempt starts by order while one of a higher tier waits and
+/// could start; a full queue gives a newcomer the place of the last attempt of the lowest tier, if that
+/// is lower than the newcomer's own; so an attempt is never refused while a lower tier waits. Floors
+/// delay higher tiers by their share of the slots and never displace anything.
+///
+/// No clock and no I/O of its own. Each operation costs O(log n) in the number of waiting attempts, and
+/// O(c) in the number of classes that have a floor.
+template <Discipline Rules>
+class AdmissionQueue {
+public:
+    explicit AdmissionQueue(QueueLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    [[nodiscard]] Offer offer(Work, Core::MonotonicTime now);
+    /// The attempt that starts now, if any. Call it until it gives nothing.
+    [[nodiscard]] std::optional<Start> next(Core::MonotonicTime now);
+    /// A started attempt has left its slot.
+    void finish(WorkKey const&, Core::MonotonicTime now);
+    /// Takes a waiting attempt out of the queue; nothing when it does not wait.
+    std::optional<Work> withdraw(WorkKey const&, Core::MonotonicTime now);
+    /// Takes out what has waited too long.
+    [[nodiscard]] std::vector<Expiry> expire(Core::MonotonicTime now);
+    /// When next() or expire() may have something to do without any other call.
+    [[nodiscard]] std::optional<Core::MonotonicTime> next_wake() const;
+
+    [[nodiscard]] bool is_waiting(WorkKey const& key) const { return m_waiting.contains(key); }
+    [[nodiscard]] std::size_t waiting_count() const { return m_waiting.size(); }
+    [[nodiscard]] std::size_t waiting_count(unsigned tier) const { return m_tiers.at(tier - 1).waiting.size(); }
+    [[nodiscard]] std::size_t waiting_count(std::string const& request_class) const;
+    [[nodiscard]] std::size_t running_count() const { return m_running.size(); }
+    [[nodiscard]] QueueLimits const& limits() const { return m_limits; }
+
+    /// How long an attempt of this tier would wait for a slot if it came now.
+    [[nodiscard]] Core::Milliseconds expected_wait(unsigned tier) const;
+    /// Mean time for which recent attempts held a slot.
+    [[nodiscard]] Core::Milliseconds mean_service() const
+    {
+        return Core::Milliseconds(static_cast<std::int64_t>(m_mean_service_milliseconds));
+    }
+
+private:
+    /// Place in the order of a tier or of a class: earlier first, arrival breaks ties.
+    struct OrderKey {
+        Core::MonotonicTime time;
+        std::uint64_t arrival {0};
+
+        auto operator<=>(OrderKey const&) const = default;
+    };
+
+    using Order = std::map<OrderKey, WorkKey>;
+
+    struct Waiting {
+        Work work;
+        OrderKey order;
+        Core::MonotonicTime expires;
+        FairShare::VirtualTime entered_at {0};
+        FairShare::VirtualTime lead {0};
+    };
+
+    struct Running {
+        std::string request_class;
+        Core::MonotonicTime started;
+        std::optional<FloorAccount::SlotTime> charged;
+    };
+
+    struct Tier {
+        Order waiting;
+        FairShare fair_share;
+    };
+
+    struct ClassState {
+        Order waiting;
+        FloorAccount floor;
+        unsigned floor_percent {0};
+        /// Attempts that the floor started and that still run.
+        unsigned floor_running {0};
+    };
+
+    /// Gain of the moving mean of service times.
+    static constexpr double s_mean_gain = 0.05;
+    static constexpr Core::Milliseconds s_least_retry_after {50};
+
+    [[nodiscard]] static unsigned tier_of(Work const& work) { return Rules::has_tiers ? work.tier : s_urgent_tier; }
+    [[nodiscard]] unsigned free_slots() const
+    {
+        return m_limits.slots - std::min<unsigned>(m_limits.slots, static_cast<unsigned>(m_running.size()));
+    }
+    [[nodiscard]] unsigned free_slots_for(unsigned tier, unsigned held) const;
+    [[nodiscard]] unsigned held_slots(Core::MonotonicTime now);
+    [[nodiscard]] bool can_start_at_once(Work const&, Core::MonotonicTime now);
+    [[nodiscard]] bool is_target_out_of_reach(Work const&, Core::MonotonicTime now) const;
+    [[nodiscard]] Offer refuse(Work const&, Refusal, Core::MonotonicTime now);
+    [[nodiscard]] Core::Milliseconds retry_after(Work const&, Core::MonotonicTime now) const;
+    [[nodiscard]] std::optional<Work> displace_below(unsigned tier, Core::MonotonicTime now);
+    void enqueue(Work, Core::MonotonicTime now);
+    Work take(WorkKey const&, Core::MonotonicTime now);
+    Start start(WorkKey const&, StartReason, Core::MonotonicTime now);
+    [[nodiscard]] std::optional<WorkKey> first_by_floor(Core::MonotonicTime now);
+    [[nodiscard]] std::optional<WorkKey> first_by_order(unsigned held) const;
+    ClassState& class_state(Work const&);
+
+    QueueLimits m_limits;
+    std::array<Tier, s_tier_count> m_tiers;
+    absl::node_hash_map<std::string, ClassState> m_classes;
+    absl::node_hash_map<WorkKey, Waiting> m_waiting;
+    std::set<std::pair<Core::MonotonicTime, WorkKey>> m_expiries;
+    absl::flat_hash_map<WorkKey, Running> m_running;
+    std::uint64_t m_arrivals {0};
+    double m_mean_service_milliseconds {0};
+};
+
+template <Discipline Rules>
+auto AdmissionQueue<Rules>::class_state(Work const& work) -> ClassState&
+{
+    auto& state = m_classes[work.request_class];
+    // A row of a later table version may bring another floor.
+    if (Rules::has_floors && state.floor_percent != work.floor_percent) {
+        state.floor_percent = work.floor_percent;
+        state.floor.set_share(m_limits.slots * work.floor_percent / 100.0);
+    }
+    return state;
+}
+
+template <Discipline Rules>
+unsigned AdmissionQueue<Rules>::free_slots_for(unsigned tier, unsigned held) const
+{
+    auto const headroom = Rules::has_tiers && tier != s_urgent_tier ? m_limits.headroom_slots : 0;
+    auto const kept = headroom + held;
+    return free_slots() - std::min(free_slots(), kept);
+}
+
+template <Discipline Rules>
+unsigned AdmissionQueue<Rules>::held_slots(Core::MonotonicTime now)
+{
+    if constexpr (!Rules::has_floors)
+        return 0;
+    unsigned held = 0;
+    for (auto& [name, state] : m_classes) {
+        if (state.floor_percent == 0)
+            continue;
+        state.floor.update(now);
+        if (state.floor.is_holding_slot(now, free_slots() > held))
+            ++held;
+    }
+    return held;
+}
+
+template <Discipline Rules>
+bool AdmissionQueue<Rules>::can_start_at_once(Work const& work, Core::MonotonicTime now)
+{
+    auto const held = held_slots(now);
+    auto& state = class_state(work);
+    bool const is_owed_a_slot = state.floor.is_owed() && free_slots() > 0 && state.waiting.empty()
+        && state.floor_running < state.floor.largest_running_count();
+    if (is_owed_a_slot)
+        return true;
+    for (unsigned tier = 1; tier <= tier_of(work); ++tier) {
+        if (!m_tiers[tier - 1].waiting.empty())
+            return false;
+    }
+    return free_slots_for(tier_of(work), held) > 0;
+}
+
+template <Discipline Rules>
+Core::Milliseconds AdmissionQueue<Rules>::expected_wait(unsigned tier) const
+{
+    auto const own_tier = Rules::has_tiers ? tier : s_urgent_tier;
+    std::size_t ahead = 0;
+    for (unsigned other = 1; other <= own_tier; ++other)
+        ahead += m_tiers[other - 1].waiting.size();
+    if (ahead == 0 && free_slots_for(own_tier, 0) > 0)
+        return Core::Milliseconds(0);
+    auto const rounds = static_cast<double>(ahead + 1) / m_limits.slots;
+    return Core::Milliseconds(static_cast<std::int64_t>(rounds * m_mean_service_milliseconds));
+}
+
+template <Discipline Rules>
+bool AdmissionQueue<Rules>::is_target_out_of_reach(Work const& work, Core::MonotonicTime now) const
+{
+    if (!Rules::has_deadlines || !work.should_refuse_late)
+        return false;
+    return now + expected_wait(work.tier) + work.expected_first_token > work.target;
+}
+
+template <Discipline Rules>
+Core::Milliseconds AdmissionQueue<Rules>::retry_after(Work const& work, Core::MonotonicTime now) const
+{
+    // The queue has to drain until the wait fits into the time that this class has for its first token.
+    auto const wait = expected_wait(work.tier);
+    auto const budget = std::chrono::duration_cast<Core::Milliseconds>(work.target - now) - work.expected_first_token;
+    auto const excess = wait - std::clamp(budget, Core::Milliseconds(0), wait);
+    auto const one_place = Core::Milliseconds(static_cast<std::int64_t>(m_mean_service_milliseconds / m_limits.slots));
+    return std::max({excess, one_place, s_least_retry_after});
+}
+
+template <Discipline Rules>
+Offer AdmissionQueue<Rules>::refuse(Work const& work, Refusal refusal, Core::MonotonicTime now)
+{
+    class_state(work).floor.note_unmet_demand(now);
+    return {refusal, retry_after(work, now), std::nullopt};
+}
+
+template <Discipline Rules>
+std::optional<Work> AdmissionQueue<Rules>::displace_below(unsigned tier, Core::MonotonicTime now)
+{
+    for (unsigned lower = s_tier_count; lower > tier; --lower) {
+        auto const& waiting = m_tiers[lower - 1].waiting;
+        if (waiting.empty())
+            continue;
+        auto work = take(waiting.rbegin()->second, now);
+        class_state(work).floor.note_unmet_demand(now);
+        return work;
+    }
+    return std::nullopt;
+}
+
+template <Discipline Rules>
+Offer AdmissionQueue<Rules>::offer(Work work, Core::MonotonicTime now)
+{
+    if (can_start_at_once(work, now)) {
+        enqueue(std::move(work), now);
+        return {};
+    }
+    auto const class_waiting = class_state(work).waiting.size();
+    if (work.class_queue_limit != 0 && class_waiting >= work.class_queue_limit)
+        return refuse(work, Refusal::ClassQueueFull, now);
+    if (is_target_out_of_reach(work, now))
+        return refuse(work, Refusal::TargetOutOfReach, now);
+    Offer offer;
+    if (m_waiting.size() >= m_limits.queue_limit) {
+        offer.displaced = displace_below(tier_of(work), now);
+        if (!offer.displaced)
+            return refuse(work, Refusal::QueueFull, now);
+        offer.retry_after = retry_after(*offer.displaced, now);
+    }
+    enqueue(std::move(work), now);
+    return offer;
+}
+
+template <Discipline Rules>
+void AdmissionQueue<Rules>::enqueue(Work work, Core::MonotonicTime now)
+{
+    Waiting waiting;
+    auto& tier = m_tiers[tier_of(work) - 1];
+    waiting.order = {now, ++m_arrivals};
+    if constexpr (Rules::has_deadlines) {
+        waiting.entered_at = tier.fair_share.virtual_time();
+        waiting.lead = tier.fair_share.enter(work.request_class + "/" + work.workspace,
+            work.class_weight * work.workspace_weight, work.expected_service);
+        waiting.order.time = work.target + std::chrono::duration_cast<Core::MonotonicTime::duration>(waiting.lead);
+    }
+    waiting.expires = work.give_up;
+    if (Rules::has_deadlines && work.should_refuse_late)
+        waiting.expires = std::min(waiting.expires, work.target - work.expected_first_token);
+    auto const key = work.key;
+    auto& state = class_state(work);
+    waiting.work = std::move(work);
+    tier.waiting.emplace(waiting.order, key);
+    state.waiting.emplace(waiting.order, key);
+    state.floor.note_waiting(now, true);
+    m_expiries.emplace(waiting.expires, key);
+    m_waiting.emplace(key, std::move(waiting));
+}
+
+template <Discipline Rules>
+Work AdmissionQueue<Rules>::take(WorkKey const& key, Core::MonotonicTime now)
+{
+    auto node = m_waiting.extract(key);
+    auto& waiting = node.mapped();
+    m_tiers[tier_of(waiting.work) - 1].waiting.erase(waiting.order);
+    auto& state = class_state(waiting.work);
+    state.waiting.erase(waiting.order);
+    state.floor.note_waiting(now, !state.waiting.empty());
+    m_expiries.erase({waiting.expires, key});
+    return std::move(waiting.work);
+}
+
+template <Discipline Rules>
+std::optional<WorkKey> AdmissionQueue<Rules>::first_by_floor(Core::MonotonicTime now)
+{
+    if constexpr (!Rules::has_floors)
+        return std::nullopt;
+    ClassState* most_owed = nullptr;
+    for (auto& [name, state] : m_classes) {
+        if (state.waiting.empty() || state.floor_running >= state.floor.largest_running_count())
+            continue;
+        state.floor.update(now);
+        bool const is_more_owed = most_owed == nullptr || state.floor.balance() > most_owed->floor.balance();
+        if (state.floor.is_owed() && is_more_owed)
+            most_owed = &state;
+    }
+    if (most_owed == nullptr)
+        return std::nullopt;
+    return most_owed->waiting.begin()->second;
+}
+
+template <Discipline Rules>
+std::optional<WorkKey> AdmissionQueue<Rules>::first_by_order(unsigned held) const
+{
+    for (unsigned tier = 1; tier <= s_tier_count; ++tier) {
+        auto const& waiting = m_tiers[tier - 1].waiting;
+        if (!waiting.empty() && free_slots_for(tier, held) > 0)
+            return waiting.begin()->second;
+    }
+    return std::nullopt;
+}
+
+template <Discipline Rules>
+Start AdmissionQueue<Rules>::start(WorkKey const& key, StartReason reason, Core::MonotonicTime now)
+{
+    auto const& waiting = m_waiting.at(key);
+    m_tiers[tier_of(waiting.work) - 1].fair_share.start(waiting.entered_at, waiting.lead);
+    Start start {take(key, now), reason};
+    Running running {start.work.request_class, now, std::nullopt};
+    auto& floor = class_state(start.work).floor;
+    floor.end_hold();
+    if (reason == StartReason::Floor) {
+        running.charged = FloorAccount::SlotTime(start.work.expected_service);
+        floor.charge(*running.charged);
+        ++class_state(start.work).floor_running;
+    }
+    m_running.emplace(key, std::move(running));
+    return start;
+}
+
+template <Discipline Rules>
+std::optional<Start> AdmissionQueue<Rules>::next(Core::MonotonicTime now)
+{
+    if (free_slots() == 0 || m_waiting.empty())
+        return std::nullopt;
+    auto const by_order = first_by_order(held_slots(now));
+    auto const by_floor = first_by_floor(now);
+    // What the order starts anyway costs the floor nothing.
+    if (by_floor && by_floor != by_order)
+        return start(*by_floor, StartReason::Floor, now);
+    if (by_order)
+        return start(*by_order, StartReason::Order, now);
+    return std::nullopt;
+}
+
+template <Discipline Rules>
+void AdmissionQueue<Rules>::finish(WorkKey const& key, Core::MonotonicTime now)
+{
+    auto const found = m_running.find(key);
+    if (found == m_running.end())
+        return;
+    auto const held = std::chrono::duration_cast<FloorAccount::SlotTime>(now - found->second.started);
+    if (found->second.charged) {
+        auto& state = m_classes[found->second.request_class];
+        state.floor.settle(*found->second.charged, held);
+        --state.floor_running;
+    }
+    auto const milliseconds = held.count() * 1000;
+    if (m_mean_service_milliseconds == 0)
+        m_mean_service_milliseconds = milliseconds;
+    m_mean_service_milliseconds += s_mean_gain * (milliseconds - m_mean_service_milliseconds);
+    m_running.erase(found);
+}
+
+template <Discipline Rules>
+std::optional<Work> AdmissionQueue<Rules>::withdraw(WorkKey const& key, Core::MonotonicTime now)
+{
+    if (!m_waiting.contains(key))
+        return std::nullopt;
+    return take(key, now);
+}
+
+template <Discipline Rules>
+std::vector<Expiry> AdmissionQueue<Rules>::expire(Core::MonotonicTime now)
+{
+    std::vector<Expiry> expired;
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        auto work = take(m_expiries.begin()->second, now);
+        auto const refusal = work.give_up <= now ? Refusal::GaveUp : Refusal::TargetOutOfReach;
+        class_state(work).floor.note_unmet_demand(now);
+        expired.push_back({std::move(work), refusal});
+    }
+    return expired;
+}
+
+template <Discipline Rules>
+std::optional<Core::MonotonicTime> AdmissionQueue<Rules>::next_wake() const
+{
+    std::optional<Core::MonotonicTime> wake;
+    if (!m_expiries.empty())
+        wake = m_expiries.begin()->first;
+    for (auto const& [name, state] : m_classes) {
+        auto const hold_end = state.floor.hold_end();
+        if (hold_end && (!wake || *hold_end < *wake))
+            wake = hold_end;
+    }
+    return wake;
+}
+
+template <Discipline Rules>
+std::size_t AdmissionQueue<Rules>::waiting_count(std::string const& request_class) const
+{
+    auto const found = m_classes.find(request_class);
+    return found == m_classes.end() ? 0 : found->second.waiting.size();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/ServicePredictor.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace GraniteField::Policy {
+
+/// How long answers take, learned from past ones. An answer's length is not known in advance; what the
+/// class and the workspace had lately is the best guess, then the class alone, then everything.
+class ServicePredictor {
+public:
+    struct Prediction {
+        /// How long a slot is held.
+        Core::Milliseconds service {0};
+        /// From the start to the first token.
+        Core::Milliseconds first_token {0};
+    };
+
+    /// Flows that are remembered. What comes beyond is predicted from its class.
+    static constexpr std::size_t s_largest_flow_count = 8192;
+
+    void record(std::string const& request_class, std::string const& workspace, Prediction const& actual)
+    {
+        m_all.add(actual);
+        add(request_class, actual);
+        add(request_class + "/" + workspace, actual);
+    }
+
+    [[nodiscard]] Prediction predict(std::string const& request_class, std::string const& workspace) const
+    {
+        for (auto const& key : {request_class + "/" + workspace, request_class}) {
+            auto const found = m_means.find(key);
+            if (found != m_means.end() && found->second.count >= s_enough_answers)
+                return found->second.prediction();
+        }
+        return m_all.prediction();
+    }
+
+    [[nodiscard]] Prediction overall() const { return m_all.prediction(); }
+
+private:
+    static constexpr unsigned s_enough_answers = 5;
+    static constexpr double s_gain = 0.1;
+
+    struct Mean {
+        unsigned count {0};
+        double service {0};
+        double first_token {0};
+
+        void add(Prediction const& actual)
+        {
+            ++count;
+            // The first answers count in full, so that the mean does not start at zero.
+            auto const gain = std::max(s_gain, 1.0 / count);
+            service += gain * (static_cast<double>(actual.service.count()) - service);
+            first_token += gain * (static_cast<double>(actual.first_token.count()) - first_token);
+        }
+
+        [[nodiscard]] Prediction prediction() const
+        {
+            return {Core::Milliseconds(static_cast<std::int64_t>(service)),
+                Core::Milliseconds(static_cast<std::int64_t>(first_token))};
+        }
+    };
+
+    void add(std::string const& key, Prediction const& actual)
+    {
+        if (m_means.size() >= s_largest_flow_count && !m_means.contains(key))
+            return;
+        m_means[key].add(actual);
+    }
+
+    Mean m_all;
+    absl::flat_hash_map<std::string, Mean> m_means;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -0,0 +1,160 @@
+#include <LibSettings/DaemonSettings.h>
+
+#include <LibSettings/ObjectReader.h>
+
+#include <nlohmann/json.hpp>
+
+namespace GraniteField::Settings {
+
+using Json = nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t s_largest_count = 1'000'000;
+
+void read_common(ObjectReader& reader, CommonSettings& common)
+{
+    reader.read("name", common.name, Presence::Required);
+    reader.read("failure-domain", common.failure_domain, Presence::Required);
+    reader.read("region", common.region, Presence::Required);
+    reader.read("operator-address", common.operator_address, Presence::Required);
+    reader.read("drain-notice", common.drain_notice, 0ms, 10min);
+    reader.read("drain-limit", common.drain_limit, 0ms, 24h);
+    reader.read_number("decisions-kept", common.decisions_kept, 100, s_largest_count);
+    Core::Address collector;
+    if (reader.member("trace-collector") != nullptr) {
+        reader.read("trace-collector", collector);
+        common.trace_collector = collector;
+    }
+}
+
+void read_callers(Json const& json, Entry::CallerServer::Settings& callers, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/callers", findings);
+    reader.read("address", callers.address, Presence::Required);
+    reader.read_number("threads", callers.threads, 1, 64);
+    reader.read_number("largest-connection-count", callers.largest_connection_count, 1, s_largest_count);
+    reader.read_number("largest-body-bytes", callers.largest_body_bytes, 1, 16U << 20U);
+    Core::Milliseconds idle_limit = callers.idle_limit;
+    reader.read("idle-limit", idle_limit, 1s, 1h);
+    callers.idle_limit = std::chrono::duration_cast<std::chrono::seconds>(idle_limit);
+    reader.finish();
+}
+
+void read_routing(Json const& json, EntrySettings& entry, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/routing", findings);
+    auto& runs = entry.router.runs;
+    auto& links = entry.router.links;
+    reader.read_choice<Entry::ChooserName>("chooser", runs.chooser,
+        {{"predicted-wait", Entry::ChooserName::PredictedWait}, {"round-robin", Entry::ChooserName::RoundRobin},
+            {"least-outstanding", Entry::ChooserName::LeastOutstanding}});
+    reader.read("missed-prefix-cost", runs.missed_prefix_cost, 0ms, 10s);
+    reader.read_number("largest-tries", runs.largest_tries, 1, 16);
+    reader.read("question-interval", runs.question_interval, 20ms, 60s);
+    reader.read("stall-limit", runs.stall_limit, 100ms, 10min);
+    reader.read("heartbeat", links.link.heartbeat, 20ms, 60s);
+    reader.read("link-patience", links.link.patience, 100ms, 10min);
+    reader.read_number("links-per-service", links.links_per_service, 1, 10'000);
+    reader.read_number("entry-count", entry.entry_count, 1, 100'000);
+    reader.finish();
+    if (links.link.patience < 2 * links.link.heartbeat)
+        findings.add("/routing/link-patience", "must be at least twice the heartbeat");
+}
+
+void read_platform(Json const& json, Entry::TableFollower::Settings& table, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/platform", findings);
+    reader.read("address", table.platform, Presence::Required);
+    reader.read("call-timeout", table.call_timeout, 10ms, 60s);
+    reader.read("watch-wait", table.watch_wait, 100ms, 10min);
+    reader.read("longest-pause", table.longest_pause, 100ms, 10min);
+    reader.finish();
+}
+
+void read_entry(ObjectReader& reader, DaemonSettings& settings, Core::Findings& findings)
+{
+    if (auto const* callers = reader.member("callers", Presence::Required))
+        read_callers(*callers, settings.entry.callers, findings);
+    if (auto const* platform = reader.member("platform", Presence::Required))
+        read_platform(*platform, settings.entry.table, findings);
+    if (auto const* routing = reader.member("routing"))
+        read_routing(*routing, settings.entry, findings);
+    settings.entry.router.links.link.entry_name = settings.common.name;
+}
+
+void read_backend(Json const& json, Side::SideSettings& side, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/backend-server", findings);
+    reader.read("name", side.backend_server, Presence::Required);
+    reader.read("service", side.service, Presence::Required);
+    reader.read("address", side.engine.engine, Presence::Required);
+    reader.read("connect-timeout", side.engine.connect_timeout, 10ms, 60s);
+    reader.read("silence-limit", side.engine.silence_limit, 1s, 1h);
+    reader.read_number("slots", side.limits.slots, 1, 10'000);
+    reader.finish();
+}
+
+void read_queue(Json const& json, Side::SideSettings& side, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/queue", findings);
+    reader.read_number("limit", side.limits.queue_limit, 1, s_largest_count);
+    reader.read_number("headroom-slots", side.limits.headroom_slots, 0, 10'000);
+    reader.read_choice<Side::DisciplineName>("discipline", side.discipline,
+        {{"tiered", Side::DisciplineName::Tiered}, {"bare-tiers", Side::DisciplineName::BareTiers},
+            {"arrival", Side::DisciplineName::Arrival}});
+    reader.finish();
+    if (side.limits.headroom_slots >= side.limits.slots)
+        findings.add("/queue/headroom-slots", "must leave at least one slot to the other tiers");
+}
+
+void read_tickets(Json const& json, Side::TicketBook::Limits& tickets, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/tickets", findings);
+    reader.read("hold", tickets.hold, 1s, 24h);
+    reader.read_number("largest-count", tickets.largest_count, 1, 10'000'000);
+    reader.read_number("largest-answer-bytes", tickets.largest_answer_bytes, 0, 1U << 20U);
+    reader.read_number("largest-total-bytes", tickets.largest_total_bytes, 0, 1U << 30U);
+    reader.finish();
+}
+
+void read_side(ObjectReader& reader, DaemonSettings& settings, Core::Findings& findings)
+{
+    reader.read("link-address", settings.side.link_address, Presence::Required);
+    reader.read("entry-patience", settings.side.entry_patience, 500ms, 10min);
+    if (auto const* backend = reader.member("backend-server", Presence::Required))
+        read_backend(*backend, settings.side, findings);
+    if (auto const* queue = reader.member("queue"))
+        read_queue(*queue, settings.side, findings);
+    if (auto const* tickets = reader.member("tickets"))
+        read_tickets(*tickets, settings.side.tickets, findings);
+}
+
+}
+
+DaemonSettings parse_settings(std::string_view text)
+{
+    Core::Findings findings;
+    Json json;
+    try {
+        json = Json::parse(text);
+    } catch (Json::parse_error const& error) {
+        findings.add("byte " + std::to_string(error.byte), "the file is not JSON");
+        throw Core::InvalidInput(findings);
+    }
+    DaemonSettings settings;
+    ObjectReader reader(json, "", findings);
+    reader.read_choice<Role>("role", settings.role, {{"entry", Role::Entry}, {"side", Role::Side}}, Presence::Required);
+    read_common(reader, settings.common);
+    if (settings.role == Role::Entry)
+        read_entry(reader, settings, findings);
+    else
+        read_side(reader, settings, findings);
+    reader.finish();
+    if (!findings.is_empty())
+        throw Core::InvalidInput(findings);
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/Findings.h>
+#include <LibCore/Time.h>
+#include <LibEntry/CallerServer.h>
+#include <LibEntry/Router.h>
+#include <LibEntry/TableFollower.h>
+#include <LibSide/SideAuthority.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace GraniteField::Settings {
+
+enum class Role {
+    Entry,
+    Side,
+};
+
+/// What both roles need.
+struct CommonSettings {
+    std::string name;
+    std::string failure_domain;
+    std::string region;
+    Core::Address operator_address;
+    /// Where spans go; none by default.
+    std::optional<Core::Address> trace_collector;
+    /// How long not-ready is shown before the listener closes at a planned stop.
+    Core::Milliseconds drain_notice {2'000};
+    /// How long a planned stop waits for what is in flight.
+    Core::Milliseconds drain_limit {120'000};
+    std::size_t decisions_kept {20'000};
+};
+
+struct EntrySettings {
+    Entry::CallerServer::Settings callers;
+    Entry::Router::Settings router;
+    Entry::TableFollower::Settings table;
+    /// Entries that share the workspaces' rates.
+    std::size_t entry_count {1};
+};
+
+/// The settings of one daemon, read from its JSON file. docs/OPERATING.md lists them.
+struct DaemonSettings {
+    Role role {Role::Entry};
+    CommonSettings common;
+    EntrySettings entry;
+    Side::SideSettings side;
+};
+
+/// Reads settings. Throws Core::InvalidInput with everything that is wrong, each with its JSON pointer.
+[[nodiscard]] DaemonSettings parse_settings(std::string_view json);
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -0,0 +1,114 @@
+#include <LibSettings/ObjectReader.h>
+
+namespace GraniteField::Settings {
+
+using Json = nlohmann::json;
+
+ObjectReader::ObjectReader(Json const& object, std::string place, Core::Findings& findings)
+    : m_object(object)
+    , m_place(std::move(place))
+    , m_findings(findings)
+{
+    if (!m_object.is_object())
+        m_findings.add(m_place.empty() ? "/" : m_place, "must be an object");
+}
+
+Json const* ObjectReader::member(std::string const& key, Presence presence)
+{
+    m_asked.insert(key);
+    if (!m_object.is_object())
+        return nullptr;
+    auto const found = m_object.find(key);
+    if (found != m_object.end())
+        return &*found;
+    if (presence == Presence::Required)
+        m_findings.add(place_of(key), "is missing");
+    return nullptr;
+}
+
+std::optional<std::string> ObjectReader::text_at(std::string const& key, Presence presence)
+{
+    auto const* value = member(key, presence);
+    if (value == nullptr)
+        return std::nullopt;
+    if (!value->is_string()) {
+        m_findings.add(place_of(key), "must be a string");
+        return std::nullopt;
+    }
+    return value->get<std::string>();
+}
+
+std::optional<std::uint64_t> ObjectReader::number_at(std::string const& key, std::uint64_t least, std::uint64_t most)
+{
+    auto const* value = member(key);
+    if (value == nullptr)
+        return std::nullopt;
+    bool const is_in_range
+        = value->is_number_unsigned() && value->get<std::uint64_t>() >= least && value->get<std::uint64_t>() <= most;
+    if (is_in_range)
+        return value->get<std::uint64_t>();
+    m_findings.add(
+        place_of(key), "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return std::nullopt;
+}
+
+void ObjectReader::read(std::string const& key, std::string& target, Presence presence)
+{
+    auto const text = text_at(key, presence);
+    if (!text)
+        return;
+    if (text->empty())
+        m_findings.add(place_of(key), "must not be empty");
+    target = *text;
+}
+
+void ObjectReader::read(
+    std::string const& key, Core::Milliseconds& target, Core::Milliseconds least, Core::Milliseconds most)
+{
+    auto const text = text_at(key, Presence::Optional);
+    if (!text)
+        return;
+    auto const duration = Core::parse_duration(*text);
+    if (!duration)
+        m_findings.add(place_of(key), "'" + *text + "' is not a duration such as 250ms or 3s");
+    else if (*duration < least || *duration > most)
+        m_findings.add(
+            place_of(key), "must be from " + Core::format_duration(least) + " to " + Core::format_duration(most));
+    else
+        target = *duration;
+}
+
+void ObjectReader::read(std::string const& key, Core::Address& target, Presence presence)
+{
+    auto const text = text_at(key, presence);
+    if (!text)
+        return;
+    auto const address = Core::Address::from_string(*text);
+    if (address)
+        target = *address;
+    else
+        m_findings.add(place_of(key), "'" + *text + "' is not an address by IP number such as 127.0.0.1:7000");
+}
+
+void ObjectReader::read(std::string const& key, bool& target)
+{
+    auto const* value = member(key);
+    if (value == nullptr)
+        return;
+    if (value->is_boolean())
+        target = value->get<bool>();
+    else
+        m_findings.add(place_of(key), "must be true or false");
+}
+
+void ObjectReader::finish()
+{
+    if (!m_object.is_object())
+        return;
+    for (auto const& [key, value] : m_object.items()) {
+        if (!m_asked.contains(key))
+            m_findings.add(place_of(key), "is not a known setting");
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTable/Table.cpp
@@ -0,0 +1,306 @@
+#include <LibTable/Table.h>
+
+#include <LibCore/Text.h>
+
+#include <array>
+#include <utility>
+
+#include <absl/strings/ascii.h>
+
+namespace GraniteField::Table {
+
+namespace {
+
+constexpr std::array<std::pair<SheetName, std::string_view>, 4> s_sheet_texts {{
+    {SheetName::Classes, "classes"},
+    {SheetName::Workspaces, "workspaces"},
+    {SheetName::Services, "services"},
+    {SheetName::BackendServers, "backend-servers"},
+}};
+
+constexpr std::size_t s_longest_row_name = 64;
+/// What all floors together may take, so that the highest tier always keeps half of the slots.
+constexpr unsigned s_largest_floor_sum_percent = 50;
+
+bool is_row_name(std::string_view name)
+{
+    if (name.empty() || name.size() > s_longest_row_name)
+        return false;
+    for (char const character : name) {
+        bool const is_allowed = absl::ascii_isalnum(static_cast<unsigned char>(character)) || character == '-'
+            || character == '_' || character == '.';
+        if (!is_allowed)
+            return false;
+    }
+    return true;
+}
+
+template <typename Row>
+void apply_to_sheet(Table::Rows<Row>& rows, Edit const& edit, Core::Findings& findings)
+{
+    auto const place = edit.place.to_string();
+    if (edit.is_removal()) {
+        if (rows.erase(edit.place.row) == 0)
+            findings.add(place, "there is no such row");
+        return;
+    }
+    if (!is_row_name(edit.place.row)) {
+        findings.add(place, "the row's name must be 1 to 64 letters, digits, dots, dashes or underscores");
+        return;
+    }
+    auto const* column = find_column<Row>(edit.place.column);
+    if (column == nullptr) {
+        findings.add(place, "there is no such column");
+        return;
+    }
+    auto& row = rows[edit.place.row];
+    row.name = edit.place.row;
+    if (auto problem = column->write(row, *edit.value))
+        findings.add(place, *problem);
+}
+
+template <typename Row>
+std::optional<std::string> read_cell(Table::Rows<Row> const& rows, CellPlace const& place)
+{
+    auto const row = rows.find(place.row);
+    auto const* column = find_column<Row>(place.column);
+    if (row == rows.end() || column == nullptr)
+        return std::nullopt;
+    return column->read(row->second);
+}
+
+/// Calls the visitor with the rows of the named sheet.
+template <typename TableType, typename Visitor>
+auto visit_sheet(TableType& table, SheetName sheet, Visitor visitor)
+{
+    switch (sheet) {
+    case SheetName::Classes:
+        return visitor(table.classes());
+    case SheetName::Workspaces:
+        return visitor(table.workspaces());
+    case SheetName::Services:
+        return visitor(table.services());
+    case SheetName::BackendServers:
+        break;
+    }
+    return visitor(table.backend_servers());
+}
+
+template <typename Rows>
+using RowOf = typename std::remove_cvref_t<Rows>::mapped_type;
+
+}
+
+std::string_view to_string(SheetName sheet)
+{
+    for (auto const& [name, text] : s_sheet_texts) {
+        if (name == sheet)
+            return text;
+    }
+    return "";
+}
+
+std::optional<SheetName> sheet_from_string(std::string_view wanted)
+{
+    for (auto const& [name, text] : s_sheet_texts) {
+        if (text == wanted)
+            return name;
+    }
+    return std::nullopt;
+}
+
+std::string CellPlace::to_string() const
+{
+    auto text = Core::concat(GraniteField::Table::to_string(sheet), "/", row);
+    if (!column.empty())
+        Core::append(&text, "/", column);
+    return text;
+}
+
+Table Table::with(Change const& change) const
+{
+    Table changed = *this;
+    Core::Findings findings;
+    for (auto const& edit : change)
+        changed.apply(edit, findings);
+    changed.check_references(findings);
+    changed.check_floors(findings);
+    changed.check_keys(findings);
+    if (!findings.is_empty())
+        throw Core::InvalidInput(findings);
+    changed.index_keys();
+    changed.m_version = m_version.next();
+    return changed;
+}
+
+void Table::apply(Edit const& edit, Core::Findings& findings)
+{
+    switch (edit.place.sheet) {
+    case SheetName::Classes:
+        return apply_to_sheet(m_classes, edit, findings);
+    case SheetName::Workspaces:
+        return apply_to_sheet(m_workspaces, edit, findings);
+    case SheetName::Services:
+        return apply_to_sheet(m_services, edit, findings);
+    case SheetName::BackendServers:
+        return apply_to_sheet(m_backend_servers, edit, findings);
+    }
+}
+
+void Table::check_references(Core::Findings& findings) const
+{
+    for (auto const& [name, server] : m_backend_servers) {
+        auto const place = CellPlace {SheetName::BackendServers, name, "service"}.to_string();
+        if (!m_services.contains(server.service))
+            findings.add(place, Core::concat("there is no service '", server.service, "'"));
+        if (server.side_address.empty())
+            findings.add(CellPlace {SheetName::BackendServers, name, "side"}.to_string(), "is missing");
+    }
+    Rows<std::string> service_by_model;
+    for (auto const& [name, service] : m_services) {
+        auto const place = CellPlace {SheetName::Services, name, "model"}.to_string();
+        if (service.kind == ServiceKind::Plain && !service.model.empty())
+            findings.add(place, "a plain service has no model");
+        if (service.kind != ServiceKind::Model)
+            continue;
+        if (service.model.empty())
+            findings.add(place, "is missing for a service of kind model");
+        auto const [other, is_new] = service_by_model.emplace(service.model, name);
+        if (!is_new)
+            findings.add(place, Core::concat("the service '", other->second, "' has the same model"));
+    }
+}
+
+void Table::check_floors(Core::Findings& findings) const
+{
+    unsigned sum = 0;
+    for (auto const& [name, request_class] : m_classes)
+        sum += request_class.floor_percent;
+    if (sum > s_largest_floor_sum_percent)
+        findings.add("classes/*/floor",
+            Core::concat("all floors together are ", sum, " percent; ", s_largest_floor_sum_percent, " at most"));
+}
+
+void Table::check_keys(Core::Findings& findings) const
+{
+    Rows<std::string> workspace_by_hash;
+    for (auto const& [name, workspace] : m_workspaces) {
+        auto const place = CellPlace {SheetName::Workspaces, name, "key-hash"}.to_string();
+        if (workspace.key_hash.empty()) {
+            findings.add(place, "is missing");
+            continue;
+        }
+        auto const [other, is_new] = workspace_by_hash.emplace(workspace.key_hash, name);
+        if (!is_new)
+            findings.add(place, Core::concat("the workspace '", other->second, "' has the same key"));
+    }
+}
+
+void Table::index_keys()
+{
+    m_workspace_by_key_hash.clear();
+    for (auto const& [name, workspace] : m_workspaces)
+        m_workspace_by_key_hash.emplace(workspace.key_hash, name);
+}
+
+RequestClass const* Table::find_class(std::string_view name) const
+{
+    auto const found = m_classes.find(name);
+    return found == m_classes.end() ? nullptr : &found->second;
+}
+
+Service const* Table::find_service(std::string_view name) const
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+Service const* Table::find_model(std::string_view model) const
+{
+    for (auto const& [name, service] : m_services) {
+        if (service.kind == ServiceKind::Model && service.model == model)
+            return &service;
+    }
+    return nullptr;
+}
+
+Workspace const* Table::find_workspace_by_key_hash(std::string_view key_hash) const
+{
+    auto const name = m_workspace_by_key_hash.find(key_hash);
+    if (name == m_workspace_by_key_hash.end())
+        return nullptr;
+    return &m_workspaces.find(name->second)->second;
+}
+
+std::optional<std::string> Table::cell(CellPlace const& place) const
+{
+    return visit_sheet(*this, place.sheet, [&](auto const& rows) { return read_cell(rows, place); });
+}
+
+bool Table::has_row(SheetName sheet, std::string_view row) const
+{
+    return visit_sheet(*this, sheet, [&](auto const& rows) { return rows.contains(row); });
+}
+
+std::vector<std::string> Table::row_names(SheetName sheet) const
+{
+    return visit_sheet(*this, sheet, [](auto const& rows) {
+        std::vector<std::string> names;
+        for (auto const& [name, row] : rows)
+            names.push_back(name);
+        return names;
+    });
+}
+
+std::vector<std::string> Table::column_names(SheetName sheet)
+{
+    static Table const s_empty;
+    return visit_sheet(s_empty, sheet, [](auto const& rows) {
+        std::vector<std::string> names;
+        for (auto const& column : columns<RowOf<decltype(rows)>>())
+            names.emplace_back(column.name);
+        return names;
+    });
+}
+
+Change Table::cells_of_sheet(SheetName sheet) const
+{
+    return visit_sheet(*this, sheet, [sheet](auto const& rows) {
+        Change change;
+        for (auto const& [name, row] : rows) {
+            for (auto const& column : columns<RowOf<decltype(rows)>>())
+                change.push_back({{sheet, name, std::string(column.name)}, column.read(row)});
+        }
+        return change;
+    });
+}
+
+std::optional<std::string> default_cell(SheetName sheet, std::string_view column_name)
+{
+    static Table const s_empty;
+    return visit_sheet(s_empty, sheet, [column_name](auto const& rows) -> std::optional<std::string> {
+        using Row = RowOf<decltype(rows)>;
+        auto const* column = find_column<Row>(column_name);
+        if (column == nullptr)
+            return std::nullopt;
+        return column->read(Row {});
+    });
+}
+
+Change difference(Table const& from, Table const& to)
+{
+    Change change;
+    for (auto const sheet : s_all_sheets) {
+        for (auto const& row : from.row_names(sheet)) {
+            if (!to.has_row(sheet, row))
+                change.push_back({{sheet, row, ""}, std::nullopt});
+        }
+        for (auto const& edit : to.cells_of_sheet(sheet)) {
+            if (from.cell(edit.place) != edit.value)
+                change.push_back(edit);
+        }
+    }
+    return change;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTable/Table.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <LibCore/Findings.h>
+#include <LibCore/Identifiers.h>
+#include <LibTable/Column.h>
+#include <LibTable/Rows.h>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace GraniteField::Table {
+
+enum class SheetName {
+    Classes,
+    Workspaces,
+    Services,
+    BackendServers,
+};
+
+inline constexpr std::array s_all_sheets {
+    SheetName::Classes, SheetName::Workspaces, SheetName::Services, SheetName::BackendServers};
+
+[[nodiscard]] std::string_view to_string(SheetName);
+[[nodiscard]] std::optional<SheetName> sheet_from_string(std::string_view);
+
+/// The place of one cell, written `sheet/row/column`.
+struct CellPlace {
+    SheetName sheet {SheetName::Classes};
+    std::string row;
+    std::string column;
+
+    [[nodiscard]] std::string to_string() const;
+    auto operator<=>(CellPlace const&) const = default;
+};
+
+/// One edit of a change: a cell takes a value, or a whole row goes (no column and no value).
+struct Edit {
+    CellPlace place;
+    std::optional<std::string> value;
+
+    [[nodiscard]] bool is_removal() const { return !value.has_value(); }
+};
+
+using Change = std::vector<Edit>;
+
+/// The operators' table: an aggregate with four sheets. It is only ever valid: a change is taken whole
+/// or not at all. Tables don't change; a change makes a new one.
+class Table {
+public:
+    template <typename Row>
+    using Rows = std::map<std::string, Row, std::less<>>;
+
+    Table() = default;
+
+    /// This table with the change applied and the version that follows.
+    /// Throws Core::InvalidInput with all findings when the outcome would not be valid.
+    [[nodiscard]] Table with(Change const&) const;
+
+    [[nodiscard]] Core::TableVersion version() const { return m_version; }
+    void set_version(Core::TableVersion version) { m_version = version; }
+
+    [[nodiscard]] Rows<RequestClass> const& classes() const { return m_classes; }
+    [[nodiscard]] Rows<Workspace> const& workspaces() const { return m_workspaces; }
+    [[nodiscard]] Rows<Service> const& services() const { return m_services; }
+    [[nodiscard]] Rows<BackendServer> const& backend_servers() const { return m_backend_servers; }
+
+    [[nodiscard]] RequestClass const* find_class(std::string_view name) const;
+    [[nodiscard]] Service const* find_service(std::string_view name) const;
+    [[nodiscard]] Service const* find_model(std::string_view model) const;
+    /// The workspace whose key has this SHA-256, or null.
+    [[nodiscard]] Workspace const* find_workspace_by_key_hash(std::string_view key_hash) const;
+
+    /// The text of a cell; nothing when there is no such row or column.
+    [[nodiscard]] std::optional<std::string> cell(CellPlace const&) const;
+    [[nodiscard]] bool has_row(SheetName, std::string_view row) const;
+    [[nodiscard]] std::vector<std::string> row_names(SheetName) const;
+    [[nodiscard]] static std::vector<std::string> column_names(SheetName);
+
+    /// Every cell of the sheet as the edits that would make it anew.
+    [[nodiscard]] Change cells_of_sheet(SheetName) const;
+
+    bool operator==(Table const&) const = default;
+
+private:
+    void apply(Edit const&, Core::Findings&);
+    void check_references(Core::Findings&) const;
+    void check_floors(Core::Findings&) const;
+    void check_keys(Core::Findings&) const;
+    void index_keys();
+
+    Core::TableVersion m_version;
+    Rows<RequestClass> m_classes;
+    Rows<Workspace> m_workspaces;
+    Rows<Service> m_services;
+    Rows<BackendServer> m_backend_servers;
+    Rows<std::string> m_workspace_by_key_hash;
+};
+
+/// What a cell of this column holds in a new row; nothing when there is no such column.
+[[nodiscard]] std::optional<std::string> default_cell(SheetName, std::string_view column);
+
+/// The edits that turn one table into the other.
+[[nodiscard]] Change difference(Table const& from, Table const& to);
+
+}
--- /dev/null
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -0,0 +1,73 @@
+#include "EntryDaemon.h"
+
+#include "Announcement.h"
+#include "OperatorServer.h"
+
+#include <LibEntry/CallerServer.h>
+#include <LibEntry/Router.h>
+#include <LibEntry/SharedTable.h>
+#include <LibEntry/TableFollower.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include <glog/logging.h>
+
+namespace GraniteField::Daemon {
+
+namespace {
+
+constexpr int s_io_threads = 1;
+constexpr Core::Milliseconds s_drain_poll {20};
+
+void wait_until_idle(Entry::Router const& router, Core::Milliseconds limit)
+{
+    auto const deadline = std::chrono::steady_clock::now() + limit;
+    while (router.open_count() > 0 && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(s_drain_poll);
+    if (router.open_count() > 0)
+        LOG(WARNING) << "daemon: stops with " << router.open_count() << " requests in flight, after " << limit.count()
+                     << " ms";
+}
+
+}
+
+void run_entry(Settings::DaemonSettings const& settings, std::function<void()> const& wait_for_stop)
+{
+    auto const& common = settings.common;
+    auto const incarnation = Core::draw_incarnation();
+    Observe::MetricRegistry metrics;
+    Observe::DecisionRing decisions(common.decisions_kept);
+    std::unique_ptr<Observe::SpanExporter> spans;
+    if (common.trace_collector)
+        spans = std::make_unique<Observe::SpanExporter>(*common.trace_collector, "granitefield-entry", metrics);
+
+    zmq::context_t context(s_io_threads);
+    Entry::SharedTable table;
+    auto router_settings = settings.entry.router;
+    router_settings.links.link.own = incarnation;
+    Entry::Router router(router_settings, context, table, metrics, decisions, spans.get());
+    Entry::TableFollower follower(settings.entry.table, table, router, metrics);
+    Entry::CallerServer callers(settings.entry.callers, incarnation, router, table, metrics);
+
+    std::atomic<bool> is_stopping {false};
+    OperatorServer::Sources sources;
+    sources.is_ready = [&] { return !is_stopping && table.current() != nullptr && router.has_backends(); };
+    sources.status = [&router] { return router.status(); };
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+
+    announce({{"role", "entry"}, {"callers", callers.port()}, {"operator", operators.port()}});
+    LOG(INFO) << "daemon: entry " << common.name << " takes callers on port " << callers.port();
+    wait_for_stop();
+
+    LOG(INFO) << "daemon: stopping as planned";
+    is_stopping = true;
+    // The balancer sees the readiness fall before the listener closes.
+    std::this_thread::sleep_for(common.drain_notice);
+    callers.stop_listening();
+    wait_until_idle(router, common.drain_limit);
+    LOG(INFO) << "daemon: stopped";
+}
+
+}
--- /dev/null
+++ b/Services/GraniteFieldD/SideDaemon.cpp
@@ -0,0 +1,65 @@
+#include "SideDaemon.h"
+
+#include "Announcement.h"
+#include "OperatorServer.h"
+
+#include <LibSide/SideAuthority.h>
+
+#include <memory>
+#include <thread>
+
+#include <glog/logging.h>
+
+namespace GraniteField::Daemon {
+
+namespace {
+
+constexpr int s_io_threads = 1;
+constexpr Core::Milliseconds s_drain_poll {20};
+
+void wait_until_drained(Side::SideAuthority const& authority, Core::Milliseconds limit)
+{
+    auto const deadline = std::chrono::steady_clock::now() + limit;
+    while (!authority.is_drained() && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(s_drain_poll);
+    if (!authority.is_drained())
+        LOG(WARNING) << "daemon: stops with work in flight, after " << limit.count() << " ms";
+}
+
+}
+
+void run_side(Settings::DaemonSettings const& settings, std::function<void()> const& wait_for_stop)
+{
+    auto const& common = settings.common;
+    Observe::MetricRegistry metrics;
+    Observe::DecisionRing decisions(common.decisions_kept);
+    std::unique_ptr<Observe::SpanExporter> spans;
+    if (common.trace_collector)
+        spans = std::make_unique<Observe::SpanExporter>(*common.trace_collector, "granitefield-side", metrics);
+
+    zmq::context_t context(s_io_threads);
+    Side::SideAuthority authority(settings.side, context, metrics, decisions, spans.get());
+
+    OperatorServer::Sources sources;
+    sources.is_ready = [&authority] { return !authority.is_draining(); };
+    sources.status = [&authority] { return authority.status(); };
+    sources.actions["POST /drain"] = [&authority](auto const&) {
+        authority.drain();
+        return HTTP::ServerResponse {200, "text/plain", {}, "draining\n"};
+    };
+    sources.actions["POST /undrain"] = [&authority](auto const&) {
+        authority.undrain();
+        return HTTP::ServerResponse {200, "text/plain", {}, "taking new work\n"};
+    };
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+
+    announce({{"role", "side"}, {"link", authority.port()}, {"operator", operators.port()}});
+    wait_for_stop();
+
+    LOG(INFO) << "daemon: stopping as planned";
+    authority.drain();
+    wait_until_drained(authority, common.drain_limit);
+    LOG(INFO) << "daemon: stopped";
+}
+
+}
--- /dev/null
+++ b/Tests/Integration/Process.cpp
@@ -0,0 +1,184 @@
+#include "Process.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace GraniteField::Testing {
+
+namespace {
+
+constexpr int s_announcement_limit_milliseconds = 30'000;
+constexpr Core::Milliseconds s_poll_interval {5};
+
+std::array<int, 2> make_pipe()
+{
+    std::array<int, 2> ends {};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0)
+        throw std::system_error(errno, std::generic_category(), "pipe");
+    return ends;
+}
+
+pid_t spawn(std::string const& program, std::vector<std::string>& arguments, int input, int output)
+{
+    std::vector<char*> argument_pointers {const_cast<char*>(program.c_str())};
+    for (auto& argument : arguments)
+        argument_pointers.push_back(argument.data());
+    argument_pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    if (input >= 0)
+        posix_spawn_file_actions_adddup2(&actions, input, STDIN_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    pid_t id = -1;
+    auto const result = posix_spawn(&id, program.c_str(), &actions, nullptr, argument_pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (result != 0)
+        throw std::system_error(result, std::generic_category(), program);
+    return id;
+}
+
+int exit_code_of(int status)
+{
+    return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+}
+
+}
+
+std::string program_path(std::string const& name)
+{
+    return std::string(GRANITEFIELD_BINARY_DIRECTORY) + "/" + name;
+}
+
+Process::Process(std::string const& program, std::vector<std::string> arguments)
+{
+    auto const ends = make_pipe();
+    m_id = spawn(program, arguments, -1, ends[1]);
+    ::close(ends[1]);
+    m_output = ends[0];
+}
+
+Process::Process(Process&& other) noexcept
+    : m_id(std::exchange(other.m_id, -1))
+    , m_output(std::exchange(other.m_output, -1))
+    , m_exit_code(other.m_exit_code)
+{
+}
+
+Process& Process::operator=(Process&& other) noexcept
+{
+    std::swap(m_id, other.m_id);
+    std::swap(m_output, other.m_output);
+    std::swap(m_exit_code, other.m_exit_code);
+    return *this;
+}
+
+Process::~Process()
+{
+    if (m_id > 0) {
+        ::kill(m_id, SIGKILL);
+        ::waitpid(m_id, nullptr, 0);
+    }
+    if (m_output >= 0)
+        ::close(m_output);
+}
+
+nlohmann::json Process::wait_for_announcement()
+{
+    std::string line;
+    char character = 0;
+    while (true) {
+        pollfd descriptor {m_output, POLLIN, 0};
+        if (::poll(&descriptor, 1, s_announcement_limit_milliseconds) <= 0)
+            throw std::runtime_error("the program says nothing");
+        auto const got = ::read(m_output, &character, 1);
+        if (got < 0 && errno == EINTR)
+            continue;
+        if (got <= 0)
+            throw std::runtime_error("the program ended without an announcement: " + line);
+        if (character == '\n')
+            return nlohmann::json::parse(line).at("listening");
+        line += character;
+    }
+}
+
+void Process::terminate() const
+{
+    ::kill(m_id, SIGTERM);
+}
+
+void Process::kill()
+{
+    ::kill(m_id, SIGKILL);
+    wait();
+}
+
+void Process::freeze() const
+{
+    ::kill(m_id, SIGSTOP);
+}
+
+void Process::thaw() const
+{
+    ::kill(m_id, SIGCONT);
+}
+
+bool Process::is_running()
+{
+    if (m_id <= 0)
+        return false;
+    int status = 0;
+    if (::waitpid(m_id, &status, WNOHANG) == 0)
+        return true;
+    m_exit_code = exit_code_of(status);
+    m_id = -1;
+    return false;
+}
+
+int Process::wait(Core::Milliseconds limit)
+{
+    auto const deadline = std::chrono::steady_clock::now() + limit;
+    while (is_running()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            throw std::runtime_error("the program does not end");
+        std::this_thread::sleep_for(s_poll_interval);
+    }
+    return m_exit_code;
+}
+
+Finished run_program(std::string const& program, std::vector<std::string> arguments, std::string const& input)
+{
+    auto const output_ends = make_pipe();
+    auto const input_ends = make_pipe();
+    auto const id = spawn(program, arguments, input_ends[0], output_ends[1]);
+    ::close(output_ends[1]);
+    ::close(input_ends[0]);
+    // The inputs of these tests fit into the pipe.
+    [[maybe_unused]] auto const written = ::write(input_ends[1], input.data(), input.size());
+    ::close(input_ends[1]);
+    Finished finished;
+    std::array<char, 4096> buffer {};
+    ssize_t got = 0;
+    while ((got = ::read(output_ends[0], buffer.data(), buffer.size())) > 0)
+        finished.output.append(buffer.data(), static_cast<std::size_t>(got));
+    ::close(output_ends[0]);
+    int status = 0;
+    ::waitpid(id, &status, 0);
+    finished.exit_code = exit_code_of(status);
+    return finished;
+}
+
+}
--- /dev/null
+++ b/Tests/Integration/Process.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+#include <sys/types.h>
+
+namespace GraniteField::Testing {
+
+/// A program that a test has started. It ends with its owner.
+class Process {
+public:
+    /// Starts the program, with its log going to a file in the test's directory.
+    Process(std::string const& program, std::vector<std::string> arguments);
+    ~Process();
+    Process(Process&&) noexcept;
+    Process& operator=(Process&&) noexcept;
+    Process(Process const&) = delete;
+    Process& operator=(Process const&) = delete;
+
+    /// Waits for the program's first line, which says where it listens. Throws when it ends without one.
+    [[nodiscard]] nlohmann::json wait_for_announcement();
+
+    void terminate() const;
+    void kill();
+    /// Stops the program as it stands (SIGSTOP), and lets it go on.
+    void freeze() const;
+    void thaw() const;
+    /// Waits for the end and gives the exit code, or minus the signal. Throws after the limit.
+    int wait(Core::Milliseconds limit = Core::Milliseconds(60'000));
+    [[nodiscard]] bool is_running();
+    [[nodiscard]] pid_t id() const { return m_id; }
+
+private:
+    pid_t m_id {-1};
+    int m_output {-1};
+    int m_exit_code {0};
+};
+
+/// Runs a program to its end and gives its exit code and standard output.
+struct Finished {
+    int exit_code {0};
+    std::string output;
+};
+
+[[nodiscard]] Finished run_program(
+    std::string const& program, std::vector<std::string> arguments, std::string const& input = "");
+
+/// Where the build has put a program.
+[[nodiscard]] std::string program_path(std::string const& name);
+
+}
--- /dev/null
+++ b/Tests/StandIns/BatchEngine.cpp
@@ -0,0 +1,188 @@
+#include "BatchEngine.h"
+
+#include <algorithm>
+
+namespace GraniteField::StandIns {
+
+BatchEngine::BatchEngine(Settings settings)
+    : m_settings(settings)
+    , m_thread([this] { run(); })
+{
+}
+
+BatchEngine::~BatchEngine()
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_should_stop = true;
+        for (auto const& sequence : m_running)
+            sequence->is_broken = true;
+        for (auto const& sequence : m_waiting)
+            sequence->is_broken = true;
+    }
+    m_changed.notify_all();
+    m_thread.join();
+}
+
+std::shared_ptr<Sequence> BatchEngine::submit(Sequence sequence)
+{
+    auto pointer = std::make_shared<Sequence>(std::move(sequence));
+    std::lock_guard const lock(m_mutex);
+    auto const place = std::ranges::find_if(m_waiting, [&](auto const& other) { return other->tier > pointer->tier; });
+    m_waiting.insert(place, pointer);
+    m_executions.push_back({pointer->request, pointer->attempt, pointer->tag, 0, "running"});
+    m_changed.notify_all();
+    return pointer;
+}
+
+std::uint32_t BatchEngine::take(Sequence& sequence)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [&] {
+        return sequence.generated > sequence.taken || sequence.is_broken || sequence.generated == sequence.wanted;
+    });
+    auto const count = sequence.generated - sequence.taken;
+    sequence.taken = sequence.generated;
+    return count;
+}
+
+void BatchEngine::cancel(Sequence& sequence)
+{
+    std::lock_guard const lock(m_mutex);
+    sequence.is_cancelled = true;
+}
+
+bool BatchEngine::is_broken(Sequence const& sequence)
+{
+    std::lock_guard const lock(m_mutex);
+    return sequence.is_broken;
+}
+
+void BatchEngine::set_switches(Switches switches)
+{
+    std::lock_guard const lock(m_mutex);
+    m_switches = switches;
+    m_changed.notify_all();
+}
+
+BatchEngine::Load BatchEngine::load_now() const
+{
+    auto load = m_counts;
+    load.running = m_running.size();
+    load.waiting = m_waiting.size();
+    return load;
+}
+
+BatchEngine::Load BatchEngine::load() const
+{
+    std::lock_guard const lock(m_mutex);
+    return load_now();
+}
+
+BatchEngine::Load BatchEngine::reported_load() const
+{
+    std::lock_guard const lock(m_mutex);
+    auto const limit = std::chrono::steady_clock::now() - m_settings.load_report_lag;
+    Load report;
+    for (auto const& [time, load] : m_reports) {
+        if (time <= limit)
+            report = load;
+    }
+    return report;
+}
+
+std::vector<Execution> BatchEngine::executions() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_executions;
+}
+
+bool BatchEngine::touch_prefix(std::uint64_t prefix)
+{
+    auto const found = std::ranges::find(m_prefixes, prefix);
+    bool const is_hit = found != m_prefixes.end();
+    if (is_hit)
+        m_prefixes.erase(found);
+    m_prefixes.push_front(prefix);
+    if (m_prefixes.size() > m_settings.cached_prefixes)
+        m_prefixes.pop_back();
+    ++(is_hit ? m_counts.prefix_hits : m_counts.prefix_misses);
+    return is_hit;
+}
+
+Core::Microseconds BatchEngine::admit()
+{
+    Core::Microseconds prefill {0};
+    while (m_running.size() < m_settings.slots && !m_waiting.empty()) {
+        auto sequence = m_waiting.front();
+        m_waiting.pop_front();
+        if (sequence->is_cancelled) {
+            close(*sequence, "cancelled");
+            continue;
+        }
+        if (!touch_prefix(sequence->prefix))
+            prefill += m_settings.prefill_per_token * static_cast<std::int64_t>(sequence->prompt_tokens);
+        m_running.push_back(std::move(sequence));
+    }
+    return prefill;
+}
+
+void BatchEngine::close(Sequence& sequence, std::string end)
+{
+    if (end != "done")
+        m_counts.wasted_tokens += sequence.generated;
+    for (auto& execution : m_executions) {
+        if (execution.request == sequence.request && execution.attempt == sequence.attempt
+            && execution.end == "running") {
+            execution.generated = sequence.generated;
+            execution.end = std::move(end);
+            return;
+        }
+    }
+}
+
+void BatchEngine::advance()
+{
+    for (auto const& sequence : m_running) {
+        if (sequence->is_cancelled)
+            continue;
+        ++sequence->generated;
+        ++m_counts.generated_tokens;
+        bool const should_break = m_switches.break_after != 0 && sequence->generated >= m_switches.break_after
+            && sequence->generated < sequence->wanted;
+        sequence->is_broken = sequence->is_broken || should_break;
+    }
+    std::erase_if(m_running, [this](auto const& sequence) {
+        bool const is_over = sequence->is_cancelled || sequence->is_broken || sequence->generated == sequence->wanted;
+        if (is_over)
+            close(*sequence, sequence->is_cancelled ? "cancelled" : (sequence->is_broken ? "broken" : "done"));
+        return is_over;
+    });
+}
+
+void BatchEngine::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_should_stop) {
+        bool const is_idle = m_switches.is_frozen || (m_running.empty() && m_waiting.empty());
+        if (is_idle) {
+            m_changed.wait(lock);
+            continue;
+        }
+        auto const prefill = admit();
+        auto const batch = static_cast<std::int64_t>(m_running.size());
+        auto const step = (m_settings.step + m_settings.step_per_sequence * batch + prefill) * m_switches.slowness;
+        lock.unlock();
+        // The time that a step takes on an accelerator; this is what the stand-in is for.
+        std::this_thread::sleep_for(step);
+        lock.lock();
+        advance();
+        auto const now = std::chrono::steady_clock::now();
+        m_reports.emplace_back(now, load_now());
+        while (m_reports.front().first + 2 * m_settings.load_report_lag < now)
+            m_reports.pop_front();
+        m_changed.notify_all();
+    }
+}
+
+}
--- /dev/null
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -0,0 +1,141 @@
+#include "FleetCommands.h"
+
+#include "TextTable.h"
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Text.h>
+#include <LibHTTP/HttpClient.h>
+
+#include <algorithm>
+#include <iostream>
+
+#include <nlohmann/json.hpp>
+
+namespace GraniteField::CommandLine {
+
+using Json = nlohmann::json;
+
+namespace {
+
+struct Answer {
+    Core::Address daemon;
+    Json json;
+    std::string problem;
+};
+
+/// Asks every daemon for the same path. One that does not answer is named, not fatal.
+std::vector<Answer> ask_all(Options const& options, std::string const& path)
+{
+    if (options.daemons.empty())
+        throw UsageError("--daemon ADDRESS is missing");
+    HTTP::HttpClient client;
+    std::vector<Answer> answers;
+    for (auto const& daemon : options.daemons) {
+        HTTP::ClientRequest request;
+        request.url = Core::concat("http://", daemon.to_string(), path);
+        Answer answer {daemon, {}, ""};
+        try {
+            auto const response = client.send(request);
+            if (response.status == 200)
+                answer.json = Json::parse(response.body);
+            else
+                answer.problem = Core::concat("status ", response.status, ": ", response.body);
+        } catch (std::exception const& error) {
+            answer.problem = error.what();
+        }
+        answers.push_back(std::move(answer));
+    }
+    return answers;
+}
+
+int exit_code_of(std::vector<Answer> const& answers)
+{
+    bool const has_problem = std::ranges::any_of(answers, [](auto const& answer) { return !answer.problem.empty(); });
+    return has_problem ? s_exit_failed : s_exit_done;
+}
+
+void print_problems(std::vector<Answer> const& answers)
+{
+    for (auto const& answer : answers) {
+        if (!answer.problem.empty())
+            std::cerr << answer.daemon.to_string() << ": " << answer.problem << '\n';
+    }
+}
+
+std::string text_of(Json const& json)
+{
+    return json.is_string() ? json.get<std::string>() : json.dump();
+}
+
+void print_entry(Json const& status)
+{
+    TextTable text({"backend-server", "service", "up", "leaving", "running", "slots", "waiting by tier", "open here"});
+    for (auto const& link : status["links"]) {
+        text.add(
+            {text_of(link["backend-server"]), text_of(link["service"]), text_of(link["up"]), text_of(link["leaving"]),
+                text_of(link["running"]), text_of(link["slots"]), text_of(link["waiting"]), text_of(link["open"])});
+    }
+    std::cout << "entry, table version " << text_of(status["table-version"]) << ", open requests "
+              << text_of(status["open-requests"]) << '\n'
+              << text.to_string();
+}
+
+void print_side(Json const& status)
+{
+    std::cout << "side of " << text_of(status["backend-server"]) << " (" << text_of(status["service"])
+              << "): " << text_of(status["running"]) << " of " << text_of(status["slots"]) << " slots taken, "
+              << text_of(status["waiting"]) << " waiting" << (status["draining"].get<bool>() ? ", draining" : "")
+              << '\n';
+}
+
+}
+
+int run_status_command(Options const& options)
+{
+    auto const answers = ask_all(options, "/status");
+    Json all = Json::object();
+    for (auto const& answer : answers) {
+        if (!answer.problem.empty())
+            continue;
+        all[answer.daemon.to_string()] = answer.json;
+        if (options.should_print_json)
+            continue;
+        std::cout << answer.daemon.to_string() << ": ";
+        if (answer.json["role"] == "entry")
+            print_entry(answer.json);
+        else
+            print_side(answer.json);
+    }
+    if (options.should_print_json)
+        std::cout << all.dump(2) << '\n';
+    print_problems(answers);
+    return exit_code_of(answers);
+}
+
+int run_explain_command(Options const& options)
+{
+    if (options.words.size() != 2 || !Core::RequestId::from_string(options.words[1]))
+        throw UsageError("REQUEST must be the 32 hexadecimal digits of the header Granitefield-Request");
+    auto const answers = ask_all(options, "/decisions/" + options.words[1]);
+    std::vector<Json> decisions;
+    for (auto const& answer : answers) {
+        for (auto decision : answer.json) {
+            decision["daemon"] = answer.daemon.to_string();
+            decisions.push_back(std::move(decision));
+        }
+    }
+    std::ranges::stable_sort(
+        decisions, {}, [](auto const& decision) { return decision["time"].template get<std::string>(); });
+    if (options.should_print_json) {
+        std::cout << Json(decisions).dump(2) << '\n';
+    } else {
+        TextTable text({"time", "daemon", "decision"});
+        for (auto const& decision : decisions)
+            text.add({text_of(decision["time"]), text_of(decision["daemon"]), text_of(decision["what"])});
+        std::cout << text.to_string();
+    }
+    print_problems(answers);
+    return exit_code_of(answers);
+}
+
+}
