--- a/Libraries/LibPlatform/TableStore.cpp
+++ b/Libraries/LibPlatform/TableStore.cpp
@@ -214,7 +214,7 @@
         if (snapshot.head.has_change(change_id))
             return snapshot.table;
         check_conflicts(base, snapshot.table, change);
-        auto const changed = snapshot.table.with(change);
+        auto changed = snapshot.table.with(change);
         if (Table::difference(snapshot.table, changed).empty())
             return snapshot.table;
         auto head = write_pages(snapshot, changed, change_id);
--- a/Libraries/LibPolicy/AdmissionQueue.h
+++ b/Libraries/LibPolicy/AdmissionQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Text.h>
 #include <LibPolicy/Discipline.h>
 #include <LibPolicy/FairShare.h>
 #include <LibPolicy/FloorAccount.h>
@@ -306,7 +307,7 @@
     waiting.order = {now, ++m_arrivals};
     if constexpr (Rules::has_deadlines) {
         waiting.entered_at = tier.fair_share.virtual_time();
-        waiting.lead = tier.fair_share.enter(work.request_class + "/" + work.workspace,
+        waiting.lead = tier.fair_share.enter(Core::concat(work.request_class, "/", work.workspace),
             work.class_weight * work.workspace_weight, work.expected_service);
         waiting.order.time = work.target + std::chrono::duration_cast<Core::MonotonicTime::duration>(waiting.lead);
     }
--- a/Libraries/LibPolicy/ServicePredictor.h
+++ b/Libraries/LibPolicy/ServicePredictor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Text.h>
 #include <LibCore/Time.h>
 
 #include <string>
@@ -26,12 +27,12 @@
     {
         m_all.add(actual);
         add(request_class, actual);
-        add(request_class + "/" + workspace, actual);
+        add(flow_of(request_class, workspace), actual);
     }
 
     [[nodiscard]] Prediction predict(std::string const& request_class, std::string const& workspace) const
     {
-        for (auto const& key : {request_class + "/" + workspace, request_class}) {
+        for (auto const& key : {flow_of(request_class, workspace), request_class}) {
             auto const found = m_means.find(key);
             if (found != m_means.end() && found->second.count >= s_enough_answers)
                 return found->second.prediction();
@@ -42,6 +43,11 @@
     [[nodiscard]] Prediction overall() const { return m_all.prediction(); }
 
 private:
+    static std::string flow_of(std::string const& request_class, std::string const& workspace)
+    {
+        return Core::concat(request_class, "/", workspace);
+    }
+
     static constexpr unsigned s_enough_answers = 5;
     static constexpr double s_gain = 0.1;
 
--- a/Libraries/LibProtocol/Conversions.h
+++ b/Libraries/LibProtocol/Conversions.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibPolicy/Work.h>
-#include <LibProtocol/Messages.pb.h>
+#include <Messages.pb.h>
 
 namespace GraniteField::Protocol {
 
--- a/Libraries/LibSide/EntryLinks.h
+++ b/Libraries/LibSide/EntryLinks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
-#include <LibProtocol/Messages.pb.h>
+#include <Messages.pb.h>
 
 #include <cstdint>
 #include <optional>
--- a/Meta/generate-protobuf.sh
+++ b/Meta/generate-protobuf.sh
@@ -9,7 +9,7 @@
     exit 0
 fi
 
-output=Libraries/LibProtocol
+output=Libraries/LibProtocol/Generated
 if [ "${1:-}" = "--check" ]; then
     output=$(mktemp -d)
     trap 'rm -rf "${output}"' EXIT
@@ -17,7 +17,7 @@
 protoc --proto_path=Libraries/LibProtocol --cpp_out="${output}" Messages.proto
 
 if [ "${1:-}" = "--check" ]; then
-    diff -q "${output}/Messages.pb.h" Libraries/LibProtocol/Messages.pb.h
-    diff -q "${output}/Messages.pb.cc" Libraries/LibProtocol/Messages.pb.cc
+    diff -q "${output}/Messages.pb.h" Libraries/LibProtocol/Generated/Messages.pb.h
+    diff -q "${output}/Messages.pb.cc" Libraries/LibProtocol/Generated/Messages.pb.cc
     echo "generate-protobuf: the committed code is current"
 fi
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -15,8 +15,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace GraniteField::Testing {
 
 namespace {
--- /dev/null
+++ b/Tests/Integration/TierOrderTest.cpp
@@ -0,0 +1,100 @@
+// Promises: a higher tier never yields to a lower one, and no class starves.
+#include "Callers.h"
+
+#include <algorithm>
+#include <future>
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+Json const s_small_queue {{"queue", {{"limit", 6}}}};
+
+bool was_executed(Json const& executions, std::string const& tag)
+{
+    return std::ranges::any_of(executions, [&](auto const& execution) { return execution["tag"] == tag; });
+}
+
+}
+
+TEST(TierOrder, UrgentRequestsTakeThePlacesOfBulkOnesThroughSeveralEntries)
+{
+    Fleet fleet;
+    fleet.add_class("pilot", {{"tier", "1"}, {"give-up", "60s"}});
+    fleet.add_class("comparison", {{"tier", "6"}, {"give-up", "60s"}});
+    auto& backend = fleet.add_model_backend("llm-1", {1, 5000}, s_small_queue);
+    fleet.start(3);
+    // Bulk work takes the slot and the whole queue.
+    std::vector<std::future<CallRecord>> bulk;
+    for (unsigned number = 0; number < 7; ++number) {
+        bulk.push_back(std::async(std::launch::async, [&fleet, number] {
+            auto const tag = "bulk" + std::to_string(number);
+            return CallRecord {tag, 200, fleet.complete("comparison", tag, 200, true, number % 3)};
+        }));
+    }
+    ASSERT_TRUE(wait_until([&] {
+        auto const status = fleet.status(backend.side_operator_port);
+        return status["waiting"] == 6 && status["running"] == 1;
+    }));
+    std::vector<std::future<CallRecord>> urgent;
+    for (unsigned number = 0; number < 6; ++number) {
+        urgent.push_back(std::async(std::launch::async, [&fleet, number] {
+            auto const tag = "urgent" + std::to_string(number);
+            return CallRecord {tag, 10, fleet.complete("pilot", tag, 10, true, number % 3)};
+        }));
+    }
+    for (auto& future : urgent) {
+        auto const record = future.get();
+        EXPECT_EQ(record.answer.outcome(), "done") << record.answer.body;
+        EXPECT_EQ(record.answer.content(), expected_content(record.tag, 10));
+    }
+    auto const executions = fleet.executions(backend);
+    unsigned displaced = 0;
+    for (auto& future : bulk) {
+        auto const record = future.get();
+        if (record.answer.status == 200)
+            continue;
+        ++displaced;
+        EXPECT_EQ(record.answer.outcome(), "not-run");
+        EXPECT_EQ(record.answer.json()["error"]["code"], "displaced");
+        EXPECT_GE(std::stoi(record.answer.headers.at("retry-after")), 1);
+        EXPECT_FALSE(was_executed(executions, record.tag));
+    }
+    EXPECT_EQ(displaced, 6U);
+}
+
+TEST(TierOrder, BulkWorkKeepsItsFloorInALongBurst)
+{
+    Fleet fleet;
+    fleet.add_class("pilot", {{"tier", "1"}});
+    fleet.add_class("comparison", {{"tier", "6"}, {"floor", "20"}});
+    // Four slots, 20 ms for each request: 200 requests a second.
+    auto& backend = fleet.add_model_backend("llm-1", {4, 2000}, s_small_queue);
+    fleet.start(2);
+    auto const call = [&fleet](char const* request_class, unsigned caller, unsigned number) {
+        auto const tag = std::string(request_class) + std::to_string(caller) + "x" + std::to_string(number);
+        return CallRecord {tag, 10, fleet.complete(request_class, tag, 10, true, caller % 2)};
+    };
+    // Twelve callers without a pause keep all slots and the queue full.
+    Callers urgent(12, [&](unsigned caller, unsigned number) { return call("pilot", caller, number); });
+    ASSERT_TRUE(wait_until([&] { return urgent.count() > 100; }));
+    auto const urgent_before = urgent.count();
+    Callers bulk(2, [&](unsigned caller, unsigned number) { return call("comparison", caller, number); });
+    ASSERT_TRUE(wait_until([&] { return urgent.count() > urgent_before + 600; }, Core::Milliseconds(60'000)));
+    auto const& bulk_records = bulk.stop();
+    auto const bulk_done
+        = std::ranges::count_if(bulk_records, [](auto const& record) { return record.answer.outcome() == "done"; });
+    // A fifth of the slots is a quarter of what the urgent class gets; the callers' way round costs some.
+    EXPECT_GE(bulk_done, 60) << "of " << bulk_records.size();
+    EXPECT_GT(fleet.metric(backend.side_operator_port, "granitefield_side_starts_total", "floor"), 0);
+    for (auto const& record : urgent.stop()) {
+        // Slots and queue take ten; what is refused is refused for others of its own tier.
+        bool const is_expected
+            = record.answer.outcome() == "done" || record.answer.json()["error"]["code"] == "queue_full";
+        EXPECT_TRUE(is_expected) << record.answer.body;
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/LibObserve/ObserveTest.cpp
@@ -0,0 +1,83 @@
+#include <LibObserve/DecisionRing.h>
+#include <LibObserve/Metrics.h>
+#include <LibObserve/SpanExporter.h>
+#include <LibObserve/TraceContext.h>
+
+#include <string>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Observe {
+
+using namespace std::chrono_literals;
+
+TEST(TraceContext, FollowsTheRecommendation)
+{
+    auto const context = TraceContext::from_header("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01");
+    ASSERT_TRUE(context);
+    EXPECT_TRUE(context->is_sampled);
+    EXPECT_EQ(context->to_header(), "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01");
+    EXPECT_FALSE(TraceContext::from_header("00-00000000000000000000000000000000-00f067aa0ba902b7-01"));
+    EXPECT_FALSE(TraceContext::from_header("ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"));
+    EXPECT_FALSE(TraceContext::from_header("00-4BF92F3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"));
+    EXPECT_FALSE(TraceContext::from_header("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-more"));
+    EXPECT_TRUE(TraceContext::from_header("01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-more"));
+}
+
+RC_GTEST_PROP(TraceContext, TakesAnyText, (std::string const& text))
+{
+    auto const context = TraceContext::from_header(text);
+    if (context)
+        RC_ASSERT(TraceContext::from_header(context->to_header()) == context);
+    static_cast<void>(TraceContext::from_header("00-4bf92f3577b34da6a3ce929d0e0e4736-" + text));
+}
+
+TEST(Distribution, GivesQuantilesWithinABin)
+{
+    Distribution distribution;
+    for (int value = 1; value <= 1000; ++value)
+        distribution.add(Core::Microseconds(value * 100));
+    auto const median = distribution.quantile(0.5);
+    EXPECT_GE(median, 50ms);
+    EXPECT_LE(median, 55ms);
+    EXPECT_EQ(distribution.count(), 1000U);
+}
+
+TEST(MetricRegistry, WritesPrometheusText)
+{
+    MetricRegistry metrics;
+    metrics.counter("requests_total", {{"class", "cl\"erk"}}).add(3);
+    metrics.distribution("wait_seconds").add(2ms);
+    auto const text = metrics.to_text();
+    EXPECT_NE(text.find("requests_total{class=\"cl\\\"erk\"} 3\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("wait_seconds_bucket{le=\"+Inf\"} 1\n"), std::string::npos) << text;
+}
+
+TEST(DecisionRing, ForgetsTheOldest)
+{
+    DecisionRing ring(2);
+    Core::RequestId const request {1, 2};
+    ring.record(request, "one");
+    ring.record({3, 4}, "two");
+    ring.record(request, "three");
+    ASSERT_EQ(ring.about(request).size(), 1U);
+    EXPECT_EQ(ring.about(request).front().what, "three");
+    EXPECT_EQ(ring.recent(10).size(), 2U);
+}
+
+TEST(SpanExporter, WritesTheOtlpForm)
+{
+    Span span;
+    span.context = *TraceContext::from_header("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01");
+    span.name = "entry";
+    span.attributes = {{"class", "clerk"}};
+    auto const json = nlohmann::json::parse(encode_spans("granitefield-entry", {span}));
+    auto const& written = json["resourceSpans"][0]["scopeSpans"][0]["spans"][0];
+    EXPECT_EQ(written["traceId"], "4bf92f3577b34da6a3ce929d0e0e4736");
+    EXPECT_EQ(written["attributes"][0]["value"]["stringValue"], "clerk");
+}
+
+}
--- /dev/null
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -0,0 +1,64 @@
+#include <LibSettings/DaemonSettings.h>
+
+#include <algorithm>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Settings {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> places_of(std::string const& text)
+{
+    try {
+        static_cast<void>(parse_settings(text));
+    } catch (Core::InvalidInput const& error) {
+        std::vector<std::string> places;
+        for (auto const& finding : error.findings().all())
+            places.push_back(finding.place);
+        return places;
+    }
+    return {};
+}
+
+}
+
+TEST(DaemonSettings, ReadsASide)
+{
+    auto const settings
+        = parse_settings(R"({"role": "side", "name": "s", "failure-domain": "ba-hall-a", "region": "sk-west",
+        "operator-address": "127.0.0.1:1", "link-address": "[::1]:2",
+        "backend-server": {"name": "llm-1", "service": "llm", "address": "127.0.0.1:3", "slots": 8},
+        "queue": {"limit": 10, "headroom-slots": 2, "discipline": "arrival"}, "tickets": {"hold": "5m"}})");
+    EXPECT_EQ(settings.role, Role::Side);
+    EXPECT_EQ(settings.side.limits.slots, 8U);
+    EXPECT_EQ(settings.side.tickets.hold, 5min);
+    EXPECT_EQ(settings.side.discipline, Side::DisciplineName::Arrival);
+    EXPECT_EQ(settings.side.link_address.to_string(), "[::1]:2");
+}
+
+TEST(DaemonSettings, ReportsEverythingThatIsWrongWithItsPlace)
+{
+    auto const places
+        = places_of(R"({"role": "entry", "name": 7, "region": "sk-west", "operator-address": "localhost:1",
+        "callers": {"address": "127.0.0.1:1", "threads": 0}, "platform": {"call-timeout": "soon"},
+        "routing": {"heartbeat": "10s", "colour": "red"}})");
+    std::vector<std::string> const expected {"/name", "/failure-domain", "/operator-address", "/callers/threads",
+        "/platform/address", "/platform/call-timeout", "/routing/colour", "/routing/link-patience"};
+    for (auto const& place : expected)
+        EXPECT_NE(std::ranges::find(places, place), places.end()) << place;
+    EXPECT_EQ(places.size(), expected.size());
+}
+
+RC_GTEST_PROP(DaemonSettings, AnyTextIsRejectedWithAPlace, (std::string const& text))
+{
+    RC_ASSERT(!places_of(text).empty());
+    RC_ASSERT(!places_of("{\"role\": \"side\", \"queue\": " + text + "}").empty());
+}
+
+}
--- a/Utilities/granitefield/main.cpp
+++ b/Utilities/granitefield/main.cpp
@@ -37,7 +37,7 @@
 {
     if (text.empty())
         return std::nullopt;
-    auto const address = Core::Address::from_string(text);
+    auto address = Core::Address::from_string(text);
     if (!address)
         throw UsageError("'" + text + "' is not an address by IP number such as 127.0.0.1:7000");
     return address;
