LibEntry: Hold requests while no backend server can be reached

Cause: a request whose dispatch was lost counted both side processes as tried and was refused; a side process that was replaced was only noticed after the link's patience of a second, and meanwhile refused dispatches as meant for another run, with a retry time of 1 ms.

Change: a link is usable only after a welcome on its present connection; a failed send or a refusal for another run asks for a new one; a ping from an entry that the side process does not know is answered by a welcome. What could not be reached does not count as tried, and waits at the entry, by tier, for two seconds at most.

--- a/Libraries/LibEntry/AttemptMessages.cpp
+++ b/Libraries/LibEntry/AttemptMessages.cpp
@@ -18,9 +18,12 @@
 constexpr std::uint32_t s_chunks_per_acknowledgement = 32;
 constexpr std::size_t s_caller_window_bytes = 256U << 10U;
 
+/// Told to callers where the side process names no time.
+constexpr Core::Milliseconds s_least_retry_after {100};
+
 ErrorAnswer describe(Protocol::Message::Refused const& refused)
 {
-    Core::Milliseconds const retry_after(std::max(refused.retry_after_ms(), 1U));
+    auto const retry_after = std::max(Core::Milliseconds(refused.retry_after_ms()), s_least_retry_after);
     switch (refused.reason()) {
     case RefusalReason::REFUSAL_REASON_QUEUE_FULL:
         return {503, "queue_full", "the backend server's queue is full", Outcome::NotRun, retry_after};
@@ -71,6 +74,13 @@
     }
 }
 
+/// Reasons that lie in the way to a backend server, not in its load.
+bool is_about_reach(RefusalReason reason)
+{
+    return reason == RefusalReason::REFUSAL_REASON_OTHER_INCARNATION || reason == RefusalReason::REFUSAL_REASON_REVOKED
+        || reason == RefusalReason::REFUSAL_REASON_DRAINING;
+}
+
 bool is_about_ticket(RefusalReason reason)
 {
     return reason == RefusalReason::REFUSAL_REASON_TICKET_RUNNING || reason == RefusalReason::REFUSAL_REASON_TICKET_USED
@@ -131,7 +141,7 @@
     Protocol::set_key(body, key);
     body.set_side_incarnation(link.incarnation().value());
     body.set_is_final(true);
-    static_cast<void>(link.send(envelope));
+    link.send(envelope);
 }
 
 void RequestRuns::acknowledge(SideLink& link, RequestRun& run, bool is_final)
@@ -145,7 +155,7 @@
     body.set_side_incarnation(link.incarnation().value());
     body.set_sequence(attempt.chunks);
     body.set_is_final(is_final);
-    static_cast<void>(link.send(envelope));
+    link.send(envelope);
 }
 
 void RequestRuns::note_in_load_report(SideLink& link, RequestRun& run, Protocol::Message::LoadReport const& load)
@@ -178,7 +188,7 @@
 }
 
 void RequestRuns::handle_refused(
-    SideLink&, RequestRun& run, Protocol::Message::Refused const& refused, Core::MonotonicTime now)
+    SideLink& link, RequestRun& run, Protocol::Message::Refused const& refused, Core::MonotonicTime now)
 {
     auto const reason = refused.reason();
     auto error = describe(refused);
@@ -191,13 +201,17 @@
         if (is_about_ticket(reason) || reason == RefusalReason::REFUSAL_REASON_OTHER_INCARNATION)
             return fail(run, std::move(error));
     }
+    if (reason == RefusalReason::REFUSAL_REASON_OTHER_INCARNATION)
+        link.note_other_incarnation();
+    if (is_about_reach(reason))
+        return retry_unreached(run, std::move(error), now);
     retry_unstarted(run, std::move(error), now);
 }
 
 void RequestRuns::handle_unknown(SideLink&, RequestRun& run, Core::MonotonicTime now)
 {
     decide(run, Core::concat(run.attempt()->backend_server, " never got the dispatch"));
-    retry_unstarted(run,
+    retry_unreached(run,
         {503, "not_taken", "the backend server's side process did not get the request", Outcome::NotRun,
             Core::Milliseconds(200)},
         now);
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -83,6 +83,8 @@
     [[nodiscard]] std::size_t tried_count() const { return m_tried.size(); }
 
     void note_refusal(Core::Milliseconds retry_after);
+    /// Every backend server may be tried again.
+    void forget_tries() { m_tried.clear(); }
     [[nodiscard]] std::optional<Core::Milliseconds> smallest_retry_after() const { return m_smallest_retry_after; }
     /// An attempt was lost or broken off without a word that it did not run.
     void note_may_have_run() { m_may_have_run = true; }
--- a/Libraries/LibEntry/RequestRuns.cpp
+++ b/Libraries/LibEntry/RequestRuns.cpp
@@ -92,7 +92,7 @@
     if (!run.call().ticket.empty())
         return dispatch_ticket(run, now);
     m_retry_budget.note_first_try();
-    dispatch(run,
+    dispatch_or_hold(run,
         {503, "no_backend", "no backend server of the service can be reached", Outcome::NotRun,
             s_no_backend_retry_after},
         now);
@@ -138,16 +138,68 @@
     return links[index];
 }
 
-void RequestRuns::dispatch(RequestRun& run, ErrorAnswer otherwise, Core::MonotonicTime now)
+bool RequestRuns::try_dispatch(RequestRun& run, Core::MonotonicTime now)
 {
     while (run.tried_count() < m_settings.largest_tries) {
         auto* link = choose(run);
         if (link == nullptr)
-            break;
+            return false;
         if (send_dispatch(run, *link, now))
-            return;
+            return true;
+    }
+    return false;
+}
+
+void RequestRuns::dispatch(RequestRun& run, ErrorAnswer otherwise, Core::MonotonicTime now)
+{
+    if (!try_dispatch(run, now))
+        fail(run, std::move(otherwise));
+}
+
+RequestRuns::HeldPlace RequestRuns::held_place(RequestRun const& run)
+{
+    return {run.call().request_class.tier, run.call().received, run.call().id};
+}
+
+void RequestRuns::dispatch_or_hold(RequestRun& run, ErrorAnswer otherwise, Core::MonotonicTime now)
+{
+    if (try_dispatch(run, now))
+        return;
+    auto const limit = std::min(m_settings.hold_limit, run.call().request_class.give_up_after);
+    if (!m_links.has_service(run.call().service) || elapsed(run.call().received, now) >= limit)
+        return fail(run, std::move(otherwise));
+    decide(run, Core::concat("waits at the entry: ", otherwise.message));
+    m_held.emplace(held_place(run), std::move(otherwise));
+    if (m_held.size() <= m_settings.largest_held_count)
+        return;
+    // The last place belongs to the lowest tier, and there to the latest.
+    auto last = std::prev(m_held.end());
+    auto& last_run = m_runs.at(last->first.request);
+    auto error = std::move(last->second);
+    m_held.erase(last);
+    fail(last_run, std::move(error));
+}
+
+void RequestRuns::dispatch_held(Core::MonotonicTime now)
+{
+    std::vector<HeldPlace> places;
+    places.reserve(m_held.size());
+    for (auto const& [place, error] : m_held)
+        places.push_back(place);
+    for (auto const& place : places) {
+        auto& run = m_runs.at(place.request);
+        run.forget_tries();
+        auto node = m_held.extract(place);
+        if (run.exchange().is_caller_gone()) {
+            finish(run, Outcome::Cut);
+            continue;
+        }
+        auto const limit = std::min(m_settings.hold_limit, run.call().request_class.give_up_after);
+        if (elapsed(place.received, now) >= limit)
+            fail(run, std::move(node.mapped()));
+        else if (!try_dispatch(run, now))
+            m_held.insert(std::move(node));
     }
-    fail(run, std::move(otherwise));
 }
 
 void RequestRuns::dispatch_ticket(RequestRun& run, Core::MonotonicTime now)
@@ -237,6 +289,14 @@
     dispatch(run, std::move(error), now);
 }
 
+void RequestRuns::retry_unreached(RequestRun& run, ErrorAnswer error, Core::MonotonicTime now)
+{
+    leave_attempt(run);
+    if (!run.call().ticket.empty())
+        return fail(run, std::move(error));
+    dispatch_or_hold(run, std::move(error), now);
+}
+
 void RequestRuns::retry_lost(RequestRun& run, ErrorAnswer error, Core::MonotonicTime now)
 {
     run.note_may_have_run();
@@ -249,7 +309,7 @@
         return fail(run, std::move(error));
     m_metrics.counter("granitefield_entry_retries_total").add();
     decide(run, Core::concat("tries again: ", error.message));
-    dispatch(run, std::move(error), now);
+    dispatch_or_hold(run, std::move(error), now);
 }
 
 RequestRun* RequestRuns::find(Policy::WorkKey const& key, SideLink const& link)
@@ -314,7 +374,7 @@
     if (found == m_waiting_revocations.end())
         return;
     for (auto const& envelope : found->second)
-        static_cast<void>(link.send(envelope));
+        link.send(envelope);
     m_waiting_revocations.erase(found);
 }
 
@@ -345,11 +405,12 @@
     resume.set_side_incarnation(link.incarnation().value());
     resume.set_session(link.session());
     resume.set_after_sequence(attempt.chunks);
-    static_cast<void>(link.send(envelope));
+    link.send(envelope);
 }
 
 void RequestRuns::tick(Core::MonotonicTime now)
 {
+    dispatch_held(now);
     std::vector<Core::RequestId> ids;
     ids.reserve(m_runs.size());
     for (auto const& [id, run] : m_runs)
@@ -440,6 +501,7 @@
     }
     m_limits.leave(run.call().workspace);
     leave_attempt(run);
+    m_held.erase(held_place(run));
     m_runs.erase(run.call().id);
 }
 
--- a/Libraries/LibEntry/RequestRuns.h
+++ b/Libraries/LibEntry/RequestRuns.h
@@ -36,6 +36,10 @@
         Core::Milliseconds missed_prefix_cost {30};
         /// Side processes that a request is offered to before it is refused.
         std::size_t largest_tries {3};
+        /// How long a request waits here while no backend server of its service can be reached.
+        Core::Milliseconds hold_limit {2'000};
+        /// Requests that wait here at once.
+        std::size_t largest_held_count {1'000};
         /// An attempt of which nothing is heard for this long is asked about.
         Core::Milliseconds question_interval {500};
         /// How much longer than the request's own limit the entry waits for the side process's word.
@@ -70,12 +74,19 @@
     /// Offers the request to the best backend server that has not refused it; `otherwise` is the final
     /// answer when there is none.
     void dispatch(RequestRun&, ErrorAnswer otherwise, Core::MonotonicTime now);
+    /// Like dispatch(), but where the cause is that nothing can be reached, the request waits here for a
+    /// while.
+    void dispatch_or_hold(RequestRun&, ErrorAnswer otherwise, Core::MonotonicTime now);
+    [[nodiscard]] bool try_dispatch(RequestRun&, Core::MonotonicTime now);
+    void dispatch_held(Core::MonotonicTime now);
     void dispatch_ticket(RequestRun&, Core::MonotonicTime now);
     [[nodiscard]] SideLink* choose(RequestRun const&);
     [[nodiscard]] bool send_dispatch(RequestRun&, SideLink&, Core::MonotonicTime now);
     void leave_attempt(RequestRun&);
     /// The present attempt did not run.
     void retry_unstarted(RequestRun&, ErrorAnswer, Core::MonotonicTime now);
+    /// The present attempt did not run because its side process could not be reached or leaves.
+    void retry_unreached(RequestRun&, ErrorAnswer, Core::MonotonicTime now);
     /// The present attempt may have run and will bring no answer.
     void retry_lost(RequestRun&, ErrorAnswer, Core::MonotonicTime now);
 
@@ -105,9 +116,21 @@
     [[nodiscard]] std::vector<Core::RequestId> runs_at(SideLink const&);
     void send_waiting_revocations(SideLink&);
 
+    /// Held requests in the order in which they are sent: by tier, then by arrival.
+    struct HeldPlace {
+        unsigned tier {0};
+        Core::MonotonicTime received;
+        Core::RequestId request;
+
+        auto operator<=>(HeldPlace const&) const = default;
+    };
+
+    static HeldPlace held_place(RequestRun const&);
+
     Settings m_settings;
     LinkSet& m_links;
     Runs m_runs;
+    std::map<HeldPlace, ErrorAnswer> m_held;
     /// Revocations that could not be sent, by backend server; s_largest_waiting_revocations at most.
     std::map<std::string, std::vector<Protocol::Message::Envelope>> m_waiting_revocations;
     WorkspaceLimits m_limits;
--- a/Libraries/LibEntry/SideLink.cpp
+++ b/Libraries/LibEntry/SideLink.cpp
@@ -52,7 +52,7 @@
 
 bool SideLink::is_available() const
 {
-    return m_is_up && !is_leaving();
+    return m_is_up && m_is_greeted && !is_leaving();
 }
 
 std::optional<Envelope> SideLink::receive()
@@ -73,7 +73,10 @@
     auto const size = envelope.ByteSizeLong();
     zmq::message_t frame(size);
     envelope.SerializeToArray(frame.data(), static_cast<int>(size));
-    return m_socket.send(frame, zmq::send_flags::dontwait).has_value();
+    bool const was_sent = m_socket.send(frame, zmq::send_flags::dontwait).has_value();
+    if (!was_sent)
+        m_is_greeted = false;
+    return was_sent;
 }
 
 void SideLink::greet()
@@ -82,7 +85,7 @@
     envelope.set_protocol_version(Protocol::s_protocol_version);
     envelope.mutable_hello()->set_entry_incarnation(m_settings.own.value());
     envelope.mutable_hello()->set_entry_name(m_settings.entry_name);
-    static_cast<void>(send(envelope));
+    send(envelope);
 }
 
 void SideLink::ping()
@@ -91,26 +94,26 @@
     envelope.set_protocol_version(Protocol::s_protocol_version);
     envelope.mutable_ping()->set_entry_incarnation(m_settings.own.value());
     envelope.mutable_ping()->set_challenge(m_challenge);
-    static_cast<void>(send(envelope));
+    send(envelope);
 }
 
 SideLink::Change SideLink::tick(Core::MonotonicTime now)
 {
-    if (!m_is_up) {
-        if (elapsed(m_last_call, now) >= s_greeting_interval) {
-            m_last_call = now;
-            greet();
-        }
-        return Change::None;
+    if (!m_is_greeted && elapsed(m_last_greeting, now) >= s_greeting_interval) {
+        m_last_greeting = now;
+        greet();
     }
+    if (!m_is_up)
+        return Change::None;
     if (elapsed(m_last_heard, now) >= m_settings.patience) {
         m_is_up = false;
+        m_is_greeted = false;
         LOG(WARNING) << s_log_prefix << m_backend_server.name << " is silent; it gets no new work";
         return Change::Lost;
     }
     // A side process forgets an entry that says nothing, so the ping does not depend on what was heard.
-    if (elapsed(m_last_call, now) >= m_settings.heartbeat) {
-        m_last_call = now;
+    if (elapsed(m_last_ping, now) >= m_settings.heartbeat) {
+        m_last_ping = now;
         ping();
     }
     return Change::None;
@@ -155,14 +158,15 @@
     }
     bool const was_known = m_incarnation != Core::Incarnation();
     bool const is_same = m_incarnation.value() == welcome.side_incarnation() && m_session == welcome.session();
-    bool const was_up = m_is_up;
+    bool const was_greeted = m_is_greeted;
     m_incarnation = Core::Incarnation(welcome.side_incarnation());
     m_session = welcome.session();
     m_challenge = welcome.challenge();
     m_is_up = true;
+    m_is_greeted = true;
     note_load(welcome.load());
     if (is_same)
-        return was_up ? Change::None : Change::CameBack;
+        return was_greeted ? Change::None : Change::CameBack;
     m_view.sent_by_tier = {};
     return was_known ? Change::Replaced : Change::CameBack;
 }
--- a/Libraries/LibEntry/SideLink.h
+++ b/Libraries/LibEntry/SideLink.h
@@ -65,8 +65,10 @@
     /// The next message that has arrived. Those that can't be read are counted and skipped.
     [[nodiscard]] std::optional<Protocol::Message::Envelope> receive();
     /// False when there is no connection, or no room; then nothing was sent.
-    [[nodiscard]] bool send(Protocol::Message::Envelope const&);
+    bool send(Protocol::Message::Envelope const&);
 
+    /// The side process refused a dispatch as meant for another run: it is not what the link takes it for.
+    void note_other_incarnation() { m_is_greeted = false; }
     /// Takes a welcome, a pong or any other sign of life.
     [[nodiscard]] Change note_message(Protocol::Message::Envelope const&, Core::MonotonicTime now);
     /// Greets, pings, and notices silence.
@@ -91,6 +93,9 @@
     Table::BackendServer m_backend_server;
     zmq::socket_t m_socket;
     bool m_is_up {false};
+    /// The present connection has brought a welcome. A connection that broke may lead to another run of the
+    /// side process, so that nothing new is sent before that.
+    bool m_is_greeted {false};
     bool m_is_draining {false};
     bool m_is_listed_as_leaving {false};
     bool m_is_removed {false};
@@ -99,7 +104,8 @@
     std::uint32_t m_challenge {0};
     Core::Milliseconds m_side_uptime {0};
     Core::MonotonicTime m_last_heard;
-    Core::MonotonicTime m_last_call;
+    Core::MonotonicTime m_last_ping;
+    Core::MonotonicTime m_last_greeting;
     Policy::BackendView m_view;
     std::uint64_t m_unreadable_count {0};
     std::optional<std::uint32_t> m_refused_version;
--- a/Libraries/LibSide/SideAuthority.cpp
+++ b/Libraries/LibSide/SideAuthority.cpp
@@ -285,8 +285,9 @@
 void SideAuthority::handle_ping(std::string const& route, Protocol::Message::Ping const& ping)
 {
     auto const entry = m_entries.find(route);
+    // An entry that takes this process for its predecessor learns at once that it is another.
     if (entry == m_entries.end())
-        return;
+        return handle_hello(route);
     entry->second.answered_challenge = ping.challenge();
     // An answer to a challenge needs none itself.
     if (!m_challenged_at)
--- a/Tests/Integration/WholeAnswerTest.cpp
+++ b/Tests/Integration/WholeAnswerTest.cpp
@@ -1,6 +1,7 @@
 // Promise: every caller receives the whole answer to its own request and nothing else.
 #include "Callers.h"
 
+#include <map>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -65,10 +66,11 @@
         m_done = static_cast<std::size_t>(
             std::ranges::count_if(records, [](auto const& record) { return record.answer.outcome() == "done"; }));
         m_total = records.size();
-        for (auto const& record : records) {
-            if (record.answer.outcome() != "done")
-                std::cout << record.tag << ": " << record.answer.status << ' ' << record.answer.body.substr(record.answer.body.size() - std::min<std::size_t>(record.answer.body.size(), 250)) << '\n';
-        }
+        std::map<std::string, unsigned> outcomes;
+        for (auto const& record : records)
+            ++outcomes[record.answer.outcome()];
+        for (auto const& [outcome, count] : outcomes)
+            std::cout << "outcome " << outcome << ": " << count << " of " << records.size() << '\n';
     }
 
     Fleet m_fleet;
