LibEntry: Spread the table and the host list between entries

Cause: two red tests. An entry that starts while the platform is down had no way to a table, and the platform's host list was read by nobody. Ruled out: every entry watching the platform for itself, which at 950 entries costs 950 waiting watches and 950 reads at each change.

Change: entries announce their versions to log2(n) neighbours on a ring of hashed names; whoever is behind pulls the edits. Two entries of a region, the first by rendezvous that reach the platform, watch it and read its host list. A table or host list that is older than the one in force is never taken.

--- /dev/null
+++ b/Libraries/LibEntry/HostFollower.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibEntry/Backoff.h>
+#include <LibEntry/PeerExchange.h>
+#include <LibEntry/PlatformSettings.h>
+#include <LibEntry/SharedHosts.h>
+#include <LibPlatform/ObjectClient.h>
+
+#include <functional>
+#include <thread>
+
+namespace GraniteField::Entry {
+
+/// Reads the platform's host list now and then, on a thread of its own, in the entries that watch the
+/// platform. The list lags; a side process's own word and the data path are heard before it.
+class HostFollower {
+public:
+    /// `on_news` is called on this thread when there is a newer list.
+    HostFollower(
+        PlatformSettings const&, SharedHosts&, PeerExchange&, std::function<void()> on_news, Observe::MetricRegistry&);
+    ~HostFollower();
+    HostFollower(HostFollower const&) = delete;
+    HostFollower& operator=(HostFollower const&) = delete;
+
+private:
+    void run();
+    void read_list();
+
+    Core::Milliseconds m_interval;
+    SharedHosts& m_hosts;
+    PeerExchange& m_peers;
+    std::function<void()> m_on_news;
+    Observe::MetricRegistry& m_metrics;
+    Platform::ObjectClient m_client;
+    Backoff m_backoff;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -0,0 +1,360 @@
+#include <LibEntry/PeerExchange.h>
+
+#include <LibProtocol/ProtocolVersion.h>
+#include <LibTable/TablePages.h>
+
+#include <algorithm>
+#include <random>
+
+#include <glog/logging.h>
+
+namespace GraniteField::Entry {
+
+namespace Message = granitefield::protocol;
+
+namespace {
+
+constexpr Core::Milliseconds s_longest_wait {100};
+/// Known entries that an announcement tells of.
+constexpr std::size_t s_known_per_announcement = 8;
+constexpr int s_messages_per_turn = 200;
+constexpr int s_waiting_messages = 1'000;
+
+Message::PeerRecord to_message(Peer const& peer, Core::MonotonicTime now)
+{
+    Message::PeerRecord record;
+    record.set_name(peer.name);
+    record.set_region(peer.region);
+    record.set_address(peer.address);
+    auto const age = std::chrono::duration_cast<Core::Milliseconds>(now - peer.last_heard);
+    record.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count())));
+    record.set_is_platform_reachable(peer.is_platform_reachable);
+    return record;
+}
+
+Peer from_message(Message::PeerRecord const& record, Core::MonotonicTime now)
+{
+    return {record.name(), record.region(), record.address(), now - Core::Milliseconds(record.age_ms()),
+        record.is_platform_reachable()};
+}
+
+std::string bind_endpoint(Core::Address const& address)
+{
+    return address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint();
+}
+
+std::optional<Table::SheetName> sheet_of(std::uint32_t number)
+{
+    if (number >= Table::s_all_sheets.size())
+        return std::nullopt;
+    return Table::s_all_sheets.at(number);
+}
+
+}
+
+PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
+    std::function<void()> on_news, Observe::MetricRegistry& metrics)
+    : m_settings(std::move(settings))
+    , m_context(context)
+    , m_table(table)
+    , m_hosts(hosts)
+    , m_on_news(std::move(on_news))
+    , m_bytes_in(metrics.counter("granitefield_peer_bytes_total", {{"direction", "in"}}))
+    , m_bytes_out(metrics.counter("granitefield_peer_bytes_total", {{"direction", "out"}}))
+    , m_rejected(metrics.counter("granitefield_peer_messages_rejected_total"))
+    , m_listener(context, zmq::socket_type::router)
+    , m_view({m_settings.name, m_settings.region, "", {}, true})
+{
+    m_listener.set(zmq::sockopt::linger, 0);
+    m_listener.set(zmq::sockopt::rcvhwm, s_waiting_messages);
+    m_listener.set(zmq::sockopt::sndhwm, s_waiting_messages);
+    m_listener.set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
+    m_listener.set(zmq::sockopt::ipv6, m_settings.address.is_ipv6());
+    m_listener.bind(bind_endpoint(m_settings.address));
+    auto const endpoint = m_listener.get(zmq::sockopt::last_endpoint).substr(std::string_view("tcp://").size());
+    auto const bound = Core::Address::from_string(endpoint);
+    if (!bound)
+        throw std::runtime_error("the bound address can't be read");
+    m_port = bound->port();
+    m_view = PeerView({m_settings.name, m_settings.region, bound->to_string(), {}, true});
+    m_thread = std::thread([this] { run(); });
+}
+
+PeerExchange::~PeerExchange()
+{
+    m_should_stop = true;
+    m_wake.signal();
+    m_thread.join();
+}
+
+void PeerExchange::set_platform_reachable(bool value)
+{
+    if (m_is_platform_reachable.exchange(value) != value)
+        m_wake.signal();
+}
+
+Core::TableVersion PeerExchange::table_version() const
+{
+    auto const table = m_table.current();
+    return table ? table->version() : Core::TableVersion();
+}
+
+void PeerExchange::run()
+{
+    while (!m_should_stop) {
+        wait_for_messages();
+        auto const now = std::chrono::steady_clock::now();
+        if (auto table = m_table.current())
+            m_history.note(std::move(table));
+        m_view.set_platform_reachable(m_is_platform_reachable);
+        m_view.forget_silent(now);
+        m_should_watch = m_view.should_watch();
+        m_known_count = m_view.count();
+        update_connections();
+        announce_if_due(now);
+    }
+    m_connections.clear();
+}
+
+void PeerExchange::wait_for_messages()
+{
+    std::vector<zmq::pollitem_t> items {
+        {nullptr, m_wake.descriptor(), ZMQ_POLLIN, 0}, {m_listener.handle(), 0, ZMQ_POLLIN, 0}};
+    for (auto const& [address, connection] : m_connections)
+        items.push_back({connection.socket->handle(), 0, ZMQ_POLLIN, 0});
+    zmq::poll(items, s_longest_wait);
+    m_wake.drain();
+    receive(m_listener, true);
+    for (auto const& [address, connection] : m_connections)
+        receive(*connection.socket, false);
+}
+
+void PeerExchange::receive(zmq::socket_t& socket, bool is_listener)
+{
+    for (int count = 0; count < s_messages_per_turn; ++count) {
+        zmq::message_t route;
+        if (is_listener && !socket.recv(route, zmq::recv_flags::dontwait))
+            return;
+        zmq::message_t frame;
+        if (!socket.recv(frame, zmq::recv_flags::dontwait))
+            return;
+        m_bytes_in.add(frame.size());
+        Envelope envelope;
+        bool const is_readable = envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size()))
+            && envelope.protocol_version() == Protocol::s_protocol_version;
+        while (frame.more())
+            static_cast<void>(socket.recv(frame, zmq::recv_flags::dontwait));
+        if (!is_readable) {
+            m_rejected.add();
+            continue;
+        }
+        handle(envelope, [&](Envelope const& reply) {
+            if (is_listener) {
+                zmq::message_t route_copy(route.data(), route.size());
+                if (!socket.send(route_copy, zmq::send_flags::sndmore | zmq::send_flags::dontwait))
+                    return;
+            }
+            send(socket, reply);
+        });
+    }
+}
+
+void PeerExchange::send(zmq::socket_t& socket, Envelope const& envelope)
+{
+    auto const size = envelope.ByteSizeLong();
+    zmq::message_t frame(size);
+    envelope.SerializeToArray(frame.data(), static_cast<int>(size));
+    // What does not go out now goes with a later announcement.
+    if (socket.send(frame, zmq::send_flags::dontwait))
+        count_out(size);
+}
+
+void PeerExchange::handle(Envelope const& envelope, Reply const& reply)
+{
+    switch (envelope.body_case()) {
+    case Envelope::kAnnounce:
+        return handle_announce(envelope.announce(), reply);
+    case Envelope::kPull:
+        return handle_pull(envelope.pull(), reply);
+    case Envelope::kTable:
+        return handle_table(envelope.table());
+    case Envelope::kHosts:
+        return handle_hosts(envelope.hosts());
+    default:
+        m_rejected.add();
+    }
+}
+
+void PeerExchange::handle_announce(Message::Announce const& announce, Reply const& reply)
+{
+    auto const now = std::chrono::steady_clock::now();
+    m_view.note(from_message(announce.sender(), now));
+    for (auto const& record : announce.known())
+        m_view.note(from_message(record, now));
+    auto const own_table = table_version().value();
+    auto const own_hosts = m_hosts.version().value();
+    Envelope answer;
+    answer.set_protocol_version(Protocol::s_protocol_version);
+    if (announce.table_version() > own_table || announce.hosts_version() > own_hosts) {
+        answer.mutable_pull()->set_table_version(own_table);
+        answer.mutable_pull()->set_hosts_version(own_hosts);
+        return reply(answer);
+    }
+    // The sender is behind: it is told what there is, and pulls.
+    if (announce.table_version() < own_table || announce.hosts_version() < own_hosts)
+        reply(make_announcement());
+}
+
+void PeerExchange::handle_pull(Message::Pull const& pull, Reply const& reply)
+{
+    auto const table = m_table.current();
+    if (table && table->version().value() > pull.table_version()) {
+        m_history.note(table);
+        Envelope answer;
+        answer.set_protocol_version(Protocol::s_protocol_version);
+        auto& update = *answer.mutable_table();
+        update.set_to_version(table->version().value());
+        auto const edits = m_history.edits_since(Core::TableVersion(pull.table_version()));
+        if (edits) {
+            update.set_from_version(pull.table_version());
+            for (auto const& edit : *edits) {
+                auto& cell = *update.add_edits();
+                cell.set_sheet(static_cast<std::uint32_t>(edit.place.sheet));
+                cell.set_row(edit.place.row);
+                cell.set_column(edit.place.column);
+                cell.set_value(edit.value.value_or(""));
+            }
+        } else {
+            update.set_whole(Table::encode_table(*table));
+        }
+        reply(answer);
+    }
+    auto const hosts = m_hosts.current();
+    if (hosts.version.value() <= pull.hosts_version())
+        return;
+    Envelope answer;
+    answer.set_protocol_version(Protocol::s_protocol_version);
+    answer.mutable_hosts()->set_version(hosts.version.value());
+    for (auto const& address : hosts.addresses)
+        answer.mutable_hosts()->add_leaving(address);
+    reply(answer);
+}
+
+void PeerExchange::handle_table(Message::TableUpdate const& update)
+{
+    auto const current = m_table.current();
+    if (current && current->version().value() >= update.to_version())
+        return;
+    try {
+        Table::Table table;
+        if (update.from_version() == 0) {
+            table = Table::decode_table(update.whole());
+        } else {
+            if (!current || current->version().value() != update.from_version())
+                return;
+            Table::Change change;
+            for (auto const& edit : update.edits()) {
+                auto const sheet = sheet_of(edit.sheet());
+                if (!sheet) {
+                    m_rejected.add();
+                    return;
+                }
+                bool const is_removal = edit.column().empty();
+                change.push_back(
+                    {{*sheet, edit.row(), edit.column()}, is_removal ? std::nullopt : std::optional(edit.value())});
+            }
+            table = current->with(change);
+        }
+        table.set_version(Core::TableVersion(update.to_version()));
+        if (m_table.offer(std::move(table)))
+            m_on_news();
+    } catch (Core::InvalidInput const& error) {
+        m_rejected.add();
+        LOG(ERROR) << "peers: a peer's table can't be taken: " << error.what();
+    }
+}
+
+void PeerExchange::handle_hosts(Message::HostsUpdate const& update)
+{
+    LeavingHosts hosts;
+    hosts.version = HostsVersion(update.version());
+    hosts.addresses.insert(update.leaving().begin(), update.leaving().end());
+    if (m_hosts.offer(std::move(hosts)))
+        m_on_news();
+}
+
+void PeerExchange::update_connections()
+{
+    std::vector<std::string> wanted;
+    for (auto const& neighbour : m_view.neighbours())
+        wanted.push_back(neighbour.address);
+    // Seeds are for the time before anybody is known; after a parting they lead back together.
+    for (auto const& seed : m_settings.seeds)
+        wanted.push_back(seed.to_string());
+    for (auto& [address, connection] : m_connections)
+        connection.is_wanted = false;
+    for (auto const& address : wanted) {
+        auto& connection = m_connections[address];
+        connection.is_wanted = true;
+        if (connection.socket)
+            continue;
+        connection.socket = std::make_unique<zmq::socket_t>(m_context, zmq::socket_type::dealer);
+        connection.socket->set(zmq::sockopt::linger, 0);
+        connection.socket->set(zmq::sockopt::immediate, true);
+        connection.socket->set(zmq::sockopt::sndhwm, s_waiting_messages);
+        connection.socket->set(zmq::sockopt::rcvhwm, s_waiting_messages);
+        connection.socket->set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
+        connection.socket->connect("tcp://" + address);
+        // A new neighbour hears of this entry soon.
+        m_next_announcement
+            = std::min(m_next_announcement, std::chrono::steady_clock::now() + m_settings.first_interval);
+    }
+    std::erase_if(m_connections, [](auto const& item) { return !item.second.is_wanted; });
+}
+
+void PeerExchange::announce_if_due(Core::MonotonicTime now)
+{
+    bool const has_news = table_version() != m_announced_table || m_hosts.version() != m_announced_hosts
+        || m_is_platform_reachable != m_announced_reachable;
+    if (!has_news && now < m_next_announcement)
+        return;
+    announce();
+    auto const interval
+        = table_version() == Core::TableVersion() ? m_settings.first_interval : m_settings.announce_interval;
+    // Spread over a quarter of the interval, so that entries that started together do not stay together.
+    static thread_local std::mt19937 s_generator {std::random_device {}()};
+    std::uniform_int_distribution<std::int64_t> spread(interval.count() * 3 / 4, interval.count());
+    m_next_announcement = now + Core::Milliseconds(spread(s_generator));
+}
+
+PeerExchange::Envelope PeerExchange::make_announcement()
+{
+    auto const now = std::chrono::steady_clock::now();
+    Envelope envelope;
+    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto& announce = *envelope.mutable_announce();
+    auto self = m_view.self();
+    self.last_heard = now;
+    *announce.mutable_sender() = to_message(self, now);
+    announce.set_table_version(table_version().value());
+    announce.set_hosts_version(m_hosts.version().value());
+    return envelope;
+}
+
+void PeerExchange::announce()
+{
+    auto const now = std::chrono::steady_clock::now();
+    auto envelope = make_announcement();
+    m_announced_table = Core::TableVersion(envelope.announce().table_version());
+    m_announced_hosts = HostsVersion(envelope.announce().hosts_version());
+    m_announced_reachable = envelope.announce().sender().is_platform_reachable();
+    // What is due only now and then tells of other entries as well; news stay short.
+    if (now >= m_next_announcement) {
+        for (auto const& peer : m_view.sample(s_known_per_announcement))
+            *envelope.mutable_announce()->add_known() = to_message(peer, now);
+    }
+    for (auto const& [address, connection] : m_connections)
+        send(*connection.socket, envelope);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/Time.h>
+#include <LibCore/WakeEvent.h>
+#include <LibEntry/PeerView.h>
+#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedTable.h>
+#include <LibEntry/TableHistory.h>
+#include <LibObserve/Metrics.h>
+
+#include <Peers.pb.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <zmq.hpp>
+
+namespace GraniteField::Entry {
+
+/// Spreads the table and the host list between entries, on a thread of its own. An entry announces the
+/// versions that it has to its neighbours; whoever has older ones pulls. docs/design/configuration-spread.md
+/// gives the reasons.
+class PeerExchange {
+public:
+    struct Settings {
+        std::string name;
+        std::string region;
+        Core::Address address;
+        /// Peer ports of a few other entries, to find the rest from.
+        std::vector<Core::Address> seeds;
+        /// How often versions are announced when nothing changes.
+        Core::Milliseconds announce_interval {10'000};
+        /// How often the seeds are asked while there is no table.
+        Core::Milliseconds first_interval {200};
+    };
+
+    /// `on_news` is called on this thread when a peer brought a newer table or host list.
+    PeerExchange(
+        Settings, zmq::context_t&, SharedTable&, SharedHosts&, std::function<void()> on_news, Observe::MetricRegistry&);
+    ~PeerExchange();
+    PeerExchange(PeerExchange const&) = delete;
+    PeerExchange& operator=(PeerExchange const&) = delete;
+
+    /// Looks soon whether there is something new to announce. Any thread.
+    void wake() { m_wake.signal(); }
+    /// Whether this entry is one that watches the platform. Any thread.
+    [[nodiscard]] bool should_watch() const { return m_should_watch; }
+    /// Whether the platform answers this entry. Any thread.
+    void set_platform_reachable(bool value);
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
+    [[nodiscard]] std::size_t known_count() const { return m_known_count; }
+
+private:
+    using Envelope = granitefield::protocol::PeerEnvelope;
+
+    /// Sends an envelope back to where a message came from.
+    using Reply = std::function<void(Envelope const&)>;
+
+    /// A connection to a neighbour or a seed.
+    struct Connection {
+        std::unique_ptr<zmq::socket_t> socket;
+        bool is_wanted {false};
+    };
+
+    void run();
+    void wait_for_messages();
+    void receive(zmq::socket_t&, bool is_listener);
+    void handle(Envelope const&, Reply const&);
+    void handle_announce(granitefield::protocol::Announce const&, Reply const&);
+    void handle_pull(granitefield::protocol::Pull const&, Reply const&);
+    void handle_table(granitefield::protocol::TableUpdate const&);
+    void handle_hosts(granitefield::protocol::HostsUpdate const&);
+    void update_connections();
+    void announce_if_due(Core::MonotonicTime now);
+    void announce();
+    [[nodiscard]] Envelope make_announcement();
+    [[nodiscard]] Core::TableVersion table_version() const;
+    void send(zmq::socket_t&, Envelope const&);
+    void count_out(std::size_t bytes) { m_bytes_out.add(bytes); }
+
+    Settings m_settings;
+    zmq::context_t& m_context;
+    SharedTable& m_table;
+    SharedHosts& m_hosts;
+    std::function<void()> m_on_news;
+    Observe::Counter& m_bytes_in;
+    Observe::Counter& m_bytes_out;
+    Observe::Counter& m_rejected;
+    zmq::socket_t m_listener;
+    std::uint16_t m_port {0};
+    PeerView m_view;
+    TableHistory m_history;
+    std::map<std::string, Connection> m_connections;
+    Core::TableVersion m_announced_table;
+    HostsVersion m_announced_hosts;
+    bool m_announced_reachable {true};
+    Core::MonotonicTime m_next_announcement;
+    std::atomic<bool> m_is_platform_reachable {true};
+    std::atomic<bool> m_should_watch {true};
+    std::atomic<std::size_t> m_known_count {0};
+    Core::WakeEvent m_wake;
+    std::atomic<bool> m_should_stop {false};
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PeerView.cpp
@@ -0,0 +1,69 @@
+#include <LibEntry/PeerView.h>
+
+#include <LibCore/Hashing.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace GraniteField::Entry {
+
+void PeerView::note(Peer peer)
+{
+    if (peer.name == m_self.name || peer.name.empty() || peer.address.empty())
+        return;
+    auto const found = m_peers.find(peer.name);
+    if (found != m_peers.end()) {
+        if (peer.last_heard >= found->second.last_heard)
+            found->second = std::move(peer);
+        return;
+    }
+    if (m_peers.size() < s_largest_count)
+        m_peers.emplace(peer.name, std::move(peer));
+}
+
+void PeerView::forget_silent(Core::MonotonicTime now)
+{
+    std::erase_if(m_peers, [now](auto const& item) { return item.second.last_heard + s_memory < now; });
+}
+
+std::vector<Peer> PeerView::neighbours() const
+{
+    std::vector<std::pair<std::uint64_t, Peer const*>> ring;
+    ring.reserve(m_peers.size());
+    auto const own_place = Core::hash_bytes(m_self.name);
+    for (auto const& [name, peer] : m_peers)
+        ring.emplace_back(Core::hash_bytes(name) - own_place, &peer);
+    std::ranges::sort(ring, {}, [](auto const& item) { return item.first; });
+    std::vector<Peer> neighbours;
+    for (std::size_t distance = 1; distance <= ring.size(); distance *= 2)
+        neighbours.push_back(*ring[distance - 1].second);
+    return neighbours;
+}
+
+std::vector<Peer> PeerView::sample(std::size_t count)
+{
+    std::vector<Peer> chosen;
+    auto next = m_peers.upper_bound(m_last_sampled);
+    for (std::size_t taken = 0; taken < std::min(count, m_peers.size()); ++taken) {
+        if (next == m_peers.end())
+            next = m_peers.begin();
+        chosen.push_back(next->second);
+        m_last_sampled = next->first;
+        ++next;
+    }
+    return chosen;
+}
+
+bool PeerView::should_watch() const
+{
+    // An entry that can't reach the platform leaves its place to the next, and keeps trying.
+    auto const rank
+        = [](Peer const& peer) { return std::pair(peer.is_platform_reachable ? 0 : 1, Core::hash_bytes(peer.name)); };
+    auto const own_rank = rank(m_self);
+    auto const before = std::ranges::count_if(
+        m_peers, [&](auto const& item) { return item.second.region == m_self.region && rank(item.second) < own_rank; });
+    return static_cast<std::size_t>(before) < s_watchers_per_region;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PlatformSettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/Time.h>
+
+namespace GraniteField::Entry {
+
+/// How an entry talks to the platform.
+struct PlatformSettings {
+    Core::Address address;
+    Core::Milliseconds call_timeout {2'000};
+    /// How long one watch waits for a change.
+    Core::Milliseconds watch_wait {20'000};
+    /// Between tries while the platform does not answer.
+    Core::Milliseconds shortest_pause {100};
+    Core::Milliseconds longest_pause {5'000};
+    /// How often the host list is read.
+    Core::Milliseconds host_interval {1'000};
+    /// How often an entry that does not watch looks whether it should.
+    Core::Milliseconds idle_interval {200};
+};
+
+}
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -27,9 +27,10 @@
 
 }
 
-Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, Observe::MetricRegistry& metrics,
-    Observe::DecisionRing& decisions, Observe::SpanExporter* spans)
+Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, SharedHosts const& hosts,
+    Observe::MetricRegistry& metrics, Observe::DecisionRing& decisions, Observe::SpanExporter* spans)
     : m_shared_table(table)
+    , m_shared_hosts(hosts)
     , m_metrics(metrics)
     , m_links(context, settings.links)
     , m_runs(settings.runs, m_links, metrics, decisions, spans)
@@ -54,15 +55,6 @@
     return true;
 }
 
-void Router::set_leaving_hosts(std::set<std::string> hosts)
-{
-    {
-        std::lock_guard const lock(m_mutex);
-        m_new_leaving_hosts = std::move(hosts);
-    }
-    m_wake.signal();
-}
-
 std::string Router::status() const
 {
     std::lock_guard const lock(m_mutex);
@@ -144,12 +136,10 @@
 
 void Router::follow_table()
 {
-    {
-        std::lock_guard const lock(m_mutex);
-        if (m_new_leaving_hosts) {
-            m_links.set_leaving_hosts(std::move(*m_new_leaving_hosts));
-            m_new_leaving_hosts.reset();
-        }
+    if (m_shared_hosts.version() != m_followed_hosts) {
+        auto hosts = m_shared_hosts.current();
+        m_followed_hosts = hosts.version;
+        m_links.set_leaving_hosts(std::move(hosts.addresses));
     }
     auto const table = m_shared_table.current();
     if (!table || m_followed_version == table->version())
--- a/Libraries/LibEntry/Router.h
+++ b/Libraries/LibEntry/Router.h
@@ -4,6 +4,7 @@
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/LinkSet.h>
 #include <LibEntry/RequestRuns.h>
+#include <LibEntry/SharedHosts.h>
 #include <LibEntry/SharedTable.h>
 
 #include <atomic>
@@ -28,8 +29,8 @@
         std::size_t ring_capacity {8192};
     };
 
-    Router(Settings, zmq::context_t&, SharedTable const&, Observe::MetricRegistry&, Observe::DecisionRing&,
-        Observe::SpanExporter*);
+    Router(Settings, zmq::context_t&, SharedTable const&, SharedHosts const&, Observe::MetricRegistry&,
+        Observe::DecisionRing&, Observe::SpanExporter*);
     ~Router();
     Router(Router const&) = delete;
     Router& operator=(Router const&) = delete;
@@ -41,9 +42,7 @@
 
     /// Hands a call to the router; false when its ring is full, and then nothing was taken. Any thread.
     [[nodiscard]] bool try_submit(std::unique_ptr<Submission>&);
-    /// The platform's list of leaving hosts. Any thread.
-    void set_leaving_hosts(std::set<std::string>);
-    /// Looks at the table again soon. Any thread.
+    /// Looks at the table and the host list again soon. Any thread.
     void wake() { m_wake.signal(); }
 
     /// Requests without a final answer. Any thread.
@@ -65,19 +64,20 @@
     void publish_status();
 
     SharedTable const& m_shared_table;
+    SharedHosts const& m_shared_hosts;
     Observe::MetricRegistry& m_metrics;
     LinkSet m_links;
     RequestRuns m_runs;
     Core::BoundedRing<Submission> m_submissions;
     Core::WakeEvent m_wake;
     std::optional<Core::TableVersion> m_followed_version;
+    HostsVersion m_followed_hosts;
     std::vector<zmq::pollitem_t> m_poll_items;
     std::optional<std::uint64_t> m_poll_generation;
     Core::MonotonicTime m_last_tick;
     Core::MonotonicTime m_last_status;
 
     mutable std::mutex m_mutex;
-    std::optional<std::set<std::string>> m_new_leaving_hosts;
     std::string m_status;
     std::atomic<std::size_t> m_open_count {0};
     std::atomic<bool> m_has_backends {false};
--- a/Libraries/LibEntry/TableFollower.cpp
+++ b/Libraries/LibEntry/TableFollower.cpp
@@ -1,63 +1,72 @@
 #include <LibEntry/TableFollower.h>
 
-#include <algorithm>
-#include <random>
-
 #include <glog/logging.h>
 
 namespace GraniteField::Entry {
 
-TableFollower::TableFollower(Settings settings, SharedTable& table, Router& router, Observe::MetricRegistry& metrics)
-    : m_settings(std::move(settings))
+TableFollower::TableFollower(PlatformSettings const& settings, SharedTable& table, PeerExchange& peers,
+    std::function<void()> on_news, Observe::MetricRegistry& metrics)
+    : m_watch_wait(settings.watch_wait)
+    , m_idle_interval(settings.idle_interval)
     , m_table(table)
-    , m_router(router)
+    , m_peers(peers)
+    , m_on_news(std::move(on_news))
     , m_metrics(metrics)
-    , m_client(m_settings.platform, m_settings.call_timeout)
+    , m_client(settings.address, settings.call_timeout)
     , m_store(m_client)
-    , m_next_pause(m_settings.shortest_pause)
+    , m_backoff(settings.shortest_pause, settings.longest_pause)
     , m_thread([this] { run(); })
 {
 }
 
 TableFollower::~TableFollower()
 {
-    m_should_stop = true;
+    m_backoff.stop();
     m_client.abort();
-    m_stop_signal.notify_all();
     m_thread.join();
 }
 
 void TableFollower::run()
 {
-    bool has_read = false;
-    while (!m_should_stop) {
+    while (!m_backoff.is_stopped()) {
+        if (!m_peers.should_watch()) {
+            m_has_read = false;
+            m_backoff.wait(m_idle_interval);
+            continue;
+        }
         try {
-            if (!has_read) {
-                offer(m_store.read());
-                has_read = true;
-            }
-            if (auto table = m_store.watch(m_settings.watch_wait))
-                offer(std::move(*table));
-            m_next_pause = m_settings.shortest_pause;
+            follow_once();
+            m_peers.set_platform_reachable(true);
+            m_backoff.reset();
         } catch (std::exception const& error) {
-            if (m_should_stop)
+            if (m_backoff.is_stopped())
                 return;
             m_metrics.counter("granitefield_platform_failures_total").add();
             LOG_EVERY_N(WARNING, 10) << "table: the platform gives no table: " << error.what();
+            m_peers.set_platform_reachable(false);
             // A watch can't tell what was missed meanwhile; the next read does.
-            has_read = false;
-            pause();
+            m_has_read = false;
+            m_backoff.wait_after_failure();
         }
     }
 }
 
+void TableFollower::follow_once()
+{
+    if (!m_has_read) {
+        offer(m_store.read());
+        m_has_read = true;
+        m_peers.set_platform_reachable(true);
+    }
+    if (auto table = m_store.watch(m_watch_wait))
+        offer(std::move(*table));
+}
+
 void TableFollower::offer(Table::Table table)
 {
     auto const version = table.version();
-    if (m_table.offer(std::move(table))) {
-        m_router.wake();
-        return;
-    }
+    if (m_table.offer(std::move(table)))
+        return m_on_news();
     auto const current = m_table.current();
     if (current && version < current->version()) {
         m_metrics.counter("granitefield_older_tables_total").add();
@@ -66,14 +75,4 @@
     }
 }
 
-void TableFollower::pause()
-{
-    // Spread over half to all of the pause, so that entries do not come back to the platform together.
-    static thread_local std::mt19937 s_generator {std::random_device {}()};
-    std::uniform_int_distribution<std::int64_t> spread(m_next_pause.count() / 2, m_next_pause.count());
-    std::unique_lock lock(m_mutex);
-    m_stop_signal.wait_for(lock, Core::Milliseconds(spread(s_generator)), [this] { return m_should_stop.load(); });
-    m_next_pause = std::min(m_next_pause * 2, m_settings.longest_pause);
-}
-
 }
--- a/Libraries/LibEntry/TableFollower.h
+++ b/Libraries/LibEntry/TableFollower.h
@@ -1,50 +1,43 @@
 #pragma once
 
-#include <LibCore/Address.h>
-#include <LibEntry/Router.h>
+#include <LibEntry/Backoff.h>
+#include <LibEntry/PeerExchange.h>
+#include <LibEntry/PlatformSettings.h>
 #include <LibEntry/SharedTable.h>
 #include <LibPlatform/TableStore.h>
 
-#include <atomic>
-#include <condition_variable>
-#include <mutex>
+#include <functional>
 #include <thread>
 
 namespace GraniteField::Entry {
 
-/// Keeps the table in step with the platform: reads it, then waits on a watch, on a thread of its own. When
-/// the platform is down, the last table stays in force, and tries come less and less often.
+/// Keeps the table in step with the platform, on a thread of its own: reads it, then waits on a watch. Only
+/// the entries that PeerExchange names do so; the others learn from their peers. When the platform is down,
+/// the last table stays in force, and tries come less and less often.
 class TableFollower {
 public:
-    struct Settings {
-        Core::Address platform;
-        Core::Milliseconds call_timeout {2'000};
-        /// How long one watch waits for a change.
-        Core::Milliseconds watch_wait {20'000};
-        Core::Milliseconds shortest_pause {100};
-        Core::Milliseconds longest_pause {5'000};
-    };
-
-    TableFollower(Settings, SharedTable&, Router&, Observe::MetricRegistry&);
+    /// `on_news` is called on this thread when there is a newer table.
+    TableFollower(
+        PlatformSettings const&, SharedTable&, PeerExchange&, std::function<void()> on_news, Observe::MetricRegistry&);
     ~TableFollower();
     TableFollower(TableFollower const&) = delete;
     TableFollower& operator=(TableFollower const&) = delete;
 
 private:
     void run();
+    void follow_once();
     void offer(Table::Table);
-    void pause();
 
-    Settings m_settings;
+    Core::Milliseconds m_watch_wait;
+    Core::Milliseconds m_idle_interval;
     SharedTable& m_table;
-    Router& m_router;
+    PeerExchange& m_peers;
+    std::function<void()> m_on_news;
     Observe::MetricRegistry& m_metrics;
     Platform::ObjectClient m_client;
     Platform::TableStore m_store;
-    Core::Milliseconds m_next_pause;
-    std::mutex m_mutex;
-    std::condition_variable m_stop_signal;
-    std::atomic<bool> m_should_stop {false};
+    bool m_has_read {false};
+    Backoff m_backoff;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/Libraries/LibEntry/TableHistory.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibTable/Table.h>
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace GraniteField::Entry {
+
+/// The latest steps of the table, so that a peer that is a few versions behind gets the edits alone.
+class TableHistory {
+public:
+    static constexpr std::size_t s_largest_step_count = 64;
+
+    /// Notes the table that is in force now.
+    void note(std::shared_ptr<Table::Table const> table)
+    {
+        if (m_current == table)
+            return;
+        if (m_current)
+            m_steps.push_back({m_current->version(), Table::difference(*m_current, *table)});
+        if (m_steps.size() > s_largest_step_count)
+            m_steps.pop_front();
+        m_current = std::move(table);
+    }
+
+    /// The edits that lead from that version to the present table; nothing when they are not known.
+    [[nodiscard]] std::optional<Table::Change> edits_since(Core::TableVersion version) const
+    {
+        auto step = m_steps.begin();
+        while (step != m_steps.end() && step->from != version)
+            ++step;
+        if (step == m_steps.end())
+            return std::nullopt;
+        Table::Change change;
+        for (; step != m_steps.end(); ++step)
+            change.insert(change.end(), step->edits.begin(), step->edits.end());
+        return change;
+    }
+
+    [[nodiscard]] std::shared_ptr<Table::Table const> const& current() const { return m_current; }
+
+private:
+    struct Step {
+        Core::TableVersion from;
+        Table::Change edits;
+    };
+
+    std::shared_ptr<Table::Table const> m_current;
+    std::deque<Step> m_steps;
+};
+
+}
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -124,20 +124,20 @@
         throw_unexpected(response);
 }
 
-std::vector<Host> ObjectClient::hosts()
+HostList ObjectClient::hosts()
 {
     auto const response = send(request("GET", "/hosts"));
     if (response.status != 200)
         throw_unexpected(response);
     try {
-        std::vector<Host> hosts;
+        HostList list {version_of(response), {}};
         auto const json = nlohmann::json::parse(response.body);
         for (auto const& entry : json.at("hosts")) {
             bool const is_leaving = entry.at("state").get<std::string>() == "leaving";
-            hosts.push_back(
+            list.hosts.push_back(
                 {entry.at("address").get<std::string>(), is_leaving ? HostState::Leaving : HostState::Live});
         }
-        return hosts;
+        return list;
     } catch (nlohmann::json::exception const& error) {
         throw PlatformUnavailable(Core::concat("the host list can't be read: ", error.what()));
     }
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -43,6 +43,11 @@
     HostState state {HostState::Live};
 };
 
+struct HostList {
+    ObjectVersion version;
+    std::vector<Host> hosts;
+};
+
 /// Client of the platform's object API: HTTP with `ETag`, `If-Match` and `If-None-Match` (RFC 9110,
 /// sections 8.8.3 and 13.1), and a long poll for watches. For one thread.
 class ObjectClient {
@@ -66,7 +71,7 @@
     void remove(std::string_view name);
 
     /// The platform's list of hosts, which lags. Throws PlatformUnavailable.
-    [[nodiscard]] std::vector<Host> hosts();
+    [[nodiscard]] HostList hosts();
 
     /// Makes running and later calls fail; for the thread that stops this client's owner.
     void abort() { m_http.abort(); }
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -53,6 +53,7 @@
     reader.read("missed-prefix-cost", runs.missed_prefix_cost, 0ms, 10s);
     reader.read_number("largest-tries", runs.largest_tries, 1, 16);
     reader.read("question-interval", runs.question_interval, 20ms, 60s);
+    reader.read("hold-limit", runs.hold_limit, 0ms, 60s);
     reader.read("stall-limit", runs.stall_limit, 100ms, 10min);
     reader.read("heartbeat", links.link.heartbeat, 20ms, 60s);
     reader.read("link-patience", links.link.patience, 100ms, 10min);
@@ -63,13 +64,23 @@
         findings.add("/routing/link-patience", "must be at least twice the heartbeat");
 }
 
-void read_platform(Json const& json, Entry::TableFollower::Settings& table, Core::Findings& findings)
+void read_platform(Json const& json, Entry::PlatformSettings& platform, Core::Findings& findings)
 {
     ObjectReader reader(json, "/platform", findings);
-    reader.read("address", table.platform, Presence::Required);
-    reader.read("call-timeout", table.call_timeout, 10ms, 60s);
-    reader.read("watch-wait", table.watch_wait, 100ms, 10min);
-    reader.read("longest-pause", table.longest_pause, 100ms, 10min);
+    reader.read("address", platform.address, Presence::Required);
+    reader.read("call-timeout", platform.call_timeout, 10ms, 60s);
+    reader.read("watch-wait", platform.watch_wait, 100ms, 10min);
+    reader.read("longest-pause", platform.longest_pause, 100ms, 10min);
+    reader.read("host-interval", platform.host_interval, 50ms, 10min);
+    reader.finish();
+}
+
+void read_peers(Json const& json, Entry::PeerExchange::Settings& peers, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/peers", findings);
+    reader.read("address", peers.address, Presence::Required);
+    reader.read("announce-interval", peers.announce_interval, 50ms, 30s);
+    reader.read_addresses("seeds", peers.seeds);
     reader.finish();
 }
 
@@ -78,10 +89,14 @@
     if (auto const* callers = reader.member("callers", Presence::Required))
         read_callers(*callers, settings.entry.callers, findings);
     if (auto const* platform = reader.member("platform", Presence::Required))
-        read_platform(*platform, settings.entry.table, findings);
+        read_platform(*platform, settings.entry.platform, findings);
+    if (auto const* peers = reader.member("peers", Presence::Required))
+        read_peers(*peers, settings.entry.peers, findings);
     if (auto const* routing = reader.member("routing"))
         read_routing(*routing, settings.entry, findings);
     settings.entry.router.links.link.entry_name = settings.common.name;
+    settings.entry.peers.name = settings.common.name;
+    settings.entry.peers.region = settings.common.region;
 }
 
 void read_backend(Json const& json, Side::SideSettings& side, Core::Findings& findings)
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -4,8 +4,9 @@
 #include <LibCore/Findings.h>
 #include <LibCore/Time.h>
 #include <LibEntry/CallerServer.h>
+#include <LibEntry/PeerExchange.h>
+#include <LibEntry/PlatformSettings.h>
 #include <LibEntry/Router.h>
-#include <LibEntry/TableFollower.h>
 #include <LibSide/SideAuthority.h>
 
 #include <optional>
@@ -37,7 +38,8 @@
 struct EntrySettings {
     Entry::CallerServer::Settings callers;
     Entry::Router::Settings router;
-    Entry::TableFollower::Settings table;
+    Entry::PlatformSettings platform;
+    Entry::PeerExchange::Settings peers;
     /// Entries that share the workspaces' rates.
     std::size_t entry_count {1};
 };
--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -101,6 +101,27 @@
         m_findings.add(place_of(key), "must be true or false");
 }
 
+void ObjectReader::read_addresses(std::string const& key, std::vector<Core::Address>& target)
+{
+    auto const* list = member(key);
+    if (list == nullptr)
+        return;
+    if (!list->is_array()) {
+        m_findings.add(place_of(key), "must be a list of addresses");
+        return;
+    }
+    target.clear();
+    for (std::size_t index = 0; index < list->size(); ++index) {
+        auto const& item = (*list)[index];
+        auto const address = item.is_string() ? Core::Address::from_string(item.get<std::string>()) : std::nullopt;
+        if (address)
+            target.push_back(*address);
+        else
+            m_findings.add(
+                place_of(key) + "/" + std::to_string(index), "is not an address by IP number such as 127.0.0.1:7000");
+    }
+}
+
 void ObjectReader::finish()
 {
     if (!m_object.is_object())
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -31,6 +32,7 @@
     void read(std::string const& key, Core::Milliseconds& target, Core::Milliseconds least, Core::Milliseconds most);
     void read(std::string const& key, Core::Address& target, Presence = Presence::Optional);
     void read(std::string const& key, bool& target);
+    void read_addresses(std::string const& key, std::vector<Core::Address>& target);
 
     template <typename Integer>
     void read_number(std::string const& key, Integer& target, std::uint64_t least, std::uint64_t most)
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -59,7 +59,7 @@
 
 cat >"${directory}/entry.json" <<JSON
 {"role": "entry", "name": "entry-1", "failure-domain": "ba-hall-a", "region": "sk-west",
- "operator-address": "127.0.0.1:0", "callers": {"address": "127.0.0.1:0"}, "platform": {"address": "${platform}"}}
+ "operator-address": "127.0.0.1:0", "callers": {"address": "127.0.0.1:0"}, "peers": {"address": "127.0.0.1:0"}, "platform": {"address": "${platform}"}}
 JSON
 start entry callers "${bin}/Services/granitefieldd" --settings "${directory}/entry.json"
 entry=http://127.0.0.1:${port}
--- a/Meta/generate-protobuf.sh
+++ b/Meta/generate-protobuf.sh
@@ -14,10 +14,12 @@
     output=$(mktemp -d)
     trap 'rm -rf "${output}"' EXIT
 fi
-protoc --proto_path=Libraries/LibProtocol --cpp_out="${output}" Messages.proto
+protoc --proto_path=Libraries/LibProtocol --cpp_out="${output}" Messages.proto Peers.proto
 
 if [ "${1:-}" = "--check" ]; then
-    diff -q "${output}/Messages.pb.h" Libraries/LibProtocol/Generated/Messages.pb.h
-    diff -q "${output}/Messages.pb.cc" Libraries/LibProtocol/Generated/Messages.pb.cc
+    for file in Messages Peers; do
+        diff -q "${output}/${file}.pb.h" "Libraries/LibProtocol/Generated/${file}.pb.h"
+        diff -q "${output}/${file}.pb.cc" "Libraries/LibProtocol/Generated/${file}.pb.cc"
+    done
     echo "generate-protobuf: the committed code is current"
 fi
--- a/Services/GraniteFieldD/EntryDaemon.cpp
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -4,6 +4,8 @@
 #include "OperatorServer.h"
 
 #include <LibEntry/CallerServer.h>
+#include <LibEntry/HostFollower.h>
+#include <LibEntry/PeerExchange.h>
 #include <LibEntry/Router.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/TableFollower.h>
@@ -45,10 +47,18 @@
 
     zmq::context_t context(s_io_threads);
     Entry::SharedTable table;
+    Entry::SharedHosts hosts;
     auto router_settings = settings.entry.router;
     router_settings.links.link.own = incarnation;
-    Entry::Router router(router_settings, context, table, metrics, decisions, spans.get());
-    Entry::TableFollower follower(settings.entry.table, table, router, metrics);
+    Entry::Router router(router_settings, context, table, hosts, metrics, decisions, spans.get());
+    Entry::PeerExchange peers(
+        settings.entry.peers, context, table, hosts, [&router] { router.wake(); }, metrics);
+    auto const tell_all = [&router, &peers] {
+        router.wake();
+        peers.wake();
+    };
+    Entry::TableFollower const table_follower(settings.entry.platform, table, peers, tell_all, metrics);
+    Entry::HostFollower const host_follower(settings.entry.platform, hosts, peers, tell_all, metrics);
     Entry::CallerServer callers(settings.entry.callers, incarnation, router, table, metrics);
 
     std::atomic<bool> is_stopping {false};
@@ -57,7 +67,7 @@
     sources.status = [&router] { return router.status(); };
     OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
 
-    announce({{"role", "entry"}, {"callers", callers.port()}, {"operator", operators.port()}});
+    announce({{"role", "entry"}, {"callers", callers.port()}, {"operator", operators.port()}, {"peers", peers.port()}});
     LOG(INFO) << "daemon: entry " << common.name << " takes callers on port " << callers.port();
     wait_for_stop();
 
--- a/Tests/Integration/Fleet.cpp
+++ b/Tests/Integration/Fleet.cpp
@@ -231,11 +231,18 @@
 
 void Fleet::start_entry(EntryProcess& entry)
 {
+    auto seeds = Json::array();
+    for (auto const& other : m_entries) {
+        if (other->peer_port != 0 && other.get() != &entry)
+            seeds.push_back(Core::concat("127.0.0.1:", other->peer_port));
+    }
+    entry.settings["peers"]["seeds"] = seeds;
     entry.process = std::make_unique<Process>(program_path("Services/granitefieldd"),
         std::vector<std::string> {"--settings", write_settings(entry.name, entry.settings)});
     auto const ports = entry.process->wait_for_announcement();
     entry.caller_port = ports.at("callers");
     entry.operator_port = ports.at("operator");
+    entry.peer_port = ports.at("peers");
 }
 
 void Fleet::restart_entry(EntryProcess& entry)
@@ -253,9 +260,10 @@
         entry.platform_proxy = std::make_unique<FaultProxy>(platform_address());
         Json const settings {{"role", "entry"}, {"name", entry.name}, {"failure-domain", "hall"}, {"region", "here"},
             {"operator-address", "127.0.0.1:0"}, {"drain-notice", "100ms"}, {"callers", {{"address", "127.0.0.1:0"}}},
+            {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}}},
             {"platform",
                 {{"address", Core::concat("127.0.0.1:", entry.platform_proxy->port())}, {"call-timeout", "1s"},
-                    {"longest-pause", "500ms"}}},
+                    {"longest-pause", "500ms"}, {"host-interval", "200ms"}}},
             {"routing",
                 {{"heartbeat", "100ms"}, {"link-patience", "1s"}, {"question-interval", "100ms"},
                     {"stall-limit", "4s"}}}};
--- a/Tests/Integration/Fleet.h
+++ b/Tests/Integration/Fleet.h
@@ -62,6 +62,7 @@
     std::unique_ptr<Process> process;
     std::uint16_t caller_port {0};
     std::uint16_t operator_port {0};
+    std::uint16_t peer_port {0};
     std::unique_ptr<FaultProxy> platform_proxy;
     Json settings;
 };
--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -139,9 +139,10 @@
     auto const now = std::chrono::steady_clock::now();
     while (!m_coming_hosts.empty() && m_coming_hosts.front().first <= now) {
         m_hosts = m_coming_hosts.front().second;
+        ++m_hosts_version;
         m_coming_hosts.pop_front();
     }
-    return {200, "application/json", {}, "{\"hosts\":" + m_hosts + "}"};
+    return {200, "application/json", {{"ETag", quoted(m_hosts_version)}}, "{\"hosts\":" + m_hosts + "}"};
 }
 
 HTTP::ServerResponse PlatformServer::control(HTTP::ServerRequest const& request)
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -54,6 +54,7 @@
     std::uint64_t m_next_version {1};
     Switches m_switches;
     std::string m_hosts {"[]"};
+    std::uint64_t m_hosts_version {1};
     std::deque<std::pair<Core::MonotonicTime, std::string>> m_coming_hosts;
     std::deque<Core::MonotonicTime> m_recent_reads;
     std::deque<Core::MonotonicTime> m_recent_writes;
