--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -1,5 +1,7 @@
 #include <LibSettings/ObjectReader.h>
 
+#include <LibCore/Text.h>
+
 namespace GraniteField::Settings {
 
 using Json = nlohmann::json;
@@ -101,6 +103,18 @@
         m_findings.add(place_of(key), "must be true or false");
 }
 
+void ObjectReader::read(std::string const& key, double& target, double least, double most)
+{
+    auto const* value = member(key);
+    if (value == nullptr)
+        return;
+    bool const is_in_range = value->is_number() && value->get<double>() >= least && value->get<double>() <= most;
+    if (is_in_range)
+        target = value->get<double>();
+    else
+        m_findings.add(place_of(key), Core::concat("must be a number from ", least, " to ", most));
+}
+
 void ObjectReader::read_addresses(std::string const& key, std::vector<Core::Address>& target)
 {
     auto const* list = member(key);
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -32,6 +32,7 @@
     void read(std::string const& key, Core::Milliseconds& target, Core::Milliseconds least, Core::Milliseconds most);
     void read(std::string const& key, Core::Address& target, Presence = Presence::Optional);
     void read(std::string const& key, bool& target);
+    void read(std::string const& key, double& target, double least, double most);
     void read_addresses(std::string const& key, std::vector<Core::Address>& target);
 
     template <typename Integer>
