--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -12,6 +12,18 @@
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 
+/// The present reading. For the duties that wait and talk; decisions are told the time.
+[[nodiscard]] inline MonotonicTime monotonic_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Whole milliseconds from one reading to another; negative when `to` is earlier.
+[[nodiscard]] inline Milliseconds elapsed(MonotonicTime from, MonotonicTime to)
+{
+    return std::chrono::duration_cast<Milliseconds>(to - from);
+}
+
 /// Reads a whole number with a unit: `250ms`, `3s`, `10m`, `2h`. Nothing else is a duration.
 [[nodiscard]] std::optional<Milliseconds> parse_duration(std::string_view);
 
--- a/Libraries/LibEntry/AttemptMessages.cpp
+++ b/Libraries/LibEntry/AttemptMessages.cpp
@@ -135,8 +135,7 @@
 
 void RequestRuns::acknowledge_stray(SideLink& link, Policy::WorkKey const& key)
 {
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = Protocol::make_envelope();
     auto& body = *envelope.mutable_acknowledge();
     Protocol::set_key(body, key);
     body.set_side_incarnation(link.incarnation().value());
@@ -148,8 +147,7 @@
 {
     auto& attempt = *run.attempt();
     attempt.acknowledged = attempt.chunks;
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = Protocol::make_envelope();
     auto& body = *envelope.mutable_acknowledge();
     Protocol::set_key(body, run.key());
     body.set_side_incarnation(link.incarnation().value());
@@ -234,10 +232,9 @@
         break;
     }
     m_limits.charge_tokens(run.call().workspace, chunk.tokens(), now);
-    m_metrics.counter("granitefield_entry_tokens_total").add(chunk.tokens());
+    m_tokens.add(chunk.tokens());
     if (auto const gap = run.take_token_gap())
-        m_metrics.distribution("granitefield_entry_token_gap_seconds", {{"class", run.call().request_class.name}})
-            .add(*gap);
+        metrics_of(run).token_gap.add(*gap);
     bool const is_due = attempt.chunks - attempt.acknowledged >= s_chunks_per_acknowledgement;
     if (is_due && run.exchange().pending_bytes() < s_caller_window_bytes)
         acknowledge(link, run, false);
--- a/Libraries/LibEntry/RequestRuns.cpp
+++ b/Libraries/LibEntry/RequestRuns.cpp
@@ -25,18 +25,6 @@
 /// finds its entry silent or the request's time over.
 constexpr std::size_t s_largest_waiting_revocations = 10'000;
 
-Core::Milliseconds elapsed(Core::MonotonicTime from, Core::MonotonicTime to)
-{
-    return std::chrono::duration_cast<Core::Milliseconds>(to - from);
-}
-
-Envelope make_envelope()
-{
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
-    return envelope;
-}
-
 template <typename Chooser>
 Chooser make_chooser(RequestRuns::Settings const& settings)
 {
@@ -54,6 +42,7 @@
     , m_links(links)
     , m_chooser(make_chooser<Policy::PredictedWaitChooser>(settings))
     , m_metrics(metrics)
+    , m_tokens(metrics.counter("granitefield_entry_tokens_total"))
     , m_decisions(decisions)
     , m_spans(spans)
 {
@@ -63,6 +52,12 @@
         m_chooser = make_chooser<Policy::LeastOutstandingChooser>(settings);
 }
 
+ClassMetrics& RequestRuns::metrics_of(RequestRun const& run)
+{
+    auto const& name = run.call().request_class.name;
+    return m_class_metrics.try_emplace(name, m_metrics, name).first->second;
+}
+
 void RequestRuns::decide(RequestRun const& run, std::string what)
 {
     m_decisions.record(run.call().id, std::move(what));
@@ -74,7 +69,7 @@
         return give_ticket(call, *exchange);
     auto const id = call.id;
     auto& run = m_runs.try_emplace(id, std::move(call), std::move(exchange)).first->second;
-    m_metrics.counter("granitefield_entry_calls_total", {{"class", run.call().request_class.name}}).add();
+    metrics_of(run).calls.add();
     if (auto const excess = m_limits.enter(run.call().workspace, now)) {
         decide(
             run, Core::concat("refused: workspace ", run.call().workspace.name, " is over its limit ", excess->limit));
@@ -166,7 +161,7 @@
     if (try_dispatch(run, now))
         return;
     auto const limit = std::min(m_settings.hold_limit, run.call().request_class.give_up_after);
-    if (!m_links.has_service(run.call().service) || elapsed(run.call().received, now) >= limit)
+    if (!m_links.has_service(run.call().service) || Core::elapsed(run.call().received, now) >= limit)
         return fail(run, std::move(otherwise));
     decide(run, Core::concat("waits at the entry: ", otherwise.message));
     m_held.emplace(held_place(run), std::move(otherwise));
@@ -195,7 +190,7 @@
             continue;
         }
         auto const limit = std::min(m_settings.hold_limit, run.call().request_class.give_up_after);
-        if (elapsed(place.received, now) >= limit)
+        if (Core::elapsed(place.received, now) >= limit)
             fail(run, std::move(node.mapped()));
         else if (!try_dispatch(run, now))
             m_held.insert(std::move(node));
@@ -223,8 +218,8 @@
 {
     auto const& call = run.call();
     auto& attempt = run.begin_attempt(link.backend_server().name, now);
-    auto const waited = elapsed(call.received, now);
-    auto envelope = make_envelope();
+    auto const waited = Core::elapsed(call.received, now);
+    auto envelope = Protocol::make_envelope();
     auto& dispatch = *envelope.mutable_dispatch();
     Protocol::set_key(dispatch, run.key());
     dispatch.set_side_incarnation(link.incarnation().value());
@@ -282,7 +277,7 @@
 {
     run.note_refusal(error.retry_after);
     leave_attempt(run);
-    bool const has_time = elapsed(run.call().received, now) < run.call().request_class.give_up_after;
+    bool const has_time = Core::elapsed(run.call().received, now) < run.call().request_class.give_up_after;
     // A ticket runs at its own side process or nowhere.
     if (!has_time || !run.call().ticket.empty())
         return fail(run, std::move(error));
@@ -304,7 +299,7 @@
         return cut(run, error.code, error.message);
     leave_attempt(run);
     error.outcome = Outcome::Unknown;
-    bool const has_time = elapsed(run.call().received, now) < run.call().request_class.give_up_after;
+    bool const has_time = Core::elapsed(run.call().received, now) < run.call().request_class.give_up_after;
     if (!run.call().is_repeatable || !has_time || !m_retry_budget.try_spend())
         return fail(run, std::move(error));
     m_metrics.counter("granitefield_entry_retries_total").add();
@@ -381,7 +376,7 @@
 void RequestRuns::revoke(SideLink& link, RequestRun& run)
 {
     run.attempt()->is_revoked = true;
-    auto envelope = make_envelope();
+    auto envelope = Protocol::make_envelope();
     auto& message = *envelope.mutable_revoke();
     Protocol::set_key(message, run.key());
     message.set_side_incarnation(link.incarnation().value());
@@ -399,7 +394,7 @@
 {
     auto& attempt = *run.attempt();
     attempt.last_asked = now;
-    auto envelope = make_envelope();
+    auto envelope = Protocol::make_envelope();
     auto& resume = *envelope.mutable_resume();
     Protocol::set_key(resume, run.key());
     resume.set_side_incarnation(link.incarnation().value());
@@ -430,18 +425,18 @@
         decide(run, "the caller is gone");
         if (link != nullptr)
             revoke(*link, run);
-        m_metrics.counter("granitefield_entry_callers_gone_total", {{"class", run.call().request_class.name}}).add();
+        metrics_of(run).callers_gone.add();
         return finish(run, Outcome::Cut);
     }
     if (link == nullptr)
         return;
     bool const has_begun = attempt->state == AttemptView::State::Started;
     bool const is_out_of_time
-        = elapsed(run.call().received, now) > run.call().request_class.give_up_after + m_settings.give_up_grace;
+        = Core::elapsed(run.call().received, now) > run.call().request_class.give_up_after + m_settings.give_up_grace;
     if (!has_begun && is_out_of_time)
         return give_up(run, now);
     if (!link->is_up()) {
-        if (elapsed(attempt->last_heard, now) > m_settings.stall_limit)
+        if (Core::elapsed(attempt->last_heard, now) > m_settings.stall_limit)
             retry_lost(run,
                 {504, "side_silent", "the side process that has the request is silent", Outcome::Unknown,
                     s_no_backend_retry_after},
@@ -450,8 +445,8 @@
     }
     if (attempt->acknowledged < attempt->chunks && run.exchange().pending_bytes() < s_caller_window_bytes)
         acknowledge(*link, run, false);
-    bool const is_quiet = elapsed(attempt->last_heard, now) > m_settings.question_interval
-        && elapsed(attempt->last_asked, now) > m_settings.question_interval;
+    bool const is_quiet = Core::elapsed(attempt->last_heard, now) > m_settings.question_interval
+        && Core::elapsed(attempt->last_asked, now) > m_settings.question_interval;
     if (is_quiet)
         ask(*link, run, now);
 }
@@ -470,7 +465,7 @@
 void RequestRuns::record_attainment(RequestRun& run, Outcome outcome)
 {
     auto const& request_class = run.call().request_class;
-    Observe::Labels const labels {{"class", request_class.name}};
+    auto& metrics = metrics_of(run);
     m_metrics
         .counter("granitefield_entry_outcomes_total",
             {{"class", request_class.name}, {"outcome", std::string(to_string(outcome))}})
@@ -478,12 +473,10 @@
     bool is_met = false;
     if (auto const first = run.first_token()) {
         auto const latency = std::chrono::duration_cast<Core::Microseconds>(*first - run.call().received);
-        m_metrics.distribution("granitefield_entry_first_token_seconds", labels).add(latency);
+        metrics.first_token.add(latency);
         is_met = outcome == Outcome::Done && latency <= request_class.first_token_target;
     }
-    m_metrics
-        .counter("granitefield_entry_targets_total", {{"class", request_class.name}, {"met", is_met ? "yes" : "no"}})
-        .add();
+    (is_met ? metrics.targets_met : metrics.targets_missed).add();
 }
 
 void RequestRuns::finish(RequestRun& run, Outcome outcome)
--- a/Libraries/LibEntry/RequestRuns.h
+++ b/Libraries/LibEntry/RequestRuns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibEntry/ClassMetrics.h>
 #include <LibEntry/LinkSet.h>
 #include <LibEntry/RequestRun.h>
 #include <LibEntry/WorkspaceLimits.h>
@@ -111,6 +112,7 @@
     void fail(RequestRun&, ErrorAnswer);
     void cut(RequestRun&, std::string const& code, std::string const& message);
     void record_attainment(RequestRun&, Outcome);
+    [[nodiscard]] ClassMetrics& metrics_of(RequestRun const&);
     void decide(RequestRun const&, std::string what);
     [[nodiscard]] RequestRun* find(Policy::WorkKey const&, SideLink const&);
     [[nodiscard]] std::vector<Core::RequestId> runs_at(SideLink const&);
@@ -137,6 +139,8 @@
     Policy::RetryBudget m_retry_budget;
     std::variant<Policy::PredictedWaitChooser, Policy::RoundRobinChooser, Policy::LeastOutstandingChooser> m_chooser;
     Observe::MetricRegistry& m_metrics;
+    Observe::Counter& m_tokens;
+    absl::node_hash_map<std::string, ClassMetrics> m_class_metrics;
     Observe::DecisionRing& m_decisions;
     Observe::SpanExporter* m_spans;
 };
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -15,16 +15,6 @@
 constexpr int s_submissions_per_turn = 1'000;
 constexpr int s_messages_per_turn = 2'000;
 
-Core::Milliseconds elapsed(Core::MonotonicTime from, Core::MonotonicTime to)
-{
-    return std::chrono::duration_cast<Core::Milliseconds>(to - from);
-}
-
-Core::MonotonicTime now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, SharedHosts const& hosts,
@@ -95,7 +85,7 @@
         auto submission = m_submissions.try_pop();
         if (!submission)
             return;
-        m_runs.begin(std::move(submission->call), std::move(submission->exchange), now());
+        m_runs.begin(std::move(submission->call), std::move(submission->exchange), Core::monotonic_now());
     }
     // What is left is taken in the next turn, without a wait.
     m_wake.signal();
@@ -113,7 +103,7 @@
         auto const message = link.receive();
         if (!message)
             return;
-        auto const time = now();
+        auto const time = Core::monotonic_now();
         apply(link, link.note_message(*message, time));
         m_runs.handle(link, *message, time);
     }
@@ -126,11 +116,11 @@
     case SideLink::Change::None:
         return;
     case SideLink::Change::CameBack:
-        return m_runs.handle_came_back(link, now());
+        return m_runs.handle_came_back(link, Core::monotonic_now());
     case SideLink::Change::Replaced:
-        return m_runs.handle_replaced(link, now());
+        return m_runs.handle_replaced(link, Core::monotonic_now());
     case SideLink::Change::Lost:
-        return m_runs.handle_lost(link, now());
+        return m_runs.handle_lost(link, Core::monotonic_now());
     }
 }
 
@@ -152,8 +142,8 @@
 
 void Router::tick()
 {
-    auto const time = now();
-    if (elapsed(m_last_tick, time) < s_tick_interval)
+    auto const time = Core::monotonic_now();
+    if (Core::elapsed(m_last_tick, time) < s_tick_interval)
         return;
     m_last_tick = time;
     for (auto const& [name, link] : m_links.all())
@@ -164,13 +154,13 @@
         m_followed_version.reset();
     m_has_backends = std::ranges::any_of(m_links.all(), [](auto const& item) { return item.second->is_available(); });
     m_metrics.gauge("granitefield_entry_open_requests").set(static_cast<std::int64_t>(m_runs.count()));
-    if (elapsed(m_last_status, time) >= s_status_interval)
+    if (Core::elapsed(m_last_status, time) >= s_status_interval)
         publish_status();
 }
 
 void Router::publish_status()
 {
-    m_last_status = now();
+    m_last_status = Core::monotonic_now();
     nlohmann::json links = nlohmann::json::array();
     for (auto const& [name, link] : m_links.all()) {
         auto const& view = link->view();
@@ -182,6 +172,10 @@
             item["other-protocol-version"] = *link->refused_version();
         links.push_back(std::move(item));
     }
+    std::uint64_t control_bytes = 0;
+    for (auto const& [name, link] : m_links.all())
+        control_bytes += link->control_bytes();
+    m_metrics.gauge("granitefield_entry_link_control_bytes").set(static_cast<std::int64_t>(control_bytes));
     nlohmann::json const status {{"role", "entry"}, {"open-requests", m_runs.count()}, {"links", links},
         {"table-version", m_followed_version ? nlohmann::json(m_followed_version->value()) : nlohmann::json()}};
     std::lock_guard const lock(m_mutex);
--- a/Libraries/LibEntry/SideLink.cpp
+++ b/Libraries/LibEntry/SideLink.cpp
@@ -3,6 +3,7 @@
 #include <LibProtocol/ProtocolVersion.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -18,11 +19,19 @@
 constexpr int s_reconnect_milliseconds = 50;
 constexpr int s_longest_reconnect_milliseconds = 1'000;
 
-Core::Milliseconds elapsed(Core::MonotonicTime from, Core::MonotonicTime to)
-{
-    return std::chrono::duration_cast<Core::Milliseconds>(to - from);
 }
 
+static bool is_control(Envelope const& envelope)
+{
+    switch (envelope.body_case()) {
+    case Envelope::kHello:
+    case Envelope::kWelcome:
+    case Envelope::kPing:
+    case Envelope::kPong:
+        return true;
+    default:
+        return false;
+    }
 }
 
 SideLink::SideLink(zmq::context_t& context, Settings settings, Table::BackendServer backend_server)
@@ -61,6 +70,8 @@
     while (m_socket.recv(frame, zmq::recv_flags::dontwait)) {
         Envelope envelope;
         bool const is_readable = !frame.more() && envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size()));
+        if (is_readable && is_control(envelope))
+            m_control_bytes += frame.size();
         if (is_readable)
             return envelope;
         ++m_unreadable_count;
@@ -73,16 +84,19 @@
     auto const size = envelope.ByteSizeLong();
     zmq::message_t frame(size);
     envelope.SerializeToArray(frame.data(), static_cast<int>(size));
+    if (is_control(envelope))
+        m_control_bytes += size;
     bool const was_sent = m_socket.send(frame, zmq::send_flags::dontwait).has_value();
     if (!was_sent)
         m_is_greeted = false;
+    m_has_said_something = true;
+    m_has_question = m_has_question || envelope.body_case() != Envelope::kAcknowledge;
     return was_sent;
 }
 
 void SideLink::greet()
 {
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = Protocol::make_envelope();
     envelope.mutable_hello()->set_entry_incarnation(m_settings.own.value());
     envelope.mutable_hello()->set_entry_name(m_settings.entry_name);
     send(envelope);
@@ -90,8 +104,7 @@
 
 void SideLink::ping()
 {
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = Protocol::make_envelope();
     envelope.mutable_ping()->set_entry_incarnation(m_settings.own.value());
     envelope.mutable_ping()->set_challenge(m_challenge);
     send(envelope);
@@ -99,20 +112,26 @@
 
 SideLink::Change SideLink::tick(Core::MonotonicTime now)
 {
-    if (!m_is_greeted && elapsed(m_last_greeting, now) >= s_greeting_interval) {
+    if (!m_is_greeted && Core::elapsed(m_last_greeting, now) >= s_greeting_interval) {
         m_last_greeting = now;
         greet();
     }
     if (!m_is_up)
         return Change::None;
-    if (elapsed(m_last_heard, now) >= m_settings.patience) {
+    if (m_has_question && !m_question_since)
+        m_question_since = now;
+    if (m_question_since && Core::elapsed(*m_question_since, now) >= m_settings.patience) {
         m_is_up = false;
         m_is_greeted = false;
         LOG(WARNING) << s_log_prefix << m_backend_server.name << " is silent; it gets no new work";
         return Change::Lost;
     }
-    // A side process forgets an entry that says nothing, so the ping does not depend on what was heard.
-    if (elapsed(m_last_ping, now) >= m_settings.heartbeat) {
+    // Traffic stands for heartbeats in both directions: the side process forgets an entry that says nothing.
+    if (std::exchange(m_has_said_something, false))
+        m_last_said = now;
+    bool const is_idle = Core::elapsed(m_last_said, now) >= m_settings.heartbeat
+        || Core::elapsed(m_last_heard, now) >= m_settings.heartbeat;
+    if (is_idle && Core::elapsed(m_last_ping, now) >= m_settings.heartbeat) {
         m_last_ping = now;
         ping();
     }
@@ -133,6 +152,8 @@
         return Change::None;
     }
     m_last_heard = now;
+    m_has_question = false;
+    m_question_since.reset();
     if (envelope.body_case() == Envelope::kWelcome)
         return note_welcome(envelope.welcome());
     if (envelope.body_case() == Envelope::kPong) {
--- a/Libraries/LibEntry/SideLink.h
+++ b/Libraries/LibEntry/SideLink.h
@@ -19,9 +19,9 @@
     struct Settings {
         Core::Incarnation own;
         std::string entry_name;
-        /// A ping goes out when nothing was heard for this long.
+        /// A ping goes out when nothing was said or heard for this long.
         Core::Milliseconds heartbeat {1'000};
-        /// A side process that is silent for this long gets no new work.
+        /// A side process that leaves anything unanswered for this long gets no new work.
         Core::Milliseconds patience {3'000};
     };
 
@@ -81,6 +81,8 @@
     void note_open(int difference) { m_view.open = static_cast<unsigned>(static_cast<int>(m_view.open) + difference); }
 
     [[nodiscard]] zmq::socket_t& socket() { return m_socket; }
+    /// Bytes of greetings, pings and their answers, in both directions.
+    [[nodiscard]] std::uint64_t control_bytes() const { return m_control_bytes; }
     [[nodiscard]] std::uint64_t unreadable_count() const { return m_unreadable_count; }
     [[nodiscard]] std::optional<std::uint32_t> refused_version() const { return m_refused_version; }
 
@@ -105,6 +107,12 @@
     Core::Milliseconds m_side_uptime {0};
     Core::MonotonicTime m_last_heard;
     Core::MonotonicTime m_last_ping;
+    /// Something was sent that the side process has to answer, and nothing was heard since.
+    bool m_has_question {false};
+    std::optional<Core::MonotonicTime> m_question_since;
+    bool m_has_said_something {false};
+    Core::MonotonicTime m_last_said;
+    std::uint64_t m_control_bytes {0};
     Core::MonotonicTime m_last_greeting;
     Policy::BackendView m_view;
     std::uint64_t m_unreadable_count {0};
--- a/Libraries/LibProtocol/Conversions.h
+++ b/Libraries/LibProtocol/Conversions.h
@@ -1,8 +1,13 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
 #include <LibPolicy/Work.h>
+#include <LibProtocol/ProtocolVersion.h>
+
 #include <Messages.pb.h>
+#include <algorithm>
+#include <cstdint>
 
 namespace GraniteField::Protocol {
 
@@ -13,6 +18,20 @@
     return {message.entry(), message.sequence()};
 }
 
+/// A duration as messages carry it: whole milliseconds, and 0 for one that is over.
+[[nodiscard]] inline std::uint32_t to_count(Core::Milliseconds duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(duration.count(), 0));
+}
+
+/// An envelope of this process's version, still without a body.
+[[nodiscard]] inline Message::Envelope make_envelope()
+{
+    Message::Envelope envelope;
+    envelope.set_protocol_version(s_protocol_version);
+    return envelope;
+}
+
 /// The request and attempt that any message about an attempt names.
 template <typename Body>
 [[nodiscard]] Policy::WorkKey key_of(Body const& body)
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -60,8 +60,6 @@
     reader.read_number("links-per-service", links.links_per_service, 1, 10'000);
     reader.read_number("entry-count", entry.entry_count, 1, 100'000);
     reader.finish();
-    if (links.link.patience < 2 * links.link.heartbeat)
-        findings.add("/routing/link-patience", "must be at least twice the heartbeat");
 }
 
 void read_platform(Json const& json, Entry::PlatformSettings& platform, Core::Findings& findings)
--- a/Libraries/LibSide/Attempt.cpp
+++ b/Libraries/LibSide/Attempt.cpp
@@ -18,8 +18,7 @@
     if (m_answer.size() + payload.size() <= m_answer_limit)
         m_answer += payload;
 
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = Protocol::make_envelope();
     auto& chunk = *envelope.mutable_chunk();
     Protocol::set_key(chunk, Protocol::key_of(m_dispatch));
     chunk.set_sequence(m_chunk_count);
--- a/Libraries/LibSide/SideAuthority.h
+++ b/Libraries/LibSide/SideAuthority.h
@@ -110,7 +110,6 @@
     [[nodiscard]] bool are_entries_confirmed(Core::MonotonicTime now);
     void send_command(EngineCommand);
     void send_pong(std::string const& route);
-    [[nodiscard]] Protocol::Message::Envelope envelope() const;
     void fill_load(Protocol::Message::LoadReport&) const;
     [[nodiscard]] Core::Milliseconds uptime() const;
     void publish_status();
@@ -137,6 +136,7 @@
     bool m_is_draining {false};
 
     Observe::MetricRegistry& m_metrics;
+    Observe::Counter& m_tokens;
     Observe::DecisionRing& m_decisions;
     Observe::SpanExporter* m_spans;
 
--- a/Tests/Integration/Fleet.cpp
+++ b/Tests/Integration/Fleet.cpp
@@ -50,6 +50,15 @@
 
 }
 
+static Json side_settings(Backend const& backend, std::uint16_t engine_port, unsigned slots)
+{
+    return {{"role", "side"}, {"name", backend.name + "-side"}, {"failure-domain", "hall"}, {"region", "here"},
+        {"operator-address", "127.0.0.1:0"}, {"link-address", "127.0.0.1:0"}, {"entry-patience", "3s"},
+        {"backend-server",
+            {{"name", backend.name}, {"service", backend.service}, {"address", Core::concat("127.0.0.1:", engine_port)},
+                {"slots", slots}}}};
+}
+
 bool wait_until(std::function<bool()> const& condition, Core::Milliseconds limit)
 {
     auto const deadline = std::chrono::steady_clock::now() + limit;
@@ -183,6 +192,27 @@
     return add_backend(name, "llm", std::move(engine), options.slots, side_overrides);
 }
 
+Backend& Fleet::add_shared_model_backend(std::string const& name, Json const& side_overrides)
+{
+    m_change.push_back({{Table::SheetName::Services, "llm", "kind"}, "model"});
+    m_change.push_back({{Table::SheetName::Services, "llm", "model"}, "test-model"});
+    if (!m_shared_engine) {
+        m_shared_engine
+            = std::make_unique<Process>(program_path("Tests/standin-model-engine"), std::vector<std::string> {});
+        m_shared_engine_port = m_shared_engine->wait_for_announcement().at("http");
+    }
+    auto& backend = *(m_backends[name] = std::make_unique<Backend>());
+    backend.name = name;
+    backend.service = "llm";
+    backend.engine_port = m_shared_engine_port;
+    backend.side_settings = merged(side_settings(backend, m_shared_engine_port, 4), side_overrides);
+    start_side(backend);
+    m_change.push_back({{Table::SheetName::BackendServers, name, "service"}, backend.service});
+    m_change.push_back(
+        {{Table::SheetName::BackendServers, name, "side"}, Core::concat("127.0.0.1:", backend.side_port)});
+    return backend;
+}
+
 Backend& Fleet::add_plain_backend(std::string const& name, unsigned slots, Json const& side_overrides)
 {
     m_change.push_back({{Table::SheetName::Services, "pay", "kind"}, "plain"});
@@ -198,12 +228,7 @@
     backend.engine = std::make_unique<Process>(std::move(engine));
     backend.engine_port = backend.engine->wait_for_announcement().at("http");
     backend.engine_proxy = std::make_unique<FaultProxy>(local(backend.engine_port));
-    Json const settings {{"role", "side"}, {"name", name + "-side"}, {"failure-domain", "hall"}, {"region", "here"},
-        {"operator-address", "127.0.0.1:0"}, {"link-address", "127.0.0.1:0"}, {"entry-patience", "3s"},
-        {"backend-server",
-            {{"name", name}, {"service", service},
-                {"address", Core::concat("127.0.0.1:", backend.engine_proxy->port())}, {"slots", slots}}}};
-    backend.side_settings = merged(settings, side_overrides);
+    backend.side_settings = merged(side_settings(backend, backend.engine_proxy->port(), slots), side_overrides);
     start_side(backend);
     backend.link_proxy = std::make_unique<FaultProxy>(local(backend.side_port));
     m_change.push_back({{Table::SheetName::BackendServers, name, "service"}, service});
--- a/Tests/Integration/Fleet.h
+++ b/Tests/Integration/Fleet.h
@@ -79,6 +79,9 @@
     void add_workspace(std::string const& name, std::string const& key, std::map<std::string, std::string> cells = {});
     Backend& add_model_backend(
         std::string const& name, EngineOptions const& = {}, Json const& side_overrides = Json::object());
+    /// A side process before the one engine that all backend servers of this kind share, without proxies: for
+    /// fleets too large to have one each.
+    Backend& add_shared_model_backend(std::string const& name, Json const& side_overrides = Json::object());
     Backend& add_plain_backend(
         std::string const& name, unsigned slots = 4, Json const& side_overrides = Json::object());
     /// Writes the table and starts entries; waits until they are ready.
@@ -125,6 +128,8 @@
     std::string m_directory;
     std::unique_ptr<Process> m_platform;
     std::uint16_t m_platform_port {0};
+    std::unique_ptr<Process> m_shared_engine;
+    std::uint16_t m_shared_engine_port {0};
     Table::Change m_change;
     std::map<std::string, std::unique_ptr<Backend>> m_backends;
     std::vector<std::unique_ptr<EntryProcess>> m_entries;
--- a/Tests/Integration/ServePathTest.cpp
+++ b/Tests/Integration/ServePathTest.cpp
@@ -1,6 +1,12 @@
 // The complete path: a request served end to end by separate processes.
 #include "Fleet.h"
 
+#include <LibCore/Text.h>
+#include <LibHTTP/HttpServer.h>
+
+#include <mutex>
+#include <set>
+
 #include <gtest/gtest.h>
 
 namespace GraniteField::Testing {
@@ -77,4 +83,54 @@
     EXPECT_EQ(fleet.metric(fleet.entry().operator_port, "granitefield_entry_outcomes_total", "outcome=\"done\""), 1);
 }
 
+TEST(ServePath, RecordsASpanForEachHopInTheCallersTrace)
+{
+    std::mutex mutex;
+    std::set<std::string> names;
+    auto const* trace_id = "4bf92f3577b34da6a3ce929d0e0e4736";
+    HTTP::HttpServer const collector(
+        *Core::Address::from_string("127.0.0.1:0"), [&](HTTP::ServerRequest const& request) {
+            auto const json = Json::parse(request.body);
+            std::lock_guard const lock(mutex);
+            for (auto const& span : json["resourceSpans"][0]["scopeSpans"][0]["spans"]) {
+                if (span["traceId"] == trace_id)
+                    names.insert(span["name"]);
+            }
+            return HTTP::ServerResponse {200, "application/json", {}, "{}"};
+        });
+    Json const tracing {{"trace-collector", Core::concat("127.0.0.1:", collector.port())}};
+    Fleet fleet;
+    fill(fleet);
+    fleet.add_model_backend("llm-1", {}, tracing);
+    fleet.start(1, tracing);
+    auto const answer = fleet.complete("clerk", "a", 5, true, 0,
+        {{"traceparent", Core::concat("00-", std::string(trace_id), "-00f067aa0ba902b7-01")}});
+    EXPECT_EQ(answer.outcome(), "done");
+    EXPECT_TRUE(wait_until([&] {
+        std::lock_guard const lock(mutex);
+        return names == std::set<std::string> {"entry", "side queue", "engine"};
+    }));
+}
+
+TEST(ServePath, AWorkspacesLimitsAreNamedAndSayWhenToComeBack)
+{
+    Fleet fleet;
+    fill(fleet);
+    fleet.add_workspace("small", "small-key", {{"requests-per-second", "1"}});
+    fleet.add_model_backend("llm-1");
+    fleet.start();
+    auto const ask = [&] {
+        return send_request(fleet.entry().caller_port, "POST", "/v1/chat/completions",
+            R"({"model": "test-model", "messages": [{"role": "user", "content": "tag=a tokens=2"}]})",
+            {"Authorization: Bearer small-key", "Granitefield-Class: clerk"});
+    };
+    EXPECT_EQ(ask().status, 200);
+    auto const refused = ask();
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_EQ(refused.json()["error"]["code"], "limit_requests-per-second");
+    EXPECT_EQ(refused.outcome(), "not-run");
+    std::this_thread::sleep_for(Core::Milliseconds(refused.json()["error"]["retry_after_ms"].get<int>()));
+    EXPECT_EQ(ask().status, 200);
+}
+
 }
--- a/Tests/LibSettings/DaemonSettingsTest.cpp
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -47,9 +47,9 @@
     auto const places
         = places_of(R"({"role": "entry", "name": 7, "region": "sk-west", "operator-address": "localhost:1",
         "callers": {"address": "127.0.0.1:1", "threads": 0}, "platform": {"call-timeout": "soon"}, "peers": {"address": "127.0.0.1:2", "seeds": ["127.0.0.1:3", "x"]},
-        "routing": {"heartbeat": "10s", "colour": "red"}})");
+        "routing": {"heartbeat": "1ms", "colour": "red"}})");
     std::vector<std::string> const expected {"/name", "/failure-domain", "/operator-address", "/callers/threads",
-        "/platform/address", "/platform/call-timeout", "/peers/seeds/1", "/routing/colour", "/routing/link-patience"};
+        "/platform/address", "/platform/call-timeout", "/peers/seeds/1", "/routing/colour", "/routing/heartbeat"};
     for (auto const& place : expected)
         EXPECT_NE(std::ranges::find(places, place), places.end()) << place;
     EXPECT_EQ(places.size(), expected.size());
