LibPolicy: Suspend lower tiers for what would miss its target

Cause: pilots miss their target while all slots run long comparisons. Ruled out: the wait in the queue's order, since pilots are first already.

Change: where the backend server can go on with a cancelled stream (can-resume), a running attempt of the lowest tier, the latest first, is suspended for one that would miss its target before a slot gets free by itself. It waits at its old place, in no place of the queue, and is never displaced or expired. What a floor started is left alone. A side process hands on whole events only, so that a stream goes on at the start of one; streams with CRLF are no longer held back to their end.

--- a/Libraries/LibHTTP/EventStream.cpp
+++ b/Libraries/LibHTTP/EventStream.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/EventStream.h>
 
+#include <algorithm>
+
 namespace GraniteField::HTTP {
 
 namespace {
@@ -45,13 +47,24 @@
     m_is_line_too_long = false;
 }
 
+std::size_t whole_events_length(std::string_view text)
+{
+    // An event ends with a blank line, and a line with LF or CRLF.
+    std::size_t length = 0;
+    for (std::string_view const end : {"\n\n", "\n\r\n"}) {
+        auto const found = text.rfind(end);
+        if (found != std::string_view::npos)
+            length = std::max(length, found + end.size());
+    }
+    return length;
+}
+
 std::string EventStreamGate::add(std::string_view text)
 {
     m_held += text;
     if (m_has_seen_end)
         return {};
-    auto boundary = m_held.rfind("\n\n");
-    boundary = boundary == std::string::npos ? 0 : boundary + 2;
+    auto boundary = whole_events_length(m_held);
     // The end marker counts only at the start of a line.
     auto const end
         = m_held.starts_with(s_event_stream_end) ? 0 : m_held.find(std::string("\n") + std::string(s_event_stream_end));
--- a/Libraries/LibHTTP/EventStream.h
+++ b/Libraries/LibHTTP/EventStream.h
@@ -40,6 +40,9 @@
     bool m_has_seen_end {false};
 };
 
+/// The length of the whole events at the text's beginning; what follows is part of one.
+[[nodiscard]] std::size_t whole_events_length(std::string_view);
+
 inline constexpr std::string_view s_event_stream_end = "data: [DONE]";
 
 }
--- a/Libraries/LibPolicy/AdmissionQueue.h
+++ b/Libraries/LibPolicy/AdmissionQueue.h
@@ -78,6 +78,11 @@
     [[nodiscard]] std::optional<Start> next(Core::MonotonicTime now);
     /// A started attempt has left its slot.
     void finish(WorkKey const&, Core::MonotonicTime now);
+    /// A running attempt that should be suspended now, so that one of a higher tier meets its target. It
+    /// keeps its slot until suspend() or finish(). Call it until it gives nothing.
+    [[nodiscard]] std::optional<WorkKey> next_preemption(Core::MonotonicTime now);
+    /// A running attempt was suspended: it waits again, at its old place, and takes none of the queue's.
+    void suspend(WorkKey const&, Core::MonotonicTime now);
     /// Takes a waiting attempt out of the queue; nothing when it does not wait.
     std::optional<Work> withdraw(WorkKey const&, Core::MonotonicTime now);
     /// Takes out what has waited too long.
@@ -86,6 +91,7 @@
     [[nodiscard]] std::optional<Core::MonotonicTime> next_wake() const;
 
     [[nodiscard]] bool is_waiting(WorkKey const& key) const { return m_waiting.contains(key); }
+    [[nodiscard]] std::size_t suspended_count() const { return m_suspended_count; }
     [[nodiscard]] std::size_t waiting_count() const { return m_waiting.size(); }
     [[nodiscard]] std::size_t waiting_count(unsigned tier) const { return m_tiers.at(tier - 1).waiting.size(); }
     [[nodiscard]] std::size_t waiting_count(std::string const& request_class) const;
@@ -117,12 +123,16 @@
         Core::MonotonicTime expires;
         FairShare::VirtualTime entered_at {0};
         FairShare::VirtualTime lead {0};
+        bool is_suspended {false};
+        unsigned suspensions {0};
     };
 
     struct Running {
-        std::string request_class;
+        /// As it waited, so that it can wait again.
+        Waiting place;
         Core::MonotonicTime started;
         std::optional<FloorAccount::SlotTime> charged;
+        bool is_being_suspended {false};
     };
 
     struct Tier {
@@ -141,6 +151,8 @@
     /// Gain of the moving mean of service times.
     static constexpr double s_mean_gain = 0.05;
     static constexpr Core::Milliseconds s_least_retry_after {50};
+    /// How often one attempt may be suspended.
+    static constexpr unsigned s_most_suspensions = 3;
 
     [[nodiscard]] static unsigned tier_of(Work const& work) { return Rules::has_tiers ? work.tier : s_urgent_tier; }
     [[nodiscard]] unsigned free_slots() const
@@ -155,7 +167,11 @@
     [[nodiscard]] Core::Milliseconds retry_after(Work const&, Core::MonotonicTime now) const;
     [[nodiscard]] std::optional<Work> displace_below(unsigned tier, Core::MonotonicTime now);
     void enqueue(Work, Core::MonotonicTime now);
-    Work take(WorkKey const&, Core::MonotonicTime now);
+    void insert(Waiting, Core::MonotonicTime now);
+    Waiting take(WorkKey const&, Core::MonotonicTime now);
+    void leave_slot(Running const&, Core::MonotonicTime now);
+    [[nodiscard]] bool is_about_to_miss(Work const&, Core::MonotonicTime now) const;
+    [[nodiscard]] Running* choose_victim(unsigned tier);
     Start start(WorkKey const&, StartReason, Core::MonotonicTime now);
     [[nodiscard]] std::optional<WorkKey> first_by_floor(Core::MonotonicTime now);
     [[nodiscard]] std::optional<WorkKey> first_by_order(unsigned held) const;
@@ -167,6 +183,9 @@
     absl::node_hash_map<WorkKey, Waiting> m_waiting;
     std::set<std::pair<Core::MonotonicTime, WorkKey>> m_expiries;
     absl::flat_hash_map<WorkKey, Running> m_running;
+    std::size_t m_suspended_count {0};
+    /// Attempts that are being suspended and still hold their slots.
+    std::size_t m_suspending_count {0};
     std::uint64_t m_arrivals {0};
     double m_mean_service_milliseconds {0};
 };
@@ -267,9 +286,13 @@
 {
     for (unsigned lower = s_tier_count; lower > tier; --lower) {
         auto const& waiting = m_tiers[lower - 1].waiting;
-        if (waiting.empty())
+        // What is suspended has begun: its place is not in the queue's limit, and it is not given up.
+        auto const last = std::find_if(waiting.rbegin(), waiting.rend(),
+            [this](auto const& item) { return !m_waiting.at(item.second).is_suspended; });
+        if (last == waiting.rend())
             continue;
-        auto work = take(waiting.rbegin()->second, now);
+        auto const key = last->second;
+        auto work = take(key, now).work;
         class_state(work).floor.note_unmet_demand(now);
         return work;
     }
@@ -289,7 +312,7 @@
     if (is_target_out_of_reach(work, now))
         return refuse(work, Refusal::TargetOutOfReach, now);
     Offer offer;
-    if (m_waiting.size() >= m_limits.queue_limit) {
+    if (m_waiting.size() - m_suspended_count >= m_limits.queue_limit) {
         offer.displaced = displace_below(tier_of(work), now);
         if (!offer.displaced)
             return refuse(work, Refusal::QueueFull, now);
@@ -314,18 +337,25 @@
     waiting.expires = work.give_up;
     if (Rules::has_deadlines && work.should_refuse_late)
         waiting.expires = std::min(waiting.expires, work.target - work.expected_first_token);
-    auto const key = work.key;
-    auto& state = class_state(work);
     waiting.work = std::move(work);
-    tier.waiting.emplace(waiting.order, key);
+    insert(std::move(waiting), now);
+}
+
+template <Discipline Rules>
+void AdmissionQueue<Rules>::insert(Waiting waiting, Core::MonotonicTime now)
+{
+    auto const key = waiting.work.key;
+    auto& state = class_state(waiting.work);
+    m_tiers[tier_of(waiting.work) - 1].waiting.emplace(waiting.order, key);
     state.waiting.emplace(waiting.order, key);
     state.floor.note_waiting(now, true);
+    m_suspended_count += waiting.is_suspended ? 1 : 0;
     m_expiries.emplace(waiting.expires, key);
     m_waiting.emplace(key, std::move(waiting));
 }
 
 template <Discipline Rules>
-Work AdmissionQueue<Rules>::take(WorkKey const& key, Core::MonotonicTime now)
+auto AdmissionQueue<Rules>::take(WorkKey const& key, Core::MonotonicTime now) -> Waiting
 {
     auto node = m_waiting.extract(key);
     auto& waiting = node.mapped();
@@ -334,7 +364,8 @@
     state.waiting.erase(waiting.order);
     state.floor.note_waiting(now, !state.waiting.empty());
     m_expiries.erase({waiting.expires, key});
-    return std::move(waiting.work);
+    m_suspended_count -= waiting.is_suspended ? 1 : 0;
+    return std::move(waiting);
 }
 
 template <Discipline Rules>
@@ -370,16 +401,16 @@
 template <Discipline Rules>
 Start AdmissionQueue<Rules>::start(WorkKey const& key, StartReason reason, Core::MonotonicTime now)
 {
-    auto const& waiting = m_waiting.at(key);
+    auto waiting = take(key, now);
     m_tiers[tier_of(waiting.work) - 1].fair_share.start(waiting.entered_at, waiting.lead);
-    Start start {take(key, now), reason};
-    Running running {start.work.request_class, now, std::nullopt};
-    auto& floor = class_state(start.work).floor;
-    floor.end_hold();
+    Start start {waiting.work, reason};
+    auto& state = class_state(waiting.work);
+    state.floor.end_hold();
+    Running running {std::move(waiting), now, std::nullopt, false};
     if (reason == StartReason::Floor) {
         running.charged = FloorAccount::SlotTime(start.work.expected_service);
-        floor.charge(*running.charged);
-        ++class_state(start.work).floor_running;
+        state.floor.charge(*running.charged);
+        ++state.floor_running;
     }
     m_running.emplace(key, std::move(running));
     return start;
@@ -406,25 +437,99 @@
     auto const found = m_running.find(key);
     if (found == m_running.end())
         return;
-    auto const held = std::chrono::duration_cast<FloorAccount::SlotTime>(now - found->second.started);
-    if (found->second.charged) {
-        auto& state = m_classes[found->second.request_class];
-        state.floor.settle(*found->second.charged, held);
-        --state.floor_running;
-    }
-    auto const milliseconds = held.count() * 1000;
+    leave_slot(found->second, now);
+    auto const milliseconds = std::chrono::duration<double, std::milli>(now - found->second.started).count();
     if (m_mean_service_milliseconds == 0)
         m_mean_service_milliseconds = milliseconds;
     m_mean_service_milliseconds += s_mean_gain * (milliseconds - m_mean_service_milliseconds);
     m_running.erase(found);
 }
 
+template <Discipline Rules>
+void AdmissionQueue<Rules>::leave_slot(Running const& running, Core::MonotonicTime now)
+{
+    m_suspending_count -= running.is_being_suspended ? 1 : 0;
+    if (!running.charged)
+        return;
+    auto& state = class_state(running.place.work);
+    state.floor.settle(*running.charged, std::chrono::duration_cast<FloorAccount::SlotTime>(now - running.started));
+    --state.floor_running;
+}
+
+template <Discipline Rules>
+bool AdmissionQueue<Rules>::is_about_to_miss(Work const& work, Core::MonotonicTime now) const
+{
+    // A slot gets free by itself about this often.
+    Core::Milliseconds const next_slot(static_cast<std::int64_t>(m_mean_service_milliseconds / m_limits.slots));
+    return now + next_slot + work.expected_first_token >= work.target;
+}
+
+template <Discipline Rules>
+auto AdmissionQueue<Rules>::choose_victim(unsigned tier) -> Running*
+{
+    Running* victim = nullptr;
+    for (auto& [key, running] : m_running) {
+        auto const& work = running.place.work;
+        // What a floor started keeps its slot: it is what the floor is for.
+        bool const is_eligible = work.tier > tier && work.is_preemptible && !running.charged
+            && !running.is_being_suspended && running.place.suspensions < s_most_suspensions;
+        if (!is_eligible)
+            continue;
+        // The lowest tier first, and there what started last.
+        auto const rank = std::pair(work.tier, running.started);
+        if (victim == nullptr || rank > std::pair(victim->place.work.tier, victim->started))
+            victim = &running;
+    }
+    return victim;
+}
+
+template <Discipline Rules>
+std::optional<WorkKey> AdmissionQueue<Rules>::next_preemption(Core::MonotonicTime now)
+{
+    if (!Rules::has_preemption || free_slots() > 0)
+        return std::nullopt;
+    for (unsigned tier = 1; tier < s_tier_count; ++tier) {
+        auto const& waiting = m_tiers[tier - 1].waiting;
+        if (waiting.empty())
+            continue;
+        // Each suspension under way is for one of those that wait here.
+        if (m_suspending_count >= waiting.size())
+            return std::nullopt;
+        auto const& next = *std::next(waiting.begin(), static_cast<std::ptrdiff_t>(m_suspending_count));
+        if (!is_about_to_miss(m_waiting.at(next.second).work, now))
+            return std::nullopt;
+        auto* victim = choose_victim(tier);
+        if (victim == nullptr)
+            return std::nullopt;
+        victim->is_being_suspended = true;
+        ++m_suspending_count;
+        return victim->place.work.key;
+    }
+    return std::nullopt;
+}
+
+template <Discipline Rules>
+void AdmissionQueue<Rules>::suspend(WorkKey const& key, Core::MonotonicTime now)
+{
+    auto const found = m_running.find(key);
+    if (found == m_running.end())
+        return;
+    leave_slot(found->second, now);
+    auto waiting = std::move(found->second.place);
+    m_running.erase(found);
+    waiting.is_suspended = true;
+    ++waiting.suspensions;
+    // It has begun, so that no limit on waiting holds for it any more.
+    waiting.expires = Core::MonotonicTime::max();
+    insert(std::move(waiting), now);
+}
+
 template <Discipline Rules>
 std::optional<Work> AdmissionQueue<Rules>::withdraw(WorkKey const& key, Core::MonotonicTime now)
 {
     if (!m_waiting.contains(key))
         return std::nullopt;
-    return take(key, now);
+    return take(key, now).work;
 }
 
 template <Discipline Rules>
@@ -432,7 +537,8 @@
 {
     std::vector<Expiry> expired;
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
-        auto work = take(m_expiries.begin()->second, now);
+        auto const key = m_expiries.begin()->second;
+        auto work = take(key, now).work;
         auto const refusal = work.give_up <= now ? Refusal::GaveUp : Refusal::TargetOutOfReach;
         class_state(work).floor.note_unmet_demand(now);
         expired.push_back({std::move(work), refusal});
@@ -444,7 +550,7 @@
 std::optional<Core::MonotonicTime> AdmissionQueue<Rules>::next_wake() const
 {
     std::optional<Core::MonotonicTime> wake;
-    if (!m_expiries.empty())
+    if (!m_expiries.empty() && m_expiries.begin()->first != Core::MonotonicTime::max())
         wake = m_expiries.begin()->first;
     for (auto const& [name, state] : m_classes) {
         auto const hold_end = state.floor.hold_end();
--- a/Libraries/LibPolicy/Discipline.h
+++ b/Libraries/LibPolicy/Discipline.h
@@ -7,24 +7,18 @@
 /// How a queue orders its work. The product runs TieredDiscipline; the others are the baselines that it
 /// is measured against.
 template <typename Candidate>
-concept Discipline = requires
-{
-    {
-        Candidate::has_tiers
-        } -> std::convertible_to<bool>;
-    {
-        Candidate::has_floors
-        } -> std::convertible_to<bool>;
-    {
-        Candidate::has_deadlines
-        } -> std::convertible_to<bool>;
-};
+concept Discipline
+    = std::same_as<decltype(Candidate::has_tiers), bool const> && std::same_as<decltype(Candidate::has_floors),
+        bool const> && std::same_as<decltype(Candidate::has_deadlines),
+        bool const> && std::same_as<decltype(Candidate::has_preemption), bool const>;
 
-/// Tiers strictly first, floors for every class, deadlines and weights inside a tier.
+/// Tiers strictly first, floors for every class, deadlines and weights inside a tier, and suspension of lower
+/// tiers for what would miss its target.
 struct TieredDiscipline {
     static constexpr bool has_tiers = true;
     static constexpr bool has_floors = true;
     static constexpr bool has_deadlines = true;
+    static constexpr bool has_preemption = true;
 };
 
 /// Tiers strictly first and nothing else.
@@ -32,6 +26,7 @@
     static constexpr bool has_tiers = true;
     static constexpr bool has_floors = false;
     static constexpr bool has_deadlines = false;
+    static constexpr bool has_preemption = false;
 };
 
 /// First come, first served.
@@ -39,6 +34,7 @@
     static constexpr bool has_tiers = false;
     static constexpr bool has_floors = false;
     static constexpr bool has_deadlines = false;
+    static constexpr bool has_preemption = false;
 };
 
 }
--- a/Libraries/LibPolicy/Work.h
+++ b/Libraries/LibPolicy/Work.h
@@ -45,6 +45,8 @@
     /// Refuse it once its target is out of reach.
     bool should_refuse_late {false};
     bool is_repeatable {true};
+    /// It may be suspended for a higher tier, since the backend server goes on with it where it stopped.
+    bool is_preemptible {false};
     /// How long it will hold a slot, by past answers.
     Core::Milliseconds expected_service {0};
     /// From its start to its first token, by past answers.
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -106,6 +106,7 @@
     reader.read("connect-timeout", side.engine.connect_timeout, 10ms, 60s);
     reader.read("silence-limit", side.engine.silence_limit, 1s, 1h);
     reader.read_number("slots", side.limits.slots, 1, 10'000);
+    reader.read("can-resume", side.can_resume);
     reader.finish();
 }
 
--- a/Libraries/LibSide/Attempt.h
+++ b/Libraries/LibSide/Attempt.h
@@ -21,6 +21,8 @@
     enum class State {
         Waiting,
         Running,
+        /// It has begun, and waits for a slot to go on.
+        Suspended,
         Ended,
     };
 
@@ -44,12 +46,17 @@
 
     void start(Core::MonotonicTime now)
     {
+        if (m_state == State::Waiting)
+            m_started = now;
         m_state = State::Running;
-        m_started = now;
-        // The body goes to the backend server; what is left of the dispatch is small.
-        m_dispatch.clear_body();
+        // The body goes to the backend server; what is left of the dispatch is small. What may be suspended
+        // sends it again when it goes on.
+        if (!is_preemptible)
+            m_dispatch.clear_body();
     }
 
+    void suspend() { m_state = State::Suspended; }
+
     /// Numbers a piece and keeps it. The reference holds until the next call.
     Protocol::Message::Envelope const& add_chunk(
         int status, std::string content_type, std::string payload, std::uint32_t tokens, Core::MonotonicTime now);
@@ -73,6 +80,9 @@
     [[nodiscard]] std::string const& content_type() const { return m_content_type; }
 
     bool is_paused {false};
+    bool is_preemptible {false};
+    /// The engine client was told to stop it, and it goes on later.
+    bool is_being_suspended {false};
     bool is_cancelled {false};
 
 private:
--- a/Libraries/LibSide/EngineCall.h
+++ b/Libraries/LibSide/EngineCall.h
@@ -21,6 +21,8 @@
     unsigned tier {Policy::s_tier_count};
     bool is_stream {false};
     bool is_repeatable {true};
+    /// Tokens that the backend server has given before the call was suspended; it goes on behind them.
+    std::uint32_t resume_after_tokens {0};
 };
 
 /// What the authority asks of the engine client.
@@ -70,6 +72,8 @@
     /// Of the answer, also where it had no body and so no piece.
     int status {0};
     std::string content_type;
+    /// What came last and was no whole event yet.
+    std::string rest;
 };
 
 using EngineEvent = std::variant<AnswerPiece, AnswerEnd>;
--- a/Libraries/LibSide/EngineClient.cpp
+++ b/Libraries/LibSide/EngineClient.cpp
@@ -92,7 +92,7 @@
     // Closing the connection is how HTTP/1.1 tells the backend server to stop.
     curl_multi_remove_handle(m_multi, found->second->handle());
     m_calls.erase(found);
-    emit_end({key, CallEnd::Cancelled, "cancelled", 0, ""});
+    emit_end({key, CallEnd::Cancelled, "cancelled", 0, "", ""});
 }
 
 void EngineClient::set_paused(Policy::WorkKey const& key, bool is_paused)
--- a/Libraries/LibSide/EngineWork.cpp
+++ b/Libraries/LibSide/EngineWork.cpp
@@ -50,7 +50,14 @@
     call.tier = next.work.tier;
     call.is_stream = attempt.dispatch().is_stream();
     call.is_repeatable = next.work.is_repeatable;
+    call.resume_after_tokens = attempt.tokens();
+    attempt.is_preemptible = next.work.is_preemptible;
+    bool const goes_on = attempt.state() == Attempt::State::Suspended;
     attempt.start(time);
+    if (goes_on) {
+        m_decisions.record(key.request, Core::concat("goes on after ", call.resume_after_tokens, " tokens"));
+        return send_command(StartCall {std::move(call)});
+    }
 
     auto const queued = Core::elapsed(attempt.received(), time);
     auto message = Protocol::make_envelope();
@@ -72,6 +79,20 @@
     m_metrics.distribution("granitefield_side_queue_seconds", {{"class", next.work.request_class}}).add(queued);
 }
 
+void SideAuthority::suspend_for_higher_tiers()
+{
+    auto const time = Core::monotonic_now();
+    while (auto const key = m_queue.visit([&](auto& queue) { return queue.next_preemption(time); })) {
+        auto& attempt = m_attempts.at(*key);
+        attempt.is_being_suspended = true;
+        m_decisions.record(key->request, "suspended for a request of a higher tier that would miss its target");
+        m_metrics
+            .counter("granitefield_side_suspensions_total", {{"class", attempt.dispatch().policy().request_class()}})
+            .add();
+        send_command(CancelCall {*key});
+    }
+}
+
 void SideAuthority::handle_engine_events()
 {
     while (auto event = m_engine.next_event()) {
@@ -101,8 +122,15 @@
 void SideAuthority::handle_end(AnswerEnd const& end)
 {
     auto const time = Core::monotonic_now();
-    m_queue.visit([&](auto& queue) { queue.finish(end.key, time); });
     auto const found = m_attempts.find(end.key);
+    bool const is_suspension = end.end == CallEnd::Cancelled && found != m_attempts.end()
+        && found->second.is_being_suspended && !found->second.is_cancelled;
+    if (is_suspension) {
+        found->second.is_being_suspended = false;
+        found->second.suspend();
+        return m_queue.visit([&](auto& queue) { queue.suspend(end.key, time); });
+    }
+    m_queue.visit([&](auto& queue) { queue.finish(end.key, time); });
     if (found == m_attempts.end() || found->second.state() != Attempt::State::Running)
         return;
     auto& attempt = found->second;
@@ -110,6 +138,8 @@
         return end_unstarted(end.key, RefusalReason::REFUSAL_REASON_ENGINE_DOWN, s_engine_down_retry_after);
 
     bool const is_whole = end.end == CallEnd::Whole;
+    if (is_whole && !end.rest.empty())
+        handle_piece({end.key, end.status, end.content_type, end.rest, 0});
     auto message = Protocol::make_envelope();
     if (is_whole) {
         if (attempt.chunk_count() == 0)
@@ -137,6 +167,16 @@
     m_links.send(attempt.entry_route(), attempt.end(std::move(message), time));
 }
 
+void SideAuthority::end_cancelled(Attempt& attempt)
+{
+    auto message = Protocol::make_envelope();
+    Protocol::set_key(*message.mutable_failed(), Protocol::key_of(attempt.dispatch()));
+    message.mutable_failed()->set_message("cancelled");
+    fill_load(*message.mutable_failed()->mutable_load());
+    m_metrics.counter("granitefield_side_wasted_tokens_total").add(attempt.tokens());
+    m_links.send(attempt.entry_route(), attempt.end(std::move(message), Core::monotonic_now()));
+}
+
 void SideAuthority::settle_ticket(Attempt const& attempt, bool is_whole)
 {
     auto const& dispatch = attempt.dispatch();
--- a/Libraries/LibSide/EntryMessages.cpp
+++ b/Libraries/LibSide/EntryMessages.cpp
@@ -128,6 +128,7 @@
     work.give_up = time + Core::Milliseconds(dispatch.remaining_ms());
     work.should_refuse_late = row.should_refuse_late();
     work.is_repeatable = dispatch.is_repeatable();
+    work.is_preemptible = m_settings.can_resume && dispatch.is_repeatable() && dispatch.is_stream();
     auto const prediction = m_predictor.predict(work.request_class, work.workspace);
     work.expected_service = prediction.service;
     work.expected_first_token = prediction.first_token;
@@ -266,10 +267,13 @@
     auto reply = Protocol::make_envelope();
     Protocol::set_key(*reply.mutable_already_started(), key);
     m_links.send(route, reply);
-    if (!revoke.should_cancel_running() || attempt.state() != Attempt::State::Running)
+    if (!revoke.should_cancel_running() || attempt.state() == Attempt::State::Ended)
         return;
     attempt.is_cancelled = true;
-    send_command(CancelCall {key});
+    if (attempt.state() == Attempt::State::Running)
+        return send_command(CancelCall {key});
+    m_queue.visit([&](auto& queue) { queue.withdraw(key, Core::monotonic_now()); });
+    end_cancelled(attempt);
 }
 
 void SideAuthority::handle_acknowledge(Protocol::Message::Acknowledge const& acknowledge)
--- a/Libraries/LibSide/RunningCall.cpp
+++ b/Libraries/LibSide/RunningCall.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int s_status_ok = 200;
+/// An event larger than this is handed on in parts.
+constexpr std::size_t s_largest_partial_bytes = 1U << 20U;
 
 }
 
@@ -25,6 +27,8 @@
     m_headers.append("Granitefield-Request: " + m_call.key.request.to_string());
     m_headers.append(Core::concat("Granitefield-Attempt: ", m_call.key.attempt.value()));
     m_headers.append(Core::concat("Granitefield-Tier: ", m_call.tier));
+    if (m_call.resume_after_tokens > 0)
+        m_headers.append(Core::concat("Granitefield-Resume-After: ", m_call.resume_after_tokens));
     m_headers.append("Expect:");
     set_options();
 }
@@ -105,11 +109,24 @@
     return request_bytes > 0;
 }
 
-bool RunningCall::hand_on(std::string_view payload)
+bool RunningCall::hand_on(std::string_view bytes)
 {
+    std::string payload = m_partial;
+    payload.append(bytes);
+    std::string partial;
+    if (m_is_event_stream) {
+        auto const whole = HTTP::whole_events_length(payload);
+        if (payload.size() - whole <= s_largest_partial_bytes) {
+            partial = payload.substr(whole);
+            payload.resize(whole);
+        }
+    }
+    if (payload.empty()) {
+        m_partial = std::move(partial);
+        return true;
+    }
     AnswerPiece piece;
     piece.key = m_call.key;
-    piece.payload = std::string(payload);
     if (!m_has_sent_piece) {
         piece.status = status();
         piece.content_type = m_content_type;
@@ -117,8 +134,10 @@
     auto const scanner_before = m_scanner;
     if (m_is_event_stream)
         piece.tokens = m_scanner.add(payload);
+    piece.payload = std::move(payload);
     if (m_client.emit(std::move(piece))) {
         m_has_sent_piece = true;
+        m_partial = std::move(partial);
         return true;
     }
     m_scanner = scanner_before;
@@ -154,7 +173,7 @@
 
 AnswerEnd RunningCall::end(CURLcode code) const
 {
-    AnswerEnd end {m_call.key, CallEnd::Broken, "", status(), m_content_type};
+    AnswerEnd end {m_call.key, CallEnd::Broken, "", status(), m_content_type, m_partial};
     // NOTE: libcurl's code alone does not tell: a request that went out on a kept connection and was then
     //       sent again by libcurl can end with "couldn't connect" as well.
     if (code != CURLE_OK && !has_sent_bytes()) {
@@ -171,7 +190,9 @@
         end.message = "the backend server's answer does not say where it ends";
         return end;
     }
-    if (m_is_event_stream && status() == s_status_ok && m_call.is_stream && !m_scanner.is_done()) {
+    auto scanner = m_scanner;
+    static_cast<void>(scanner.add(m_partial));
+    if (m_is_event_stream && status() == s_status_ok && m_call.is_stream && !scanner.is_done()) {
         end.message = "the backend server's stream ended without its end marker";
         return end;
     }
--- a/Libraries/LibSide/RunningCall.h
+++ b/Libraries/LibSide/RunningCall.h
@@ -44,6 +44,9 @@
     HTTP::HeaderList m_headers;
     CURL* m_handle;
     HTTP::EventStreamScanner m_scanner;
+    /// The beginning of an event of which the rest has not come. Only whole events are handed on, so that a
+    /// suspended stream goes on at the start of one.
+    std::string m_partial;
     std::string m_content_type;
     bool m_is_event_stream {false};
     bool m_has_framed_end {false};
--- a/Libraries/LibSide/SideAuthority.cpp
+++ b/Libraries/LibSide/SideAuthority.cpp
@@ -101,6 +101,7 @@
             send_back_waiting();
         expire_waiting();
         start_waiting();
+        suspend_for_higher_tiers();
         if (Core::elapsed(m_last_housekeeping, Core::monotonic_now()) >= s_housekeeping_interval)
             keep_house();
         m_loop_time = Core::monotonic_now();
@@ -250,6 +251,10 @@
             waiting.push_back(key);
         if (attempt.state() == Attempt::State::Ended)
             ended.push_back(key);
+        if (attempt.state() == Attempt::State::Suspended) {
+            m_queue.visit([&, &key = key](auto& queue) { queue.withdraw(key, time); });
+            ended.push_back(key);
+        }
         // What may not run twice runs to its end: nobody can say whether it was needed.
         bool const should_cancel
             = attempt.state() == Attempt::State::Running && attempt.dispatch().is_repeatable() && !attempt.is_cancelled;
--- a/Libraries/LibSide/SideAuthority.h
+++ b/Libraries/LibSide/SideAuthority.h
@@ -34,6 +34,8 @@
     Core::Address link_address;
     EngineClient::Settings engine;
     Policy::QueueLimits limits;
+    /// The backend server goes on with a cancelled stream when it is asked to.
+    bool can_resume {false};
     DisciplineName discipline {DisciplineName::Tiered};
     /// An entry that is silent for this long is gone: what it sent and what waits is dropped.
     Core::Milliseconds entry_patience {10'000};
@@ -93,6 +95,7 @@
     void handle_end(AnswerEnd const&);
     void start_waiting();
     void start(Policy::Start const&);
+    void suspend_for_higher_tiers();
     void expire_waiting();
     void send_back_waiting();
     void drop_silent_entries();
@@ -105,6 +108,8 @@
         Core::Milliseconds retry_after);
     /// Ends a waiting attempt that has left the queue without a start.
     void end_unstarted(Policy::WorkKey const&, Protocol::Message::RefusalReason, Core::Milliseconds retry_after);
+    /// Ends a suspended attempt that nobody wants any more.
+    void end_cancelled(Attempt&);
     void settle_ticket(Attempt const&, bool is_whole);
     void record_spans(Attempt const&, bool has_failed);
     [[nodiscard]] bool are_entries_confirmed(Core::MonotonicTime now);
--- a/Tests/Integration/TierOrderTest.cpp
+++ b/Tests/Integration/TierOrderTest.cpp
@@ -97,4 +97,33 @@
     }
 }
 
+TEST(TierOrder, ASuspendedAnswerGoesOnWholeWhereItStopped)
+{
+    Fleet fleet;
+    fleet.add_class("pilot", {{"tier", "1"}, {"first-token", "50ms"}});
+    fleet.add_class("comparison", {{"tier", "6"}});
+    auto& backend = fleet.add_model_backend("llm-1", {2, 2000}, {{"backend-server", {{"can-resume", true}}}});
+    fleet.start(2);
+    std::vector<std::future<CallRecord>> bulk;
+    for (unsigned number = 0; number < 2; ++number) {
+        bulk.push_back(std::async(std::launch::async, [&fleet, number] {
+            auto const tag = "bulk" + std::to_string(number);
+            return CallRecord {tag, 1000, fleet.complete("comparison", tag, 1000, true, number)};
+        }));
+    }
+    ASSERT_TRUE(wait_until([&] { return fleet.status(backend.side_operator_port)["running"] == 2; }));
+    for (unsigned number = 0; number < 5; ++number) {
+        auto const answer = fleet.complete("pilot", "pilot" + std::to_string(number), 10);
+        EXPECT_EQ(answer.outcome(), "done") << answer.body;
+        // Without a suspension the first pilot would wait two seconds for a slot.
+        EXPECT_LT(answer.duration, Core::Milliseconds(1000));
+    }
+    for (auto& future : bulk) {
+        auto const record = future.get();
+        EXPECT_EQ(record.answer.outcome(), "done");
+        EXPECT_EQ(record.answer.content(), expected_content(record.tag, record.tokens));
+    }
+    EXPECT_GT(fleet.metric(backend.side_operator_port, "granitefield_side_suspensions_total"), 0);
+}
+
 }
--- a/Tests/LibPolicy/AdmissionQueueTest.cpp
+++ b/Tests/LibPolicy/AdmissionQueueTest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
+#include <set>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -98,6 +100,53 @@
     }
 }
 
+RC_GTEST_PROP(AdmissionQueue, SuspendsOnlyForHigherTiersAndLosesNothing, ())
+{
+    QueueLimits const limits {*rc::gen::inRange(1U, 4U), *rc::gen::inRange(1U, 6U), 0};
+    AdmissionQueue<TieredDiscipline> queue(limits);
+    std::map<WorkKey, unsigned> waiting;
+    std::map<WorkKey, unsigned> running;
+    std::set<WorkKey> begun;
+    auto now = at(0ms);
+    auto const steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+        now += Core::Milliseconds(*rc::gen::inRange(0, 300));
+        if (*rc::gen::inRange(0, 3) > 0) {
+            auto const tier = *rc::gen::inRange(1U, 7U);
+            auto work = make_work(static_cast<std::uint64_t>(step), tier, now);
+            work.is_preemptible = *rc::gen::arbitrary<bool>();
+            work.target = now + Core::Milliseconds(*rc::gen::inRange(0, 400));
+            auto const offer = queue.offer(work, now);
+            if (!offer.refusal)
+                waiting[work.key] = tier;
+            if (offer.displaced) {
+                RC_ASSERT(!begun.contains(offer.displaced->key));
+                RC_ASSERT(waiting.erase(offer.displaced->key) == 1U);
+            }
+        } else if (!running.empty()) {
+            queue.finish(running.begin()->first, now);
+            running.erase(running.begin());
+        }
+        while (auto const key = queue.next_preemption(now)) {
+            auto const tier = running.at(*key);
+            RC_ASSERT(waits_above(waiting, tier));
+            queue.suspend(*key, now);
+            running.erase(*key);
+            waiting[*key] = tier;
+        }
+        while (auto const start = queue.next(now)) {
+            RC_ASSERT(waiting.erase(start->work.key) == 1U);
+            running[start->work.key] = start->work.tier;
+            begun.insert(start->work.key);
+        }
+        RC_ASSERT(queue.running_count() == running.size());
+        RC_ASSERT(queue.waiting_count() == waiting.size());
+        RC_ASSERT(running.size() <= limits.slots);
+        for (auto const& expiry : queue.expire(now + 1h))
+            RC_ASSERT(!begun.contains(expiry.work.key) && waiting.erase(expiry.work.key) == 1U);
+    }
+}
+
 namespace {
 
 struct BurstResult {
--- a/Tests/StandIns/BatchEngine.cpp
+++ b/Tests/StandIns/BatchEngine.cpp
@@ -28,6 +28,8 @@
 {
     auto pointer = std::make_shared<Sequence>(std::move(sequence));
     std::lock_guard const lock(m_mutex);
+    if (pointer->resumed_after > 0)
+        continue_execution(*pointer);
     auto const place = std::ranges::find_if(m_waiting, [&](auto const& other) { return other->tier > pointer->tier; });
     m_waiting.insert(place, pointer);
     m_executions.push_back({pointer->request, pointer->attempt, pointer->tag, 0, "running"});
@@ -35,6 +37,21 @@
     return pointer;
 }
 
+void BatchEngine::continue_execution(Sequence& sequence)
+{
+    sequence.generated = sequence.resumed_after;
+    sequence.taken = sequence.resumed_after;
+    for (auto& execution : m_executions) {
+        bool const is_same = execution.request == sequence.request && execution.attempt == sequence.attempt
+            && execution.end == "cancelled";
+        if (!is_same)
+            continue;
+        // What was handed out is used after all; the tokens behind it are generated again.
+        m_counts.wasted_tokens -= std::min(execution.generated, sequence.resumed_after);
+        execution.end = "suspended";
+    }
+}
+
 std::uint32_t BatchEngine::take(Sequence& sequence)
 {
     std::unique_lock lock(m_mutex);
@@ -120,17 +137,31 @@
             close(*sequence, "cancelled");
             continue;
         }
-        if (!touch_prefix(sequence->prefix))
+        if (!touch_prefix(sequence->prefix) && sequence->resumed_after == 0)
             prefill += m_settings.prefill_per_token * static_cast<std::int64_t>(sequence->prompt_tokens);
         m_running.push_back(std::move(sequence));
     }
     return prefill;
 }
 
+std::uint32_t BatchEngine::resumed_part(Sequence const& sequence) const
+{
+    // The connection that a suspended answer came on may be noticed as closed only after the answer was resumed.
+    for (auto const* sequences : {&m_running, &m_waiting}) {
+        for (auto const& other : *sequences) {
+            bool const is_continuation = other.get() != &sequence && other->request == sequence.request
+                && other->attempt == sequence.attempt && other->resumed_after > 0;
+            if (is_continuation)
+                return std::min(sequence.generated, other->resumed_after);
+        }
+    }
+    return 0;
+}
+
 void BatchEngine::close(Sequence& sequence, std::string end)
 {
     if (end != "done")
-        m_counts.wasted_tokens += sequence.generated;
+        m_counts.wasted_tokens += sequence.generated - resumed_part(sequence);
     for (auto& execution : m_executions) {
         if (execution.request == sequence.request && execution.attempt == sequence.attempt
             && execution.end == "running") {
--- a/Tests/StandIns/BatchEngine.h
+++ b/Tests/StandIns/BatchEngine.h
@@ -23,6 +23,8 @@
     std::uint32_t wanted {0};
     std::size_t prompt_tokens {0};
     std::uint64_t prefix {0};
+    /// It goes on behind so many tokens of an execution that was cancelled before.
+    std::uint32_t resumed_after {0};
 
     std::uint32_t generated {0};
     std::uint32_t taken {0};
@@ -94,13 +96,16 @@
     [[nodiscard]] bool touch_prefix(std::uint64_t);
     void advance();
     void close(Sequence&, std::string end);
+    void continue_execution(Sequence&);
+    /// Tokens of a closed sequence that its continuation stands on.
+    [[nodiscard]] std::uint32_t resumed_part(Sequence const&) const;
     [[nodiscard]] Load load_now() const;
 
     Settings m_settings;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Switches m_switches;
-    std::vector<SequencePointer> m_running;
+    std::list<SequencePointer> m_running;
     std::list<SequencePointer> m_waiting;
     std::list<std::uint64_t> m_prefixes;
     std::vector<Execution> m_executions;
--- a/Tests/StandIns/ModelEngine.cpp
+++ b/Tests/StandIns/ModelEngine.cpp
@@ -183,6 +183,8 @@
     sequence.prompt_tokens = call.body.size() / s_bytes_per_token;
     sequence.prefix = Core::hash_bytes(messages.front().at("content").get<std::string>());
 
+    auto const resume_after = call.headers["granitefield-resume-after"];
+    std::from_chars(resume_after.data(), resume_after.data() + resume_after.size(), sequence.resumed_after);
     auto submitted = m_engine.submit(std::move(sequence));
     if (!json.value("stream", false)) {
         std::string content;
@@ -199,7 +201,8 @@
             {"usage", {{"completion_tokens", written}}}};
         return respond(connection, 200, answer.dump());
     }
-    auto* stream = new Stream {m_engine, std::move(submitted), 0, "", false};
+    auto const already_written = submitted->resumed_after;
+    auto* stream = new Stream {m_engine, std::move(submitted), already_written, "", false};
     auto* response
         = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, s_block_bytes, read_stream, stream, free_stream);
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, "text/event-stream");
