LibEntry: Weigh a warm cache by the prompt's size; share rates by entries known

Cause: with 16 callers on 32 slots, one caller in a hundred waited 64 ms for a slot while three backend servers were idle. Ruled out: lost wake-ups (no such wait without other callers), the proxies (the same without them). A missed prefix counted as 30 ms whatever the prompt, so short prompts waited for a warm cache that saves them nothing. Besides, each entry took the whole of a workspace's rate, and three pieces of code made the same error answer.

Change: a missed prefix costs 5 ms for each kilobyte of the prompt. An entry takes its part of a rate by the entries that it knows.

--- a/Libraries/LibEntry/CallerExchange.cpp
+++ b/Libraries/LibEntry/CallerExchange.cpp
@@ -22,6 +22,40 @@
 
 }
 
+static void add_common_headers(MHD_Response* response, FullAnswer const& answer, Core::RequestId request)
+{
+    MHD_add_response_header(response, s_request_header, request.to_string().c_str());
+    if (!answer.content_type.empty())
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, answer.content_type.c_str());
+}
+
+FullAnswer make_error_answer(ErrorAnswer const& error, Core::RequestId request)
+{
+    FullAnswer answer;
+    answer.status = error.status;
+    answer.content_type = "application/json";
+    answer.body = encode_error(error, request);
+    answer.outcome = error.outcome;
+    if (error.retry_after.count() > 0)
+        answer.retry_after = error.retry_after;
+    return answer;
+}
+
+MHD_Response* make_response(FullAnswer const& answer, Core::RequestId request)
+{
+    auto* body = const_cast<char*>(answer.body.data());
+    auto* response = MHD_create_response_from_buffer(answer.body.size(), body, MHD_RESPMEM_MUST_COPY);
+    add_common_headers(response, answer, request);
+    MHD_add_response_header(response, s_outcome_header, std::string(to_string(answer.outcome)).c_str());
+    if (answer.retry_after) {
+        auto const seconds = std::to_string(retry_after_seconds(*answer.retry_after));
+        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, seconds.c_str());
+    }
+    if (answer.is_replay)
+        MHD_add_response_header(response, s_replay_header, "yes");
+    return response;
+}
+
 void CallerExchange::answer(FullAnswer answer)
 {
     std::lock_guard const lock(m_mutex);
@@ -105,26 +139,9 @@
 MHD_Result CallerExchange::respond()
 {
     std::lock_guard const lock(m_mutex);
-    return m_progress == Progress::Full ? respond_full() : respond_stream();
-}
-
-void CallerExchange::add_common_headers(MHD_Response* response) const
-{
-    MHD_add_response_header(response, s_request_header, m_request.to_string().c_str());
-    if (!m_answer.content_type.empty())
-        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, m_answer.content_type.c_str());
-}
-
-MHD_Result CallerExchange::respond_full()
-{
-    auto* response = MHD_create_response_from_buffer(m_answer.body.size(), m_answer.body.data(), MHD_RESPMEM_MUST_COPY);
-    add_common_headers(response);
-    MHD_add_response_header(response, s_outcome_header, std::string(to_string(m_answer.outcome)).c_str());
-    if (m_answer.retry_after)
-        MHD_add_response_header(
-            response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(retry_after_seconds(*m_answer.retry_after)).c_str());
-    if (m_answer.is_replay)
-        MHD_add_response_header(response, s_replay_header, "yes");
+    if (m_progress != Progress::Full)
+        return respond_stream();
+    auto* response = make_response(m_answer, m_request);
     auto const result = MHD_queue_response(m_connection, static_cast<unsigned>(m_answer.status), response);
     MHD_destroy_response(response);
     return result;
@@ -133,7 +150,7 @@
 MHD_Result CallerExchange::respond_stream()
 {
     m_stream_response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, s_block_bytes, read_stream, this, nullptr);
-    add_common_headers(m_stream_response);
+    add_common_headers(m_stream_response, m_answer, m_request);
     // RFC 9110, section 6.6.2: announces the trailer that says how the answer ended.
     MHD_add_response_header(m_stream_response, "Trailer", s_outcome_header);
     MHD_add_response_header(m_stream_response, MHD_HTTP_HEADER_CACHE_CONTROL, "no-store");
--- a/Libraries/LibEntry/CallerExchange.h
+++ b/Libraries/LibEntry/CallerExchange.h
@@ -22,6 +22,12 @@
     bool is_replay {false};
 };
 
+/// An error as a whole answer.
+[[nodiscard]] FullAnswer make_error_answer(ErrorAnswer const&, Core::RequestId);
+
+/// The HTTP response for a whole answer. The caller destroys it.
+[[nodiscard]] MHD_Response* make_response(FullAnswer const&, Core::RequestId);
+
 /// The answer to one caller, between the router's thread, which writes it, and the HTTP server's threads,
 /// which hand it on. While there is nothing to hand on, the caller's connection is suspended and costs no
 /// thread.
@@ -68,9 +74,7 @@
 private:
     static ssize_t read_stream(void*, std::uint64_t, char*, std::size_t);
     [[nodiscard]] ssize_t read(char* buffer, std::size_t size);
-    MHD_Result respond_full();
     MHD_Result respond_stream();
-    void add_common_headers(MHD_Response*) const;
     void resume();
 
     enum class Progress {
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -147,27 +147,13 @@
         return MHD_YES;
     ErrorAnswer const error {503, "entry_busy", "this entry has too many requests to take in",
         is_earlier_use_unknown ? Outcome::Unknown : Outcome::NotRun, s_busy_retry_after};
-    FullAnswer answer;
-    answer.status = error.status;
-    answer.content_type = "application/json";
-    answer.body = encode_error(error, id);
-    answer.outcome = error.outcome;
-    answer.retry_after = error.retry_after;
-    connection.exchange->answer(std::move(answer));
+    connection.exchange->answer(make_error_answer(error, id));
     return MHD_YES;
 }
 
 MHD_Result CallerServer::refuse(MHD_Connection* mhd_connection, ErrorAnswer const& error, Core::RequestId id)
 {
-    auto const body = encode_error(error, id);
-    auto* response
-        = MHD_create_response_from_buffer(body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
-    MHD_add_response_header(response, "Granitefield-Request", id.to_string().c_str());
-    MHD_add_response_header(response, "Granitefield-Outcome", std::string(to_string(error.outcome)).c_str());
-    if (error.retry_after.count() > 0)
-        MHD_add_response_header(
-            response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(retry_after_seconds(error.retry_after)).c_str());
+    auto* response = make_response(make_error_answer(error, id), id);
     auto const result = MHD_queue_response(mhd_connection, static_cast<unsigned>(error.status), response);
     MHD_destroy_response(response);
     return result;
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -53,11 +53,12 @@
 }
 
 PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
-    std::function<void()> on_news, Observe::MetricRegistry& metrics)
+    SharedMembership& membership, std::function<void()> on_news, Observe::MetricRegistry& metrics)
     : m_settings(std::move(settings))
     , m_context(context)
     , m_table(table)
     , m_hosts(hosts)
+    , m_membership(membership)
     , m_on_news(std::move(on_news))
     , m_bytes_in(metrics.counter("granitefield_peer_bytes_total", {{"direction", "in"}}))
     , m_bytes_out(metrics.counter("granitefield_peer_bytes_total", {{"direction", "out"}}))
@@ -109,7 +110,7 @@
         m_view.set_platform_reachable(m_is_platform_reachable);
         m_view.forget_silent(now);
         m_should_watch = m_view.should_watch();
-        m_known_count = m_view.count();
+        m_membership.other_entries = m_view.count();
         update_connections();
         announce_if_due(now);
     }
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -5,6 +5,7 @@
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/PeerView.h>
 #include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/TableHistory.h>
 #include <LibObserve/Metrics.h>
@@ -42,8 +43,8 @@
     };
 
     /// `on_news` is called on this thread when a peer brought a newer table or host list.
-    PeerExchange(
-        Settings, zmq::context_t&, SharedTable&, SharedHosts&, std::function<void()> on_news, Observe::MetricRegistry&);
+    PeerExchange(Settings, zmq::context_t&, SharedTable&, SharedHosts&, SharedMembership&,
+        std::function<void()> on_news, Observe::MetricRegistry&);
     ~PeerExchange();
     PeerExchange(PeerExchange const&) = delete;
     PeerExchange& operator=(PeerExchange const&) = delete;
@@ -55,7 +56,6 @@
     /// Whether the platform answers this entry. Any thread.
     void set_platform_reachable(bool value);
     [[nodiscard]] std::uint16_t port() const { return m_port; }
-    [[nodiscard]] std::size_t known_count() const { return m_known_count; }
 
 private:
     using Envelope = granitefield::protocol::PeerEnvelope;
@@ -89,6 +89,7 @@
     zmq::context_t& m_context;
     SharedTable& m_table;
     SharedHosts& m_hosts;
+    SharedMembership& m_membership;
     std::function<void()> m_on_news;
     Observe::Counter& m_bytes_in;
     Observe::Counter& m_bytes_out;
@@ -104,7 +105,6 @@
     Core::MonotonicTime m_next_announcement;
     std::atomic<bool> m_is_platform_reachable {true};
     std::atomic<bool> m_should_watch {true};
-    std::atomic<std::size_t> m_known_count {0};
     Core::WakeEvent m_wake;
     std::atomic<bool> m_should_stop {false};
     std::thread m_thread;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -133,13 +133,7 @@
 
 void RequestRun::fail(ErrorAnswer const& error)
 {
-    FullAnswer answer;
-    answer.status = error.status;
-    answer.content_type = "application/json";
-    answer.body = encode_error(error, m_call.id);
-    answer.outcome = error.outcome;
-    answer.retry_after = error.retry_after;
-    m_exchange->answer(std::move(answer));
+    m_exchange->answer(make_error_answer(error, m_call.id));
 }
 
 std::optional<Core::Microseconds> RequestRun::take_token_gap()
--- a/Libraries/LibEntry/RequestRuns.h
+++ b/Libraries/LibEntry/RequestRuns.h
@@ -33,8 +33,9 @@
 public:
     struct Settings {
         ChooserName chooser {ChooserName::PredictedWait};
-        /// What a missed prompt prefix costs; bounds how far a warm cache may outweigh a shorter wait.
-        Core::Milliseconds missed_prefix_cost {30};
+        /// What a missed prefix costs for each kilobyte of the prompt; bounds how far a warm cache may outweigh a
+        /// shorter wait.
+        Core::Milliseconds missed_prefix_cost_per_kilobyte {5};
         /// Side processes that a request is offered to before it is refused.
         std::size_t largest_tries {3};
         /// How long a request waits here while no backend server of its service can be reached.
@@ -66,6 +67,9 @@
     /// Gives every request its final answer; for the process's end.
     void abandon_all();
 
+    /// Entries that share the workspaces' rates.
+    void set_entry_count(std::size_t count) { m_limits.set_entry_count(count); }
+
     [[nodiscard]] std::size_t count() const { return m_runs.size(); }
 
 private:
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -18,9 +18,12 @@
 }
 
 Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, SharedHosts const& hosts,
-    Observe::MetricRegistry& metrics, Observe::DecisionRing& decisions, Observe::SpanExporter* spans)
+    SharedMembership const& membership, Observe::MetricRegistry& metrics, Observe::DecisionRing& decisions,
+    Observe::SpanExporter* spans)
     : m_shared_table(table)
     , m_shared_hosts(hosts)
+    , m_membership(membership)
+    , m_least_entry_count(settings.least_entry_count)
     , m_metrics(metrics)
     , m_links(context, settings.links)
     , m_runs(settings.runs, m_links, metrics, decisions, spans)
@@ -148,6 +151,7 @@
     m_last_tick = time;
     for (auto const& [name, link] : m_links.all())
         apply(*link, link->tick(time));
+    m_runs.set_entry_count(std::max(m_least_entry_count, m_membership.other_entries + 1));
     m_runs.tick(time);
     // A row that moved gets its new link once the old one is closed.
     if (m_links.close_removed())
@@ -176,7 +180,8 @@
     for (auto const& [name, link] : m_links.all())
         control_bytes += link->control_bytes();
     m_metrics.gauge("granitefield_entry_link_control_bytes").set(static_cast<std::int64_t>(control_bytes));
-    nlohmann::json const status {{"role", "entry"}, {"open-requests", m_runs.count()}, {"links", links},
+    nlohmann::json const status {{"role", "entry"}, {"entries", m_membership.other_entries + 1},
+        {"open-requests", m_runs.count()}, {"links", links},
         {"table-version", m_followed_version ? nlohmann::json(m_followed_version->value()) : nlohmann::json()}};
     std::lock_guard const lock(m_mutex);
     m_status = status.dump();
--- a/Libraries/LibEntry/Router.h
+++ b/Libraries/LibEntry/Router.h
@@ -5,6 +5,7 @@
 #include <LibEntry/LinkSet.h>
 #include <LibEntry/RequestRuns.h>
 #include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedTable.h>
 
 #include <atomic>
@@ -27,10 +28,12 @@
         LinkSet::Settings links;
         RequestRuns::Settings runs;
         std::size_t ring_capacity {8192};
+        /// Entries that share the workspaces' rates, also while fewer are known.
+        std::size_t least_entry_count {1};
     };
 
-    Router(Settings, zmq::context_t&, SharedTable const&, SharedHosts const&, Observe::MetricRegistry&,
-        Observe::DecisionRing&, Observe::SpanExporter*);
+    Router(Settings, zmq::context_t&, SharedTable const&, SharedHosts const&, SharedMembership const&,
+        Observe::MetricRegistry&, Observe::DecisionRing&, Observe::SpanExporter*);
     ~Router();
     Router(Router const&) = delete;
     Router& operator=(Router const&) = delete;
@@ -65,6 +68,8 @@
 
     SharedTable const& m_shared_table;
     SharedHosts const& m_shared_hosts;
+    SharedMembership const& m_membership;
+    std::size_t m_least_entry_count;
     Observe::MetricRegistry& m_metrics;
     LinkSet m_links;
     RequestRuns m_runs;
--- a/Libraries/LibPolicy/BackendChooser.cpp
+++ b/Libraries/LibPolicy/BackendChooser.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::int64_t s_bytes_per_kilobyte = 1024;
+
 std::size_t preferred_for_prefix(std::uint64_t prefix_hash, std::span<BackendView const> candidates)
 {
     std::size_t best = 0;
@@ -67,11 +69,13 @@
     std::optional<std::size_t> preferred;
     if (query.prefix_hash != 0)
         preferred = preferred_for_prefix(query.prefix_hash, candidates);
+    Core::Microseconds const missed_prefix_cost = Core::Microseconds(m_missed_prefix_cost_per_kilobyte)
+        * static_cast<std::int64_t>(query.prompt_bytes) / s_bytes_per_kilobyte;
     auto const cost = [&](std::size_t index) {
         auto const& backend = candidates[index];
         Core::Microseconds total = predicted_wait(backend, query.tier) + backend.mean_first_token;
         if (preferred && *preferred != index)
-            total += m_missed_prefix_cost;
+            total += missed_prefix_cost;
         // Among equals the emptier one comes first.
         auto const load = (backend.running + backend.open) * 100U / std::max(backend.slots, 1U);
         return std::pair(total, load);
--- a/Libraries/LibPolicy/BackendChooser.h
+++ b/Libraries/LibPolicy/BackendChooser.h
@@ -35,6 +35,8 @@
     unsigned tier {s_tier_count};
     /// Hash of the prompt's prefix; 0 when a warm cache does not matter.
     std::uint64_t prefix_hash {0};
+    /// Size of the prompt; what a cold cache costs grows with it.
+    std::size_t prompt_bytes {0};
 };
 
 /// A way to choose one of several backend servers. `choose` gives an index into the candidates, which
@@ -54,15 +56,15 @@
 /// probably seen the prefix: worth the time that a missed prefix costs, and no more.
 class PredictedWaitChooser {
 public:
-    explicit PredictedWaitChooser(Core::Milliseconds missed_prefix_cost)
-        : m_missed_prefix_cost(missed_prefix_cost)
+    explicit PredictedWaitChooser(Core::Milliseconds missed_prefix_cost_per_kilobyte)
+        : m_missed_prefix_cost_per_kilobyte(missed_prefix_cost_per_kilobyte)
     {
     }
 
     [[nodiscard]] std::size_t choose(ChoiceQuery const&, std::span<BackendView const>);
 
 private:
-    Core::Milliseconds m_missed_prefix_cost;
+    Core::Milliseconds m_missed_prefix_cost_per_kilobyte;
     std::uint64_t m_turn {0};
 };
 
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -50,7 +50,7 @@
     reader.read_choice<Entry::ChooserName>("chooser", runs.chooser,
         {{"predicted-wait", Entry::ChooserName::PredictedWait}, {"round-robin", Entry::ChooserName::RoundRobin},
             {"least-outstanding", Entry::ChooserName::LeastOutstanding}});
-    reader.read("missed-prefix-cost", runs.missed_prefix_cost, 0ms, 10s);
+    reader.read("missed-prefix-cost-per-kilobyte", runs.missed_prefix_cost_per_kilobyte, 0ms, 10s);
     reader.read_number("largest-tries", runs.largest_tries, 1, 16);
     reader.read("question-interval", runs.question_interval, 20ms, 60s);
     reader.read("hold-limit", runs.hold_limit, 0ms, 60s);
@@ -58,7 +58,7 @@
     reader.read("heartbeat", links.link.heartbeat, 20ms, 60s);
     reader.read("link-patience", links.link.patience, 100ms, 10min);
     reader.read_number("links-per-service", links.links_per_service, 1, 10'000);
-    reader.read_number("entry-count", entry.entry_count, 1, 100'000);
+    reader.read_number("least-entry-count", entry.router.least_entry_count, 1, 100'000);
     reader.finish();
 }
 
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -40,8 +40,6 @@
     Entry::Router::Settings router;
     Entry::PlatformSettings platform;
     Entry::PeerExchange::Settings peers;
-    /// Entries that share the workspaces' rates.
-    std::size_t entry_count {1};
 };
 
 /// The settings of one daemon, read from its JSON file. docs/OPERATING.md lists them.
--- /dev/null
+++ b/Meta/deliberate-breaks.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# Shows that the proofs can fail: breaks the code in one place at a time, in a copy of the last commit, and expects
+# the named test to turn red. docs/PROOFS.md names each break. Prints one line a break and exits with 1 when a
+# test stays green. Usage: Meta/deliberate-breaks.sh [NUMBER...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+copy=$(mktemp -d)
+git worktree add --quiet --detach "${copy}" HEAD
+trap 'git worktree remove --force "${copy}"' EXIT
+cd "${copy}"
+
+# number | file | what sed does to it | test program | filter
+breaks=(
+    '1|Libraries/LibPolicy/AdmissionQueue.h|s/offer.displaced = displace_below(tier_of(work), now);/offer.displaced.reset();/|AdmissionQueueTest|*NeverSheds*'
+    '2|Libraries/LibPolicy/Discipline.h|0,/has_floors = true/s//has_floors = false/|AdmissionQueueTest|*FloorsKeep*'
+    '3|Libraries/LibEntry/RequestRun.cpp|s/return ChunkResult::Gap;/attempt.chunks = chunk.sequence() - 1;/|WholeAnswerTest|*Reset*'
+    '4|Libraries/LibSide/RunningCall.cpp|s/code != CURLE_OK \&\& !has_sent_bytes()/code != CURLE_OK/|NotRunTest|*LosesItsConnections*'
+    '5|Libraries/LibSide/RunningCall.cpp|s/if (m_call.is_repeatable)/if (true)/|NotRunTest|*LosesItsConnections*'
+    '6|Libraries/LibSide/TicketBook.cpp|s/if (ticket->side != m_own)/if (false)/|TicketBookTest|*AnotherRun*'
+    '7|Libraries/LibEntry/SideLink.cpp|s/m_backend_server.state == Table::BackendServerState::Leaving/false/|LeavingTest|*OperatorsWord*'
+    '8|Services/GraniteFieldD/SideDaemon.cpp|s/    wait_until_drained(authority, common.drain_limit);//|LeavingTest|*PlannedStopOfASide*'
+    '9|Libraries/LibEntry/SharedTable.h|s/if (m_table \&\& table.version() <= m_table->version())/if (false)/|PeersTest|*NeverGoesBack*'
+    '10|Libraries/LibPlatform/TableStore.cpp|s/if (base.version() == current.version())/if (true)/|ConfigurationTest|*TwoOperators*'
+    '11|Libraries/LibPolicy/AdmissionQueue.h|s/work.tier > tier \&\& work.is_preemptible/work.is_preemptible/|AdmissionQueueTest|*SuspendsOnly*'
+    '12|Libraries/LibEntry/LinkSet.cpp|s/link->set_listed_as_leaving(is_leaving);/link->set_listed_as_leaving(false);/|LeavingTest|*HostList*'
+)
+
+wanted=" $* "
+failures=0
+cmake --preset default >/dev/null
+for entry in "${breaks[@]}"; do
+    IFS='|' read -r number file edit program filter <<<"${entry}"
+    if [ "$#" -gt 0 ] && [[ "${wanted}" != *" ${number} "* ]]; then
+        continue
+    fi
+    sed -i "${edit}" "${file}"
+    if git diff --quiet; then
+        echo "break ${number}: ${file} was not changed; the break no longer fits the code"
+        failures=$((failures + 1))
+        continue
+    fi
+    if ! cmake --build Build/default --target "${program}" granitefieldd -- --quiet >"${copy}.log" 2>&1; then
+        echo "break ${number}: does not build, see ${copy}.log"
+        failures=$((failures + 1))
+    elif RC_PARAMS="seed=20261202 max_success=200" "Build/default/Tests/${program}" --gtest_filter="${filter}" >"${copy}.log" 2>&1; then
+        echo "break ${number}: ${program} ${filter} stays green"
+        failures=$((failures + 1))
+    else
+        echo "break ${number}: ${program} ${filter} is red, as it must be"
+    fi
+    git checkout --quiet -- .
+done
+exit $((failures > 0))
--- a/Tests/Benchmarks/DecisionBenchmark.cpp
+++ b/Tests/Benchmarks/DecisionBenchmark.cpp
@@ -85,7 +85,7 @@
     Policy::PredictedWaitChooser chooser(30ms);
     std::uint64_t prefix = 0;
     for (auto _ : state)
-        benchmark::DoNotOptimize(chooser.choose({3, ++prefix}, views));
+        benchmark::DoNotOptimize(chooser.choose({3, ++prefix, 1000}, views));
 }
 
 Table::Table make_table(int workspaces)
--- a/Tests/Experiments/added_latency.cpp
+++ b/Tests/Experiments/added_latency.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
+#include <cstdlib>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -20,12 +22,15 @@
 using Testing::Json;
 
 constexpr int s_rounds = 600;
-constexpr unsigned s_slots = 8;
-constexpr unsigned s_other_callers = 16;
-constexpr unsigned s_step_microseconds = 2000;
+/// The shared engine runs eight at once, and each side process takes four.
+constexpr unsigned s_other_callers = 3;
 
-std::size_t ignore(char*, std::size_t size, std::size_t count, void*)
+/// Notes when the first byte of the body came; the status line alone says nothing of a token.
+std::size_t note_first_byte(char*, std::size_t size, std::size_t count, void* user)
 {
+    auto& first = *static_cast<std::optional<Core::MonotonicTime>*>(user);
+    if (!first)
+        first = Core::monotonic_now();
     return size * count;
 }
 
@@ -41,7 +46,8 @@
         m_headers.append("Expect:");
         curl_easy_setopt(m_handle, CURLOPT_URL, m_url.c_str());
         curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headers.list());
-        curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, ignore);
+        curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, note_first_byte);
+        curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &m_first_byte);
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, s_body);
     }
     ~TimedCaller() { curl_easy_cleanup(m_handle); }
@@ -50,13 +56,14 @@
 
     void call()
     {
+        m_first_byte.reset();
+        auto const start = Core::monotonic_now();
         curl_easy_perform(m_handle);
-        curl_off_t first = 0;
-        curl_off_t total = 0;
-        curl_easy_getinfo(m_handle, CURLINFO_STARTTRANSFER_TIME_T, &first);
-        curl_easy_getinfo(m_handle, CURLINFO_TOTAL_TIME_T, &total);
-        m_first.push_back(static_cast<double>(first) / 1000);
-        m_total.push_back(static_cast<double>(total) / 1000);
+        auto const to_milliseconds = [start](Core::MonotonicTime time) {
+            return std::chrono::duration<double, std::milli>(time - start).count();
+        };
+        m_first.push_back(to_milliseconds(m_first_byte.value_or(start)));
+        m_total.push_back(to_milliseconds(Core::monotonic_now()));
     }
 
     [[nodiscard]] std::vector<double> first() const { return sorted(m_first); }
@@ -73,6 +80,7 @@
     }
 
     CURL* m_handle;
+    std::optional<Core::MonotonicTime> m_first_byte;
     std::string m_url;
     HTTP::HeaderList m_headers;
     std::vector<double> m_first;
@@ -92,18 +100,20 @@
 
 }
 
-int main()
+int main(int argument_count, char** arguments)
 {
+    // NOTE: Without proxies between the processes, so that only the product is measured.
+    auto const other_callers = argument_count > 1 ? static_cast<unsigned>(std::atoi(arguments[1])) : s_other_callers;
     Fleet fleet;
     fleet.add_class("clerk", {{"tier", "1"}});
-    for (auto const* name : {"llm-1", "llm-2", "llm-3", "llm-4"})
-        fleet.add_model_backend(name, {s_slots, s_step_microseconds});
+    for (auto const* name : {"llm-1", "llm-2"})
+        fleet.add_shared_model_backend(name);
     fleet.start(1);
 
     // Other callers, one after the other without a pause, keep about half of the slots busy.
     std::atomic<bool> should_stop {false};
     std::vector<std::thread> others;
-    for (unsigned caller = 0; caller < s_other_callers; ++caller) {
+    for (unsigned caller = 0; caller < other_callers; ++caller) {
         others.emplace_back([&] {
             while (!should_stop)
                 static_cast<void>(fleet.complete("clerk", "other", 40));
--- a/Tests/LibPolicy/PolicyTest.cpp
+++ b/Tests/LibPolicy/PolicyTest.cpp
@@ -89,28 +89,28 @@
 {
     PredictedWaitChooser chooser(30ms);
     std::vector<BackendView> const views {make_view("a", 4, 6), make_view("b", 4, 1), make_view("c", 4, 9)};
-    EXPECT_EQ(chooser.choose({3, 0}, views), 1U);
+    EXPECT_EQ(chooser.choose({3, 0, 0}, views), 1U);
 }
 
 TEST(PredictedWaitChooser, CountsWhatWasSentSinceTheReport)
 {
     PredictedWaitChooser chooser(30ms);
     std::vector<BackendView> views {make_view("a", 3, 0), make_view("b", 4, 0)};
-    EXPECT_EQ(chooser.choose({3, 0}, views), 0U);
+    EXPECT_EQ(chooser.choose({3, 0, 0}, views), 0U);
     views[0].sent_by_tier[2] = 4;
-    EXPECT_EQ(chooser.choose({3, 0}, views), 1U);
+    EXPECT_EQ(chooser.choose({3, 0, 0}, views), 1U);
 }
 
 TEST(PredictedWaitChooser, KeepsAPrefixWhereItIsUntilThatCostsMore)
 {
     PredictedWaitChooser chooser(30ms);
     std::vector<BackendView> views {make_view("a", 0, 0), make_view("b", 0, 0), make_view("c", 0, 0)};
-    auto const home = chooser.choose({3, 12345}, views);
+    auto const home = chooser.choose({3, 12345, 1024}, views);
     for (int repeat = 0; repeat < 10; ++repeat)
-        EXPECT_EQ(chooser.choose({3, 12345}, views), home);
+        EXPECT_EQ(chooser.choose({3, 12345, 1024}, views), home);
     views[home].running = 4;
     views[home].waiting_by_tier[2] = 10;
-    EXPECT_NE(chooser.choose({3, 12345}, views), home);
+    EXPECT_NE(chooser.choose({3, 12345, 1024}, views), home);
 }
 
 TEST(PredictedWait, LeavesHeadroomToTheUrgentTier)
--- a/Tests/StandIns/BatchEngine.cpp
+++ b/Tests/StandIns/BatchEngine.cpp
@@ -160,8 +160,12 @@
 
 void BatchEngine::close(Sequence& sequence, std::string end)
 {
-    if (end != "done")
-        m_counts.wasted_tokens += sequence.generated - resumed_part(sequence);
+    if (end != "done") {
+        auto const resumed = resumed_part(sequence);
+        m_counts.wasted_tokens += sequence.generated - resumed;
+        if (resumed > 0)
+            end = "suspended";
+    }
     for (auto& execution : m_executions) {
         if (execution.request == sequence.request && execution.attempt == sequence.attempt
             && execution.end == "running") {
