LibEntry: Keep the caller's window in one place

Cause: the limit on what a caller has not taken stood in two files, which have to agree: one decides when chunks are acknowledged, the other catches up later.

Change: RequestRun::can_caller_take_more() holds it. Behaviour is unchanged.

--- a/Libraries/LibEntry/AttemptMessages.cpp
+++ b/Libraries/LibEntry/AttemptMessages.cpp
@@ -16,7 +16,6 @@
 
 /// Chunks after which they are acknowledged, so that the side process keeps few.
 constexpr std::uint32_t s_chunks_per_acknowledgement = 32;
-constexpr std::size_t s_caller_window_bytes = 256U << 10U;
 
 /// Told to callers where the side process names no time.
 constexpr Core::Milliseconds s_least_retry_after {100};
@@ -236,7 +235,7 @@
     if (auto const gap = run.take_token_gap())
         metrics_of(run).token_gap.add(*gap);
     bool const is_due = attempt.chunks - attempt.acknowledged >= s_chunks_per_acknowledgement;
-    if (is_due && run.exchange().pending_bytes() < s_caller_window_bytes)
+    if (is_due && run.can_caller_take_more())
         acknowledge(link, run, false);
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -69,6 +69,9 @@
     [[nodiscard]] Call const& call() const { return m_call; }
     [[nodiscard]] CallerExchange& exchange() { return *m_exchange; }
 
+    /// Whether the caller keeps up, so that the side process may be told to go on.
+    [[nodiscard]] bool can_caller_take_more() const { return m_exchange->pending_bytes() < s_caller_window_bytes; }
+
     [[nodiscard]] AttemptView* attempt() { return m_attempt ? &*m_attempt : nullptr; }
     AttemptView& begin_attempt(std::string backend_server, Core::MonotonicTime now);
     /// The present attempt is over and was not the last word.
@@ -112,6 +115,9 @@
     [[nodiscard]] std::optional<Core::Microseconds> take_token_gap();
 
 private:
+    /// Bytes that a caller has not taken yet, above which it is behind.
+    static constexpr std::size_t s_caller_window_bytes = 256U << 10U;
+
     void hand_on(std::string const& payload);
 
     Call m_call;
--- a/Libraries/LibEntry/RequestRuns.cpp
+++ b/Libraries/LibEntry/RequestRuns.cpp
@@ -10,8 +10,6 @@
 
 constexpr Core::Milliseconds s_no_backend_retry_after {1'000};
 constexpr Core::Milliseconds s_gave_up_retry_after {1'000};
-/// Bytes that a caller has not taken yet, above which the side process is not told to go on.
-constexpr std::size_t s_caller_window_bytes = 256U << 10U;
 
 template <typename Chooser>
 Chooser make_chooser(RequestRuns::Settings const& settings)
@@ -121,7 +119,7 @@
                 now);
         return;
     }
-    if (attempt->acknowledged < attempt->chunks && run.exchange().pending_bytes() < s_caller_window_bytes)
+    if (attempt->acknowledged < attempt->chunks && run.can_caller_take_more())
         acknowledge(*link, run, false);
     bool const is_quiet = Core::elapsed(attempt->last_heard, now) > m_settings.question_interval
         && Core::elapsed(attempt->last_asked, now) > m_settings.question_interval;
