--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -53,11 +53,12 @@
 }
 
 PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
-    SharedMembership& membership, std::function<void()> on_news, Observe::MetricRegistry& metrics)
+    SharedServers& servers, SharedMembership& membership, std::function<void()> on_news, Observe::MetricRegistry& metrics)
     : m_settings(std::move(settings))
     , m_context(context)
     , m_table(table)
     , m_hosts(hosts)
+    , m_servers(servers)
     , m_membership(membership)
     , m_on_news(std::move(on_news))
     , m_bytes_in(metrics.counter("granitefield_peer_bytes_total", {{"direction", "in"}}))
@@ -181,6 +182,8 @@
         return handle_table(envelope.table());
     case Envelope::kHosts:
         return handle_hosts(envelope.hosts());
+    case Envelope::kServers:
+        return handle_servers(envelope.servers());
     default:
         m_rejected.add();
     }
@@ -194,42 +197,59 @@
         m_view.note(from_message(record, now));
     auto const own_table = table_version().value();
     auto const own_hosts = m_hosts.version().value();
-    Envelope answer;
-    answer.set_protocol_version(Protocol::s_protocol_version);
-    if (announce.table_version() > own_table || announce.hosts_version() > own_hosts) {
+    auto const own_servers = m_servers.revision().value();
+    bool const is_ahead = announce.table_version() > own_table || announce.hosts_version() > own_hosts
+        || announce.servers_revision() > own_servers;
+    if (is_ahead) {
+        Envelope answer;
+        answer.set_protocol_version(Protocol::s_protocol_version);
         answer.mutable_pull()->set_table_version(own_table);
         answer.mutable_pull()->set_hosts_version(own_hosts);
+        answer.mutable_pull()->set_servers_revision(own_servers);
         return reply(answer);
     }
     // The sender is behind: it is told what there is, and pulls.
-    if (announce.table_version() < own_table || announce.hosts_version() < own_hosts)
+    bool const is_behind = announce.table_version() < own_table || announce.hosts_version() < own_hosts
+        || announce.servers_revision() < own_servers;
+    if (is_behind)
         reply(make_announcement());
 }
 
 void PeerExchange::handle_pull(Message::Pull const& pull, Reply const& reply)
+{
+    give_table(pull, reply);
+    give_hosts(pull, reply);
+    give_servers(pull, reply);
+}
+
+void PeerExchange::give_table(Message::Pull const& pull, Reply const& reply)
 {
     auto const table = m_table.current();
-    if (table && table->version().value() > pull.table_version()) {
-        m_history.note(table);
-        Envelope answer;
-        answer.set_protocol_version(Protocol::s_protocol_version);
-        auto& update = *answer.mutable_table();
-        update.set_to_version(table->version().value());
-        auto const edits = m_history.edits_since(Core::TableVersion(pull.table_version()));
-        if (edits) {
-            update.set_from_version(pull.table_version());
-            for (auto const& edit : *edits) {
-                auto& cell = *update.add_edits();
-                cell.set_sheet(static_cast<std::uint32_t>(edit.place.sheet));
-                cell.set_row(edit.place.row);
-                cell.set_column(edit.place.column);
-                cell.set_value(edit.value.value_or(""));
-            }
-        } else {
-            update.set_whole(Table::encode_table(*table));
-        }
-        reply(answer);
+    if (!table || table->version().value() <= pull.table_version())
+        return;
+    m_history.note(table);
+    Envelope answer;
+    answer.set_protocol_version(Protocol::s_protocol_version);
+    auto& update = *answer.mutable_table();
+    update.set_to_version(table->version().value());
+    auto const edits = m_history.edits_since(Core::TableVersion(pull.table_version()));
+    if (!edits) {
+        update.set_whole(Table::encode_table(*table));
+        return reply(answer);
+    }
+    update.set_from_version(pull.table_version());
+    for (auto const& edit : *edits) {
+        auto& cell = *update.add_edits();
+        cell.set_sheet(static_cast<std::uint32_t>(edit.place.sheet));
+        cell.set_row(edit.place.row);
+        cell.set_column(edit.place.column);
+        cell.set_value(edit.value.value_or(""));
     }
+    reply(answer);
+}
+
+void PeerExchange::give_hosts(Message::Pull const& pull, Reply const& reply) const
+{
     auto const hosts = m_hosts.current();
     if (hosts.version.value() <= pull.hosts_version())
         return;
@@ -241,6 +261,27 @@
     reply(answer);
 }
 
+void PeerExchange::give_servers(Message::Pull const& pull, Reply const& reply) const
+{
+    auto const list = m_servers.current();
+    if (!list || list->revision.value() <= pull.servers_revision())
+        return;
+    Envelope answer;
+    answer.set_protocol_version(Protocol::s_protocol_version);
+    auto& update = *answer.mutable_servers();
+    update.set_revision(list->revision.value());
+    for (auto const& server : list->servers) {
+        auto& record = *update.add_servers();
+        record.set_instance(server.instance);
+        record.set_service(server.service);
+        record.set_address(server.address.to_string());
+        record.set_failure_domain(server.failure_domain);
+        record.set_slots(server.slots);
+        record.set_is_leaving(server.state == Table::BackendServerState::Leaving);
+    }
+    reply(answer);
+}
+
 void PeerExchange::handle_table(Message::TableUpdate const& update)
 {
     auto const current = m_table.current();
@@ -284,6 +325,25 @@
         m_on_news();
 }
 
+void PeerExchange::handle_servers(Message::ServersUpdate const& update)
+{
+    ServerList list;
+    list.revision = ListRevision(update.revision());
+    for (auto const& record : update.servers()) {
+        auto const address = Core::Address::from_string(record.address());
+        if (!address) {
+            m_rejected.add();
+            return;
+        }
+        auto const state
+            = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
+        list.servers.push_back(
+            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state});
+    }
+    if (m_servers.offer(std::move(list)))
+        m_on_news();
+}
+
 void PeerExchange::update_connections()
 {
     std::vector<std::string> wanted;
@@ -316,7 +376,7 @@
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
     bool const has_news = table_version() != m_announced_table || m_hosts.version() != m_announced_hosts
-        || m_is_platform_reachable != m_announced_reachable;
+        || m_servers.revision() != m_announced_servers || m_is_platform_reachable != m_announced_reachable;
     if (!has_news && now < m_next_announcement)
         return;
     announce();
@@ -339,6 +399,7 @@
     *announce.mutable_sender() = to_message(self, now);
     announce.set_table_version(table_version().value());
     announce.set_hosts_version(m_hosts.version().value());
+    announce.set_servers_revision(m_servers.revision().value());
     return envelope;
 }
 
@@ -348,6 +409,7 @@
     auto envelope = make_announcement();
     m_announced_table = Core::TableVersion(envelope.announce().table_version());
     m_announced_hosts = HostsVersion(envelope.announce().hosts_version());
+    m_announced_servers = ListRevision(envelope.announce().servers_revision());
     m_announced_reachable = envelope.announce().sender().is_platform_reachable();
     // What is due only now and then tells of other entries as well; news stay short.
     if (now >= m_next_announcement) {
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -6,6 +6,7 @@
 #include <LibEntry/PeerView.h>
 #include <LibEntry/SharedHosts.h>
 #include <LibEntry/SharedMembership.h>
+#include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/TableHistory.h>
 #include <LibObserve/Metrics.h>
@@ -25,7 +26,7 @@
 
 namespace GraniteField::Entry {
 
-/// Spreads the table and the host list between entries, on a thread of its own. An entry announces the
+/// Spreads the table, the host list and the list of backend servers between entries, on a thread of its own. An entry announces the
 /// versions that it has to its neighbours; whoever has older ones pulls. docs/design/configuration-spread.md
 /// gives the reasons.
 class PeerExchange {
@@ -42,8 +43,8 @@
         Core::Milliseconds first_interval {200};
     };
 
-    /// `on_news` is called on this thread when a peer brought a newer table or host list.
-    PeerExchange(Settings, zmq::context_t&, SharedTable&, SharedHosts&, SharedMembership&,
+    /// `on_news` is called on this thread when a peer brought something newer.
+    PeerExchange(Settings, zmq::context_t&, SharedTable&, SharedHosts&, SharedServers&, SharedMembership&,
         std::function<void()> on_news, Observe::MetricRegistry&);
     ~PeerExchange();
     PeerExchange(PeerExchange const&) = delete;
@@ -77,6 +78,10 @@
     void handle_pull(granitefield::protocol::Pull const&, Reply const&);
     void handle_table(granitefield::protocol::TableUpdate const&);
     void handle_hosts(granitefield::protocol::HostsUpdate const&);
+    void handle_servers(granitefield::protocol::ServersUpdate const&);
+    void give_table(granitefield::protocol::Pull const&, Reply const&);
+    void give_hosts(granitefield::protocol::Pull const&, Reply const&) const;
+    void give_servers(granitefield::protocol::Pull const&, Reply const&) const;
     void update_connections();
     void announce_if_due(Core::MonotonicTime now);
     void announce();
@@ -89,6 +94,7 @@
     zmq::context_t& m_context;
     SharedTable& m_table;
     SharedHosts& m_hosts;
+    SharedServers& m_servers;
     SharedMembership& m_membership;
     std::function<void()> m_on_news;
     Observe::Counter& m_bytes_in;
@@ -101,6 +107,7 @@
     std::map<std::string, Connection> m_connections;
     Core::TableVersion m_announced_table;
     HostsVersion m_announced_hosts;
+    ListRevision m_announced_servers;
     bool m_announced_reachable {true};
     Core::MonotonicTime m_next_announcement;
     std::atomic<bool> m_is_platform_reachable {true};
--- /dev/null
+++ b/Libraries/LibEntry/SharedServers.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/StrongInteger.h>
+#include <LibTable/Rows.h>
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace GraniteField::Entry {
+
+/// Revision of a list of backend servers; a later list has a higher one.
+using ListRevision = Core::StrongInteger<struct ListRevisionTag>;
+
+/// A backend server that calls are sent to directly, as its own entry in the platform's store describes it.
+struct DirectServer {
+    /// One run of the server. A server that starts again, or another one at the same address, has another id.
+    std::string instance;
+    std::string service;
+    Core::Address address;
+    std::string failure_domain;
+    /// Requests that it works on at once.
+    unsigned slots {1};
+    Table::BackendServerState state {Table::BackendServerState::Serving};
+
+    bool operator==(DirectServer const&) const = default;
+};
+
+struct ServerList {
+    ListRevision revision;
+    std::vector<DirectServer> servers;
+};
+
+/// The newest list of backend servers in this process. Any thread; an older list never takes the place of a newer.
+class SharedServers {
+public:
+    /// Null before the first list.
+    [[nodiscard]] std::shared_ptr<ServerList const> current() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_list;
+    }
+
+    [[nodiscard]] ListRevision revision() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_list ? m_list->revision : ListRevision();
+    }
+
+    /// Takes the list if it is newer, and says whether it was.
+    bool offer(ServerList list)
+    {
+        std::lock_guard const lock(m_mutex);
+        if (m_list && list.revision <= m_list->revision)
+            return false;
+        m_list = std::make_shared<ServerList const>(std::move(list));
+        return true;
+    }
+
+    /// Takes a list that this process made itself, also one of the same revision; never an older one.
+    bool replace(ServerList list)
+    {
+        std::lock_guard const lock(m_mutex);
+        if (m_list && list.revision < m_list->revision)
+            return false;
+        m_list = std::make_shared<ServerList const>(std::move(list));
+        return true;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<ServerList const> m_list;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -0,0 +1,147 @@
+#include <LibGateway/BackendAttempt.h>
+
+#include <array>
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/address.hpp>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+constexpr std::size_t s_read_size = 64U << 10U;
+/// Sent bytes that are not acknowledged for this long end the connection: a host without power says nothing.
+constexpr Core::Milliseconds s_unacknowledged_limit {3'000};
+
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+}
+
+BackendAttempt::BackendAttempt(
+    boost::asio::io_context& loop, std::shared_ptr<BackendView> server, HTTP::BodyRule rule, Listener& listener)
+    : m_socket(loop)
+    , m_server(std::move(server))
+    , m_parser(rule)
+    , m_listener(&listener)
+{
+}
+
+BackendAttempt::~BackendAttempt()
+{
+    m_server->end_attempt(m_load);
+}
+
+void BackendAttempt::begin(std::string request, Core::MonotonicTime now)
+{
+    m_request = std::move(request);
+    m_begun = now;
+    auto const& address = m_server->record().address;
+    boost::asio::ip::tcp::endpoint const endpoint(boost::asio::ip::make_address(address.host()), address.port());
+    Error error;
+    m_socket.open(endpoint.protocol(), error);
+    m_socket.non_blocking(true, error);
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), error);
+    m_socket.set_option(UserTimeout(static_cast<int>(s_unacknowledged_limit.count())), error);
+    m_socket.async_connect(endpoint, [self = shared_from_this()](Error connect_error) {
+        if (!self->m_is_over)
+            self->handle_connected(connect_error);
+    });
+}
+
+void BackendAttempt::cancel()
+{
+    m_is_over = true;
+    m_server->end_attempt(m_load);
+    Error ignored;
+    m_socket.close(ignored);
+}
+
+void BackendAttempt::resume()
+{
+    m_is_paused = false;
+    read();
+}
+
+void BackendAttempt::fail(Failure failure, std::string const& reason)
+{
+    if (m_is_over)
+        return;
+    // The listener may drop its last reference to this attempt.
+    auto const self = shared_from_this();
+    cancel();
+    m_listener->handle_failure(*this, failure, reason);
+}
+
+void BackendAttempt::handle_connected(Error const& error)
+{
+    if (error)
+        return fail(Failure::NotSent, error.message());
+    write();
+    if (!m_is_over)
+        read();
+}
+
+void BackendAttempt::write()
+{
+    Error error;
+    while (m_written < m_request.size()) {
+        auto const rest = boost::asio::buffer(m_request.data() + m_written, m_request.size() - m_written);
+        m_written += m_socket.write_some(rest, error);
+        if (error == boost::asio::error::would_block) {
+            m_socket.async_wait(
+                boost::asio::ip::tcp::socket::wait_write, [self = shared_from_this()](Error wait_error) {
+                    if (!wait_error && !self->m_is_over)
+                        self->write();
+                });
+            return;
+        }
+        // A server may answer before it has read all, and close; its answer counts.
+        if (error && m_written > 0)
+            return;
+        if (error)
+            return fail(Failure::NotSent, error.message());
+    }
+    m_request.clear();
+    m_request.shrink_to_fit();
+    m_written = std::max<std::size_t>(m_written, 1);
+}
+
+void BackendAttempt::read()
+{
+    if (m_is_over || m_is_reading || m_is_paused)
+        return;
+    m_is_reading = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](Error error) {
+        self->m_is_reading = false;
+        if (!error && !self->m_is_over)
+            self->take_input();
+    });
+}
+
+void BackendAttempt::take_input()
+{
+    static thread_local std::array<char, s_read_size> s_buffer;
+    Error error;
+    auto const count = m_socket.read_some(boost::asio::buffer(s_buffer), error);
+    if (error == boost::asio::error::would_block)
+        return read();
+    auto const self = shared_from_this();
+    if (error == boost::asio::error::eof) {
+        m_parser.add_end();
+        if (!m_parser.is_complete())
+            return fail(Failure::Broken, "the connection was closed before the answer was whole");
+        return m_listener->handle_answer(*this);
+    }
+    if (error)
+        return fail(Failure::Broken, error.message());
+    m_input.append(s_buffer.data(), count);
+    m_input.erase(0, m_parser.add(m_input));
+    if (m_parser.is_broken())
+        return fail(Failure::Broken, "what came is no HTTP answer");
+    if (m_parser.has_head())
+        m_listener->handle_answer(*this);
+    if (!m_is_over)
+        read();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -0,0 +1,195 @@
+#include <LibGateway/BackendFleet.h>
+
+#include <LibCore/Hashing.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+/// How much of a prompt's shared parts the engines that come first in its own order keep, where this gateway has not
+/// sent it there itself: other gateways use the same order.
+constexpr std::array s_assumed_kept {0.7, 0.3};
+/// A shorter reading says too little of an engine's rate.
+constexpr std::uint32_t s_least_measured_tokens = 2'000;
+constexpr double s_newest_rate_weight = 0.1;
+constexpr double s_slowest_prefill_rate = 1;
+
+/// The parts that other requests share: all but the last, which belongs to the request or its session.
+std::span<PromptPart const> shared_parts(GatewayCall const& call)
+{
+    std::span<PromptPart const> const parts = call.prompt;
+    return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
+std::uint32_t tokens_of(std::span<PromptPart const> parts)
+{
+    std::uint32_t tokens = 0;
+    for (auto const& part : parts)
+        tokens += part.tokens;
+    return tokens;
+}
+
+}
+
+BackendFleet::BackendFleet(Settings settings, Observe::EventLog& log)
+    : m_settings(std::move(settings))
+    , m_log(log)
+{
+}
+
+void BackendFleet::log_change(Entry::DirectServer const& server, std::string_view change, Entry::ListRevision revision) const
+{
+    m_log.write(Observe::LogEvent("backend-server")
+                    .add("change", change)
+                    .add("instance", server.instance)
+                    .add("service", server.service)
+                    .add("address", server.address.to_string())
+                    .add("domain", server.failure_domain)
+                    .add("revision", revision.value()));
+}
+
+void BackendFleet::follow(Entry::ServerList const& list)
+{
+    std::set<std::string> listed;
+    for (auto const& record : list.servers) {
+        listed.insert(record.instance);
+        auto& view = m_servers[record.instance];
+        if (view == nullptr) {
+            view = std::make_shared<BackendView>(record);
+            view->prefixes().set_capacity(m_memory_tokens[record.service]);
+            log_change(record, "added", list.revision);
+            continue;
+        }
+        if (!view->is_listed())
+            log_change(record, "back", list.revision);
+        else if (view->record().state != record.state)
+            log_change(record, record.state == Table::BackendServerState::Leaving ? "leaving" : "serving",
+                list.revision);
+        view->set_listed(true);
+        view->set_record(record);
+    }
+    for (auto& [instance, view] : m_servers) {
+        if (listed.contains(instance) || !view->is_listed())
+            continue;
+        view->set_listed(false);
+        log_change(view->record(), "gone", list.revision);
+    }
+    // Attempts hold their views; one without any may go.
+    std::erase_if(m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
+}
+
+void BackendFleet::follow(Table::Table const& table)
+{
+    for (auto const& [name, service] : table.services())
+        m_memory_tokens[name] = service.memory_tokens;
+    for (auto& [instance, view] : m_servers)
+        view->prefixes().set_capacity(m_memory_tokens[view->record().service]);
+}
+
+bool BackendFleet::has_servers() const
+{
+    return std::ranges::any_of(m_servers, [](auto const& item) { return item.second->takes_new_requests(); });
+}
+
+double BackendFleet::prefill_rate(std::string const& service) const
+{
+    auto const found = m_prefill_rates.find(service);
+    return found == m_prefill_rates.end() ? m_settings.first_prefill_rate : found->second;
+}
+
+void BackendFleet::note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait)
+{
+    if (unread_tokens < s_least_measured_tokens || wait.count() <= 0)
+        return;
+    auto const measured = static_cast<double>(unread_tokens) / static_cast<double>(wait.count());
+    auto const known = prefill_rate(service);
+    // Most waits hold more than the reading itself, so a faster reading says more than a slower one.
+    auto const weight = measured > known ? s_newest_rate_weight : s_newest_rate_weight / 10;
+    m_prefill_rates[service] = std::max(s_slowest_prefill_rate, known + (measured - known) * weight);
+}
+
+std::vector<BackendFleet::Candidate> BackendFleet::candidates_for(
+    GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
+{
+    std::vector<Candidate> candidates;
+    for (auto const& [instance, view] : m_servers) {
+        if (view->record().service == call.service && view->takes_new_requests())
+            candidates.push_back({view, 0});
+    }
+    rank_by_prompt(candidates, call);
+    std::erase_if(candidates, [&](auto const& item) { return excluded.contains(item.server->record().instance); });
+    bool const is_one_sound
+        = std::ranges::any_of(candidates, [now](auto const& item) { return !item.server->is_avoided(now); });
+    if (is_one_sound)
+        std::erase_if(candidates, [now](auto const& item) { return item.server->is_avoided(now); });
+    return candidates;
+}
+
+void BackendFleet::rank_by_prompt(std::vector<Candidate>& candidates, GatewayCall const& call) const
+{
+    auto const parts = shared_parts(call);
+    if (parts.empty())
+        return;
+    // Rendezvous hashing: each engine that comes or goes moves only its own share of the prompts.
+    auto const key = parts.back().chain;
+    std::ranges::sort(candidates, std::ranges::greater(),
+        [key](auto const& item) { return Core::hash_bytes(item.server->record().instance, key); });
+    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
+        candidates[rank].rank = rank;
+}
+
+double BackendFleet::plain_cost(BackendView const& server, GatewayCall const& call, Core::MonotonicTime now) const
+{
+    auto const slots = std::max(1U, server.record().slots);
+    auto const latency = std::max(1.0, server.mean_latency().count());
+    auto const load = static_cast<double>(server.open_count()) / slots;
+    auto const target = static_cast<double>(call.request_class->first_token_target.count());
+    return latency * (1 + load) + server.failure_rate(now) * target;
+}
+
+double BackendFleet::engine_cost(
+    Candidate const& candidate, GatewayCall const& call, Core::MonotonicTime now, std::uint32_t& unread_tokens) const
+{
+    auto const& server = *candidate.server;
+    auto const total = std::max(call.prompt_tokens, tokens_of(call.prompt));
+    auto const kept = server.prefixes().kept_tokens(call.prompt);
+    auto const shared = tokens_of(shared_parts(call));
+    double expected_kept = kept;
+    if (candidate.rank < s_assumed_kept.size())
+        expected_kept = std::max(expected_kept, s_assumed_kept.at(candidate.rank) * shared);
+    unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
+    auto const rate = prefill_rate(call.service);
+    auto const reading = (static_cast<double>(server.unread_tokens()) + unread_tokens) / rate;
+    auto const running = static_cast<double>(server.open_count() * m_settings.cost_per_running.count());
+    auto const target = static_cast<double>(call.request_class->first_token_target.count());
+    return reading + running + server.failure_rate(now) * target;
+}
+
+Choice BackendFleet::choose(
+    GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
+{
+    auto const candidates = candidates_for(call, excluded, now);
+    Choice best;
+    best.candidates = candidates.size();
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto const& candidate : candidates) {
+        std::uint32_t unread_tokens = 0;
+        auto const wait = call.prompt.empty() ? plain_cost(*candidate.server, call, now)
+                                              : engine_cost(candidate, call, now, unread_tokens);
+        bool const is_near = candidate.server->record().failure_domain == m_settings.failure_domain;
+        auto const cost = wait + (is_near ? 0.0 : static_cast<double>(m_settings.cost_per_domain_change.count()));
+        if (cost >= best_cost)
+            continue;
+        best_cost = cost;
+        best.server = candidate.server;
+        best.unread_tokens = unread_tokens;
+        best.predicted_wait = Core::Milliseconds(static_cast<std::int64_t>(wait));
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibGateway/BackendView.h>
+#include <LibGateway/GatewayCall.h>
+#include <LibObserve/EventLog.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace GraniteField::Gateway {
+
+/// Why a backend server was chosen; for the log.
+struct Choice {
+    std::shared_ptr<BackendView> server;
+    /// Prompt tokens that it is believed to read for this request.
+    std::uint32_t unread_tokens {0};
+    /// Time until the first piece of the answer, as predicted.
+    Core::Milliseconds predicted_wait {0};
+    std::size_t candidates {0};
+};
+
+/// The backend servers of all services, and the choice among them. On the gateway's thread only.
+class BackendFleet {
+public:
+    struct Settings {
+        /// Where this gateway stands; servers there are preferred among equals.
+        std::string failure_domain;
+        /// Prompt tokens that an engine reads in a millisecond, until its answers tell better.
+        double first_prefill_rate {30};
+        /// What each request that runs at an engine adds to the next one's first token.
+        Core::Milliseconds cost_per_running {4};
+        /// What it costs to leave the own failure domain, in time.
+        Core::Milliseconds cost_per_domain_change {2};
+    };
+
+    BackendFleet(Settings, Observe::EventLog&);
+
+    void set_settings(Settings settings) { m_settings = std::move(settings); }
+
+    /// Takes the list; servers that it lacks get nothing new.
+    void follow(Entry::ServerList const&);
+    /// Memory sizes by service.
+    void follow(Table::Table const&);
+
+    /// The best backend server that is not among `excluded`; no server when there is none.
+    [[nodiscard]] Choice choose(
+        GatewayCall const&, std::set<std::string> const& excluded, Core::MonotonicTime now) const;
+
+    /// An engine gave the first event of a prompt of which it had to read so much.
+    void note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait);
+
+    [[nodiscard]] std::size_t count() const { return m_servers.size(); }
+    [[nodiscard]] bool has_servers() const;
+    [[nodiscard]] std::map<std::string, std::shared_ptr<BackendView>> const& all() const { return m_servers; }
+
+private:
+    struct Candidate {
+        std::shared_ptr<BackendView> server;
+        /// Place in the prompt's own order of the service's engines; 0 is its home.
+        std::size_t rank {0};
+    };
+
+    [[nodiscard]] std::vector<Candidate> candidates_for(
+        GatewayCall const&, std::set<std::string> const& excluded, Core::MonotonicTime now) const;
+    void rank_by_prompt(std::vector<Candidate>&, GatewayCall const&) const;
+    [[nodiscard]] double plain_cost(BackendView const&, GatewayCall const&, Core::MonotonicTime now) const;
+    [[nodiscard]] double engine_cost(
+        Candidate const&, GatewayCall const&, Core::MonotonicTime now, std::uint32_t& unread_tokens) const;
+    [[nodiscard]] double prefill_rate(std::string const& service) const;
+    void log_change(Entry::DirectServer const&, std::string_view change, Entry::ListRevision) const;
+
+    Settings m_settings;
+    Observe::EventLog& m_log;
+    std::map<std::string, std::shared_ptr<BackendView>> m_servers;
+    std::map<std::string, std::uint64_t> m_memory_tokens;
+    std::map<std::string, double> m_prefill_rates;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendView.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibEntry/SharedServers.h>
+#include <LibGateway/PrefixMemory.h>
+
+#include <cmath>
+#include <cstdint>
+
+namespace GraniteField::Gateway {
+
+/// What an open attempt weighs at its engine until it ends.
+struct AttemptLoad {
+    /// Prompt tokens that the engine has to read; 0 once the first event came.
+    std::uint32_t unread_tokens {0};
+    bool is_open {false};
+};
+
+/// A number that decays to zero with time, for what should be forgotten.
+class DecayingValue {
+public:
+    static constexpr std::chrono::duration<double> s_half_life {2.0};
+
+    [[nodiscard]] double at(Core::MonotonicTime now) const
+    {
+        std::chrono::duration<double> const age = now - m_time;
+        return m_value * std::exp2(-age.count() / s_half_life.count());
+    }
+
+    void set(double value, Core::MonotonicTime now)
+    {
+        m_value = value;
+        m_time = now;
+    }
+
+private:
+    double m_value {0};
+    Core::MonotonicTime m_time;
+};
+
+/// What a gateway knows of one backend server: its entry in the list, the gateway's own load on it, and how it has
+/// answered of late. On the gateway's thread only.
+class BackendView {
+public:
+    explicit BackendView(Entry::DirectServer record)
+        : m_record(std::move(record))
+    {
+    }
+
+    [[nodiscard]] Entry::DirectServer const& record() const { return m_record; }
+    void set_record(Entry::DirectServer record) { m_record = std::move(record); }
+
+    /// Whether it is in the newest list and not leaving.
+    [[nodiscard]] bool takes_new_requests() const
+    {
+        return m_is_listed && m_record.state == Table::BackendServerState::Serving;
+    }
+    [[nodiscard]] bool is_listed() const { return m_is_listed; }
+    void set_listed(bool value) { m_is_listed = value; }
+
+    /// Whether a recent failure says to leave it alone for now.
+    [[nodiscard]] bool is_avoided(Core::MonotonicTime now) const { return now < m_avoided_until; }
+
+    [[nodiscard]] unsigned open_count() const { return m_open; }
+    [[nodiscard]] std::uint64_t unread_tokens() const { return m_unread_tokens; }
+    [[nodiscard]] PrefixMemory& prefixes() { return m_prefixes; }
+    [[nodiscard]] PrefixMemory const& prefixes() const { return m_prefixes; }
+
+    void begin_attempt(AttemptLoad& load, std::uint32_t unread_tokens)
+    {
+        load = {unread_tokens, true};
+        ++m_open;
+        m_unread_tokens += unread_tokens;
+    }
+
+    /// The engine has read the prompt: its first event came.
+    void note_read(AttemptLoad& load)
+    {
+        m_unread_tokens -= load.unread_tokens;
+        load.unread_tokens = 0;
+    }
+
+    void end_attempt(AttemptLoad& load)
+    {
+        if (!load.is_open)
+            return;
+        note_read(load);
+        load.is_open = false;
+        --m_open;
+    }
+
+    /// Share of recent attempts that failed, weighed towards the newest and forgotten with time.
+    [[nodiscard]] double failure_rate(Core::MonotonicTime now) const { return m_failures.at(now); }
+
+    void note_success(Core::MonotonicTime now)
+    {
+        m_failures.set(m_failures.at(now) * (1 - s_newest_weight), now);
+        m_failures_in_a_row = 0;
+        m_avoidances = 0;
+    }
+
+    /// It answered badly or not at all.
+    void note_failure(Core::MonotonicTime now)
+    {
+        m_failures.set(m_failures.at(now) * (1 - s_newest_weight) + s_newest_weight, now);
+        if (++m_failures_in_a_row >= s_failures_to_avoid)
+            avoid(now);
+    }
+
+    /// It could not be connected to.
+    void note_unreachable(Core::MonotonicTime now)
+    {
+        note_failure(now);
+        ++m_failures_in_a_row;
+        avoid(now);
+    }
+
+    [[nodiscard]] std::chrono::duration<double, std::milli> mean_latency() const { return m_mean_latency; }
+    void note_latency(std::chrono::duration<double, std::milli> latency)
+    {
+        m_mean_latency = m_mean_latency.count() == 0 ? latency : m_mean_latency * 0.9 + latency * 0.1;
+    }
+
+private:
+    /// What the newest attempt counts in the failure rate.
+    static constexpr double s_newest_weight = 0.25;
+    /// Failures one after the other from which the server is left alone for a while.
+    static constexpr unsigned s_failures_to_avoid = 3;
+    /// How long it is left alone first, and at most; it doubles with each further failure.
+    static constexpr Core::Milliseconds s_shortest_avoidance {250};
+    static constexpr unsigned s_most_doublings = 3;
+
+    void avoid(Core::MonotonicTime now)
+    {
+        auto const doublings = std::min(m_avoidances++, s_most_doublings);
+        m_avoided_until = now + s_shortest_avoidance * (1U << doublings);
+    }
+
+    Entry::DirectServer m_record;
+    bool m_is_listed {true};
+    unsigned m_open {0};
+    std::uint64_t m_unread_tokens {0};
+    PrefixMemory m_prefixes;
+    DecayingValue m_failures;
+    unsigned m_failures_in_a_row {0};
+    unsigned m_avoidances {0};
+    Core::MonotonicTime m_avoided_until;
+    std::chrono::duration<double, std::milli> m_mean_latency {0};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -0,0 +1,312 @@
+#include <LibGateway/CallerConnection.h>
+
+#include <LibCore/Text.h>
+
+#include <array>
+
+#include <absl/strings/str_format.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+/// Bytes behind the request in hand that are kept; beyond them nothing is read until it is answered.
+constexpr std::size_t s_most_waiting_input = 64U << 10U;
+constexpr std::size_t s_read_size = 64U << 10U;
+/// How long a closing connection waits for the caller to close its side, so that what was written is not lost to a
+/// reset.
+constexpr Core::Milliseconds s_closing_time {1'000};
+
+std::string_view reason_of(int status)
+{
+    auto const text = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    return {text.data(), text.size()};
+}
+
+/// Whether an answer of this status never has a body (RFC 9110, section 6.4.1).
+bool has_no_body(int status)
+{
+    return status == 204 || status == 304;
+}
+
+}
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, Handler& handler)
+    : m_socket(std::move(socket))
+    , m_handler(handler)
+    , m_last_byte(Core::monotonic_now())
+{
+}
+
+void CallerConnection::start()
+{
+    Error ignored;
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    read();
+}
+
+void CallerConnection::read()
+{
+    if (m_is_closed || m_is_reading || m_input.size() >= s_most_waiting_input)
+        return;
+    m_is_reading = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](Error error) {
+        self->m_is_reading = false;
+        if (error || self->m_is_closed)
+            return;
+        self->take_input();
+    });
+}
+
+void CallerConnection::take_input()
+{
+    static thread_local std::array<char, s_read_size> s_buffer;
+    Error error;
+    auto const count = m_socket.read_some(boost::asio::buffer(s_buffer), error);
+    if (error == boost::asio::error::would_block)
+        return read();
+    if (error || count == 0) {
+        // A caller that has closed its side is taken as gone, also where it could still read.
+        if (m_state == State::Answering && m_on_gone) {
+            auto const on_gone = std::exchange(m_on_gone, nullptr);
+            on_gone();
+        }
+        if (m_state != State::Finishing || error != boost::asio::error::eof)
+            close();
+        return;
+    }
+    if (m_state == State::Closing)
+        return read();
+    m_last_byte = Core::monotonic_now();
+    if (!m_has_begun && m_state == State::Reading) {
+        m_has_begun = true;
+        m_begun = m_last_byte;
+    }
+    m_input.append(s_buffer.data(), count);
+    process_input();
+    read();
+}
+
+void CallerConnection::process_input()
+{
+    if (m_state != State::Reading || m_is_closed)
+        return;
+    if (!m_parser)
+        m_parser.emplace(m_handler.limits().request);
+    m_input.erase(0, m_parser->add(m_input));
+    if (m_parser->problem() != HTTP::RequestProblem::None)
+        return refuse(m_parser->problem());
+    if (!m_parser->is_complete())
+        return;
+    auto head = std::move(m_parser->head());
+    auto body = std::move(m_parser->body());
+    m_parser.reset();
+    m_state = State::Answering;
+    m_is_head_request = head.method == "HEAD";
+    m_caller_keeps_open = head.keeps_connection();
+    m_minor_version = head.minor_version;
+    auto const received = m_begun;
+    m_has_begun = false;
+    m_handler.handle_request(shared_from_this(), std::move(head), std::move(body), received);
+}
+
+void CallerConnection::refuse(HTTP::RequestProblem problem)
+{
+    m_handler.note_bad_request(problem);
+    m_state = State::Answering;
+    m_caller_keeps_open = false;
+    m_input.clear();
+    answer(HTTP::status_of(problem), {}, "");
+}
+
+bool CallerConnection::keeps_open() const
+{
+    return m_caller_keeps_open && !m_handler.is_draining();
+}
+
+void CallerConnection::begin_head(int status, HTTP::FieldList const& fields)
+{
+    // One that may be closed is told so before, never after.
+    m_caller_keeps_open = keeps_open();
+    Core::append(&m_output, "HTTP/1.1 ", status, " ", reason_of(status), "\r\n");
+    for (auto const& field : fields.all())
+        Core::append(&m_output, field.name, ": ", field.value, "\r\n");
+    if (!m_caller_keeps_open)
+        m_output += "Connection: close\r\n";
+    else if (m_minor_version == 0)
+        m_output += "Connection: keep-alive\r\n";
+}
+
+void CallerConnection::answer(int status, HTTP::FieldList const& fields, std::string_view body)
+{
+    if (m_is_closed)
+        return;
+    m_on_gone = nullptr;
+    begin_head(status, fields);
+    if (!has_no_body(status))
+        Core::append(&m_output, "Content-Length: ", body.size(), "\r\n");
+    m_output += "\r\n";
+    if (!m_is_head_request && !has_no_body(status))
+        m_output += body;
+    m_state = State::Finishing;
+    write();
+}
+
+void CallerConnection::begin(int status, HTTP::FieldList const& fields)
+{
+    if (m_is_closed)
+        return;
+    m_is_chunked = m_minor_version > 0;
+    if (!m_is_chunked)
+        m_caller_keeps_open = false;
+    begin_head(status, fields);
+    if (m_is_chunked)
+        m_output += "Transfer-Encoding: chunked\r\n";
+    m_output += "\r\n";
+    write();
+}
+
+void CallerConnection::append(std::string_view text)
+{
+    if (m_is_closed || text.empty())
+        return;
+    if (m_is_chunked)
+        absl::StrAppendFormat(&m_output, "%x\r\n", text.size());
+    m_output += text;
+    if (m_is_chunked)
+        m_output += "\r\n";
+    write();
+}
+
+void CallerConnection::finish()
+{
+    if (m_is_closed)
+        return;
+    m_on_gone = nullptr;
+    if (m_is_chunked)
+        m_output += "0\r\n\r\n";
+    m_state = State::Finishing;
+    write();
+}
+
+void CallerConnection::cut()
+{
+    if (m_is_closed)
+        return;
+    m_on_gone = nullptr;
+    // A reset, so that a caller without chunks can't take the end for a whole answer either.
+    if (!m_is_chunked) {
+        Error ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    close();
+}
+
+void CallerConnection::write()
+{
+    if (m_is_closed || m_is_waiting_to_write)
+        return;
+    Error error;
+    while (m_written < m_output.size()) {
+        auto const rest = boost::asio::buffer(m_output.data() + m_written, m_output.size() - m_written);
+        m_written += m_socket.write_some(rest, error);
+        if (error == boost::asio::error::would_block)
+            return wait_to_write();
+        if (error) {
+            if (m_on_gone)
+                std::exchange(m_on_gone, nullptr)();
+            return close();
+        }
+    }
+    m_output.clear();
+    m_written = 0;
+    if (m_state == State::Finishing)
+        finish_writing();
+}
+
+void CallerConnection::wait_to_write()
+{
+    m_is_waiting_to_write = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_write, [self = shared_from_this()](Error error) {
+        self->m_is_waiting_to_write = false;
+        if (!error)
+            self->write();
+    });
+}
+
+void CallerConnection::finish_writing()
+{
+    m_is_chunked = false;
+    m_last_byte = Core::monotonic_now();
+    if (!m_caller_keeps_open)
+        return begin_closing();
+    m_state = State::Reading;
+    if (m_input.empty())
+        return read();
+    m_has_begun = true;
+    m_begun = m_last_byte;
+    // Through the loop, so that a caller with many requests in one packet does not deepen the stack.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->process_input();
+        self->read();
+    });
+}
+
+void CallerConnection::begin_closing()
+{
+    m_state = State::Closing;
+    Error ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_input.clear();
+    read();
+}
+
+void CallerConnection::close()
+{
+    if (m_is_closed)
+        return;
+    m_is_closed = true;
+    Error ignored;
+    m_socket.close(ignored);
+}
+
+void CallerConnection::close_if_idle()
+{
+    if (!is_busy())
+        begin_closing();
+}
+
+void CallerConnection::tick(Core::MonotonicTime now)
+{
+    if (m_is_closed)
+        return;
+    auto const& limits = m_handler.limits();
+    switch (m_state) {
+    case State::Closing:
+        if (Core::elapsed(m_last_byte, now) > s_closing_time)
+            close();
+        return;
+    case State::Reading:
+        break;
+    default:
+        return;
+    }
+    bool const is_reading_head = m_has_begun && (!m_parser || !m_parser->has_head());
+    if (is_reading_head && Core::elapsed(m_begun, now) > limits.head_time) {
+        m_state = State::Answering;
+        m_caller_keeps_open = false;
+        return answer(408, {}, "");
+    }
+    if (Core::elapsed(m_last_byte, now) > limits.idle_time) {
+        if (!m_has_begun)
+            return begin_closing();
+        m_state = State::Answering;
+        m_caller_keeps_open = false;
+        answer(408, {}, "");
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibHTTP/RequestParser.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace GraniteField::Gateway {
+
+/// What an answer's head says besides its status; the connection adds the framing.
+struct AnswerFields {
+    HTTP::FieldList fields;
+};
+
+/// One connection from a caller: reads requests one after the other, hands each on, and writes its answer. All on the
+/// gateway's thread. The next request is read only when the answer to the one before it is written.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+public:
+    /// How long callers may take and how much they may send.
+    struct Limits {
+        HTTP::RequestParser::Limits request;
+        /// From the first byte of a request to the end of its head.
+        Core::Milliseconds head_time {3'000};
+        /// Without a byte, between requests or within a body.
+        Core::Milliseconds idle_time {15'000};
+    };
+
+    /// Takes whole requests.
+    class Handler {
+    public:
+        virtual ~Handler() = default;
+        virtual void handle_request(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body,
+            Core::MonotonicTime received)
+            = 0;
+        /// The limits in force now.
+        [[nodiscard]] virtual Limits const& limits() const = 0;
+        /// Whether answers tell callers to close the connection.
+        [[nodiscard]] virtual bool is_draining() const = 0;
+        /// A request that was refused before it was whole.
+        virtual void note_bad_request(HTTP::RequestProblem) = 0;
+    };
+
+    CallerConnection(boost::asio::ip::tcp::socket, Handler&);
+
+    /// Begins to read.
+    void start();
+    /// Looks at the limits in time.
+    void tick(Core::MonotonicTime now);
+    [[nodiscard]] bool is_closed() const { return m_is_closed; }
+    /// Whether a request is read or answered.
+    [[nodiscard]] bool is_busy() const { return m_state != State::Reading || !m_input.empty() || m_has_begun; }
+    /// Closes a connection that waits for its next request.
+    void close_if_idle();
+
+    // For whoever answers the request.
+
+    /// Called when the caller has closed the connection before its answer was whole.
+    void set_on_gone(std::function<void()> callback) { m_on_gone = std::move(callback); }
+    /// Gives the whole answer.
+    void answer(int status, HTTP::FieldList const& fields, std::string_view body);
+    /// Begins an answer of which more follows.
+    void begin(int status, HTTP::FieldList const& fields);
+    void append(std::string_view);
+    /// The answer is whole.
+    void finish();
+    /// The answer ends here though it is not whole: the connection is closed without the mark of its end.
+    void cut();
+    /// Bytes that the caller has not taken yet.
+    [[nodiscard]] std::size_t pending_bytes() const { return m_output.size() - m_written; }
+
+private:
+    enum class State {
+        Reading,
+        Answering,
+        /// The answer is whole and is being written.
+        Finishing,
+        /// All is written; the caller closes, or time passes.
+        Closing,
+    };
+
+    using Error = boost::system::error_code;
+
+    void read();
+    void take_input();
+    void process_input();
+    void refuse(HTTP::RequestProblem);
+    void write();
+    void wait_to_write();
+    void finish_writing();
+    void begin_head(int status, HTTP::FieldList const&);
+    void begin_closing();
+    void close();
+    [[nodiscard]] bool keeps_open() const;
+
+    boost::asio::ip::tcp::socket m_socket;
+    Handler& m_handler;
+    State m_state {State::Reading};
+    bool m_is_closed {false};
+    bool m_is_reading {false};
+    bool m_is_waiting_to_write {false};
+
+    std::string m_input;
+    std::optional<HTTP::RequestParser> m_parser;
+    /// A request has begun to come.
+    bool m_has_begun {false};
+    Core::MonotonicTime m_begun;
+    Core::MonotonicTime m_last_byte;
+
+    bool m_is_head_request {false};
+    bool m_caller_keeps_open {true};
+    bool m_is_chunked {false};
+    int m_minor_version {1};
+    std::string m_output;
+    std::size_t m_written {0};
+    std::function<void()> m_on_gone;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -0,0 +1,136 @@
+#include <LibGateway/GatewayCall.h>
+
+#include <LibCore/Hashing.h>
+#include <LibCore/Text.h>
+
+#include <charconv>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+using Entry::ErrorAnswer;
+using Entry::Outcome;
+
+constexpr Core::Milliseconds s_retry_without_table {500};
+/// Parts of a prompt that are looked at; what comes behind them is read anew.
+constexpr std::size_t s_most_parts = 64;
+
+ErrorAnswer refusal(int status, std::string code, std::string message, Core::Milliseconds retry_after = {})
+{
+    return {status, std::move(code), std::move(message), Outcome::NotRun, retry_after};
+}
+
+std::optional<std::uint64_t> read_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    auto const* const end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, value);
+    if (result.ec != std::errc {} || result.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
+/// The `Host` field without its port, in lower case.
+std::string host_of(HTTP::RequestHead const& head)
+{
+    auto const host = head.fields.value_or("Host", "");
+    return Core::to_lower(host.substr(0, host.rfind(':')));
+}
+
+std::optional<ErrorAnswer> bind_workspace(GatewayCall& call)
+{
+    if (call.route->key == Table::KeyNeed::Open)
+        return std::nullopt;
+    std::string_view key = call.head.fields.value_or("Authorization", "");
+    constexpr std::string_view scheme = "Bearer ";
+    if (!Core::starts_with_ignoring_case(key, scheme))
+        return refusal(401, "missing_key", "the header Authorization must be 'Bearer <key>'");
+    key.remove_prefix(scheme.size());
+    auto const* workspace = call.table->find_workspace_by_key_hash(Core::sha256_hex(Core::trim(key)));
+    if (workspace == nullptr)
+        return refusal(401, "unknown_key", "no workspace has this key");
+    call.workspace = workspace->name;
+    if (workspace->tier != 0)
+        call.tier = workspace->tier;
+    return std::nullopt;
+}
+
+/// Draws a service by the weights. The request's id is random enough, and makes the draw repeatable.
+std::string draw_service(Table::Route const& route, std::string const& id)
+{
+    std::uint64_t total = 0;
+    for (auto const& target : route.targets)
+        total += target.weight;
+    if (total == 0)
+        return route.targets.front().service;
+    auto drawn = Core::hash_bytes(id) % total;
+    for (auto const& target : route.targets) {
+        if (drawn < target.weight)
+            return target.service;
+        drawn -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+void bind_time(GatewayCall& call, Dialect const& dialect)
+{
+    call.deadline = call.received + call.route->time_limit;
+    auto const remaining = read_number(call.head.fields.value_or(dialect.remaining_time, ""));
+    if (!remaining)
+        return;
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    call.caller_deadline = call.received + Core::Milliseconds(std::min(*remaining, longest_ms));
+    call.deadline = std::min(call.deadline, *call.caller_deadline);
+}
+
+void bind_prompt(GatewayCall& call, Dialect const& dialect)
+{
+    auto const counts = call.head.fields.value_or(dialect.token_counts, "");
+    auto const comma = counts.find(',');
+    call.prompt_tokens = static_cast<std::uint32_t>(read_number(counts.substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos)
+        call.most_output_tokens = static_cast<std::uint32_t>(read_number(counts.substr(comma + 1)).value_or(0));
+    auto parts = call.head.fields.value_or(dialect.prompt_parts, "");
+    std::uint64_t chain = Core::hash_bytes(call.service);
+    while (!parts.empty() && call.prompt.size() < s_most_parts) {
+        auto const end = parts.find(',');
+        auto const part = parts.substr(0, end);
+        parts = end == std::string_view::npos ? std::string_view() : parts.substr(end + 1);
+        auto const colon = part.find(':');
+        if (colon == std::string_view::npos)
+            return;
+        chain = Core::hash_bytes(part.substr(0, colon), chain);
+        auto const tokens = read_number(part.substr(colon + 1)).value_or(0);
+        call.prompt.push_back({chain, static_cast<std::uint32_t>(tokens)});
+    }
+}
+
+}
+
+std::variant<GatewayCall, ErrorAnswer> read_call(HTTP::RequestHead head, std::string body,
+    std::shared_ptr<Table::Table const> table, Dialect const& dialect, Core::MonotonicTime received)
+{
+    if (table == nullptr)
+        return refusal(503, "no_table", "this gateway has no configuration yet", s_retry_without_table);
+    GatewayCall call;
+    call.table = std::move(table);
+    call.received = received;
+    auto const path = std::string_view(head.target).substr(0, head.target.find('?'));
+    call.route = call.table->find_route(host_of(head), path);
+    if (call.route == nullptr)
+        return refusal(404, "unknown_route", "no route has this host and path");
+    call.request_class = call.table->find_class(call.route->request_class);
+    call.tier = call.request_class->tier;
+    call.head = std::move(head);
+    call.body = std::move(body);
+    if (auto error = bind_workspace(call))
+        return *error;
+    call.id = call.head.fields.value_or(dialect.request_id, "");
+    call.service = draw_service(*call.route, call.id);
+    bind_time(call, dialect);
+    bind_prompt(call, dialect);
+    return call;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibEntry/Call.h>
+#include <LibObserve/Metrics.h>
+
+#include <string>
+
+namespace GraniteField::Gateway {
+
+/// The metrics of a gateway's requests. docs/OPERATING.md lists them.
+class GatewayMetrics {
+public:
+    explicit GatewayMetrics(Observe::MetricRegistry& registry)
+        : m_registry(registry)
+        , m_retries(registry.counter("granitefield_gateway_retries_total"))
+        , m_denied_retries(registry.counter("granitefield_gateway_retries_denied_total"))
+        , m_cancelled(registry.counter("granitefield_gateway_cancelled_total"))
+    {
+    }
+
+    /// A request has its final answer. `reason` is one of a fixed set of short names.
+    void note_end(unsigned tier, Entry::Outcome outcome, std::string const& reason)
+    {
+        m_registry
+            .counter("granitefield_gateway_requests_total",
+                {{"tier", std::to_string(tier)}, {"outcome", std::string(to_string(outcome))}, {"reason", reason}})
+            .add();
+    }
+
+    void note_first_byte(unsigned tier, Core::Microseconds time)
+    {
+        m_registry.distribution("granitefield_gateway_first_byte_seconds", {{"tier", std::to_string(tier)}}).add(time);
+    }
+
+    void note_whole(unsigned tier, Core::Microseconds time)
+    {
+        m_registry.distribution("granitefield_gateway_answer_seconds", {{"tier", std::to_string(tier)}}).add(time);
+    }
+
+    void note_pause(unsigned tier, Core::Microseconds time)
+    {
+        m_registry.distribution("granitefield_gateway_pause_seconds", {{"tier", std::to_string(tier)}}).add(time);
+    }
+
+    void note_retry() { m_retries.add(); }
+    void note_denied_retry() { m_denied_retries.add(); }
+    void note_cancelled() { m_cancelled.add(); }
+    void note_bad_request(int status)
+    {
+        m_registry.counter("granitefield_gateway_bad_requests_total", {{"status", std::to_string(status)}}).add();
+    }
+
+private:
+    Observe::MetricRegistry& m_registry;
+    Observe::Counter& m_retries;
+    Observe::Counter& m_denied_retries;
+    Observe::Counter& m_cancelled;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -0,0 +1,499 @@
+#include <LibGateway/GatewayRun.h>
+
+#include <LibCore/Text.h>
+#include <LibEntry/CallInterpreter.h>
+#include <LibGateway/OwnAnswer.h>
+
+#include <algorithm>
+#include <array>
+
+namespace GraniteField::Gateway {
+
+using Entry::Outcome;
+
+namespace {
+
+constexpr int s_bad_gateway = 502;
+constexpr int s_gateway_timeout = 504;
+constexpr int s_misdirected = 421;
+constexpr int s_first_server_error = 500;
+constexpr unsigned s_lowest_priority = 9;
+
+/// Statuses that promise that the request did not run (RFC 9110, sections 15.5.9, 15.5.20, 15.6.4; RFC 6585).
+bool promises_not_run(int status)
+{
+    return status == 408 || status == s_misdirected || status == 429 || status == 503;
+}
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+}
+
+Policy::FleetRetryBudget& RunContext::budget_of(std::string const& service)
+{
+    auto& budget = budgets.try_emplace(service, settings.retries).first->second;
+    budget.set_allowance(settings.retries);
+    budget.set_entry_count(entry_count);
+    return budget;
+}
+
+GatewayRun::GatewayRun(RunContext& context, GatewayCall call, std::shared_ptr<CallerConnection> caller)
+    : m_context(context)
+    , m_call(std::move(call))
+    , m_caller(std::move(caller))
+{
+    m_caller->set_on_gone([this] { handle_caller_gone(); });
+}
+
+GatewayRun::~GatewayRun()
+{
+    if (m_attempt)
+        m_attempt->cancel();
+    if (!m_is_over)
+        m_caller->set_on_gone(nullptr);
+}
+
+void GatewayRun::begin(Core::MonotonicTime now)
+{
+    m_context.budget_of(m_call.service).note_first_send();
+    dispatch(now);
+}
+
+void GatewayRun::dispatch(Core::MonotonicTime now)
+{
+    if (now >= m_call.deadline)
+        return give_up(now);
+    auto const choice = m_context.fleet.choose(m_call, m_tried, now);
+    if (!choice.server)
+        return hold(now);
+    m_held_since.reset();
+    send_to(choice, now);
+}
+
+void GatewayRun::hold(Core::MonotonicTime now)
+{
+    // One that was sent already has had its try: another server is not waited for.
+    bool const has_tried = !m_tried.empty();
+    if (!m_held_since)
+        m_held_since = now;
+    auto const target = m_call.request_class->first_token_target;
+    auto const limit = std::min(m_context.settings.hold_limit, target / 4);
+    if (!has_tried && Core::elapsed(*m_held_since, now) < limit)
+        return;
+    fail(s_bad_gateway, "no_backend_server", "no backend server of the service can be reached");
+}
+
+void GatewayRun::send_to(Choice const& choice, Core::MonotonicTime now)
+{
+    m_choice = choice;
+    auto const rule = m_call.head.method == "HEAD" ? HTTP::BodyRule::None : HTTP::BodyRule::Normal;
+    m_attempt = std::make_shared<BackendAttempt>(m_context.loop, choice.server, rule, *this);
+    choice.server->begin_attempt(m_attempt->load(), choice.unread_tokens);
+    choice.server->prefixes().note_read(m_call.prompt);
+    m_attempt->begin(request_for(*choice.server, now), now);
+    m_context.log.write(Observe::LogEvent("dispatch")
+                            .add("request", m_call.id)
+                            .add("server", choice.server->record().instance)
+                            .add("service", m_call.service)
+                            .add("class", m_call.request_class->name)
+                            .add("workspace", m_call.workspace)
+                            .add("tier", m_call.tier)
+                            .add("send", m_sends + 1)
+                            .add("candidates", choice.candidates)
+                            .add("predicted_wait_ms", choice.predicted_wait)
+                            .add("unread_tokens", choice.unread_tokens)
+                            .add("open", choice.server->open_count())
+                            .add("remaining_ms", Core::elapsed(now, m_call.deadline))
+                            .add("table", m_call.table->version().value()),
+        m_sends == 0 ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
+}
+
+std::string GatewayRun::request_for(BackendView const& server, Core::MonotonicTime now) const
+{
+    auto const& dialect = m_context.dialect;
+    auto const& head = m_call.head;
+    // What the gateway sets itself, and the key, which no backend server may see.
+    std::array<std::string_view, 7> const replaced {"Authorization", "Content-Length", "Expect",
+        dialect.remaining_time, dialect.expected_instance, dialect.workspace, dialect.priority};
+    auto const connection = head.fields.value_or("Connection", "");
+    bool const is_resumed = m_has_first_event;
+    auto text = Core::concat(head.method, " ", head.target, " HTTP/1.1\r\n");
+    text.reserve(text.size() + m_call.body.size() + 1024);
+    for (auto const& field : head.fields.all()) {
+        bool const is_replaced = std::ranges::any_of(
+            replaced, [&](auto name) { return HTTP::is_same_name(name, field.name); });
+        if (is_replaced || HTTP::is_connection_field(field.name, connection))
+            continue;
+        if (is_resumed && HTTP::is_same_name(field.name, dialect.last_event_id))
+            continue;
+        Core::append(&text, field.name, ": ", field.value, "\r\n");
+    }
+    auto const remaining = std::max<std::int64_t>(1, Core::elapsed(now, m_call.deadline).count());
+    Core::append(&text, dialect.remaining_time, ": ", remaining, "\r\n");
+    Core::append(&text, dialect.expected_instance, ": ", server.record().instance, "\r\n");
+    if (!m_call.workspace.empty())
+        Core::append(&text, dialect.workspace, ": ", m_call.workspace, "\r\n");
+    if (!m_call.prompt.empty())
+        Core::append(&text, dialect.priority, ": ", std::min(m_call.tier - 1, s_lowest_priority), "\r\n");
+    if (is_resumed && m_events.last_id())
+        Core::append(&text, dialect.last_event_id, ": ", *m_events.last_id(), "\r\n");
+    bool const names_body = head.fields.find("Content-Length") != nullptr
+        || head.fields.find("Transfer-Encoding") != nullptr;
+    if (names_body)
+        Core::append(&text, "Content-Length: ", m_call.body.size(), "\r\n");
+    text += "Connection: close\r\n\r\n";
+    text += m_call.body;
+    return text;
+}
+
+bool GatewayRun::is_answer_sound(HTTP::AnswerHead const& head, std::string& problem) const
+{
+    auto const echoed = head.fields.value_or(m_context.dialect.request_id, m_call.id);
+    if (echoed != m_call.id) {
+        problem = "the answer names another request";
+        return false;
+    }
+    if (!is_success(head.status))
+        return true;
+    if (head.fields.find(m_context.dialect.answer_signature) == nullptr)
+        problem = "the answer has no signature";
+    else if (head.fields.find("Content-Encoding") != nullptr)
+        problem = "the answer's body is encoded";
+    return problem.empty();
+}
+
+void GatewayRun::handle_answer(BackendAttempt& attempt)
+{
+    auto const now = Core::monotonic_now();
+    auto const& head = attempt.parser().head();
+    bool const did_not_run = head.status == s_misdirected
+        || (head.fields.find(m_context.dialect.not_run) != nullptr && promises_not_run(head.status));
+    if (did_not_run)
+        return handle_not_run(now);
+    std::string problem;
+    if (!is_answer_sound(head, problem)) {
+        attempt.cancel();
+        return handle_broken(problem, now);
+    }
+    if (m_call.is_stream() && is_success(head.status))
+        return take_stream(attempt);
+    if (m_has_begun_answer) {
+        // A stream that should go on met a failure instead.
+        attempt.cancel();
+        return handle_broken("the stream was not taken up", now);
+    }
+    take_whole(attempt);
+}
+
+void GatewayRun::take_stream(BackendAttempt& attempt)
+{
+    auto const now = Core::monotonic_now();
+    auto events = m_events.add(attempt.parser().take_body());
+    if (!m_has_begun_answer)
+        begin_answer(attempt.parser().head());
+    if (!events.empty()) {
+        auto const tier = m_call.tier;
+        if (!m_has_first_event) {
+            m_has_first_event = true;
+            m_context.metrics.note_first_byte(tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
+        }
+        if (m_last_event) {
+            auto const pause = now - *m_last_event;
+            m_longest_pause = std::max(m_longest_pause, std::chrono::duration_cast<Core::Milliseconds>(pause));
+            m_context.metrics.note_pause(tier, std::chrono::duration_cast<Core::Microseconds>(pause));
+        }
+        m_last_event = now;
+        if (attempt.load().unread_tokens > 0) {
+            m_context.fleet.note_first_event(
+                m_call.service, attempt.load().unread_tokens, Core::elapsed(attempt.begun(), now));
+            attempt.server().note_read(attempt.load());
+        }
+        m_caller->append(events);
+        if (m_is_over)
+            return;
+    }
+    if (attempt.parser().is_complete()) {
+        if (m_events.has_partial_event()) {
+            attempt.cancel();
+            return handle_broken("the stream ended within an event", now);
+        }
+        end_attempt(true, now);
+        m_caller->finish();
+        return finish(Outcome::Done, attempt.parser().head().status, "answered");
+    }
+    if (m_caller->pending_bytes() > m_context.settings.caller_window)
+        attempt.pause();
+}
+
+void GatewayRun::take_whole(BackendAttempt& attempt)
+{
+    auto const now = Core::monotonic_now();
+    m_kept_answer += attempt.parser().take_body();
+    if (attempt.parser().is_complete())
+        return give_whole_answer(attempt);
+    if (m_kept_answer.size() <= m_context.settings.largest_kept_answer && !m_has_begun_answer)
+        return;
+    if (!m_has_begun_answer) {
+        begin_answer(attempt.parser().head());
+        m_context.metrics.note_first_byte(
+            m_call.tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
+    }
+    m_caller->append(std::exchange(m_kept_answer, {}));
+    if (!m_is_over && m_caller->pending_bytes() > m_context.settings.caller_window)
+        attempt.pause();
+}
+
+bool GatewayRun::must_hide(HTTP::AnswerHead const& head) const
+{
+    // Without its mark nobody knows that the request did not run, and the status would promise it.
+    return promises_not_run(head.status) && !m_call.is_repeatable();
+}
+
+void GatewayRun::give_whole_answer(BackendAttempt& attempt)
+{
+    auto const now = Core::monotonic_now();
+    auto const& head = attempt.parser().head();
+    bool const is_server_error = head.status >= s_first_server_error;
+    if (is_server_error && m_call.is_repeatable() && !m_has_begun_answer && may_try_again(now)) {
+        end_attempt(false, now);
+        return try_again("the backend server answered with an error", now);
+    }
+    end_attempt(!is_server_error, now);
+    if (must_hide(head)) {
+        m_may_have_run = true;
+        return fail(s_bad_gateway, "refused_unmarked", "the backend server refused without saying that it did not run");
+    }
+    if (m_has_begun_answer) {
+        m_caller->append(m_kept_answer);
+        m_caller->finish();
+    } else {
+        m_context.metrics.note_first_byte(
+            m_call.tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
+        m_caller->answer(head.status, handed_on(head), m_kept_answer);
+    }
+    finish(Outcome::Done, head.status, "answered");
+}
+
+HTTP::FieldList GatewayRun::handed_on(HTTP::AnswerHead const& head) const
+{
+    HTTP::FieldList fields;
+    auto const connection = head.fields.value_or("Connection", "");
+    for (auto const& field : head.fields.all()) {
+        bool const is_framing = HTTP::is_same_name(field.name, "Content-Length");
+        if (!is_framing && !HTTP::is_connection_field(field.name, connection))
+            fields.add(field.name, field.value);
+    }
+    return fields;
+}
+
+void GatewayRun::begin_answer(HTTP::AnswerHead const& head)
+{
+    m_has_begun_answer = true;
+    m_caller->begin(head.status, handed_on(head));
+}
+
+void GatewayRun::end_attempt(bool is_success_answer, Core::MonotonicTime now)
+{
+    auto const attempt = std::exchange(m_attempt, nullptr);
+    auto& server = attempt->server();
+    if (is_success_answer) {
+        server.note_success(now);
+        server.note_latency(now - attempt->begun());
+    } else {
+        server.note_failure(now);
+    }
+    ++m_sends;
+    attempt->cancel();
+    // The caller of this function may still read the attempt's answer.
+    boost::asio::post(m_context.loop, [attempt] {});
+}
+
+void GatewayRun::handle_failure(BackendAttempt& attempt, BackendAttempt::Failure failure, std::string const& reason)
+{
+    auto const now = Core::monotonic_now();
+    if (failure == BackendAttempt::Failure::Broken)
+        return handle_broken(reason, now);
+    attempt.server().note_unreachable(now);
+    m_tried.insert(attempt.server().record().instance);
+    m_attempt.reset();
+    m_context.log.write(Observe::LogEvent("unreachable")
+                            .add("request", m_call.id)
+                            .add("server", m_choice.server->record().instance)
+                            .add("reason", reason));
+    if (++m_unsent >= m_context.settings.most_connects)
+        return fail(s_bad_gateway, "unreachable", "no backend server took the connection");
+    dispatch(now);
+}
+
+void GatewayRun::handle_not_run(Core::MonotonicTime now)
+{
+    auto const status = m_attempt->parser().head().status;
+    m_tried.insert(m_attempt->server().record().instance);
+    end_attempt(false, now);
+    m_context.log.write(Observe::LogEvent("refused-by-server")
+                            .add("request", m_call.id)
+                            .add("server", m_choice.server->record().instance)
+                            .add("status", status));
+    if (may_try_again(now))
+        return try_again("the backend server did not run it", now);
+    if (m_has_begun_answer)
+        return cut("the stream was not taken up");
+    fail(s_bad_gateway, "refused", "the backend server did not take the request");
+}
+
+void GatewayRun::handle_broken(std::string const& reason, Core::MonotonicTime now)
+{
+    m_may_have_run = true;
+    m_tried.insert(m_attempt->server().record().instance);
+    end_attempt(false, now);
+    m_kept_answer.clear();
+    m_context.log.write(Observe::LogEvent("broken")
+                            .add("request", m_call.id)
+                            .add("server", m_choice.server->record().instance)
+                            .add("has_begun", m_has_begun_answer)
+                            .add("reason", reason));
+    bool const can_go_on = !m_has_begun_answer || (m_call.is_stream() && (m_events.last_id() || !m_has_first_event));
+    if (m_call.is_repeatable() && can_go_on && may_try_again(now)) {
+        m_events.drop_partial_event();
+        return try_again(reason, now);
+    }
+    if (m_has_begun_answer)
+        return cut(reason);
+    fail(s_bad_gateway, "broken", "the backend server broke off its answer");
+}
+
+bool GatewayRun::may_try_again(Core::MonotonicTime now)
+{
+    // The attempt in hand is counted when it ends.
+    auto const sends = m_sends + (m_attempt ? 1 : 0);
+    if (sends >= m_call.route->tries || now >= m_call.deadline)
+        return false;
+    if (m_context.budget_of(m_call.service).try_spend(now))
+        return true;
+    m_context.metrics.note_denied_retry();
+    return false;
+}
+
+void GatewayRun::try_again(std::string_view why, Core::MonotonicTime now)
+{
+    m_context.metrics.note_retry();
+    m_context.log.write(Observe::LogEvent("retry")
+                            .add("request", m_call.id)
+                            .add("why", why)
+                            .add("sends", m_sends)
+                            .add("budget", m_context.budget_of(m_call.service).balance()));
+    m_kept_answer.clear();
+    dispatch(now);
+}
+
+void GatewayRun::tick(Core::MonotonicTime now)
+{
+    if (m_is_over)
+        return;
+    if (now >= m_call.deadline)
+        return give_up(now);
+    if (!m_attempt)
+        return dispatch(now);
+    if (!m_attempt->is_sent() && Core::elapsed(m_attempt->begun(), now) > m_context.settings.connect_limit) {
+        auto const attempt = m_attempt;
+        attempt->cancel();
+        return handle_failure(*attempt, BackendAttempt::Failure::NotSent, "the connection did not come up in time");
+    }
+    if (m_attempt->is_paused() && m_caller->pending_bytes() <= m_context.settings.caller_window / 2)
+        m_attempt->resume();
+}
+
+void GatewayRun::give_up(Core::MonotonicTime now)
+{
+    if (m_attempt) {
+        bool const was_sent = m_attempt->is_sent();
+        m_may_have_run = m_may_have_run || was_sent;
+        if (was_sent)
+            end_attempt(m_has_first_event, now);
+        m_attempt.reset();
+    }
+    if (m_has_begun_answer)
+        return cut("the time limit is over");
+    fail(s_gateway_timeout, "time_limit", "the request's time limit is over");
+}
+
+void GatewayRun::handle_caller_gone()
+{
+    if (m_is_over)
+        return;
+    m_context.metrics.note_cancelled();
+    if (m_attempt)
+        m_attempt->cancel();
+    finish(m_may_have_run || m_sends > 0 || (m_attempt && m_attempt->is_sent()) ? Outcome::Unknown : Outcome::NotRun, 0,
+        "caller_gone");
+}
+
+void GatewayRun::abandon()
+{
+    if (m_is_over)
+        return;
+    if (m_attempt) {
+        m_may_have_run = m_may_have_run || m_attempt->is_sent();
+        m_attempt->cancel();
+    }
+    if (m_has_begun_answer)
+        return cut("stopping");
+    fail(s_bad_gateway, "stopping", "this gateway stops");
+}
+
+void GatewayRun::fail(int status_if_may_have_run, std::string code, std::string message)
+{
+    Entry::ErrorAnswer error;
+    error.status = m_may_have_run ? status_if_may_have_run : 503;
+    error.outcome = m_may_have_run ? Outcome::Unknown : Outcome::NotRun;
+    error.code = std::move(code);
+    error.message = std::move(message);
+    error.retry_after = m_context.settings.retry_after;
+    give_own_answer(*m_caller, error, m_call.id, m_context.dialect);
+    finish(error.outcome, error.status, error.code);
+}
+
+void GatewayRun::cut(std::string_view reason)
+{
+    m_caller->cut();
+    finish(Outcome::Cut, 0, reason);
+}
+
+void GatewayRun::finish(Outcome outcome, int status, std::string_view reason)
+{
+    if (m_is_over)
+        return;
+    m_is_over = true;
+    m_caller->set_on_gone(nullptr);
+    log_end(outcome, status, reason);
+}
+
+void GatewayRun::log_end(Outcome outcome, int status, std::string_view reason)
+{
+    auto const now = Core::monotonic_now();
+    auto const total = now - m_call.received;
+    bool const is_ordinary = outcome == Outcome::Done && is_success(status) && m_sends <= 1;
+    // Reasons from outside are many; the metric keeps to those of the code.
+    m_context.metrics.note_end(m_call.tier, outcome, outcome == Outcome::Cut ? "cut" : std::string(reason));
+    if (outcome == Outcome::Done)
+        m_context.metrics.note_whole(m_call.tier, std::chrono::duration_cast<Core::Microseconds>(total));
+    m_context.log.write(Observe::LogEvent("request-end")
+                            .add("request", m_call.id)
+                            .add("outcome", to_string(outcome))
+                            .add("status", status)
+                            .add("reason", reason)
+                            .add("route", m_call.route->name)
+                            .add("class", m_call.request_class->name)
+                            .add("workspace", m_call.workspace)
+                            .add("sends", m_sends)
+                            .add("server", m_choice.server ? m_choice.server->record().instance : std::string())
+                            .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
+                            .add("longest_pause_ms", m_longest_pause)
+                            .add("table", m_call.table->version().value()),
+        is_ordinary ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <LibGateway/BackendAttempt.h>
+#include <LibGateway/BackendFleet.h>
+#include <LibGateway/CallerConnection.h>
+#include <LibGateway/GatewayCall.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibHTTP/EventFramer.h>
+#include <LibObserve/EventLog.h>
+#include <LibPolicy/FleetRetryBudget.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace GraniteField::Gateway {
+
+/// How a gateway treats its requests.
+struct RunSettings {
+    /// A connection to a backend server that is not up by then is given up; the request goes elsewhere.
+    Core::Milliseconds connect_limit {400};
+    /// Connections that one request may try to open without sending anything.
+    unsigned most_connects {4};
+    /// How long a request waits here while no backend server can be had, at most; never over a quarter of its target.
+    Core::Milliseconds hold_limit {1'000};
+    /// Bytes of an answer that is no stream, up to which it is kept until it is whole, so that it can be replaced.
+    std::size_t largest_kept_answer {1U << 20U};
+    /// Bytes that a caller has not taken, above which its answer is read no further.
+    std::size_t caller_window {256U << 10U};
+    /// Told to callers of requests that did not run, where nothing better is known.
+    Core::Milliseconds retry_after {300};
+    Policy::RetryAllowance retries;
+};
+
+/// What all runs of a gateway share.
+struct RunContext {
+    boost::asio::io_context& loop;
+    RunSettings settings;
+    Dialect dialect;
+    BackendFleet& fleet;
+    /// By service.
+    std::map<std::string, Policy::FleetRetryBudget> budgets;
+    std::size_t entry_count {1};
+    Observe::EventLog& log;
+    GatewayMetrics& metrics;
+
+    [[nodiscard]] Policy::FleetRetryBudget& budget_of(std::string const& service);
+};
+
+/// A request from its arrival to its final answer: the attempts, one after the other, and what the caller has been
+/// given. It keeps what is promised: a request that is not repeatable is sent at most once, an answer that is handed
+/// on is one backend server's, and a refusal that says "not run" is true.
+class GatewayRun final : public BackendAttempt::Listener {
+public:
+    GatewayRun(RunContext&, GatewayCall, std::shared_ptr<CallerConnection>);
+    ~GatewayRun() override;
+    GatewayRun(GatewayRun const&) = delete;
+    GatewayRun& operator=(GatewayRun const&) = delete;
+
+    void begin(Core::MonotonicTime now);
+    /// Limits in time, and held requests.
+    void tick(Core::MonotonicTime now);
+    /// The process ends: the caller gets what can be said.
+    void abandon();
+
+    /// Whether the caller has its final answer or is gone.
+    [[nodiscard]] bool is_over() const { return m_is_over; }
+    [[nodiscard]] GatewayCall const& call() const { return m_call; }
+
+private:
+    void handle_answer(BackendAttempt&) override;
+    void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
+
+    void dispatch(Core::MonotonicTime now);
+    void hold(Core::MonotonicTime now);
+    void send_to(Choice const&, Core::MonotonicTime now);
+    [[nodiscard]] std::string request_for(BackendView const&, Core::MonotonicTime now) const;
+
+    void handle_not_run(Core::MonotonicTime now);
+    void handle_broken(std::string const& reason, Core::MonotonicTime now);
+    [[nodiscard]] bool may_try_again(Core::MonotonicTime now);
+    void try_again(std::string_view why, Core::MonotonicTime now);
+
+    [[nodiscard]] bool is_answer_sound(HTTP::AnswerHead const&, std::string& problem) const;
+    void take_stream(BackendAttempt&);
+    void take_whole(BackendAttempt&);
+    void begin_answer(HTTP::AnswerHead const&);
+    [[nodiscard]] HTTP::FieldList handed_on(HTTP::AnswerHead const&) const;
+    [[nodiscard]] bool must_hide(HTTP::AnswerHead const&) const;
+    void give_whole_answer(BackendAttempt&);
+    void end_attempt(bool is_success, Core::MonotonicTime now);
+
+    void handle_caller_gone();
+    void give_up(Core::MonotonicTime now);
+    /// A final answer of the gateway's own: 503 where nothing ran, else 502 or 504.
+    void fail(int status_if_may_have_run, std::string code, std::string message);
+    void cut(std::string_view reason);
+    void finish(Entry::Outcome, int status, std::string_view reason);
+    void log_end(Entry::Outcome, int status, std::string_view reason);
+
+    RunContext& m_context;
+    GatewayCall m_call;
+    std::shared_ptr<CallerConnection> m_caller;
+    std::shared_ptr<BackendAttempt> m_attempt;
+    Choice m_choice;
+    std::set<std::string> m_tried;
+    unsigned m_sends {0};
+    unsigned m_unsent {0};
+    bool m_may_have_run {false};
+    bool m_is_over {false};
+    std::optional<Core::MonotonicTime> m_held_since;
+
+    bool m_has_begun_answer {false};
+    std::string m_kept_answer;
+    HTTP::EventFramer m_events;
+    /// Where the caller's own stream began; for a stream that goes on elsewhere.
+    bool m_has_first_event {false};
+    std::optional<Core::MonotonicTime> m_first_event;
+    std::optional<Core::MonotonicTime> m_last_event;
+    Core::Milliseconds m_longest_pause {0};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -0,0 +1,304 @@
+#include <LibGateway/GatewayServer.h>
+
+#include <LibGateway/OwnAnswer.h>
+
+#include <algorithm>
+#include <future>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+/// How often limits in time are looked at; a request may be late by this much.
+constexpr Core::Milliseconds s_tick_interval {50};
+/// The same while nothing is in flight.
+constexpr Core::Milliseconds s_idle_tick_interval {250};
+constexpr Core::Milliseconds s_status_patience {1'000};
+constexpr int s_backlog = 512;
+
+boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
+{
+    return {boost::asio::ip::make_address(address.host()), address.port()};
+}
+
+boost::asio::ip::tcp::acceptor make_acceptor(boost::asio::io_context& loop, Core::Address const& address)
+{
+    boost::asio::ip::tcp::acceptor acceptor(loop);
+    auto const endpoint = endpoint_of(address);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(s_backlog);
+    return acceptor;
+}
+
+}
+
+class GatewayServer::CallerHandler final : public CallerConnection::Handler {
+public:
+    explicit CallerHandler(GatewayServer& server)
+        : m_server(server)
+    {
+    }
+
+    void handle_request(std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body,
+        Core::MonotonicTime received) override
+    {
+        m_server.begin_run(std::move(caller), std::move(head), std::move(body), received);
+    }
+    [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_server.m_limits; }
+    [[nodiscard]] bool is_draining() const override { return m_server.m_drain_begun.has_value(); }
+    void note_bad_request(HTTP::RequestProblem problem) override
+    {
+        auto const status = HTTP::status_of(problem);
+        m_server.m_metrics.note_bad_request(status);
+        m_server.m_log.write(Observe::LogEvent("bad-request").add("status", status));
+    }
+
+private:
+    GatewayServer& m_server;
+};
+
+class GatewayServer::ReadinessHandler final : public CallerConnection::Handler {
+public:
+    explicit ReadinessHandler(GatewayServer& server)
+        : m_server(server)
+    {
+    }
+
+    void handle_request(
+        std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string, Core::MonotonicTime) override
+    {
+        if (head.target != m_server.m_settings.readiness_path)
+            return caller->answer(404, {}, "");
+        caller->answer(m_server.m_is_ready ? 200 : 503, {}, "");
+    }
+    [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_limits; }
+    [[nodiscard]] bool is_draining() const override { return false; }
+    void note_bad_request(HTTP::RequestProblem) override { }
+
+private:
+    GatewayServer& m_server;
+    CallerConnection::Limits m_limits;
+};
+
+GatewayServer::GatewayServer(Settings settings, Entry::SharedTable const& table, Entry::SharedServers const& servers,
+    Entry::SharedMembership const& membership, Observe::EventLog& log, Observe::MetricRegistry& registry)
+    : m_settings(std::move(settings))
+    , m_shared_table(table)
+    , m_shared_servers(servers)
+    , m_membership(membership)
+    , m_log(log)
+    , m_registry(registry)
+    , m_metrics(registry)
+    , m_fleet(m_settings.fleet, log)
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, {}, 1, log, m_metrics}
+    , m_caller_handler(std::make_unique<CallerHandler>(*this))
+    , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
+    , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
+    , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness))
+    , m_timer(m_loop)
+{
+    accept(m_caller_acceptor, *m_caller_handler);
+    accept(m_readiness_acceptor, *m_readiness_handler);
+    schedule_tick();
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+GatewayServer::~GatewayServer()
+{
+    m_loop.stop();
+    m_thread.join();
+    m_runs.clear();
+}
+
+void GatewayServer::accept(Acceptor& acceptor, CallerConnection::Handler& handler)
+{
+    acceptor.async_accept([this, &acceptor, &handler](auto const& error, boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            // Out of descriptors, most likely: tried again after a pause, so that this does not spin.
+            m_log.write(Observe::LogEvent("accept-failed").add("reason", error.message()));
+            auto pause = std::make_shared<boost::asio::steady_timer>(m_loop, s_tick_interval);
+            pause->async_wait([this, &acceptor, &handler, pause](auto const&) { accept(acceptor, handler); });
+            return;
+        }
+        auto connection = std::make_shared<CallerConnection>(std::move(socket), handler);
+        m_connections.push_back(connection);
+        connection->start();
+        accept(acceptor, handler);
+    });
+}
+
+void GatewayServer::begin_run(std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body,
+    Core::MonotonicTime received)
+{
+    follow();
+    std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
+    auto read = read_call(std::move(head), std::move(body), m_table, m_settings.dialect, received);
+    if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read)) {
+        m_metrics.note_end(0, error->outcome, error->code);
+        m_log.write(Observe::LogEvent("refused")
+                        .add("request", id)
+                        .add("status", error->status)
+                        .add("reason", error->code)
+                        .add("table", m_table ? m_table->version().value() : 0));
+        return give_own_answer(*caller, *error, id, m_settings.dialect);
+    }
+    auto run = std::make_unique<GatewayRun>(m_context, std::move(std::get<GatewayCall>(read)), std::move(caller));
+    auto& begun = *m_runs.emplace_back(std::move(run));
+    begun.begin(Core::monotonic_now());
+}
+
+void GatewayServer::wake()
+{
+    boost::asio::post(m_loop, [this] { follow(); });
+}
+
+void GatewayServer::follow()
+{
+    auto table = m_shared_table.current();
+    if (table && table != m_table) {
+        m_log.write(Observe::LogEvent("table-in-force")
+                        .add("table", table->version().value())
+                        .add("before", m_table ? m_table->version().value() : 0)
+                        .add("routes", table->routes().size())
+                        .add("workspaces", table->workspaces().size()));
+        m_registry.gauge("granitefield_table_version").set(static_cast<std::int64_t>(table->version().value()));
+        m_table = std::move(table);
+        m_fleet.follow(*m_table);
+        auto const limits = m_table->caller_limits();
+        m_limits = {{limits.head_bytes, limits.body_bytes}, limits.head_time, limits.idle_time};
+    }
+    auto const servers = m_shared_servers.current();
+    if (servers && servers != m_servers) {
+        m_servers = servers;
+        m_fleet.follow(*servers);
+    }
+    update_readiness();
+}
+
+void GatewayServer::update_readiness()
+{
+    bool const is_ready = m_table != nullptr && m_fleet.count() > 0 && !m_drain_begun;
+    if (is_ready == m_is_ready)
+        return;
+    m_is_ready = is_ready;
+    m_log.write(Observe::LogEvent("readiness")
+                    .add("ready", is_ready)
+                    .add("has_table", m_table != nullptr)
+                    .add("servers", m_fleet.count())
+                    .add("draining", m_drain_begun.has_value()));
+}
+
+void GatewayServer::schedule_tick()
+{
+    m_timer.expires_after(m_runs.empty() ? s_idle_tick_interval : s_tick_interval);
+    m_timer.async_wait([this](auto const& error) {
+        if (error)
+            return;
+        tick();
+        schedule_tick();
+    });
+}
+
+void GatewayServer::tick()
+{
+    auto const now = Core::monotonic_now();
+    m_context.entry_count = m_membership.other_entries + 1;
+    // A run may only be dropped here, outside its own calls.
+    for (auto const& run : m_runs)
+        run->tick(now);
+    std::erase_if(m_runs, [](auto const& run) { return run->is_over(); });
+    for (auto const& connection : m_connections)
+        connection->tick(now);
+    std::erase_if(m_connections, [](auto const& connection) { return connection->is_closed(); });
+    if (m_drain_begun)
+        tick_drain(now);
+}
+
+void GatewayServer::drain()
+{
+    boost::asio::post(m_loop, [this] {
+        if (m_drain_begun)
+            return;
+        m_drain_begun = Core::monotonic_now();
+        m_log.write(Observe::LogEvent("drain-begun").add("in_flight", m_runs.size()));
+        update_readiness();
+    });
+}
+
+void GatewayServer::reload(Settings const& settings)
+{
+    boost::asio::post(m_loop, [this, settings] {
+        m_settings.drain_notice = settings.drain_notice;
+        m_settings.drain_limit = settings.drain_limit;
+        m_context.settings = settings.runs;
+        m_fleet.set_settings(settings.fleet);
+    });
+}
+
+void GatewayServer::tick_drain(Core::MonotonicTime now)
+{
+    auto const passed = Core::elapsed(*m_drain_begun, now);
+    if (passed < m_settings.drain_notice)
+        return;
+    for (auto const& connection : m_connections)
+        connection->close_if_idle();
+    bool const is_idle = m_runs.empty() && m_connections.empty();
+    if (!is_idle && passed < m_settings.drain_limit)
+        return;
+    for (auto const& run : m_runs)
+        run->abandon();
+    m_log.write(Observe::LogEvent("drained").add("abandoned", m_runs.size()).add("after_ms", passed));
+    m_loop.stop();
+}
+
+void GatewayServer::wait_until_drained()
+{
+    m_thread.join();
+    m_thread = std::thread([] {});
+}
+
+std::string GatewayServer::make_status() const
+{
+    auto const now = Core::monotonic_now();
+    nlohmann::json servers = nlohmann::json::array();
+    for (auto const& [instance, view] : m_fleet.all()) {
+        servers.push_back({{"backend-server", instance}, {"service", view->record().service},
+            {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
+            {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)},
+            {"open", view->open_count()}, {"failure-rate", view->failure_rate(now)}});
+    }
+    return nlohmann::json {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
+        {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
+        {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}}
+        .dump();
+}
+
+std::string GatewayServer::status()
+{
+    auto promise = std::make_shared<std::promise<std::string>>();
+    auto future = promise->get_future();
+    boost::asio::post(m_loop, [this, promise] { promise->set_value(make_status()); });
+    if (future.wait_for(s_status_patience) != std::future_status::ready)
+        return "{}";
+    return future.get();
+}
+
+std::uint16_t GatewayServer::caller_port() const
+{
+    return m_caller_acceptor.local_endpoint().port();
+}
+
+std::uint16_t GatewayServer::readiness_port() const
+{
+    return m_readiness_acceptor.local_endpoint().port();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibEntry/SharedMembership.h>
+#include <LibEntry/SharedTable.h>
+#include <LibEntry/SharedServers.h>
+#include <LibGateway/GatewayRun.h>
+
+#include <atomic>
+#include <list>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace GraniteField::Gateway {
+
+/// A gateway: takes callers' requests, chooses a backend server for each, and calls it directly. One thread with an
+/// event loop (Boost.Asio) does all of it; callers' connections are too many for a thread each.
+class GatewayServer {
+public:
+    struct Settings {
+        Core::Address callers;
+        /// Where the platform's balancer asks whether this gateway takes requests.
+        Core::Address readiness;
+        std::string readiness_path {"/readyz"};
+        BackendFleet::Settings fleet;
+        RunSettings runs;
+        Dialect dialect;
+        /// How long a planned stop goes on taking requests: the balancer needs it to notice.
+        Core::Milliseconds drain_notice {2'500};
+        /// How long a planned stop waits for what is in flight, all in all.
+        Core::Milliseconds drain_limit {7'500};
+    };
+
+    GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
+        Observe::EventLog&, Observe::MetricRegistry&);
+    ~GatewayServer();
+    GatewayServer(GatewayServer const&) = delete;
+    GatewayServer& operator=(GatewayServer const&) = delete;
+
+    /// Looks at the table and the servers again. Any thread.
+    void wake();
+    /// Begins a planned stop: readiness falls at once, what is in flight is finished. Any thread.
+    void drain();
+    /// Takes over the limits, costs and times of new settings. Addresses hold until the process ends. Any thread.
+    void reload(Settings const&);
+    /// Waits until a planned stop is over.
+    void wait_until_drained();
+    /// What an operator sees, as JSON. Any thread but the gateway's.
+    [[nodiscard]] std::string status();
+    [[nodiscard]] bool is_ready() const { return m_is_ready; }
+    [[nodiscard]] std::uint16_t caller_port() const;
+    [[nodiscard]] std::uint16_t readiness_port() const;
+
+private:
+    /// Gives callers' requests to runs.
+    class CallerHandler;
+    /// Answers the balancer.
+    class ReadinessHandler;
+    using Acceptor = boost::asio::ip::tcp::acceptor;
+
+    void accept(Acceptor&, CallerConnection::Handler&);
+    void begin_run(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received);
+    void follow();
+    void schedule_tick();
+    void tick();
+    void tick_drain(Core::MonotonicTime now);
+    void update_readiness();
+    [[nodiscard]] std::string make_status() const;
+
+    Settings m_settings;
+    Entry::SharedTable const& m_shared_table;
+    Entry::SharedServers const& m_shared_servers;
+    Entry::SharedMembership const& m_membership;
+    Observe::EventLog& m_log;
+    Observe::MetricRegistry& m_registry;
+    boost::asio::io_context m_loop {1};
+    GatewayMetrics m_metrics;
+    BackendFleet m_fleet;
+    RunContext m_context;
+    std::unique_ptr<CallerHandler> m_caller_handler;
+    std::unique_ptr<ReadinessHandler> m_readiness_handler;
+    Acceptor m_caller_acceptor;
+    Acceptor m_readiness_acceptor;
+    boost::asio::steady_timer m_timer;
+    std::list<std::shared_ptr<CallerConnection>> m_connections;
+    std::list<std::unique_ptr<GatewayRun>> m_runs;
+    std::shared_ptr<Table::Table const> m_table;
+    std::shared_ptr<Entry::ServerList const> m_servers;
+    CallerConnection::Limits m_limits;
+    std::atomic<bool> m_is_ready {false};
+    std::optional<Core::MonotonicTime> m_drain_begun;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/OwnAnswer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibEntry/Call.h>
+#include <LibGateway/CallerConnection.h>
+#include <LibGateway/Dialect.h>
+
+#include <string>
+
+namespace GraniteField::Gateway {
+
+/// The value of `Retry-After`.
+[[nodiscard]] std::string format_retry_after(Core::Milliseconds, RetryAfterForm);
+
+/// Gives a caller an answer of the gateway's own, as JSON with the outcome and when to come back.
+void give_own_answer(CallerConnection&, Entry::ErrorAnswer const&, std::string const& request, Dialect const&);
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -0,0 +1,73 @@
+#include <LibGateway/ServerRoster.h>
+
+#include <set>
+
+namespace GraniteField::Gateway {
+
+void ServerRoster::take_list(std::vector<Entry::DirectServer> servers, Entry::ListRevision revision, Core::MonotonicTime now)
+{
+    std::set<std::string> listed;
+    for (auto& server : servers) {
+        listed.insert(server.instance);
+        take_change(std::move(server));
+    }
+    std::vector<std::string> missing;
+    for (auto const& [instance, entry] : m_entries) {
+        if (!listed.contains(instance))
+            missing.push_back(instance);
+    }
+    for (auto const& instance : missing)
+        take_removal(instance, now);
+    m_revision = revision;
+}
+
+void ServerRoster::take_change(Entry::DirectServer server)
+{
+    auto const instance = server.instance;
+    m_entries.insert_or_assign(instance, KnownServer {std::move(server), false});
+}
+
+void ServerRoster::take_removal(std::string const& instance, Core::MonotonicTime now)
+{
+    auto const found = m_entries.find(instance);
+    if (found == m_entries.end())
+        return;
+    // One that was leaving is not missed.
+    bool const is_leaving = found->second.server.state == Table::BackendServerState::Leaving;
+    if (is_settling(now) && !is_leaving)
+        found->second.is_missing = true;
+    else
+        m_entries.erase(found);
+}
+
+void ServerRoster::note_store_answers(Core::MonotonicTime now)
+{
+    if (!m_is_store_lost)
+        return;
+    m_is_store_lost = false;
+    m_settles_at = now + s_settling_time;
+}
+
+bool ServerRoster::settle(Core::MonotonicTime now)
+{
+    if (!m_settles_at || is_settling(now))
+        return false;
+    m_settles_at.reset();
+    return std::erase_if(m_entries, [](auto const& item) { return item.second.is_missing; }) > 0;
+}
+
+std::optional<Core::MonotonicTime> ServerRoster::settles_at() const
+{
+    return m_settles_at;
+}
+
+Entry::ServerList ServerRoster::list() const
+{
+    Entry::ServerList list;
+    list.revision = m_revision;
+    for (auto const& [instance, entry] : m_entries)
+        list.servers.push_back(entry.server);
+    return list;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -0,0 +1,122 @@
+#include <LibHTTP/AnswerParser.h>
+
+#include <LibHTTP/BeastParser.h>
+
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace GraniteField::HTTP {
+
+namespace {
+
+constexpr std::uint32_t s_largest_head_bytes = 64U << 10U;
+constexpr int s_first_final_status = 200;
+
+struct Sink {
+    AnswerHead head;
+    std::string body;
+    bool has_head {false};
+
+    void take_start(int status, int) { head.status = status; }
+    void take_field(std::string_view name, std::string_view value)
+    {
+        if (!has_head)
+            head.fields.add(name, value);
+    }
+    bool take_head()
+    {
+        has_head = true;
+        return true;
+    }
+    void take_body(std::string_view text) { body += text; }
+};
+
+/// The parser and what it has read; anew for each interim answer.
+struct Message {
+    explicit Message(BodyRule rule)
+        : parser(sink)
+    {
+        parser.header_limit(s_largest_head_bytes);
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser.skip(rule == BodyRule::None);
+    }
+
+    Sink sink;
+    BeastParser<false, Sink> parser;
+};
+
+}
+
+struct AnswerParser::State {
+    BodyRule rule {BodyRule::Normal};
+    std::optional<Message> message;
+    bool is_broken {false};
+};
+
+AnswerParser::AnswerParser(BodyRule rule)
+    : m_state(std::make_unique<State>())
+{
+    m_state->rule = rule;
+    m_state->message.emplace(rule);
+}
+
+AnswerParser::~AnswerParser() = default;
+
+std::size_t AnswerParser::add(std::string_view text)
+{
+    std::size_t taken = 0;
+    while (taken < text.size() && !m_state->is_broken && !is_complete()) {
+        auto& message = *m_state->message;
+        boost::system::error_code error;
+        auto const rest = text.substr(taken);
+        auto const count = message.parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        taken += count;
+        if (error && error != boost::beast::http::error::need_more)
+            m_state->is_broken = true;
+        bool const is_interim = message.parser.is_done() && message.sink.head.status < s_first_final_status;
+        if (is_interim)
+            m_state->message.emplace(m_state->rule);
+        if (error || count == 0)
+            break;
+    }
+    return taken;
+}
+
+void AnswerParser::add_end()
+{
+    if (m_state->is_broken || is_complete())
+        return;
+    boost::system::error_code error;
+    m_state->message->parser.put_eof(error);
+    if (error)
+        m_state->is_broken = true;
+}
+
+bool AnswerParser::has_head() const
+{
+    auto const& sink = m_state->message->sink;
+    return sink.has_head && sink.head.status >= s_first_final_status;
+}
+
+bool AnswerParser::is_complete() const
+{
+    return !m_state->is_broken && has_head() && m_state->message->parser.is_done();
+}
+
+bool AnswerParser::is_broken() const
+{
+    return m_state->is_broken;
+}
+
+AnswerHead const& AnswerParser::head() const
+{
+    return m_state->message->sink.head;
+}
+
+std::string AnswerParser::take_body()
+{
+    return std::exchange(m_state->message->sink.body, {});
+}
+
+}
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -97,6 +97,50 @@
     settings.entry.peers.region = settings.common.region;
 }
 
+void read_gateway_routing(Json const& json, Gateway::GatewayServer::Settings& server, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/routing", findings);
+    reader.read("connect-limit", server.runs.connect_limit, 10ms, 60s);
+    reader.read_number("most-connects", server.runs.most_connects, 1, 64);
+    reader.read("hold-limit", server.runs.hold_limit, 0ms, 60s);
+    reader.read("retry-after", server.runs.retry_after, 1ms, 10min);
+    reader.read("cost-per-running", server.fleet.cost_per_running, 0ms, 10s);
+    reader.read("cost-per-domain-change", server.fleet.cost_per_domain_change, 0ms, 10s);
+    reader.read("first-prefill-rate", server.fleet.first_prefill_rate, 0.1, 100'000);
+    reader.finish();
+}
+
+void read_retries(Json const& json, Policy::RetryAllowance& retries, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/retries", findings);
+    reader.read("ratio", retries.ratio, 0, 1);
+    reader.read("slack", retries.slack, 0, 1e6);
+    reader.read("window", retries.window, 100ms, 10min);
+    reader.finish();
+}
+
+void read_gateway(ObjectReader& reader, DaemonSettings& settings, Core::Findings& findings)
+{
+    auto& gateway = settings.gateway;
+    auto& server = gateway.server;
+    reader.read("callers-address", server.callers, Presence::Required);
+    reader.read("readiness-address", server.readiness, Presence::Required);
+    reader.read("readiness-path", server.readiness_path);
+    if (auto const* platform = reader.member("platform", Presence::Required))
+        read_platform(*platform, gateway.platform, findings);
+    if (auto const* peers = reader.member("peers", Presence::Required))
+        read_peers(*peers, gateway.peers, findings);
+    if (auto const* routing = reader.member("routing"))
+        read_gateway_routing(*routing, server, findings);
+    if (auto const* retries = reader.member("retries"))
+        read_retries(*retries, server.runs.retries, findings);
+    gateway.peers.name = settings.common.name;
+    gateway.peers.region = settings.common.region;
+    server.fleet.failure_domain = settings.common.failure_domain;
+    server.drain_notice = settings.common.drain_notice;
+    server.drain_limit = settings.common.drain_limit;
+}
+
 void read_backend(Json const& json, Side::SideSettings& side, Core::Findings& findings)
 {
     ObjectReader reader(json, "/backend-server", findings);
@@ -159,12 +203,19 @@
     }
     DaemonSettings settings;
     ObjectReader reader(json, "", findings);
-    reader.read_choice<Role>("role", settings.role, {{"entry", Role::Entry}, {"side", Role::Side}}, Presence::Required);
+    reader.read_choice<Role>("role", settings.role, {{"entry", Role::Entry}, {"side", Role::Side}, {"gateway", Role::Gateway}}, Presence::Required);
     read_common(reader, settings.common);
-    if (settings.role == Role::Entry)
+    switch (settings.role) {
+    case Role::Entry:
         read_entry(reader, settings, findings);
-    else
+        break;
+    case Role::Side:
         read_side(reader, settings, findings);
+        break;
+    case Role::Gateway:
+        read_gateway(reader, settings, findings);
+        break;
+    }
     reader.finish();
     if (!findings.is_empty())
         throw Core::InvalidInput(findings);
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -7,6 +7,7 @@
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/PlatformSettings.h>
 #include <LibEntry/Router.h>
+#include <LibGateway/GatewayServer.h>
 #include <LibSide/SideAuthority.h>
 
 #include <optional>
@@ -18,6 +19,8 @@
 enum class Role {
     Entry,
     Side,
+    /// An entry that calls backend servers directly, on the users' platform.
+    Gateway,
 };
 
 /// What both roles need.
@@ -42,12 +45,20 @@
     Entry::PeerExchange::Settings peers;
 };
 
+struct GatewaySettings {
+    Gateway::GatewayServer::Settings server;
+    Entry::PeerExchange::Settings peers;
+    /// The platform's store, for the configuration and the backend servers.
+    Entry::PlatformSettings platform;
+};
+
 /// The settings of one daemon, read from its JSON file. docs/OPERATING.md lists them.
 struct DaemonSettings {
     Role role {Role::Entry};
     CommonSettings common;
     EntrySettings entry;
     Side::SideSettings side;
+    GatewaySettings gateway;
 };
 
 /// Reads settings. Throws Core::InvalidInput with everything that is wrong, each with its JSON pointer.
--- a/Libraries/LibTable/Column.cpp
+++ b/Libraries/LibTable/Column.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Address.h>
 #include <LibCore/Text.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -99,16 +100,82 @@
     return {name, help, read, write};
 }
 
-Problem write_key_hash(Workspace& row, std::string_view text)
+constexpr std::size_t s_most_keys = 64;
+constexpr std::size_t s_most_targets = 32;
+
+std::vector<std::string_view> split_list(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        auto const comma = text.find(',');
+        parts.push_back(text.substr(0, comma));
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return parts;
+}
+
+bool is_key_hash(std::string_view text)
+{
+    return text.size() == s_key_hash_digits && std::ranges::all_of(text, [](char character) {
+        auto const byte = static_cast<unsigned char>(character);
+        return absl::ascii_isxdigit(byte) && !absl::ascii_isupper(byte);
+    });
+}
+
+Problem write_key_hashes(Workspace& row, std::string_view text)
+{
+    auto const parts = split_list(text);
+    if (parts.size() > s_most_keys)
+        return Core::concat("holds more than ", s_most_keys, " keys");
+    for (auto const part : parts) {
+        if (!is_key_hash(part))
+            return "is not a SHA-256 of 64 lower-case hexadecimal digits, or several joined by commas";
+    }
+    row.key_hashes.assign(parts.begin(), parts.end());
+    return std::nullopt;
+}
+
+std::string read_key_hashes(Workspace const& row)
+{
+    std::string text;
+    for (auto const& hash : row.key_hashes)
+        Core::append(&text, text.empty() ? "" : ",", hash);
+    return text;
+}
+
+std::string read_targets(Route const& row)
+{
+    std::string text;
+    for (auto const& target : row.targets)
+        Core::append(&text, text.empty() ? "" : ",", target.service, ":", target.weight);
+    return text;
+}
+
+Problem write_targets(Route& row, std::string_view text)
 {
-    if (text.size() != s_key_hash_digits)
-        return "is not a SHA-256 of 64 hexadecimal digits";
-    for (char const character : text) {
-        bool const is_hexadecimal = absl::ascii_isxdigit(static_cast<unsigned char>(character));
-        if (!is_hexadecimal || absl::ascii_isupper(static_cast<unsigned char>(character)))
-            return "is not a SHA-256 of 64 lower-case hexadecimal digits";
+    std::vector<RouteTarget> targets;
+    for (auto const part : split_list(text)) {
+        auto const colon = part.find(':');
+        RouteTarget target {std::string(part.substr(0, colon)), 1};
+        if (colon != std::string_view::npos) {
+            auto const* const end = part.data() + part.size();
+            auto const result = std::from_chars(part.data() + colon + 1, end, target.weight);
+            if (result.ec != std::errc {} || result.ptr != end || target.weight > s_largest_rate)
+                return Core::concat("'", part, "' is not a service and its weight, such as payments:90");
+        }
+        targets.push_back(std::move(target));
     }
-    row.key_hash = std::string(text);
+    if (targets.size() > s_most_targets)
+        return Core::concat("names more than ", s_most_targets, " services");
+    row.targets = std::move(targets);
+    return std::nullopt;
+}
+
+Problem write_path_prefix(Route& row, std::string_view text)
+{
+    if (!text.starts_with('/') || !text.ends_with('/') || text.size() > s_longest_text)
+        return Core::concat("'", text, "' does not start and end with a slash, or is too long");
+    row.path_prefix = std::string(text);
     return std::nullopt;
 }
 
@@ -150,7 +217,8 @@
 std::span<Column<Workspace> const> columns<Workspace>()
 {
     static std::vector<Column<Workspace>> const s_columns {
-        {"key-hash", "SHA-256 of the bearer key", [](Workspace const& row) { return row.key_hash; }, write_key_hash},
+        {"key-hash", "SHA-256 of the bearer key; several are joined by commas", read_key_hashes, write_key_hashes},
+        number_column("tier", "in place of the class's tier, 0 for none", &Workspace::tier, 0, s_lowest_tier),
         number_column("weight", "share within a tier", &Workspace::weight, 1, s_largest_weight),
         number_column("requests-per-second", "over the whole fleet, 0 for no limit", &Workspace::requests_per_second, 0,
             s_largest_rate),
@@ -169,6 +237,8 @@
         choice_column<Service, ServiceKind, 2>(
             "kind", "model or plain", &Service::kind, {{{"model", ServiceKind::Model}, {"plain", ServiceKind::Plain}}}),
         text_column("model", "the model name that callers ask for", &Service::model),
+        number_column("memory-tokens", "tokens that one engine's memory holds, 0 if not known",
+            &Service::memory_tokens, 0, s_largest_rate),
     };
     return s_columns;
 }
@@ -187,4 +257,41 @@
     return s_columns;
 }
 
+template <>
+std::span<Column<Route> const> columns<Route>()
+{
+    using namespace std::chrono_literals;
+    static std::vector<Column<Route>> const s_columns {
+        text_column("host", "the Host header that callers send", &Route::host),
+        {"path-prefix", "begins the path; starts and ends with a slash",
+            [](Route const& row) { return row.path_prefix; }, write_path_prefix},
+        text_column("class", "a row of the sheet classes", &Route::request_class),
+        {"services", "rows of the sheet services with their weights, such as a:90,b:10", read_targets, write_targets},
+        choice_column<Route, Repetition, 2>("repeatable", "whether a request may run again", &Route::repetition,
+            {{{"no", Repetition::Never}, {"yes", Repetition::Allowed}}}),
+        choice_column<Route, AnswerKind, 2>("answer", "whole or events", &Route::answer,
+            {{{"whole", AnswerKind::Whole}, {"events", AnswerKind::EventStream}}}),
+        choice_column<Route, Continuation, 2>("resumable", "whether a broken stream may go on elsewhere",
+            &Route::continuation, {{{"no", Continuation::No}, {"yes", Continuation::Yes}}}),
+        choice_column<Route, KeyNeed, 2>("key", "whether a workspace's key is needed", &Route::key,
+            {{{"required", KeyNeed::Required}, {"open", KeyNeed::Open}}}),
+        number_column("tries", "backend servers that a request may be sent to", &Route::tries, 1, 16),
+        duration_column<Route>("time-limit", "a request has its final answer by then", &Route::time_limit, 1ms, 24h),
+    };
+    return s_columns;
+}
+
+template <>
+std::span<Column<CallerLimits> const> columns<CallerLimits>()
+{
+    using namespace std::chrono_literals;
+    static std::vector<Column<CallerLimits>> const s_columns {
+        number_column("head-bytes", "of a request's line and fields", &CallerLimits::head_bytes, 256, 1U << 20U),
+        number_column("body-bytes", "of a request's body", &CallerLimits::body_bytes, 0, 1U << 30U),
+        duration_column<CallerLimits>("head-time", "for a request's head to come", &CallerLimits::head_time, 10ms, 1h),
+        duration_column<CallerLimits>("idle-time", "without a byte", &CallerLimits::idle_time, 10ms, 24h),
+    };
+    return s_columns;
+}
+
 }
--- a/Libraries/LibTable/Column.h
+++ b/Libraries/LibTable/Column.h
@@ -32,6 +32,10 @@
 std::span<Column<Service> const> columns<Service>();
 template <>
 std::span<Column<BackendServer> const> columns<BackendServer>();
+template <>
+std::span<Column<Route> const> columns<Route>();
+template <>
+std::span<Column<CallerLimits> const> columns<CallerLimits>();
 
 /// The column of that name, or null.
 template <typename Row>
--- a/Libraries/LibTable/Rows.h
+++ b/Libraries/LibTable/Rows.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace GraniteField::Table {
 
@@ -41,8 +43,10 @@
 /// A row of the sheet `workspaces`: one customer.
 struct Workspace {
     std::string name;
-    /// SHA-256 of the bearer key in hexadecimal digits. The key itself is kept nowhere.
-    std::string key_hash;
+    /// SHA-256 of each bearer key in hexadecimal digits. The keys themselves are kept nowhere.
+    std::vector<std::string> key_hashes;
+    /// Takes the place of the class's tier; 0 leaves it.
+    unsigned tier {0};
     /// Share among the workspaces of one tier.
     unsigned weight {1};
     /// Requests a second over the whole fleet; 0 sets no limit.
@@ -68,6 +72,8 @@
     ServiceKind kind {ServiceKind::Plain};
     /// The model name that callers ask for; empty for a plain service.
     std::string model;
+    /// Tokens that the memory of one of its engines holds; 0 where it is not known.
+    unsigned memory_tokens {0};
 
     bool operator==(Service const&) const = default;
 };
@@ -90,4 +96,76 @@
     bool operator==(BackendServer const&) const = default;
 };
 
+/// Whether a request may be run again after it may have run.
+enum class Repetition {
+    /// At most one run for each request that a caller sends.
+    Never,
+    /// Running it again does no harm.
+    Allowed,
+};
+
+enum class AnswerKind {
+    /// One body.
+    Whole,
+    /// A series of events, handed on as they come.
+    EventStream,
+};
+
+/// Whether a stream that broke off may go on at another backend server behind its last event.
+enum class Continuation {
+    No,
+    Yes,
+};
+
+/// Whether callers must show a workspace's key.
+enum class KeyNeed {
+    Required,
+    Open,
+};
+
+/// A service that a route leads to, and its share of the route's requests.
+struct RouteTarget {
+    std::string service;
+    unsigned weight {1};
+
+    bool operator==(RouteTarget const&) const = default;
+};
+
+/// A row of the sheet `routes`: where a gateway sends the requests to a host name and a path.
+struct Route {
+    std::string name;
+    /// The `Host` header without its port, in lower case.
+    std::string host;
+    /// Begins the path; it starts and ends with a slash.
+    std::string path_prefix {"/"};
+    std::string request_class;
+    std::vector<RouteTarget> targets;
+    Repetition repetition {Repetition::Never};
+    AnswerKind answer {AnswerKind::Whole};
+    Continuation continuation {Continuation::No};
+    KeyNeed key {KeyNeed::Required};
+    /// Backend servers that one request may be sent to.
+    unsigned tries {1};
+    /// A request has its final answer after this long.
+    Core::Milliseconds time_limit {30'000};
+
+    bool operator==(Route const&) const = default;
+};
+
+/// A row of the sheet `limits`: how long callers may take and how much they may send. The row `callers` holds for all;
+/// without it the defaults do.
+struct CallerLimits {
+    std::string name;
+    unsigned head_bytes {16'384};
+    unsigned body_bytes {4U << 20U};
+    /// From the first byte of a request to the end of its head.
+    Core::Milliseconds head_time {3'000};
+    /// Without a byte, between requests or within a body.
+    Core::Milliseconds idle_time {15'000};
+
+    bool operator==(CallerLimits const&) const = default;
+};
+
+inline constexpr std::string_view s_callers_row = "callers";
+
 }
--- a/Libraries/LibTable/Table.cpp
+++ b/Libraries/LibTable/Table.cpp
@@ -2,7 +2,9 @@
 
 #include <LibCore/Text.h>
 
+#include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 #include <absl/strings/ascii.h>
@@ -11,11 +13,13 @@
 
 namespace {
 
-constexpr std::array<std::pair<SheetName, std::string_view>, 4> s_sheet_texts {{
+constexpr std::array<std::pair<SheetName, std::string_view>, 6> s_sheet_texts {{
     {SheetName::Classes, "classes"},
     {SheetName::Workspaces, "workspaces"},
     {SheetName::Services, "services"},
     {SheetName::BackendServers, "backend-servers"},
+    {SheetName::Routes, "routes"},
+    {SheetName::Limits, "limits"},
 }};
 
 constexpr std::size_t s_longest_row_name = 64;
@@ -81,9 +85,13 @@
     case SheetName::Services:
         return visitor(table.services());
     case SheetName::BackendServers:
+        return visitor(table.backend_servers());
+    case SheetName::Routes:
+        return visitor(table.routes());
+    case SheetName::Limits:
         break;
     }
-    return visitor(table.backend_servers());
+    return visitor(table.limits());
 }
 
 template <typename Rows>
@@ -126,9 +134,11 @@
     changed.check_references(findings);
     changed.check_floors(findings);
     changed.check_keys(findings);
+    changed.check_routes(findings);
     if (!findings.is_empty())
         throw Core::InvalidInput(findings);
     changed.index_keys();
+    changed.index_routes();
     changed.m_version = m_version.next();
     return changed;
 }
@@ -144,6 +154,10 @@
         return apply_to_sheet(m_services, edit, findings);
     case SheetName::BackendServers:
         return apply_to_sheet(m_backend_servers, edit, findings);
+    case SheetName::Routes:
+        return apply_to_sheet(m_routes, edit, findings);
+    case SheetName::Limits:
+        return apply_to_sheet(m_limits, edit, findings);
     }
 }
 
@@ -186,21 +200,70 @@
     Rows<std::string> workspace_by_hash;
     for (auto const& [name, workspace] : m_workspaces) {
         auto const place = CellPlace {SheetName::Workspaces, name, "key-hash"}.to_string();
-        if (workspace.key_hash.empty()) {
+        if (workspace.key_hashes.empty()) {
             findings.add(place, "is missing");
             continue;
         }
-        auto const [other, is_new] = workspace_by_hash.emplace(workspace.key_hash, name);
-        if (!is_new)
-            findings.add(place, Core::concat("the workspace '", other->second, "' has the same key"));
+        for (auto const& hash : workspace.key_hashes) {
+            auto const [other, is_new] = workspace_by_hash.emplace(hash, name);
+            if (!is_new)
+                findings.add(place, Core::concat("the workspace '", other->second, "' has the same key"));
+        }
+    }
+}
+
+void Table::check_routes(Core::Findings& findings) const
+{
+    std::set<std::pair<std::string, std::string>> places;
+    for (auto const& [name, route] : m_routes) {
+        auto const place_of = [&name](std::string const& column) {
+            return CellPlace {SheetName::Routes, name, column}.to_string();
+        };
+        if (!m_classes.contains(route.request_class))
+            findings.add(place_of("class"), Core::concat("there is no class '", route.request_class, "'"));
+        if (route.targets.empty())
+            findings.add(place_of("services"), "is missing");
+        for (auto const& target : route.targets) {
+            if (!m_services.contains(target.service))
+                findings.add(place_of("services"), Core::concat("there is no service '", target.service, "'"));
+        }
+        if (!places.emplace(route.host, route.path_prefix).second)
+            findings.add(place_of("path-prefix"), "another route has the same host and prefix");
     }
 }
 
 void Table::index_keys()
 {
     m_workspace_by_key_hash.clear();
-    for (auto const& [name, workspace] : m_workspaces)
-        m_workspace_by_key_hash.emplace(workspace.key_hash, name);
+    for (auto const& [name, workspace] : m_workspaces) {
+        for (auto const& hash : workspace.key_hashes)
+            m_workspace_by_key_hash.emplace(hash, name);
+    }
+}
+
+void Table::index_routes()
+{
+    m_routes_by_host.clear();
+    for (auto const& [name, route] : m_routes)
+        m_routes_by_host[route.host].push_back(name);
+    auto const is_longer = [this](std::string const& left, std::string const& right) {
+        return m_routes.find(left)->second.path_prefix.size() > m_routes.find(right)->second.path_prefix.size();
+    };
+    for (auto& [host, names] : m_routes_by_host)
+        std::ranges::stable_sort(names, is_longer);
+}
+
+Route const* Table::find_route(std::string_view host, std::string_view path) const
+{
+    auto const found = m_routes_by_host.find(host);
+    if (found == m_routes_by_host.end())
+        return nullptr;
+    for (auto const& name : found->second) {
+        auto const& route = m_routes.find(name)->second;
+        if (path.starts_with(route.path_prefix))
+            return &route;
+    }
+    return nullptr;
 }
 
 RequestClass const* Table::find_class(std::string_view name) const
@@ -232,6 +295,12 @@
     return &m_workspaces.find(name->second)->second;
 }
 
+CallerLimits Table::caller_limits() const
+{
+    auto const found = m_limits.find(s_callers_row);
+    return found == m_limits.end() ? CallerLimits {} : found->second;
+}
+
 std::optional<std::string> Table::cell(CellPlace const& place) const
 {
     return visit_sheet(*this, place.sheet, [&](auto const& rows) { return read_cell(rows, place); });
--- a/Libraries/LibTable/Table.h
+++ b/Libraries/LibTable/Table.h
@@ -19,10 +19,12 @@
     Workspaces,
     Services,
     BackendServers,
+    Routes,
+    Limits,
 };
 
-inline constexpr std::array s_all_sheets {
-    SheetName::Classes, SheetName::Workspaces, SheetName::Services, SheetName::BackendServers};
+inline constexpr std::array s_all_sheets {SheetName::Classes, SheetName::Workspaces, SheetName::Services,
+    SheetName::BackendServers, SheetName::Routes, SheetName::Limits};
 
 [[nodiscard]] std::string_view to_string(SheetName);
 [[nodiscard]] std::optional<SheetName> sheet_from_string(std::string_view);
@@ -47,7 +49,7 @@
 
 using Change = std::vector<Edit>;
 
-/// The operators' table: an aggregate with four sheets. It is only ever valid: a change is taken whole
+/// The operators' table: an aggregate with six sheets. It is only ever valid: a change is taken whole
 /// or not at all. Tables don't change; a change makes a new one.
 class Table {
 public:
@@ -67,13 +69,20 @@
     [[nodiscard]] Rows<Workspace> const& workspaces() const { return m_workspaces; }
     [[nodiscard]] Rows<Service> const& services() const { return m_services; }
     [[nodiscard]] Rows<BackendServer> const& backend_servers() const { return m_backend_servers; }
+    [[nodiscard]] Rows<Route> const& routes() const { return m_routes; }
+    [[nodiscard]] Rows<CallerLimits> const& limits() const { return m_limits; }
 
     [[nodiscard]] RequestClass const* find_class(std::string_view name) const;
     [[nodiscard]] Service const* find_service(std::string_view name) const;
     [[nodiscard]] Service const* find_model(std::string_view model) const;
-    /// The workspace whose key has this SHA-256, or null.
+    /// The route of that host with the longest prefix that begins the path, or null.
+    [[nodiscard]] Route const* find_route(std::string_view host, std::string_view path) const;
+    /// The workspace with a key of this SHA-256, or null.
     [[nodiscard]] Workspace const* find_workspace_by_key_hash(std::string_view key_hash) const;
 
+    /// What holds for all callers.
+    [[nodiscard]] CallerLimits caller_limits() const;
+
     /// The text of a cell; nothing when there is no such row or column.
     [[nodiscard]] std::optional<std::string> cell(CellPlace const&) const;
     [[nodiscard]] bool has_row(SheetName, std::string_view row) const;
@@ -90,13 +99,19 @@
     void check_references(Core::Findings&) const;
     void check_floors(Core::Findings&) const;
     void check_keys(Core::Findings&) const;
+    void check_routes(Core::Findings&) const;
     void index_keys();
+    void index_routes();
 
     Core::TableVersion m_version;
     Rows<RequestClass> m_classes;
     Rows<Workspace> m_workspaces;
     Rows<Service> m_services;
     Rows<BackendServer> m_backend_servers;
+    Rows<Route> m_routes;
+    Rows<CallerLimits> m_limits;
+    /// Names of a host's routes, longest prefix first.
+    Rows<std::vector<std::string>> m_routes_by_host;
     Rows<std::string> m_workspace_by_key_hash;
 };
 
--- /dev/null
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -0,0 +1,100 @@
+#include "GatewayDaemon.h"
+
+#include "OperatorServer.h"
+
+#include <LibEntry/PeerExchange.h>
+#include <LibEntry/SharedHosts.h>
+#include <LibGateway/GatewayServer.h>
+#include <LibObserve/EventLog.h>
+
+#include <exception>
+#include <unistd.h>
+
+#include <platform/Decoders.h>
+#include <platform/StoreFollower.h>
+#include <platform/StoreSinks.h>
+#include <platform/WireNames.h>
+
+namespace GraniteField::Daemon {
+
+namespace {
+
+constexpr int s_io_threads = 1;
+
+PlatformAdapter::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
+{
+    PlatformAdapter::FollowerSettings settings;
+    settings.store = platform.address;
+    settings.call_timeout = platform.call_timeout;
+    settings.watch_wait = platform.watch_wait;
+    settings.shortest_pause = platform.shortest_pause;
+    settings.longest_pause = platform.longest_pause;
+    return settings;
+}
+
+/// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
+/// nothing.
+void reload(std::function<Settings::DaemonSettings()> const& read_settings, Gateway::GatewayServer& server,
+    Observe::EventLog& log)
+{
+    try {
+        auto const settings = read_settings();
+        server.reload(settings.gateway.server);
+        log.write(Observe::LogEvent("reload").add("outcome", "done"));
+    } catch (std::exception const& error) {
+        log.write(Observe::LogEvent("reload").add("outcome", "rejected").add("reason", error.what()));
+    }
+}
+
+}
+
+void run_gateway(Settings::DaemonSettings const& settings, std::function<Signal()> const& wait_for_signal,
+    std::function<Settings::DaemonSettings()> const& read_settings)
+{
+    auto const& common = settings.common;
+    Observe::MetricRegistry metrics;
+    Observe::DecisionRing decisions(common.decisions_kept);
+    Observe::EventLog log(STDOUT_FILENO, common.name, Core::draw_incarnation(), metrics);
+
+    zmq::context_t context(s_io_threads);
+    Entry::SharedTable table;
+    Entry::SharedHosts hosts;
+    Entry::SharedServers servers;
+    Entry::SharedMembership membership;
+    auto server_settings = settings.gateway.server;
+    server_settings.dialect = PlatformAdapter::platform_dialect();
+    Gateway::GatewayServer server(server_settings, table, servers, membership, log, metrics);
+    Entry::PeerExchange peers(
+        settings.gateway.peers, context, table, hosts, servers, membership, [&server] { server.wake(); }, metrics);
+    auto const tell_all = [&server, &peers] {
+        server.wake();
+        peers.wake();
+    };
+    PlatformAdapter::ConfigurationSink configuration_sink(table, tell_all, log);
+    PlatformAdapter::ServersSink servers_sink(servers, tell_all, log);
+    auto const store = follower_settings(settings.gateway.platform);
+    PlatformAdapter::StoreFollower configuration(
+        store, std::string(PlatformAdapter::Wire::s_config_kind), configuration_sink, log, metrics);
+    PlatformAdapter::StoreFollower backend_servers(
+        store, std::string(PlatformAdapter::Wire::s_servers_kind), servers_sink, log, metrics);
+
+    OperatorServer::Sources sources;
+    sources.is_ready = [&server] { return server.is_ready(); };
+    sources.status = [&server] { return server.status(); };
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+
+    log.write(Observe::LogEvent("start")
+                  .add("role", "gateway")
+                  .add("callers", server.caller_port())
+                  .add("readiness", server.readiness_port())
+                  .add("operator", operators.port())
+                  .add("peers", peers.port()));
+    while (wait_for_signal() != Signal::Stop)
+        reload(read_settings, server, log);
+    log.write(Observe::LogEvent("stop"));
+    server.drain();
+    server.wait_until_drained();
+    log.write(Observe::LogEvent("stopped"));
+}
+
+}
--- a/Services/GraniteFieldD/main.cpp
+++ b/Services/GraniteFieldD/main.cpp
@@ -1,5 +1,6 @@
 // granitefieldd: the daemon, in the role that its settings name.
 #include "EntryDaemon.h"
+#include "GatewayDaemon.h"
 #include "SideDaemon.h"
 
 #include <LibHTTP/HttpClient.h>
@@ -7,6 +8,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <sstream>
 #include <string>
@@ -16,6 +18,8 @@
 
 namespace {
 
+using namespace GraniteField;
+
 constexpr char const* s_version = "0.1.0";
 constexpr int s_exit_usage = 2;
 
@@ -29,31 +33,45 @@
     return text.str();
 }
 
-/// Blocks the signals that end the daemon in all threads, so that one can wait for them.
-sigset_t block_stop_signals()
+/// Blocks the signals that the daemon heeds in all threads, so that one can wait for them.
+sigset_t block_signals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return signals;
 }
 
-int run(GraniteField::Settings::DaemonSettings const& settings)
+int run(Settings::DaemonSettings const& settings, std::function<Settings::DaemonSettings()> const& read_settings)
 {
-    auto const signals = block_stop_signals();
+    auto const signals = block_signals();
     // A caller or a backend server that hangs up must not end the daemon.
     std::signal(SIGPIPE, SIG_IGN);
-    GraniteField::HTTP::initialize_http_client();
-    auto const wait_for_stop = [&signals] {
+    HTTP::initialize_http_client();
+    auto const wait_for_signal = [&signals] {
         int received = 0;
         sigwait(&signals, &received);
+        return received == SIGHUP ? Daemon::Signal::Reload : Daemon::Signal::Stop;
+    };
+    // Entries and side processes read their settings once.
+    auto const wait_for_stop = [&wait_for_signal] {
+        while (wait_for_signal() != Daemon::Signal::Stop)
+            LOG(WARNING) << "daemon: this role reads its settings only at its start";
     };
-    if (settings.role == GraniteField::Settings::Role::Entry)
-        GraniteField::Daemon::run_entry(settings, wait_for_stop);
-    else
-        GraniteField::Daemon::run_side(settings, wait_for_stop);
+    switch (settings.role) {
+    case Settings::Role::Entry:
+        Daemon::run_entry(settings, wait_for_stop);
+        break;
+    case Settings::Role::Side:
+        Daemon::run_side(settings, wait_for_stop);
+        break;
+    case Settings::Role::Gateway:
+        Daemon::run_gateway(settings, wait_for_signal, read_settings);
+        break;
+    }
     return 0;
 }
 
@@ -71,11 +89,13 @@
         TCLAP::SwitchArg should_check(
             "", "check", "Only check the settings: prints what is wrong and exits with 2, or with 0.", command_line);
         command_line.parse(argument_count, arguments);
-        auto const settings = GraniteField::Settings::parse_settings(read_file(settings_path.getValue()));
+        auto const read_settings
+            = [&settings_path] { return Settings::parse_settings(read_file(settings_path.getValue())); };
+        auto const settings = read_settings();
         if (should_check.getValue())
             return 0;
-        return run(settings);
-    } catch (GraniteField::Core::InvalidInput const& error) {
+        return run(settings, read_settings);
+    } catch (Core::InvalidInput const& error) {
         std::cerr << error.what() << '\n';
         return s_exit_usage;
     } catch (std::exception const& error) {
