LibGateway: Close what was given up unsent; refuse what a planned stop would cut

Change: an unsent attempt is cancelled when its request ends; a stopping gateway refuses with a true 503 what it could not finish.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -408,18 +408,24 @@
 
 void GatewayRun::give_up(Core::MonotonicTime now)
 {
-    if (m_attempt) {
-        bool const was_sent = m_attempt->is_sent();
-        m_may_have_run = m_may_have_run || was_sent;
-        if (was_sent)
-            end_attempt(m_has_first_event, now);
-        m_attempt.reset();
+    if (m_attempt && m_attempt->is_sent()) {
+        m_may_have_run = true;
+        end_attempt(m_has_first_event, now);
     }
+    drop_unsent_attempt();
     if (m_has_begun_answer)
         return cut("the time limit is over");
     fail(s_gateway_timeout, "time_limit", "the request's time limit is over");
 }
 
+void GatewayRun::drop_unsent_attempt()
+{
+    // Its connection may still come up, and must then not send what is refused by now.
+    if (m_attempt)
+        m_attempt->cancel();
+    m_attempt.reset();
+}
+
 void GatewayRun::handle_caller_gone()
 {
     if (m_is_over)
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -94,6 +94,8 @@
     void give_whole_answer(BackendAttempt&);
     void end_attempt(bool is_success, Core::MonotonicTime now);
 
+    void drop_unsent_attempt();
+
     void handle_caller_gone();
     void give_up(Core::MonotonicTime now);
     /// A final answer of the gateway's own: 503 where nothing ran, else 502 or 504.
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -19,6 +19,11 @@
 constexpr Core::Milliseconds s_idle_tick_interval {250};
 constexpr Core::Milliseconds s_status_patience {1'000};
 constexpr int s_backlog = 512;
+/// Kept free at the end of a planned stop, so that the last answers leave before the process is killed.
+constexpr Core::Milliseconds s_stop_reserve {400};
+/// An answer is expected to be whole within so many of its class's targets for the first piece.
+constexpr int s_targets_for_an_answer = 4;
+constexpr int s_targets_for_a_stream = 2;
 
 boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
 {
@@ -141,18 +146,43 @@
     follow();
     std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
     auto read = read_call(std::move(head), std::move(body), m_table, m_settings.dialect, received);
-    if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read)) {
-        m_metrics.note_end(0, error->outcome, error->code);
-        m_log.write(Observe::LogEvent("refused")
-                        .add("request", id)
-                        .add("status", error->status)
-                        .add("reason", error->code)
-                        .add("table", m_table ? m_table->version().value() : 0));
-        return give_own_answer(*caller, *error, id, m_settings.dialect);
-    }
-    auto run = std::make_unique<GatewayRun>(m_context, std::move(std::get<GatewayCall>(read)), std::move(caller));
-    auto& begun = *m_runs.emplace_back(std::move(run));
-    begun.begin(Core::monotonic_now());
+    if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read))
+        return refuse(*caller, id, *error);
+    auto& call = std::get<GatewayCall>(read);
+    auto const now = Core::monotonic_now();
+    if (auto const error = refuse_for_stop(call, now))
+        return refuse(*caller, id, *error);
+    auto& begun = *m_runs.emplace_back(std::make_unique<GatewayRun>(m_context, std::move(call), std::move(caller)));
+    begun.begin(now);
+}
+
+void GatewayServer::refuse(CallerConnection& caller, std::string const& id, Entry::ErrorAnswer const& error)
+{
+    m_metrics.note_end(0, error.outcome, error.code);
+    m_log.write(Observe::LogEvent("refused")
+                    .add("request", id)
+                    .add("status", error.status)
+                    .add("reason", error.code)
+                    .add("table", m_table ? m_table->version().value() : 0));
+    give_own_answer(caller, error, id, m_settings.dialect);
+}
+
+std::optional<Entry::ErrorAnswer> GatewayServer::refuse_for_stop(
+    GatewayCall const& call, Core::MonotonicTime now) const
+{
+    if (!m_drain_begun)
+        return std::nullopt;
+    auto const passed = Core::elapsed(*m_drain_begun, now);
+    auto const left = m_settings.drain_limit - s_stop_reserve - passed;
+    auto const target = call.request_class->first_token_target;
+    auto const needed = target * (call.is_stream() ? s_targets_for_a_stream : s_targets_for_an_answer);
+    // Until the balancer has noticed, callers can't know better, and most streams end in time.
+    if (call.is_stream() && passed <= m_settings.drain_notice)
+        return std::nullopt;
+    if (needed <= left)
+        return std::nullopt;
+    return Entry::ErrorAnswer {
+        503, "stopping", "this gateway stops", Entry::Outcome::NotRun, m_settings.runs.retry_after};
 }
 
 void GatewayServer::wake()
@@ -251,7 +281,7 @@
     for (auto const& connection : m_connections)
         connection->close_if_idle();
     bool const is_idle = m_runs.empty() && m_connections.empty();
-    if (!is_idle && passed < m_settings.drain_limit)
+    if (!is_idle && passed < m_settings.drain_limit - s_stop_reserve)
         return;
     for (auto const& run : m_runs)
         run->abandon();
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -32,8 +32,8 @@
         Dialect dialect;
         /// How long a planned stop goes on taking requests: the balancer needs it to notice.
         Core::Milliseconds drain_notice {2'500};
-        /// How long a planned stop waits for what is in flight, all in all.
-        Core::Milliseconds drain_limit {7'500};
+        /// How long a planned stop waits for what is in flight, all in all; the process is killed after it.
+        Core::Milliseconds drain_limit {8'000};
     };
 
     GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
@@ -69,6 +69,9 @@
     void schedule_tick();
     void tick();
     void tick_drain(Core::MonotonicTime now);
+    /// The refusal for a request that a planned stop would cut; nothing when there is time for it.
+    [[nodiscard]] std::optional<Entry::ErrorAnswer> refuse_for_stop(GatewayCall const&, Core::MonotonicTime now) const;
+    void refuse(CallerConnection&, std::string const& id, Entry::ErrorAnswer const&);
     void update_readiness();
     [[nodiscard]] std::string make_status() const;
 
