LibEntry: Keep server lists that may hold lapsed servers to the gateway that made them

Change: a list with missing servers is provisional and never handed on; before it waits for missing servers a gateway adopts what its peers knew meanwhile. A stopping gateway refuses streams once the balancer's notice is over.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -197,7 +197,7 @@
         m_view.note(from_message(record, now));
     auto const own_table = table_version().value();
     auto const own_hosts = m_hosts.version().value();
-    auto const own_servers = m_servers.revision().value();
+    auto const own_servers = m_servers.settled_revision().value();
     bool const is_ahead = announce.table_version() > own_table || announce.hosts_version() > own_hosts
         || announce.servers_revision() > own_servers;
     if (is_ahead) {
@@ -263,7 +263,7 @@
 
 void PeerExchange::give_servers(Message::Pull const& pull, Reply const& reply) const
 {
-    auto const list = m_servers.current();
+    auto const list = m_servers.settled();
     if (!list || list->revision.value() <= pull.servers_revision())
         return;
     Envelope answer;
@@ -329,6 +329,7 @@
 {
     ServerList list;
     list.revision = ListRevision(update.revision());
+    list.is_provisional = false;
     for (auto const& record : update.servers()) {
         auto const address = Core::Address::from_string(record.address());
         if (!address) {
@@ -376,7 +377,7 @@
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
     bool const has_news = table_version() != m_announced_table || m_hosts.version() != m_announced_hosts
-        || m_servers.revision() != m_announced_servers || m_is_platform_reachable != m_announced_reachable;
+        || m_servers.settled_revision() != m_announced_servers || m_is_platform_reachable != m_announced_reachable;
     if (!has_news && now < m_next_announcement)
         return;
     announce();
@@ -399,7 +400,7 @@
     *announce.mutable_sender() = to_message(self, now);
     announce.set_table_version(table_version().value());
     announce.set_hosts_version(m_hosts.version().value());
-    announce.set_servers_revision(m_servers.revision().value());
+    announce.set_servers_revision(m_servers.settled_revision().value());
     return envelope;
 }
 
--- a/Libraries/LibEntry/SharedServers.h
+++ b/Libraries/LibEntry/SharedServers.h
@@ -32,6 +32,9 @@
 
 struct ServerList {
     ListRevision revision;
+    /// It holds servers that are missing in the store, in the hope that they come back. Not to be handed to others,
+    /// who may know better.
+    bool is_provisional {false};
     std::vector<DirectServer> servers;
 };
 
@@ -45,10 +48,18 @@
         return m_list;
     }
 
-    [[nodiscard]] ListRevision revision() const
+    /// The newest list that is not provisional; null before the first one.
+    [[nodiscard]] std::shared_ptr<ServerList const> settled() const
     {
         std::lock_guard const lock(m_mutex);
-        return m_list ? m_list->revision : ListRevision();
+        return m_settled;
+    }
+
+    /// The revision of the newest list that is not provisional.
+    [[nodiscard]] ListRevision settled_revision() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_settled ? m_settled->revision : ListRevision();
     }
 
     /// Takes the list if it is newer, and says whether it was.
@@ -57,7 +68,7 @@
         std::lock_guard const lock(m_mutex);
         if (m_list && list.revision <= m_list->revision)
             return false;
-        m_list = std::make_shared<ServerList const>(std::move(list));
+        take(std::move(list));
         return true;
     }
 
@@ -67,13 +78,21 @@
         std::lock_guard const lock(m_mutex);
         if (m_list && list.revision < m_list->revision)
             return false;
-        m_list = std::make_shared<ServerList const>(std::move(list));
+        take(std::move(list));
         return true;
     }
 
 private:
+    void take(ServerList list)
+    {
+        m_list = std::make_shared<ServerList const>(std::move(list));
+        if (!m_list->is_provisional)
+            m_settled = m_list;
+    }
+
     mutable std::mutex m_mutex;
     std::shared_ptr<ServerList const> m_list;
+    std::shared_ptr<ServerList const> m_settled;
 };
 
 }
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -21,9 +21,8 @@
 constexpr int s_backlog = 512;
 /// Kept free at the end of a planned stop, so that the last answers leave before the process is killed.
 constexpr Core::Milliseconds s_stop_reserve {400};
-/// An answer is expected to be whole within so many of its class's targets for the first piece.
+/// An answer that is no stream is expected within so many of its class's targets.
 constexpr int s_targets_for_an_answer = 4;
-constexpr int s_targets_for_a_stream = 2;
 
 boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
 {
@@ -174,9 +173,10 @@
         return std::nullopt;
     auto const passed = Core::elapsed(*m_drain_begun, now);
     auto const left = m_settings.drain_limit - s_stop_reserve - passed;
-    auto const target = call.request_class->first_token_target;
-    auto const needed = target * (call.is_stream() ? s_targets_for_a_stream : s_targets_for_an_answer);
-    // Until the balancer has noticed, callers can't know better, and most streams end in time.
+    // Nobody knows how long a stream will be, so it needs the time that its route lets it take. Until the balancer
+    // has noticed, callers can't know better, and most streams end in time.
+    auto const needed = call.is_stream() ? Core::elapsed(call.received, call.deadline)
+                                         : call.request_class->first_token_target * s_targets_for_an_answer;
     if (call.is_stream() && passed <= m_settings.drain_notice)
         return std::nullopt;
     if (needed <= left)
--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -21,6 +21,16 @@
     m_revision = revision;
 }
 
+void ServerRoster::adopt(Entry::ServerList const& list)
+{
+    if (list.revision <= m_revision || list.is_provisional)
+        return;
+    m_entries.clear();
+    for (auto const& server : list.servers)
+        take_change(server);
+    m_revision = list.revision;
+}
+
 void ServerRoster::take_change(Entry::DirectServer server)
 {
     auto const instance = server.instance;
@@ -65,8 +75,10 @@
 {
     Entry::ServerList list;
     list.revision = m_revision;
-    for (auto const& [instance, entry] : m_entries)
+    for (auto const& [instance, entry] : m_entries) {
         list.servers.push_back(entry.server);
+        list.is_provisional = list.is_provisional || entry.is_missing;
+    }
     return list;
 }
 
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -20,6 +20,9 @@
 
     /// A whole list takes the place of what was known.
     void take_list(std::vector<Entry::DirectServer>, Entry::ListRevision, Core::MonotonicTime now);
+    /// What a peer knew while the store was away from here, if it is newer: what the peer knows as gone is not waited
+    /// for.
+    void adopt(Entry::ServerList const&);
     void take_change(Entry::DirectServer);
     void take_removal(std::string const& instance, Core::MonotonicTime now);
     void set_revision(Entry::ListRevision revision) { m_revision = revision; }
