LibPlatform: Speak the platform's published store protocol everywhere

Cause: two clients spoke to the platform: the invented ETag protocol for the table and a new one for the gateway. Change: one ObjectClient with lists, watches and conditional writes; the forms of its messages are declared in LibPlatform/ObjectCodec.h and defined in platform/. The table's storage, the host follower and the stand-in platform moved onto it; the stand-in pages lists, loses history, is busy, silent or resets, and does lost writes late. ALostAnswerIsReadBack failed first: libcurl had sent writes again by itself on a kept connection and so hidden that a lost answer to a page's write gave the change up. Writes now take a fresh connection, and a page is written again.

--- a/Libraries/LibEntry/Backoff.h
+++ b/Libraries/LibCore/Backoff.h
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <random>
 
-namespace GraniteField::Entry {
+namespace GraniteField::Core {
 
 /// Waits between tries, longer after each failure, that another thread can end. The waits are spread, so
 /// that many processes that lost the platform together do not come back to it together.
--- a/Libraries/LibEntry/HostFollower.cpp
+++ b/Libraries/LibEntry/HostFollower.cpp
@@ -1,5 +1,12 @@
 #include <LibEntry/HostFollower.h>
 
+#include <LibPlatform/ObjectCodec.h>
+
+#include <map>
+#include <vector>
+
+#include <glog/logging.h>
+
 namespace GraniteField::Entry {
 
 HostFollower::HostFollower(PlatformSettings const& settings, SharedHosts& hosts, PeerExchange& peers,
@@ -39,13 +46,30 @@
 
 void HostFollower::read_list()
 {
-    auto const list = m_client.hosts();
+    auto const listing = m_client.list(Platform::servers_kind());
     LeavingHosts hosts;
-    hosts.version = HostsVersion(list.version.value());
-    for (auto const& host : list.hosts) {
-        if (host.state == Platform::HostState::Leaving)
-            hosts.addresses.insert(host.address);
+    hosts.version = HostsVersion(listing.revision.value());
+    std::map<std::string, std::size_t> servers_by_host;
+    std::vector<Platform::ServerEntry> leaving;
+    for (auto const& object : listing.objects) {
+        try {
+            auto server = Platform::decode_server(object);
+            ++servers_by_host[server.address.host()];
+            if (server.state == Table::BackendServerState::Leaving)
+                leaving.push_back(std::move(server));
+        } catch (std::exception const& error) {
+            LOG(ERROR) << "hosts: the entry of " << object.name << " can't be read: " << error.what();
+        }
+    }
+    for (auto const& server : leaving) {
+        hosts.addresses.insert(server.address.to_string());
+        // Where a host has one backend server, its side process leaves with it.
+        if (servers_by_host[server.address.host()] == 1)
+            hosts.addresses.insert(server.address.host());
     }
+    // The store's revision rises with every change of anything; only another content is news.
+    if (hosts.addresses == m_hosts.current().addresses)
+        return;
     if (m_hosts.offer(std::move(hosts)))
         m_on_news();
 }
--- a/Libraries/LibEntry/HostFollower.h
+++ b/Libraries/LibEntry/HostFollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibEntry/Backoff.h>
+#include <LibCore/Backoff.h>
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/PlatformSettings.h>
 #include <LibEntry/SharedHosts.h>
@@ -11,7 +11,7 @@
 
 namespace GraniteField::Entry {
 
-/// Reads the platform's host list now and then, on a thread of its own, in the entries that watch the
+/// Reads the list of backend servers in the platform's store now and then, for those that are leaving, on a thread of its own, in the entries that watch the
 /// platform. The list lags; a side process's own word and the data path are heard before it.
 class HostFollower {
 public:
@@ -32,7 +32,7 @@
     std::function<void()> m_on_news;
     Observe::MetricRegistry& m_metrics;
     Platform::ObjectClient m_client;
-    Backoff m_backoff;
+    Core::Backoff m_backoff;
     std::thread m_thread;
 };
 
--- a/Libraries/LibEntry/SharedServers.h
+++ b/Libraries/LibEntry/SharedServers.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <LibCore/Address.h>
 #include <LibCore/StrongInteger.h>
-#include <LibTable/Rows.h>
+#include <LibPlatform/Objects.h>
 
 #include <cstdint>
 #include <memory>
@@ -16,26 +15,14 @@
 /// Revision of a list of backend servers; a later list has a higher one.
 using ListRevision = Core::StrongInteger<struct ListRevisionTag>;
 
-/// A backend server that calls are sent to directly, as its own entry in the platform's store describes it.
-struct DirectServer {
-    /// One run of the server. A server that starts again, or another one at the same address, has another id.
-    std::string instance;
-    std::string service;
-    Core::Address address;
-    std::string failure_domain;
-    /// Requests that it works on at once.
-    unsigned slots {1};
-    Table::BackendServerState state {Table::BackendServerState::Serving};
-
-    bool operator==(DirectServer const&) const = default;
-};
+using Platform::ServerEntry;
 
 struct ServerList {
     ListRevision revision;
     /// It holds servers that are missing in the store, in the hope that they come back. Not to be handed to others,
     /// who may know better.
     bool is_provisional {false};
-    std::vector<DirectServer> servers;
+    std::vector<ServerEntry> servers;
 };
 
 /// The newest list of backend servers in this process. Any thread; an older list never takes the place of a newer.
--- a/Libraries/LibEntry/TableFollower.h
+++ b/Libraries/LibEntry/TableFollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibEntry/Backoff.h>
+#include <LibCore/Backoff.h>
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/PlatformSettings.h>
 #include <LibEntry/SharedTable.h>
@@ -37,7 +37,7 @@
     Platform::ObjectClient m_client;
     Platform::TableStore m_store;
     bool m_has_read {false};
-    Backoff m_backoff;
+    Core::Backoff m_backoff;
     std::thread m_thread;
 };
 
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -41,7 +41,7 @@
 {
 }
 
-void BackendFleet::log_change(Entry::DirectServer const& server, std::string_view change, Entry::ListRevision revision) const
+void BackendFleet::log_change(Entry::ServerEntry const& server, std::string_view change, Entry::ListRevision revision) const
 {
     m_log.write(Observe::LogEvent("backend-server")
                     .add("change", change)
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -70,7 +70,7 @@
     [[nodiscard]] double engine_cost(
         Candidate const&, GatewayCall const&, Core::MonotonicTime now, std::uint32_t& unread_tokens) const;
     [[nodiscard]] double prefill_rate(std::string const& service) const;
-    void log_change(Entry::DirectServer const&, std::string_view change, Entry::ListRevision) const;
+    void log_change(Entry::ServerEntry const&, std::string_view change, Entry::ListRevision) const;
 
     Settings m_settings;
     Observe::EventLog& m_log;
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -42,13 +42,13 @@
 /// answered of late. On the gateway's thread only.
 class BackendView {
 public:
-    explicit BackendView(Entry::DirectServer record)
+    explicit BackendView(Entry::ServerEntry record)
         : m_record(std::move(record))
     {
     }
 
-    [[nodiscard]] Entry::DirectServer const& record() const { return m_record; }
-    void set_record(Entry::DirectServer record) { m_record = std::move(record); }
+    [[nodiscard]] Entry::ServerEntry const& record() const { return m_record; }
+    void set_record(Entry::ServerEntry record) { m_record = std::move(record); }
 
     /// Whether it is in the newest list and not leaving.
     [[nodiscard]] bool takes_new_requests() const
@@ -136,7 +136,7 @@
         m_avoided_until = now + s_shortest_avoidance * (1U << doublings);
     }
 
-    Entry::DirectServer m_record;
+    Entry::ServerEntry m_record;
     bool m_is_listed {true};
     unsigned m_open {0};
     std::uint64_t m_unread_tokens {0};
--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -4,7 +4,7 @@
 
 namespace GraniteField::Gateway {
 
-void ServerRoster::take_list(std::vector<Entry::DirectServer> servers, Entry::ListRevision revision, Core::MonotonicTime now)
+void ServerRoster::take_list(std::vector<Entry::ServerEntry> servers, Entry::ListRevision revision, Core::MonotonicTime now)
 {
     std::set<std::string> listed;
     for (auto& server : servers) {
@@ -31,7 +31,7 @@
     m_revision = list.revision;
 }
 
-void ServerRoster::take_change(Entry::DirectServer server)
+void ServerRoster::take_change(Entry::ServerEntry server)
 {
     auto const instance = server.instance;
     m_entries.insert_or_assign(instance, KnownServer {std::move(server), false});
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -19,11 +19,11 @@
     static constexpr Core::Milliseconds s_settling_time {2'000};
 
     /// A whole list takes the place of what was known.
-    void take_list(std::vector<Entry::DirectServer>, Entry::ListRevision, Core::MonotonicTime now);
+    void take_list(std::vector<Entry::ServerEntry>, Entry::ListRevision, Core::MonotonicTime now);
     /// What a peer knew while the store was away from here, if it is newer: what the peer knows as gone is not waited
     /// for.
     void adopt(Entry::ServerList const&);
-    void take_change(Entry::DirectServer);
+    void take_change(Entry::ServerEntry);
     void take_removal(std::string const& instance, Core::MonotonicTime now);
     void set_revision(Entry::ListRevision revision) { m_revision = revision; }
 
@@ -40,7 +40,7 @@
 
 private:
     struct KnownServer {
-        Entry::DirectServer server;
+        Entry::ServerEntry server;
         bool is_missing {false};
     };
 
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -100,6 +100,9 @@
     curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
     curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, check_abort);
     curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_state->is_aborted);
+    // On a connection that was kept and has died libcurl would send a request again by itself.
+    bool const is_read = request.method == "GET" || request.method == "HEAD";
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, is_read ? 0L : 1L);
     if (request.method == "HEAD")
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     if (!request.body.empty() || request.method == "PUT" || request.method == "POST") {
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -1,63 +1,63 @@
 #include <LibPlatform/ObjectClient.h>
 
 #include <LibCore/Text.h>
-
-#include <charconv>
-
-#include <nlohmann/json.hpp>
+#include <LibPlatform/ObjectCodec.h>
 
 namespace GraniteField::Platform {
 
 namespace {
 
-/// How much longer than the wait itself a watch's answer may take.
-constexpr Core::Milliseconds s_watch_grace {2000};
+constexpr int s_ok = 200;
+constexpr int s_created = 201;
+constexpr int s_no_content = 204;
+constexpr int s_not_found = 404;
+constexpr int s_conflict = 409;
+constexpr int s_gone = 410;
 
-ObjectVersion version_of(HTTP::ClientResponse const& response)
+Json parse(std::string const& path, std::string const& body)
 {
-    auto const etag = response.headers.find("etag");
-    if (etag == response.headers.end())
-        throw PlatformUnavailable("the answer names no version");
-    std::string_view text = etag->second;
-    if (text.size() >= 2 && text.starts_with('"') && text.ends_with('"'))
-        text = text.substr(1, text.size() - 2);
-    std::uint64_t version = 0;
-    auto const result = std::from_chars(text.data(), text.data() + text.size(), version);
-    if (result.ec != std::errc {} || result.ptr != text.data() + text.size())
-        throw PlatformUnavailable(Core::concat("the version '", text, "' is not a number"));
-    return ObjectVersion(version);
+    try {
+        return Json::parse(body);
+    } catch (Json::exception const& error) {
+        throw PlatformUnavailable(Core::concat(path, ": the answer is not JSON: ", error.what()));
+    }
 }
 
-std::string quoted(ObjectVersion version)
+/// Decodes an answer; one of another form is no usable answer.
+template <typename Decoder>
+auto decode(std::string const& path, Json const& json, Decoder decoder)
 {
-    return Core::concat("\"", version.value(), "\"");
+    try {
+        return decoder(json);
+    } catch (Json::exception const& error) {
+        throw PlatformUnavailable(Core::concat(path, ": the answer can't be read: ", error.what()));
+    }
 }
 
-[[noreturn]] void throw_unexpected(HTTP::ClientResponse const& response)
+[[noreturn]] void throw_unexpected(std::string const& path, int status)
 {
-    throw PlatformUnavailable(Core::concat("the platform answered with status ", response.status));
+    throw PlatformUnavailable(Core::concat(path, ": status ", status));
 }
 
 }
 
-ObjectClient::ObjectClient(Core::Address platform, Core::Milliseconds timeout)
-    : m_platform(std::move(platform))
-    , m_timeout(timeout)
+ObjectClient::ObjectClient(Core::Address store, Core::Milliseconds call_timeout)
+    : m_store(std::move(store))
+    , m_call_timeout(call_timeout)
 {
 }
 
-HTTP::ClientRequest ObjectClient::request(std::string method, std::string_view path) const
+HTTP::ClientResponse ObjectClient::call(
+    std::string method, std::string const& path, Core::Milliseconds timeout, std::string body)
 {
     HTTP::ClientRequest request;
     request.method = std::move(method);
-    request.url = Core::concat("http://", m_platform.to_string(), path);
-    request.connect_timeout = m_timeout;
-    request.timeout = m_timeout;
-    return request;
-}
-
-HTTP::ClientResponse ObjectClient::send(HTTP::ClientRequest const& request)
-{
+    request.url = Core::concat("http://", m_store.to_string(), path);
+    request.connect_timeout = m_call_timeout;
+    request.timeout = timeout;
+    if (!body.empty())
+        request.headers.emplace_back("Content-Type: application/json");
+    request.body = std::move(body);
     try {
         return m_http.send(request);
     } catch (HTTP::RequestFailed const& failure) {
@@ -65,82 +65,78 @@
     }
 }
 
-std::optional<Object> ObjectClient::read(std::string_view name)
+Json ObjectClient::read_json(std::string const& path, Core::Milliseconds timeout)
 {
-    auto response = send(request("GET", Core::concat("/objects/", name)));
-    if (response.status == 404)
-        return std::nullopt;
-    if (response.status != 200)
-        throw_unexpected(response);
-    auto const version = version_of(response);
-    return Object {version, std::move(response.body)};
+    auto const response = call("GET", path, timeout);
+    if (response.status == s_gone)
+        throw HistoryGone(path);
+    if (response.status != s_ok)
+        throw_unexpected(path, response.status);
+    return parse(path, response.body);
 }
 
-std::optional<Object> ObjectClient::watch(std::string_view name, ObjectVersion known, Core::Milliseconds wait)
+std::optional<Object> ObjectClient::read(std::string_view kind, std::string_view name)
 {
-    auto watch_request = request("GET", Core::concat("/objects/", name, "?wait-ms=", wait.count()));
-    watch_request.headers.push_back("If-None-Match: " + quoted(known));
-    watch_request.timeout = wait + s_watch_grace;
-    auto response = send(watch_request);
-    if (response.status == 304 || response.status == 404)
+    auto const path = object_path(kind, name);
+    auto const response = call("GET", path, m_call_timeout);
+    if (response.status == s_not_found)
         return std::nullopt;
-    if (response.status != 200)
-        throw_unexpected(response);
-    auto const version = version_of(response);
-    return Object {version, std::move(response.body)};
+    if (response.status != s_ok)
+        throw_unexpected(path, response.status);
+    return decode(path, parse(path, response.body), decode_object);
 }
 
-ObjectVersion ObjectClient::write(HTTP::ClientRequest write_request)
+ObjectListing ObjectClient::list(std::string_view kind)
 {
-    write_request.headers.emplace_back("Content-Type: application/octet-stream");
-    auto const response = send(write_request);
-    if (response.status == 412)
-        throw VersionConflict("the object has another version");
-    if (response.status != 200 && response.status != 201)
-        throw_unexpected(response);
-    return version_of(response);
+    ObjectListing listing;
+    std::string after;
+    while (true) {
+        auto const path = list_path(kind, after);
+        auto page = decode(path, read_json(path, m_call_timeout), decode_list);
+        // A change between two pages is in the watch that goes on from the first page's revision.
+        if (after.empty())
+            listing.revision = page.listing.revision;
+        auto& objects = page.listing.objects;
+        listing.objects.insert(listing.objects.end(), objects.begin(), objects.end());
+        if (!page.has_more || objects.empty())
+            return listing;
+        after = listing.objects.back().name;
+    }
 }
 
-ObjectVersion ObjectClient::create(std::string_view name, std::string value)
+WatchAnswer ObjectClient::watch(std::string_view kind, StoreRevision revision, Core::Milliseconds wait)
 {
-    auto create_request = request("PUT", Core::concat("/objects/", name));
-    create_request.headers.emplace_back("If-None-Match: *");
-    create_request.body = std::move(value);
-    return write(std::move(create_request));
+    auto const path = watch_path(kind, revision, wait);
+    return decode(path, read_json(path, wait + m_call_timeout), decode_watch);
 }
 
-ObjectVersion ObjectClient::update(std::string_view name, ObjectVersion expected, std::string value)
+ObjectVersion ObjectClient::write(std::string method, std::string const& path, std::string body)
 {
-    auto update_request = request("PUT", Core::concat("/objects/", name));
-    update_request.headers.push_back("If-Match: " + quoted(expected));
-    update_request.body = std::move(value);
-    return write(std::move(update_request));
+    auto const response = call(std::move(method), path, m_call_timeout, std::move(body));
+    if (response.status == s_conflict)
+        throw VersionConflict("the object has another version");
+    if (response.status != s_ok && response.status != s_created)
+        throw_unexpected(path, response.status);
+    return decode(path, parse(path, response.body), decode_object).version;
 }
 
-void ObjectClient::remove(std::string_view name)
+ObjectVersion ObjectClient::create(std::string_view kind, std::string_view name, Json const& spec)
 {
-    auto const response = send(request("DELETE", Core::concat("/objects/", name)));
-    if (response.status != 204 && response.status != 404)
-        throw_unexpected(response);
+    return write("POST", object_path(kind, {}), encode_write(name, std::nullopt, spec));
 }
 
-HostList ObjectClient::hosts()
+ObjectVersion ObjectClient::update(
+    std::string_view kind, std::string_view name, ObjectVersion expected, Json const& spec)
 {
-    auto const response = send(request("GET", "/hosts"));
-    if (response.status != 200)
-        throw_unexpected(response);
-    try {
-        HostList list {version_of(response), {}};
-        auto const json = nlohmann::json::parse(response.body);
-        for (auto const& entry : json.at("hosts")) {
-            bool const is_leaving = entry.at("state").get<std::string>() == "leaving";
-            list.hosts.push_back(
-                {entry.at("address").get<std::string>(), is_leaving ? HostState::Leaving : HostState::Live});
-        }
-        return list;
-    } catch (nlohmann::json::exception const& error) {
-        throw PlatformUnavailable(Core::concat("the host list can't be read: ", error.what()));
-    }
+    return write("PUT", object_path(kind, name), encode_write(name, expected, spec));
+}
+
+void ObjectClient::remove(std::string_view kind, std::string_view name)
+{
+    auto const path = object_path(kind, name);
+    auto const status = call("DELETE", path, m_call_timeout).status;
+    if (status != s_ok && status != s_no_content && status != s_not_found)
+        throw_unexpected(path, status);
 }
 
 }
--- /dev/null
+++ b/Libraries/LibPlatform/ObjectCodec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPlatform/Objects.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// The forms that the store's messages have on the wire. Declared here for the client, and defined by the adapter in
+/// `platform/`, which alone knows the names. Decoders throw Json::exception where a message has another form.
+namespace GraniteField::Platform {
+
+/// The kind of objects that the operators' configuration is, and the configuration's name.
+[[nodiscard]] std::string_view configuration_kind();
+[[nodiscard]] std::string_view configuration_name();
+/// The kind of objects that backend servers enter themselves as.
+[[nodiscard]] std::string_view servers_kind();
+
+[[nodiscard]] std::string object_path(std::string_view kind, std::string_view name);
+/// The path of a list's page behind the name, or of its first page.
+[[nodiscard]] std::string list_path(std::string_view kind, std::string_view after);
+[[nodiscard]] std::string watch_path(std::string_view kind, StoreRevision, Core::Milliseconds wait);
+
+/// The body of a write; `expected` makes it conditional.
+[[nodiscard]] std::string encode_write(std::string_view name, std::optional<ObjectVersion> expected, Json const& spec);
+
+[[nodiscard]] Object decode_object(Json const&);
+
+/// One page of a list.
+struct ListPage {
+    ObjectListing listing;
+    bool has_more {false};
+};
+
+[[nodiscard]] ListPage decode_list(Json const&);
+[[nodiscard]] WatchAnswer decode_watch(Json const&);
+
+/// Throws Core::InvalidInput as well, when the entry names no address.
+[[nodiscard]] ServerEntry decode_server(Object const&);
+
+}
--- a/platform/StoreFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibEntry/Backoff.h>
+#include <LibCore/Backoff.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
+#include <LibPlatform/ObjectClient.h>
 
 #include <concepts>
 #include <functional>
@@ -11,9 +12,7 @@
 #include <string>
 #include <thread>
 
-#include "StoreClient.h"
-
-namespace GraniteField::PlatformAdapter {
+namespace GraniteField::Platform {
 
 struct FollowerSettings {
     Core::Address store;
@@ -29,7 +28,7 @@
 
 /// Takes what a follower learns. Calls come from the follower's thread.
 template <typename Candidate>
-concept StoreSink = requires(Candidate sink, ObjectListing const& listing, WatchAnswer const& answer)
+concept ObjectSink = requires(Candidate sink, ObjectListing const& listing, WatchAnswer const& answer)
 {
     sink.take_listing(listing);
     sink.take_events(answer);
@@ -41,10 +40,10 @@
 
 /// Follows all objects of one kind, on a thread of its own: a list, then one watch after the other, and a list again
 /// whenever the watch may have missed something.
-template <StoreSink Sink>
-class StoreFollower {
+template <ObjectSink Sink>
+class ObjectFollower {
 public:
-    StoreFollower(
+    ObjectFollower(
         FollowerSettings settings, std::string kind, Sink& sink, Observe::EventLog& log, Observe::MetricRegistry& metrics)
         : m_settings(settings)
         , m_kind(std::move(kind))
@@ -59,15 +58,15 @@
     {
     }
 
-    ~StoreFollower()
+    ~ObjectFollower()
     {
         m_backoff.stop();
         m_client.abort();
         m_thread.join();
     }
 
-    StoreFollower(StoreFollower const&) = delete;
-    StoreFollower& operator=(StoreFollower const&) = delete;
+    ObjectFollower(ObjectFollower const&) = delete;
+    ObjectFollower& operator=(ObjectFollower const&) = delete;
 
 private:
     void run()
@@ -80,7 +79,7 @@
             } catch (HistoryGone const&) {
                 m_log.write(Observe::LogEvent("store-history-gone").add("kind", m_kind));
                 m_revision.reset();
-            } catch (StoreUnavailable const& error) {
+            } catch (PlatformUnavailable const& error) {
                 handle_failure(error);
             }
         }
@@ -102,7 +101,7 @@
         m_sink.take_events(answer);
     }
 
-    void handle_failure(StoreUnavailable const& error)
+    void handle_failure(PlatformUnavailable const& error)
     {
         if (m_backoff.is_stopped())
             return;
@@ -134,8 +133,8 @@
     Observe::Counter& m_lists;
     Observe::Counter& m_watches;
     Observe::Counter& m_failures;
-    StoreClient m_client;
-    Entry::Backoff m_backoff;
+    ObjectClient m_client;
+    Core::Backoff m_backoff;
     std::optional<StoreRevision> m_revision;
     std::optional<Core::MonotonicTime> m_lost_since;
     std::thread m_thread;
--- a/Libraries/LibPlatform/TableStore.cpp
+++ b/Libraries/LibPlatform/TableStore.cpp
@@ -12,16 +12,28 @@
 
 namespace {
 
-constexpr std::string_view s_head_name = "granitefield-table-head";
-constexpr std::string_view s_page_prefix = "granitefield-table-page-";
+/// The head has a kind of its own, so that a list and a watch of it bring no pages.
+constexpr std::string_view s_head_kind = "granitefield-table";
+constexpr std::string_view s_head_name = "head";
+constexpr std::string_view s_page_kind = "granitefield-table-pages";
 
 /// Rounds of reading, merging and writing before a change is given up as contended.
 constexpr int s_commit_rounds = 20;
 /// Tries to find out whether a write without an answer took effect.
 constexpr int s_verification_rounds = 5;
+/// Tries to write a page whose answer is lost; a page without a head is in nobody's way.
+constexpr int s_page_tries = 3;
 /// Versions that a page outlives the last head that named it, so that a slow reader still finds it.
 constexpr std::uint64_t s_retired_page_versions = 16;
 
+/// The text that an object holds.
+std::string text_of(Object const& object)
+{
+    if (!object.spec.is_string())
+        throw PlatformUnavailable(Core::concat("the object ", object.name, " holds no text"));
+    return object.spec.get<std::string>();
+}
+
 std::string describe(std::vector<EditConflict::Cell> const& cells)
 {
     std::string text;
@@ -89,19 +101,23 @@
 
 TableStore::Snapshot TableStore::read_snapshot()
 {
-    auto const head_object = m_client.read(s_head_name);
-    if (head_object)
-        return load(*head_object);
+    auto const listing = m_client.list(s_head_kind);
+    for (auto const& object : listing.objects) {
+        if (object.name == s_head_name)
+            return load(object, listing.revision);
+    }
     Snapshot empty;
+    empty.revision = listing.revision;
     empty.head.pages.resize(Table::s_all_sheets.size() * Table::s_pages_of_a_sheet);
     return empty;
 }
 
-TableStore::Snapshot TableStore::load(Object const& head_object)
+TableStore::Snapshot TableStore::load(Object const& head_object, StoreRevision revision)
 {
     Snapshot snapshot;
+    snapshot.revision = revision;
     snapshot.object_version = head_object.version;
-    snapshot.head = Table::decode_head(head_object.value);
+    snapshot.head = Table::decode_head(text_of(head_object));
     std::vector<std::string> texts;
     std::map<std::string, std::string> pages;
     for (auto const& name : snapshot.head.pages) {
@@ -113,10 +129,10 @@
         if (cached != m_page_cache.end()) {
             texts.push_back(cached->second);
         } else {
-            auto page = m_client.read(Core::concat(s_page_prefix, name));
+            auto page = m_client.read(s_page_kind, name);
             if (!page)
                 throw PlatformUnavailable(Core::concat("the table page ", name, " is gone; the head has moved on"));
-            texts.push_back(std::move(page->value));
+            texts.push_back(text_of(*page));
         }
         pages[name] = texts.back();
     }
@@ -125,26 +141,26 @@
     return snapshot;
 }
 
-void TableStore::remember(Snapshot const& snapshot)
-{
-    m_seen = snapshot.object_version.value_or(ObjectVersion());
-}
-
 Table::Table TableStore::read()
 {
     auto snapshot = read_snapshot();
-    remember(snapshot);
+    m_revision = snapshot.revision;
     return std::move(snapshot.table);
 }
 
 std::optional<Table::Table> TableStore::watch(Core::Milliseconds wait)
 {
-    auto const head_object = m_client.watch(s_head_name, m_seen, wait);
-    if (!head_object)
-        return std::nullopt;
-    auto snapshot = load(*head_object);
-    remember(snapshot);
-    return std::move(snapshot.table);
+    try {
+        auto const answer = m_client.watch(s_head_kind, m_revision, wait);
+        m_revision = std::max(m_revision, answer.revision);
+        auto const newest = std::ranges::find_if(answer.events.rbegin(), answer.events.rend(),
+            [](auto const& event) { return event.kind == EventKind::Changed && event.object.name == s_head_name; });
+        if (newest == answer.events.rend())
+            return std::nullopt;
+        return load(newest->object, m_revision).table;
+    } catch (HistoryGone const&) {
+        return read();
+    }
 }
 
 Table::TableHead TableStore::write_pages(
@@ -165,24 +181,35 @@
         head.pages[page] = name;
         if (name.empty())
             continue;
+        create_page(name, text);
+    }
+    return head;
+}
+
+void TableStore::create_page(std::string const& name, std::string const& text)
+{
+    for (int tries = 1;; ++tries) {
         try {
-            m_client.create(Core::concat(s_page_prefix, name), text);
+            m_client.create(s_page_kind, name, text);
+            return;
         } catch (VersionConflict const&) {
-            // Only this change writes pages under this name, so the page is the one of an earlier try
-            // whose answer was lost.
-            continue;
+            // Only this change writes pages under this name, so the page is the one of an earlier try whose answer
+            // was lost.
+            return;
+        } catch (PlatformUnavailable const&) {
+            if (tries == s_page_tries)
+                throw;
         }
     }
-    return head;
 }
 
 void TableStore::write_head(Snapshot const& snapshot, Table::TableHead const& head)
 {
     auto const text = Table::encode_head(head);
     if (snapshot.object_version)
-        m_client.update(s_head_name, *snapshot.object_version, text);
+        m_client.update(s_head_kind, s_head_name, *snapshot.object_version, text);
     else
-        m_client.create(s_head_name, text);
+        m_client.create(s_head_kind, s_head_name, text);
 }
 
 bool TableStore::is_in_force(std::string const& change_id)
@@ -202,7 +229,7 @@
 {
     for (auto const& page : head.retired_pages) {
         if (page.version.value() + s_retired_page_versions <= head.version.value())
-            m_client.remove(Core::concat(s_page_prefix, page.name));
+            m_client.remove(s_page_kind, page.name);
     }
 }
 
--- a/Libraries/LibPlatform/TableStore.h
+++ b/Libraries/LibPlatform/TableStore.h
@@ -62,22 +62,24 @@
 
 private:
     struct Snapshot {
+        /// The store's revision at which this was seen.
+        StoreRevision revision;
         std::optional<ObjectVersion> object_version;
         Table::TableHead head;
         Table::Table table;
     };
 
     [[nodiscard]] Snapshot read_snapshot();
-    [[nodiscard]] Snapshot load(Object const& head_object);
-    void remember(Snapshot const&);
+    [[nodiscard]] Snapshot load(Object const& head_object, StoreRevision);
     [[nodiscard]] Table::TableHead write_pages(
         Snapshot const&, Table::Table const& changed, std::string const& change_id);
+    void create_page(std::string const& name, std::string const& text);
     void write_head(Snapshot const&, Table::TableHead const&);
     [[nodiscard]] bool is_in_force(std::string const& change_id);
     void remove_retired_pages(Table::TableHead const&);
 
     ObjectClient& m_client;
-    ObjectVersion m_seen;
+    StoreRevision m_revision;
     std::map<std::string, std::string> m_page_cache;
 };
 
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -6,14 +6,14 @@
 #include <LibEntry/SharedHosts.h>
 #include <LibGateway/GatewayServer.h>
 #include <LibObserve/EventLog.h>
+#include <LibPlatform/ObjectCodec.h>
+#include <LibPlatform/ObjectFollower.h>
 
 #include <exception>
 #include <unistd.h>
 
 #include <platform/Decoders.h>
-#include <platform/StoreFollower.h>
 #include <platform/StoreSinks.h>
-#include <platform/WireNames.h>
 
 namespace GraniteField::Daemon {
 
@@ -21,9 +21,9 @@
 
 constexpr int s_io_threads = 1;
 
-PlatformAdapter::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
+Platform::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
 {
-    PlatformAdapter::FollowerSettings settings;
+    Platform::FollowerSettings settings;
     settings.store = platform.address;
     settings.call_timeout = platform.call_timeout;
     settings.watch_wait = platform.watch_wait;
@@ -62,7 +62,7 @@
     Entry::SharedServers servers;
     Entry::SharedMembership membership;
     auto server_settings = settings.gateway.server;
-    server_settings.dialect = PlatformAdapter::platform_dialect();
+    server_settings.dialect = Platform::platform_dialect();
     Gateway::GatewayServer server(server_settings, table, servers, membership, log, metrics);
     Entry::PeerExchange peers(
         settings.gateway.peers, context, table, hosts, servers, membership, [&server] { server.wake(); }, metrics);
@@ -70,13 +70,13 @@
         server.wake();
         peers.wake();
     };
-    PlatformAdapter::ConfigurationSink configuration_sink(table, tell_all, log);
-    PlatformAdapter::ServersSink servers_sink(servers, tell_all, log);
+    Platform::ConfigurationSink configuration_sink(table, tell_all, log);
+    Platform::ServersSink servers_sink(servers, tell_all, log);
     auto const store = follower_settings(settings.gateway.platform);
-    PlatformAdapter::StoreFollower configuration(
-        store, std::string(PlatformAdapter::Wire::s_config_kind), configuration_sink, log, metrics);
-    PlatformAdapter::StoreFollower backend_servers(
-        store, std::string(PlatformAdapter::Wire::s_servers_kind), servers_sink, log, metrics);
+    Platform::ObjectFollower configuration(
+        store, std::string(Platform::configuration_kind()), configuration_sink, log, metrics);
+    Platform::ObjectFollower backend_servers(
+        store, std::string(Platform::servers_kind()), servers_sink, log, metrics);
 
     OperatorServer::Sources sources;
     sources.is_ready = [&server] { return server.is_ready(); };
--- a/Tests/Integration/BadInputTest.cpp
+++ b/Tests/Integration/BadInputTest.cpp
@@ -228,8 +228,9 @@
 TEST_F(BadInput, ATableThatIsNoTable)
 {
     auto const platform = m_fleet.platform_address();
-    EXPECT_EQ(send_request(
-                  platform.port(), "PUT", "/objects/granitefield-table-head", "no table", {"Content-Type: text/plain"})
+    Json const object {{"metadata", {{"name", "head"}}}, {"spec", "no table"}};
+    EXPECT_EQ(send_request(platform.port(), "PUT", "/objects/granitefield-table/head", object.dump(),
+                  {"Content-Type: application/json"})
                   .status,
         200);
     ASSERT_TRUE(wait_until(
--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -2,29 +2,30 @@
 
 #include <LibCore/Text.h>
 
+#include <algorithm>
 #include <thread>
 
-#include <nlohmann/json.hpp>
-
 namespace GraniteField::StandIns {
 
-using Json = nlohmann::json;
-
 namespace {
 
 constexpr std::string_view s_objects_prefix = "/objects/";
 constexpr std::size_t s_largest_value_bytes = 1U << 20U;
 constexpr std::chrono::seconds s_rate_window {1};
+/// How long a silent store keeps a call open, unless it is switched back before.
+constexpr std::chrono::seconds s_longest_silence {60};
+constexpr Core::Milliseconds s_due_interval {20};
+constexpr std::size_t s_kept_changes = 10'000;
 
-std::string quoted(std::uint64_t version)
+HTTP::ServerResponse json_answer(int status, nlohmann::json const& json)
 {
-    return Core::concat("\"", version, "\"");
+    return {status, "application/json", {}, json.dump()};
 }
 
-std::string header_of(HTTP::ServerRequest const& request, std::string const& name)
+/// Closes the connection without an answer.
+HTTP::ServerResponse no_answer()
 {
-    auto const found = request.headers.find(name);
-    return found == request.headers.end() ? "" : found->second;
+    return {0, "", {}, ""};
 }
 
 }
@@ -41,127 +42,254 @@
     m_changed.notify_all();
 }
 
-bool PlatformServer::is_over(std::deque<Core::MonotonicTime>& calls, unsigned limit)
+bool PlatformServer::is_over(std::deque<Core::MonotonicTime>& calls, unsigned limit) const
 {
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = Core::monotonic_now();
     while (!calls.empty() && calls.front() + s_rate_window < now)
         calls.pop_front();
     calls.push_back(now);
     return limit != 0 && calls.size() > limit;
 }
 
+PlatformServer::Place PlatformServer::place_of(std::string const& path)
+{
+    auto const rest = path.substr(s_objects_prefix.size());
+    auto const slash = rest.find('/');
+    if (slash == std::string::npos)
+        return {rest, ""};
+    return {rest.substr(0, slash), rest.substr(slash + 1)};
+}
+
+void PlatformServer::do_due_work(Core::MonotonicTime now)
+{
+    for (std::size_t index = 0; index < m_due.size();) {
+        if (m_due[index].first > now) {
+            ++index;
+            continue;
+        }
+        auto const work = m_due[index].second;
+        m_due.erase(m_due.begin() + static_cast<std::ptrdiff_t>(index));
+        work();
+    }
+}
+
+std::optional<HTTP::ServerResponse> PlatformServer::refuse(bool is_write)
+{
+    std::unique_lock lock(m_mutex);
+    ++m_counts[is_write ? "writes" : "reads"];
+    if (m_switches.outage == "busy")
+        return HTTP::ServerResponse {503, "text/plain", {}, "down\n"};
+    if (m_switches.outage == "many")
+        return HTTP::ServerResponse {429, "text/plain", {}, "too many\n"};
+    if (m_switches.outage == "reset")
+        return no_answer();
+    if (m_switches.outage == "silent") {
+        m_changed.wait_for(
+            lock, s_longest_silence, [this] { return m_should_stop || m_switches.outage != "silent"; });
+        return no_answer();
+    }
+    bool const is_over_rate = is_write ? is_over(m_recent_writes, m_switches.writes_per_second)
+                                       : is_over(m_recent_reads, m_switches.reads_per_second);
+    if (!is_over_rate)
+        return std::nullopt;
+    ++m_counts["rejected"];
+    return HTTP::ServerResponse {429, "text/plain", {}, "over the rate\n"};
+}
+
 HTTP::ServerResponse PlatformServer::handle(HTTP::ServerRequest const& request)
 {
     if (request.path.starts_with("/control"))
         return control(request);
     bool const is_write = request.method != "GET";
+    if (auto const refusal = refuse(is_write))
+        return *refusal;
     Core::Milliseconds slowness {0};
     {
         std::lock_guard const lock(m_mutex);
-        ++m_counts[is_write ? "writes" : "reads"];
-        if (m_switches.is_down)
-            return {503, "text/plain", {}, "down\n"};
-        bool const is_over_rate = is_write ? is_over(m_recent_writes, m_switches.writes_per_second)
-                                           : is_over(m_recent_reads, m_switches.reads_per_second);
-        if (is_over_rate) {
-            ++m_counts["rejected"];
-            return {429, "text/plain", {}, "over the rate\n"};
-        }
         slowness = m_switches.slowness;
     }
     std::this_thread::sleep_for(slowness);
-    if (request.path == "/hosts")
-        return hosts();
     if (!request.path.starts_with(s_objects_prefix))
         return {404, "text/plain", {}, "there is nothing here\n"};
-    auto const name = request.path.substr(s_objects_prefix.size());
-    return is_write ? write(request, name) : read(request, name);
+    auto const place = place_of(request.path);
+    if (is_write)
+        return write(request, place);
+    if (!place.name.empty())
+        return read(request, place);
+    return request.query.contains("watch") ? watch(request, place.kind) : list(request, place.kind);
+}
+
+PlatformServer::Json PlatformServer::to_json(std::string const& name, Object const& object) const
+{
+    return {{"metadata",
+                {{"name", name}, {"rev", object.revision}, {"create_revision", object.created},
+                    {"finalizers", Json::array()}, {"deleting", false}}},
+        {"spec", object.spec}, {"status", nullptr}};
+}
+
+HTTP::ServerResponse PlatformServer::read(HTTP::ServerRequest const&, Place const& place)
+{
+    std::lock_guard const lock(m_mutex);
+    do_due_work(Core::monotonic_now());
+    auto const& objects = m_objects[place.kind];
+    auto const object = objects.find(place.name);
+    if (object == objects.end())
+        return {404, "text/plain", {}, ""};
+    return json_answer(200, to_json(place.name, object->second));
 }
 
-HTTP::ServerResponse PlatformServer::read(HTTP::ServerRequest const& request, std::string const& name)
+HTTP::ServerResponse PlatformServer::list(HTTP::ServerRequest const& request, std::string const& kind)
+{
+    std::lock_guard const lock(m_mutex);
+    do_due_work(Core::monotonic_now());
+    auto const& objects = m_objects[kind];
+    auto const after = request.query.find("after_rev");
+    auto next = after == request.query.end() ? objects.begin() : objects.upper_bound(after->second);
+    Json items = Json::array();
+    for (; next != objects.end() && items.size() < m_switches.page_size; ++next)
+        items.push_back(to_json(next->first, next->second));
+    return json_answer(
+        200, {{"items", items}, {"truncated", next != objects.end()}, {"store_revision", m_revision}});
+}
+
+HTTP::ServerResponse PlatformServer::watch(HTTP::ServerRequest const& request, std::string const& kind)
 {
     std::unique_lock lock(m_mutex);
-    auto const known = header_of(request, "if-none-match");
-    auto const wait = request.query.find("wait-ms");
-    if (wait != request.query.end()) {
-        ++m_counts["watches"];
-        auto const limit = Core::Milliseconds(std::stoll(wait->second));
-        m_changed.wait_for(lock, limit, [&] {
-            auto const object = m_objects.find(name);
-            bool const has_changed = object != m_objects.end() && quoted(object->second.version) != known;
-            return has_changed || m_should_stop || m_switches.is_down;
-        });
-        if (m_switches.is_down)
-            return {0, "", {}, ""};
+    ++m_counts["watches"];
+    auto const from = std::stoull(request.query.at("watch"));
+    auto const wait = request.query.find("wait_ms");
+    auto const limit
+        = Core::monotonic_now() + Core::Milliseconds(wait == request.query.end() ? 0 : std::stoll(wait->second));
+    auto const generation = m_cut_generation;
+    while (true) {
+        do_due_work(Core::monotonic_now());
+        if (m_should_stop || !m_switches.outage.empty())
+            return no_answer();
+        if (generation != m_cut_generation)
+            return no_answer();
+        if (from < m_history_begin)
+            return {410, "text/plain", {}, "the history is gone\n"};
+        Json events = Json::array();
+        for (auto const& change : m_history) {
+            if (change.kind == kind && change.revision > from && !m_switches.holds_watches)
+                events.push_back({{"tombstone", change.is_removal}, {"object", change.object}});
+        }
+        bool const is_over = Core::monotonic_now() >= limit && !m_switches.holds_watches;
+        if (!events.empty() || is_over)
+            return json_answer(200, {{"events", events}, {"store_revision", m_revision}});
+        m_changed.wait_for(lock, s_due_interval);
     }
-    auto const object = m_objects.find(name);
-    if (object == m_objects.end())
-        return {404, "text/plain", {}, ""};
-    if (quoted(object->second.version) == known)
-        return {304, "text/plain", {{"ETag", known}}, ""};
-    return {200, "application/octet-stream", {{"ETag", quoted(object->second.version)}}, object->second.value};
 }
 
-HTTP::ServerResponse PlatformServer::write(HTTP::ServerRequest const& request, std::string const& name)
+void PlatformServer::note_change(std::string const& kind, bool is_removal, Json object)
+{
+    m_history.push_back({m_revision, kind, is_removal, std::move(object)});
+    if (m_history.size() > s_kept_changes) {
+        m_history_begin = m_history.front().revision;
+        m_history.pop_front();
+    }
+    m_changed.notify_all();
+}
+
+void PlatformServer::put(std::string const& kind, std::string const& name, Json const& spec)
+{
+    auto& object = m_objects[kind][name];
+    bool const is_new = object.revision == 0;
+    if (!is_new && object.spec == spec)
+        return;
+    ++m_revision;
+    object.revision = m_revision;
+    if (is_new)
+        object.created = m_revision;
+    object.spec = spec;
+    note_change(kind, false, to_json(name, object));
+}
+
+bool PlatformServer::remove(std::string const& kind, std::string const& name)
+{
+    auto& objects = m_objects[kind];
+    auto const object = objects.find(name);
+    if (object == objects.end())
+        return false;
+    ++m_revision;
+    auto json = to_json(name, object->second);
+    objects.erase(object);
+    note_change(kind, true, std::move(json));
+    return true;
+}
+
+HTTP::ServerResponse PlatformServer::write(HTTP::ServerRequest const& request, Place const& place)
 {
     std::lock_guard const lock(m_mutex);
-    auto const object = m_objects.find(name);
-    auto const expected = header_of(request, "if-match");
-    bool const must_be_new = header_of(request, "if-none-match") == "*";
-    bool const is_conflict = must_be_new
-        ? object != m_objects.end()
-        : !expected.empty() && (object == m_objects.end() || quoted(object->second.version) != expected);
-    if (is_conflict)
-        return {412, "text/plain", {}, "another version\n"};
+    do_due_work(Core::monotonic_now());
     if (request.body.size() > s_largest_value_bytes)
         return {413, "text/plain", {}, "larger than a megabyte\n"};
     bool const should_lose_answer = m_switches.answers_to_lose > 0;
     if (should_lose_answer)
         --m_switches.answers_to_lose;
-    HTTP::ServerResponse answer {204, "text/plain", {}, ""};
-    if (request.method == "DELETE") {
-        m_objects.erase(name);
-    } else {
-        auto& written = m_objects[name];
-        written.version = m_next_version++;
-        written.value = request.body;
-        answer = {200, "text/plain", {{"ETag", quoted(written.version)}}, ""};
+    if (should_lose_answer && m_switches.late_writes.count() > 0) {
+        m_due.emplace_back(Core::monotonic_now() + m_switches.late_writes,
+            [this, request, place] { static_cast<void>(apply(request, place)); });
+        return no_answer();
     }
-    m_changed.notify_all();
+    auto answer = apply(request, place);
     if (should_lose_answer)
-        answer.status = 0;
+        return no_answer();
     return answer;
 }
 
-HTTP::ServerResponse PlatformServer::hosts()
+HTTP::ServerResponse PlatformServer::apply(HTTP::ServerRequest const& request, Place const& place)
 {
-    std::lock_guard const lock(m_mutex);
-    auto const now = std::chrono::steady_clock::now();
-    while (!m_coming_hosts.empty() && m_coming_hosts.front().first <= now) {
-        m_hosts = m_coming_hosts.front().second;
-        ++m_hosts_version;
-        m_coming_hosts.pop_front();
-    }
-    return {200, "application/json", {{"ETag", quoted(m_hosts_version)}}, "{\"hosts\":" + m_hosts + "}"};
+    if (request.method == "DELETE")
+        return remove(place.kind, place.name) ? HTTP::ServerResponse {200, "text/plain", {}, ""}
+                                              : HTTP::ServerResponse {404, "text/plain", {}, ""};
+    auto const json = Json::parse(request.body);
+    auto const& metadata = json.at("metadata");
+    bool const is_new = request.method == "POST";
+    auto const name = is_new ? metadata.at("name").get<std::string>() : place.name;
+    auto& objects = m_objects[place.kind];
+    auto const object = objects.find(name);
+    if (is_new && object != objects.end())
+        return json_answer(409, to_json(name, object->second));
+    if (!is_new && object == objects.end())
+        return {404, "text/plain", {}, ""};
+    if (!is_new && metadata.contains("rev") && metadata.at("rev") != object->second.revision)
+        return json_answer(409, to_json(name, object->second));
+    put(place.kind, name, json.at("spec"));
+    return json_answer(200, to_json(name, objects.at(name)));
 }
 
 HTTP::ServerResponse PlatformServer::control(HTTP::ServerRequest const& request)
 {
     std::lock_guard const lock(m_mutex);
     if (request.path == "/control/counts")
-        return {200, "application/json", {}, Json(m_counts).dump()};
+        return json_answer(200, m_counts);
     auto const json = Json::parse(request.body);
-    m_switches.is_down = json.value("outage", m_switches.is_down);
+    if (json.contains("outage")) {
+        auto const& outage = json["outage"];
+        m_switches.outage = outage.is_string() ? outage.get<std::string>() : outage.get<bool>() ? "busy" : "";
+    }
     m_switches.slowness = Core::Milliseconds(json.value("slow-ms", m_switches.slowness.count()));
     m_switches.answers_to_lose = json.value("lose-answers", m_switches.answers_to_lose);
+    m_switches.late_writes = Core::Milliseconds(json.value("late-writes-ms", m_switches.late_writes.count()));
     m_switches.writes_per_second = json.value("writes-per-second", m_switches.writes_per_second);
     m_switches.reads_per_second = json.value("reads-per-second", m_switches.reads_per_second);
-    if (json.contains("hosts")) {
-        auto const lag = Core::Milliseconds(json.value("host-lag-ms", 0));
-        m_coming_hosts.emplace_back(std::chrono::steady_clock::now() + lag, json["hosts"].dump());
+    m_switches.page_size = json.value("page-size", m_switches.page_size);
+    m_switches.holds_watches = json.value("hold-watches", m_switches.holds_watches);
+    if (json.value("forget-history", false)) {
+        m_history.clear();
+        m_history_begin = ++m_revision;
+        ++m_cut_generation;
+    }
+    auto const due = Core::monotonic_now() + Core::Milliseconds(json.value("lag-ms", 0));
+    for (auto const& item : json.value("puts", Json::array())) {
+        m_due.emplace_back(due, [this, item] { put(item.at("kind"), item.at("name"), item.at("spec")); });
     }
+    for (auto const& item : json.value("removals", Json::array()))
+        m_due.emplace_back(due, [this, item] { static_cast<void>(remove(item.at("kind"), item.at("name"))); });
+    do_due_work(Core::monotonic_now());
     m_changed.notify_all();
-    return {200, "application/json", {}, "{}"};
+    return json_answer(200, Json::object());
 }
 
 }
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -7,19 +7,24 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 namespace GraniteField::StandIns {
 
-/// The platform's object API and host list for tests and the demo: objects with versions, conditional
-/// updates and watches. Each call is counted, a waiting watch as one.
+/// The platform's store for tests and the demo, by its published protocol: objects by kind and name with revisions,
+/// conditional writes, lists in pages, and watches. Each call is counted, a waiting watch as one.
 ///
-/// `GET|PUT|DELETE /objects/<name>` with ETag, If-Match and If-None-Match; `GET /objects/<name>?wait-ms=N`
-/// with If-None-Match waits for another version. `GET /hosts`. `POST /control` sets `outage`, `slow-ms`,
-/// `lose-answers` (so many writes take effect and get no answer), `writes-per-second`, `reads-per-second`
-/// (0 for no limit), and `hosts`, which shows after `host-lag-ms`. `GET /control/counts`.
+/// `POST /control` sets `outage` (`""`, `busy` = 503, `many` = 429, `reset`, `silent`; true stands for `busy`),
+/// `slow-ms`, `lose-answers` (so many writes take effect and get no answer), `late-writes-ms` (those writes are done so
+/// much later), `writes-per-second`, `reads-per-second` (0 for no limit), `page-size`, `forget-history` (watches are cut
+/// and must list again), `hold-watches` (watches hear nothing), `puts` (objects by kind, name and spec, put after
+/// `lag-ms`) and `removals`. `GET /control/counts`.
 class PlatformServer {
 public:
     explicit PlatformServer(Core::Address const&);
@@ -28,34 +33,65 @@
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
 
 private:
+    using Json = nlohmann::json;
+
     struct Object {
-        std::uint64_t version {0};
-        std::string value;
+        std::uint64_t revision {0};
+        std::uint64_t created {0};
+        Json spec;
+    };
+
+    /// A change, for watches.
+    struct Change {
+        std::uint64_t revision {0};
+        std::string kind;
+        bool is_removal {false};
+        Json object;
     };
 
     struct Switches {
-        bool is_down {false};
+        std::string outage;
         Core::Milliseconds slowness {0};
         unsigned answers_to_lose {0};
+        Core::Milliseconds late_writes {0};
         unsigned writes_per_second {0};
         unsigned reads_per_second {0};
+        std::size_t page_size {500};
+        bool holds_watches {false};
+    };
+
+    struct Place {
+        std::string kind;
+        std::string name;
     };
 
     [[nodiscard]] HTTP::ServerResponse handle(HTTP::ServerRequest const&);
     [[nodiscard]] HTTP::ServerResponse control(HTTP::ServerRequest const&);
-    [[nodiscard]] HTTP::ServerResponse read(HTTP::ServerRequest const&, std::string const& name);
-    [[nodiscard]] HTTP::ServerResponse write(HTTP::ServerRequest const&, std::string const& name);
-    [[nodiscard]] HTTP::ServerResponse hosts();
-    [[nodiscard]] bool is_over(std::deque<Core::MonotonicTime>& calls, unsigned limit);
+    [[nodiscard]] std::optional<HTTP::ServerResponse> refuse(bool is_write);
+    [[nodiscard]] HTTP::ServerResponse read(HTTP::ServerRequest const&, Place const&);
+    [[nodiscard]] HTTP::ServerResponse list(HTTP::ServerRequest const&, std::string const& kind);
+    [[nodiscard]] HTTP::ServerResponse watch(HTTP::ServerRequest const&, std::string const& kind);
+    [[nodiscard]] HTTP::ServerResponse write(HTTP::ServerRequest const&, Place const&);
+    [[nodiscard]] HTTP::ServerResponse apply(HTTP::ServerRequest const&, Place const&);
+    [[nodiscard]] Json to_json(std::string const& name, Object const&) const;
+    void put(std::string const& kind, std::string const& name, Json const& spec);
+    bool remove(std::string const& kind, std::string const& name);
+    void note_change(std::string const& kind, bool is_removal, Json object);
+    void do_due_work(Core::MonotonicTime now);
+    [[nodiscard]] bool is_over(std::deque<Core::MonotonicTime>& calls, unsigned limit) const;
+    [[nodiscard]] static Place place_of(std::string const& path);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, Object> m_objects;
-    std::uint64_t m_next_version {1};
+    std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::uint64_t m_revision {1};
+    std::deque<Change> m_history;
+    /// Watches from below this revision have lost history.
+    std::uint64_t m_history_begin {0};
+    std::uint64_t m_cut_generation {0};
     Switches m_switches;
-    std::string m_hosts {"[]"};
-    std::uint64_t m_hosts_version {1};
-    std::deque<std::pair<Core::MonotonicTime, std::string>> m_coming_hosts;
+    /// What is done later: objects that appear with a lag, and late writes.
+    std::deque<std::pair<Core::MonotonicTime, std::function<void()>>> m_due;
     std::deque<Core::MonotonicTime> m_recent_reads;
     std::deque<Core::MonotonicTime> m_recent_writes;
     std::map<std::string, std::uint64_t> m_counts;
