LibGateway: Weigh parts read again by the time they take from others; order classes of one tier

(2) Where workspaces have tiers of their own, all classes of a workspace stood at one rank, so a clerk's question waited behind long prompts. Change: a wait is weighed against the reading it saves, eight to one; the engines' ten ranks are spread over the tiers in use, and the class's own tier orders within.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -12,7 +12,7 @@
 
 /// How much of a prompt's shared parts the engines that come first in its own order keep, where this gateway has not
 /// sent it there itself: other gateways use the same order.
-constexpr std::array s_assumed_kept {0.7, 0.3};
+constexpr std::array s_assumed_kept {0.5, 0.0};
 /// A shorter reading says too little of an engine's rate.
 constexpr std::uint32_t s_least_measured_tokens = 2'000;
 constexpr double s_newest_rate_weight = 0.1;
@@ -167,7 +167,8 @@
     auto const reading = (static_cast<double>(server.unread_tokens()) + unread_tokens) / rate;
     auto const running = static_cast<double>(server.open_count() * m_settings.cost_per_running.count());
     auto const target = static_cast<double>(call.request_class->first_token_target.count());
-    return reading + running + server.failure_rate(now) * target;
+    auto const reread = std::max(0.0, shared - expected_kept) / rate * m_settings.reread_weight;
+    return reading + running + reread + server.failure_rate(now) * target;
 }
 
 Choice BackendFleet::choose(
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -34,6 +34,9 @@
         double first_prefill_rate {30};
         /// What each request that runs at an engine adds to the next one's first token.
         Core::Milliseconds cost_per_running {4};
+        /// How much longer a wait may be than the reading of shared parts that it saves. Reading them again takes
+        /// the engine's time from all others, so it weighs more than its own time.
+        double reread_weight {8};
         /// What it costs to leave the own failure domain, in time.
         Core::Milliseconds cost_per_domain_change {2};
     };
--- a/Libraries/LibGateway/GatewayCall.cpp
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -13,6 +13,8 @@
 using Entry::Outcome;
 
 constexpr Core::Milliseconds s_retry_without_table {500};
+/// Ranks of priority that engines know, from 0, the most urgent.
+constexpr unsigned s_engine_ranks = 10;
 /// Parts of a prompt that are looked at; what comes behind them is read anew.
 constexpr std::size_t s_most_parts = 64;
 
@@ -73,6 +75,16 @@
     return route.targets.back().service;
 }
 
+/// The engines know ten ranks. The tiers that the table uses are spread over them, and what is left between two tiers
+/// tells classes of one tier apart by their own tier: a workspace's tier goes first.
+unsigned draw_priority(GatewayCall const& call)
+{
+    auto const lowest = call.table->lowest_tier_in_use();
+    auto const ranks_of_a_tier = std::max(1U, s_engine_ranks / lowest);
+    auto const within = std::min(call.request_class->tier - 1, ranks_of_a_tier - 1);
+    return std::min((call.tier - 1) * ranks_of_a_tier + within, s_engine_ranks - 1);
+}
+
 void bind_time(GatewayCall& call, Dialect const& dialect)
 {
     call.deadline = call.received + call.route->time_limit;
@@ -134,6 +146,7 @@
         return *error;
     call.id = call.head.fields.value_or(dialect.request_id, "");
     call.service = draw_service(*call.route, call.id);
+    call.priority = draw_priority(call);
     bind_time(call, dialect);
     bind_prompt(call, dialect);
     return call;
--- a/Libraries/LibGateway/GatewayCall.h
+++ b/Libraries/LibGateway/GatewayCall.h
@@ -38,6 +38,8 @@
     std::string workspace;
     std::string service;
     unsigned tier {Table::s_lowest_tier};
+    /// Rank at the engine, from 0: by the tier, and among equal ones by the class's own.
+    unsigned priority {0};
 
     Core::MonotonicTime received;
     /// By then the caller has a final answer.
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -17,7 +17,6 @@
 constexpr int s_gateway_timeout = 504;
 constexpr int s_misdirected = 421;
 constexpr int s_first_server_error = 500;
-constexpr unsigned s_lowest_priority = 9;
 
 /// Statuses that promise that the request did not run (RFC 9110, sections 15.5.9, 15.5.20, 15.6.4; RFC 6585).
 bool promises_not_run(int status)
@@ -102,6 +101,7 @@
                             .add("class", m_call.request_class->name)
                             .add("workspace", m_call.workspace)
                             .add("tier", m_call.tier)
+                            .add("priority", m_call.priority)
                             .add("send", m_sends + 1)
                             .add("candidates", choice.candidates)
                             .add("predicted_wait_ms", choice.predicted_wait)
@@ -138,7 +138,7 @@
     if (!m_call.workspace.empty())
         Core::append(&text, dialect.workspace, ": ", m_call.workspace, "\r\n");
     if (!m_call.prompt.empty())
-        Core::append(&text, dialect.priority, ": ", std::min(m_call.tier - 1, s_lowest_priority), "\r\n");
+        Core::append(&text, dialect.priority, ": ", m_call.priority, "\r\n");
     if (is_resumed && m_events.last_id())
         Core::append(&text, dialect.last_event_id, ": ", *m_events.last_id(), "\r\n");
     bool const names_body = head.fields.find("Content-Length") != nullptr
@@ -199,6 +199,7 @@
         auto const tier = m_call.tier;
         if (!m_has_first_event) {
             m_has_first_event = true;
+            m_first_event = now;
             m_context.metrics.note_first_byte(tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
         }
         if (m_last_event) {
@@ -497,6 +498,8 @@
                             .add("workspace", m_call.workspace)
                             .add("sends", m_sends)
                             .add("server", m_choice.server ? m_choice.server->record().instance : std::string())
+                            .add("first_ms",
+                                m_first_event ? Core::elapsed(m_call.received, *m_first_event) : Core::Milliseconds(-1))
                             .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
                             .add("longest_pause_ms", m_longest_pause)
                             .add("table", m_call.table->version().value()),
--- a/Libraries/LibTable/Table.cpp
+++ b/Libraries/LibTable/Table.cpp
@@ -139,6 +139,7 @@
         throw Core::InvalidInput(findings);
     changed.index_keys();
     changed.index_routes();
+    changed.index_tiers();
     changed.m_version = m_version.next();
     return changed;
 }
@@ -253,6 +254,15 @@
         std::ranges::stable_sort(names, is_longer);
 }
 
+void Table::index_tiers()
+{
+    m_lowest_tier_in_use = s_highest_tier;
+    for (auto const& [name, request_class] : m_classes)
+        m_lowest_tier_in_use = std::max(m_lowest_tier_in_use, request_class.tier);
+    for (auto const& [name, workspace] : m_workspaces)
+        m_lowest_tier_in_use = std::max(m_lowest_tier_in_use, workspace.tier);
+}
+
 Route const* Table::find_route(std::string_view host, std::string_view path) const
 {
     auto const found = m_routes_by_host.find(host);
--- a/Libraries/LibTable/Table.h
+++ b/Libraries/LibTable/Table.h
@@ -80,6 +80,8 @@
     /// The workspace with a key of this SHA-256, or null.
     [[nodiscard]] Workspace const* find_workspace_by_key_hash(std::string_view key_hash) const;
 
+    /// The largest number of a tier that a class or a workspace has; 1 in an empty table.
+    [[nodiscard]] unsigned lowest_tier_in_use() const { return m_lowest_tier_in_use; }
     /// What holds for all callers.
     [[nodiscard]] CallerLimits caller_limits() const;
 
@@ -102,6 +104,7 @@
     void check_routes(Core::Findings&) const;
     void index_keys();
     void index_routes();
+    void index_tiers();
 
     Core::TableVersion m_version;
     Rows<RequestClass> m_classes;
@@ -113,6 +116,7 @@
     /// Names of a host's routes, longest prefix first.
     Rows<std::vector<std::string>> m_routes_by_host;
     Rows<std::string> m_workspace_by_key_hash;
+    unsigned m_lowest_tier_in_use {s_highest_tier};
 };
 
 /// What a cell of this column holds in a new row; nothing when there is no such column.
