LibGateway: Replace servers that fall silent; probe dead hosts; slower watches beside two watchers

Change: a repeatable request goes elsewhere after six (streams) or three (plain) times its usual wait, within tries and budget; keep-alive probes; the two watchers of a region keep the 2 s watch, the others wait 4 s.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -12,8 +12,24 @@
 constexpr std::size_t s_read_size = 64U << 10U;
 /// Sent bytes that are not acknowledged for this long end the connection: a host without power says nothing.
 constexpr Core::Milliseconds s_unacknowledged_limit {3'000};
+/// A host without power is noticed by probes as well, where nothing is being sent: the first after this many seconds
+/// of silence, then one a second, and after two without an answer the connection ends.
+constexpr int s_seconds_to_first_probe = 1;
+constexpr int s_seconds_between_probes = 1;
+constexpr int s_most_lost_probes = 2;
 
-using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+template <int name>
+using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+
+void watch_for_dead_hosts(boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(s_unacknowledged_limit.count())), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(s_seconds_to_first_probe), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(s_seconds_between_probes), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(s_most_lost_probes), ignored);
+}
 
 }
 
@@ -35,13 +51,14 @@
 {
     m_request = std::move(request);
     m_begun = now;
+    m_last_input = now;
     auto const& address = m_server->record().address;
     boost::asio::ip::tcp::endpoint const endpoint(boost::asio::ip::make_address(address.host()), address.port());
     Error error;
     m_socket.open(endpoint.protocol(), error);
     m_socket.non_blocking(true, error);
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), error);
-    m_socket.set_option(UserTimeout(static_cast<int>(s_unacknowledged_limit.count())), error);
+    watch_for_dead_hosts(m_socket);
     m_socket.async_connect(endpoint, [self = shared_from_this()](Error connect_error) {
         if (!self->m_is_over)
             self->handle_connected(connect_error);
@@ -134,6 +151,7 @@
     }
     if (error)
         return fail(Failure::Broken, error.message());
+    m_last_input = Core::monotonic_now();
     m_input.append(s_buffer.data(), count);
     m_input.erase(0, m_parser.add(m_input));
     if (m_parser.is_broken())
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -49,6 +49,8 @@
     /// Whether any byte of the request has left; from then on it may have run.
     [[nodiscard]] bool is_sent() const { return m_written > 0; }
     [[nodiscard]] Core::MonotonicTime begun() const { return m_begun; }
+    /// When something last came from the server; the beginning before that.
+    [[nodiscard]] Core::MonotonicTime last_input() const { return m_last_input; }
     [[nodiscard]] bool is_over() const { return m_is_over; }
 
     /// Reads nothing more until resume(); for a caller that does not keep up.
@@ -74,6 +76,7 @@
     std::string m_input;
     AttemptLoad m_load;
     Core::MonotonicTime m_begun;
+    Core::MonotonicTime m_last_input;
     bool m_is_over {false};
     bool m_is_paused {false};
     bool m_is_reading {false};
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -260,6 +260,7 @@
     auto const& head = attempt.parser().head();
     bool const is_server_error = head.status >= s_first_server_error;
     if (is_server_error && m_call.is_repeatable() && !m_has_begun_answer && may_try_again(now)) {
+        m_tried.insert(attempt.server().record().instance);
         end_attempt(false, now);
         return try_again("the backend server answered with an error", now);
     }
@@ -404,10 +405,50 @@
         attempt->cancel();
         return handle_failure(*attempt, BackendAttempt::Failure::NotSent, "the connection did not come up in time");
     }
+    if (m_call.is_repeatable() && m_attempt->is_sent()
+        && Core::elapsed(m_attempt->last_input(), now) > stall_limit())
+        return replace_stalled_attempt(now);
     if (m_attempt->is_paused() && m_caller->pending_bytes() <= m_context.settings.caller_window / 2)
         m_attempt->resume();
 }
 
+Core::Milliseconds GatewayRun::stall_limit() const
+{
+    auto const& settings = m_context.settings;
+    auto const& request_class = *m_call.request_class;
+    auto const times = [](Core::Milliseconds duration, double factor) {
+        return std::chrono::duration_cast<Core::Milliseconds>(duration * factor);
+    };
+    bool const has_begun = m_attempt->last_input() > m_attempt->begun();
+    if (m_call.is_stream() && has_begun)
+        return std::max(settings.stall_least_pause, times(request_class.token_gap_target, settings.stall_pause_factor));
+    auto const factor = m_call.is_stream() ? settings.stall_first_event_factor : settings.stall_factor;
+    auto const part = m_call.is_stream() ? settings.stall_first_event_part : settings.stall_least_part;
+    return std::max(times(m_choice.predicted_wait, factor), times(request_class.first_token_target, part));
+}
+
+void GatewayRun::replace_stalled_attempt(Core::MonotonicTime now)
+{
+    auto const silence = Core::elapsed(m_attempt->last_input(), now);
+    bool const is_silent_by_us = m_attempt->is_paused();
+    auto tried = m_tried;
+    tried.insert(m_attempt->server().record().instance);
+    bool const has_other = m_context.fleet.choose(m_call, tried, now).server != nullptr;
+    if (is_silent_by_us || !has_other || !may_try_again(now))
+        return;
+    m_context.log.write(Observe::LogEvent("stalled")
+                            .add("request", m_call.id)
+                            .add("server", m_attempt->server().record().instance)
+                            .add("silent_ms", silence)
+                            .add("predicted_wait_ms", m_choice.predicted_wait)
+                            .add("has_begun", m_has_begun_answer));
+    m_may_have_run = true;
+    m_tried = std::move(tried);
+    end_attempt(false, now);
+    m_events.drop_partial_event();
+    try_again("the backend server is silent", now);
+}
+
 void GatewayRun::give_up(Core::MonotonicTime now)
 {
     if (m_attempt && m_attempt->is_sent()) {
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -35,6 +35,17 @@
     /// Told to callers of requests that did not run, where nothing better is known.
     Core::Milliseconds retry_after {300};
     Policy::RetryAllowance retries;
+
+    // When a server that took a repeatable request and says nothing is given up for another one.
+    /// So many times the wait that was predicted, and never before this part of the class's target is over.
+    double stall_factor {3};
+    double stall_least_part {0.5};
+    /// The same for a stream's first event: a prompt that is read in vain costs more than a plain call.
+    double stall_first_event_factor {6};
+    double stall_first_event_part {1};
+    /// Within a stream: so many times the class's target for a pause, and never before the least time.
+    double stall_pause_factor {3};
+    Core::Milliseconds stall_least_pause {1'000};
 };
 
 /// What all runs of a gateway share.
@@ -97,6 +108,9 @@
     void end_attempt(bool is_success, Core::MonotonicTime now);
 
     void drop_unsent_attempt();
+    /// How long the attempt's server may be silent before another one is asked.
+    [[nodiscard]] Core::Milliseconds stall_limit() const;
+    void replace_stalled_attempt(Core::MonotonicTime now);
 
     void handle_caller_gone();
     void give_up(Core::MonotonicTime now);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// How often limits in time are looked at; a request may be late by this much.
-constexpr Core::Milliseconds s_tick_interval {50};
+constexpr Core::Milliseconds s_tick_interval {25};
 /// The same while nothing is in flight.
 constexpr Core::Milliseconds s_idle_tick_interval {250};
 constexpr Core::Milliseconds s_status_patience {1'000};
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -22,6 +22,11 @@
     /// noticed after this and the call's time, which together stay below the three seconds after which the platform
     /// counts on a store that has come back.
     Core::Milliseconds watch_wait {2'000};
+    /// The same for a process that peers tell of what they hear: its own watch brings changes as soon, and only a hang
+    /// is noticed later.
+    Core::Milliseconds follower_watch_wait {4'000};
+    /// Whether this process is one of those that notice a hang for the others.
+    std::function<bool()> is_watcher {[] { return true; }};
     Core::Milliseconds shortest_pause {60};
     Core::Milliseconds longest_pause {500};
 };
@@ -45,15 +50,15 @@
 public:
     ObjectFollower(
         FollowerSettings settings, std::string kind, Sink& sink, Observe::EventLog& log, Observe::MetricRegistry& metrics)
-        : m_settings(settings)
+        : m_settings(std::move(settings))
         , m_kind(std::move(kind))
         , m_sink(sink)
         , m_log(log)
         , m_lists(metrics.counter("granitefield_store_calls_total", {{"call", "list"}, {"kind", m_kind}}))
         , m_watches(metrics.counter("granitefield_store_calls_total", {{"call", "watch"}, {"kind", m_kind}}))
         , m_failures(metrics.counter("granitefield_store_failures_total", {{"kind", m_kind}}))
-        , m_client(settings.store, settings.call_timeout)
-        , m_backoff(settings.shortest_pause, settings.longest_pause)
+        , m_client(m_settings.store, m_settings.call_timeout)
+        , m_backoff(m_settings.shortest_pause, m_settings.longest_pause)
         , m_thread([this] { run(); })
     {
     }
@@ -95,8 +100,9 @@
             return;
         }
         m_watches.add();
-        auto const wait = m_sink.wanted_wait().value_or(m_settings.watch_wait);
-        auto const answer = m_client.watch(m_kind, *m_revision, std::min(wait, m_settings.watch_wait));
+        auto const longest = m_settings.is_watcher() ? m_settings.watch_wait : m_settings.follower_watch_wait;
+        auto const wait = std::min(m_sink.wanted_wait().value_or(longest), longest);
+        auto const answer = m_client.watch(m_kind, *m_revision, wait);
         m_revision = std::max(*m_revision, answer.revision);
         m_sink.take_events(answer);
     }
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -85,7 +85,8 @@
                   .add("peers", peers.port()));
     Platform::ConfigurationSink configuration_sink(table, tell_all, log);
     Platform::ServersSink servers_sink(servers, tell_all, log);
-    auto const store = follower_settings(settings.gateway.platform);
+    auto store = follower_settings(settings.gateway.platform);
+    store.is_watcher = [&peers] { return peers.should_watch(); };
     Platform::ObjectFollower const configuration(
         store, std::string(Platform::configuration_kind()), configuration_sink, log, metrics);
     Platform::ObjectFollower const backend_servers(
