--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -7,7 +7,7 @@
 
 namespace GraniteField::Gateway {
 
-/// The metrics of a gateway's requests. docs/OPERATING.md lists them.
+/// The metrics of a gateway's requests. docs/OPERATIONS.md lists them.
 class GatewayMetrics {
 public:
     explicit GatewayMetrics(Observe::MetricRegistry& registry)
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -52,7 +52,7 @@
     Entry::PlatformSettings platform;
 };
 
-/// The settings of one daemon, read from its JSON file. docs/OPERATING.md lists them.
+/// The settings of one daemon, read from its JSON file. docs/OPERATIONS.md lists them.
 struct DaemonSettings {
     Role role {Role::Entry};
     CommonSettings common;
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -9,6 +9,7 @@
 #include <LibObserve/EventLog.h>
 #include <LibPlatform/ObjectCodec.h>
 #include <LibPlatform/ObjectFollower.h>
+#include <LibTable/TablePages.h>
 
 #include <exception>
 #include <unistd.h>
@@ -33,6 +34,15 @@
     return settings;
 }
 
+HTTP::ServerResponse show_table(Entry::SharedTable const& shared)
+{
+    auto const table = shared.current();
+    if (table == nullptr)
+        return {503, "text/plain", {}, "there is no table yet\n"};
+    nlohmann::json const json {{"version", table->version().value()}, {"table", Table::encode_table(*table)}};
+    return {200, "application/json", {}, json.dump()};
+}
+
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
 void reload(std::function<Settings::DaemonSettings()> const& read_settings, Gateway::GatewayServer& server,
@@ -74,6 +84,7 @@
     OperatorServer::Sources sources;
     sources.is_ready = [&server] { return server.is_ready(); };
     sources.status = [&server] { return server.status(); };
+    sources.actions["GET /table"] = [&table](auto const&) { return show_table(table); };
     OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
     announce({{"role", "gateway"}, {"callers", server.caller_port()}, {"readiness", server.readiness_port()},
         {"operator", operators.port()}, {"peers", peers.port()}});
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -245,6 +245,47 @@
         s_in_force_limit));
 }
 
+TEST_F(GatewayProcess, ShowsWhatItKnowsToOperators)
+{
+    FakeBackend const backend("i-1", good());
+    put_configuration(3, "/a/");
+    put_server(backend);
+    auto const gateway = start("g-1");
+    ASSERT_TRUE(wait_until([&] { return is_ready(gateway); }));
+    auto const daemon = Core::concat("127.0.0.1:", gateway.operators);
+    auto const tool = program_path("Utilities/granitefield");
+    auto const status = run_program(tool, {"--daemon", daemon, "status"});
+    EXPECT_EQ(status.exit_code, 0);
+    EXPECT_NE(status.output.find("gateway, ready, table version 3"), std::string::npos) << status.output;
+    EXPECT_NE(status.output.find("i-1"), std::string::npos);
+    auto const routes = run_program(tool, {"--daemon", daemon, "table", "show", "routes"});
+    EXPECT_EQ(routes.exit_code, 0);
+    EXPECT_NE(routes.output.find("table version 3"), std::string::npos) << routes.output;
+    EXPECT_NE(routes.output.find("host.test"), std::string::npos);
+}
+
+TEST(Logs, OfSeveralGatewaysAreJoinedInOrder)
+{
+    auto const line = [](int time, char const* host, char const* request, char const* event) {
+        return Json {{"time", time}, {"host", host}, {"incarnation", "0"}, {"event", event}, {"request", request},
+            {"status", 200}}
+                   .dump()
+            + "\n";
+    };
+    auto const input = line(30, "g-2", "r-1", "request-end") + "12.0 g-1 " + line(10, "g-1", "r-1", "dispatch")
+        + "no JSON about r-1\n" + line(20, "g-1", "r-2", "dispatch");
+    auto const tool = program_path("Utilities/granitefield");
+    auto const joined = run_program(tool, {"logs", "r-1"}, input);
+    EXPECT_EQ(joined.exit_code, 0);
+    auto const first = joined.output.find("dispatch");
+    auto const second = joined.output.find("request-end");
+    EXPECT_LT(first, second);
+    EXPECT_NE(joined.output.find("+20"), std::string::npos) << joined.output;
+    EXPECT_EQ(joined.output.find("r-2"), std::string::npos);
+    EXPECT_EQ(run_program(tool, {"logs", "r-3"}, input).exit_code, 1);
+    EXPECT_EQ(run_program(tool, {"logs"}, input).exit_code, 2);
+}
+
 TEST_F(GatewayProcess, StopsAsPlannedAndReadsItsSettingsAgain)
 {
     std::promise<void> may_answer;
--- a/Tests/LibEntry/PeersTest.cpp
+++ b/Tests/LibEntry/PeersTest.cpp
@@ -25,7 +25,7 @@
 Peer make_peer(std::size_t number, std::size_t regions, Core::MonotonicTime heard = s_now)
 {
     return {Core::concat("entry-", number), Core::concat("region-", number % regions),
-        Core::concat("10.0.0.1:", number + 1), heard, true};
+        Core::concat("10.0.0.1:", number + 1), heard, true, ""};
 }
 
 std::vector<PeerView> make_views(std::size_t count, std::size_t regions)
--- a/Utilities/granitefield-load/Scenario.h
+++ b/Utilities/granitefield-load/Scenario.h
@@ -40,7 +40,7 @@
     std::string service_path;
 };
 
-/// What is offered to the entries. Read from JSON; docs/OPERATING.md describes the file.
+/// What is offered to the entries. Read from JSON; docs/OPERATIONS.md describes the file.
 struct Scenario {
     std::string name;
     Core::Milliseconds length {10'000};
--- a/Utilities/granitefield/FleetCommands.cpp
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -80,6 +80,20 @@
               << text.to_string();
 }
 
+void print_gateway(Json const& status)
+{
+    std::cout << "gateway, " << (status["ready"].get<bool>() ? "ready" : "not ready") << ", table version "
+              << text_of(status["table-version"]) << ", servers as of revision "
+              << text_of(status["servers-revision"]) << ", open requests " << text_of(status["open-requests"]) << '\n';
+    TextTable text({"backend-server", "service", "address", "domain", "serving", "avoided", "open", "failure rate"});
+    for (auto const& server : status["backend-servers"]) {
+        text.add({text_of(server["backend-server"]), text_of(server["service"]), text_of(server["address"]),
+            text_of(server["domain"]), text_of(server["serving"]), text_of(server["avoided"]), text_of(server["open"]),
+            Core::concat(static_cast<int>(server["failure-rate"].get<double>() * 100), "%")});
+    }
+    std::cout << text.to_string();
+}
+
 void print_side(Json const& status)
 {
     std::cout << "side of " << text_of(status["backend-server"]) << " (" << text_of(status["service"])
@@ -103,6 +117,8 @@
         std::cout << answer.daemon.to_string() << ": ";
         if (answer.json["role"] == "entry")
             print_entry(answer.json);
+        else if (answer.json["role"] == "gateway")
+            print_gateway(answer.json);
         else
             print_side(answer.json);
     }
--- a/Utilities/granitefield/TableCommands.cpp
+++ b/Utilities/granitefield/TableCommands.cpp
@@ -3,7 +3,9 @@
 #include "TextTable.h"
 
 #include <LibCore/Text.h>
+#include <LibHTTP/HttpClient.h>
 #include <LibPlatform/TableStore.h>
+#include <LibTable/TablePages.h>
 #include <LibTable/Csv.h>
 
 #include <fstream>
@@ -64,9 +66,23 @@
     return rows;
 }
 
-int show(Options const& options, Platform::TableStore& store)
+/// The table in force at a gateway.
+Table::Table read_from_daemon(Core::Address const& daemon)
+{
+    HTTP::HttpClient client;
+    HTTP::ClientRequest request;
+    request.url = Core::concat("http://", daemon.to_string(), "/table");
+    auto const response = client.send(request);
+    if (response.status != 200)
+        throw std::runtime_error(Core::concat(daemon.to_string(), ": status ", response.status, ": ", response.body));
+    auto const json = Json::parse(response.body);
+    auto table = Table::decode_table(json.at("table").get<std::string>());
+    table.set_version(Core::TableVersion(json.at("version").get<std::uint64_t>()));
+    return table;
+}
+
+int show(Options const& options, Table::Table const& table)
 {
-    auto const table = store.read();
     std::vector<SheetName> sheets(Table::s_all_sheets.begin(), Table::s_all_sheets.end());
     if (options.words.size() > 2)
         sheets = {sheet_of(options.words[2])};
@@ -219,11 +235,14 @@
 
 int run_table_command(Options const& options)
 {
+    bool const is_at_daemon = !options.platform && !options.daemons.empty();
+    if (is_at_daemon && word(options, 1, "show") == "show")
+        return show(options, read_from_daemon(options.daemons.front()));
     Platform::ObjectClient client(platform_of(options), s_call_timeout);
     Platform::TableStore store(client);
     auto const& action = word(options, 1, "show, get, set, unset, remove, export, import, history or check");
     if (action == "show")
-        return show(options, store);
+        return show(options, store.read());
     if (action == "get")
         return get(options, store);
     if (action == "set")
--- a/Utilities/granitefield/main.cpp
+++ b/Utilities/granitefield/main.cpp
@@ -1,5 +1,6 @@
 // granitefield: the operator's command-line tool.
 #include "FleetCommands.h"
+#include "LogCommands.h"
 #include "Options.h"
 #include "TableCommands.h"
 
@@ -28,9 +29,10 @@
       "Commands: table show [SHEET] | table get SHEET ROW COLUMN | table set SHEET ROW COLUMN=VALUE... | "
       "table unset SHEET ROW COLUMN... | table remove SHEET ROW | table export SHEET | "
       "table import SHEET [--file FILE] | table check SHEET [--file FILE] | table history | "
-      "status | explain REQUEST | drain BACKEND-SERVER... | undrain BACKEND-SERVER... | "
+      "status | explain REQUEST | logs REQUEST [FILE...] | drain BACKEND-SERVER... | undrain BACKEND-SERVER... | "
       "hash-key (reads a key from standard input). "
-      "Sheets: classes, workspaces, services, backend-servers. "
+      "Sheets: classes, workspaces, services, backend-servers, routes, limits. "
+      "With --daemon in place of --platform, table show gives the table in force at a gateway. "
       "Exit codes: 0 done, 1 failed, 2 rejected, 3 conflict, 4 the effect is unknown.";
 
 std::optional<Core::Address> parse_address(std::string const& text)
@@ -88,6 +90,8 @@
         return CommandLine::run_table_command(options);
     if (command == "status")
         return CommandLine::run_status_command(options);
+    if (command == "logs")
+        return CommandLine::run_logs_command(options);
     if (command == "explain")
         return CommandLine::run_explain_command(options);
     if (command == "drain")
