LibGateway: Keep the predicted wait apart from what speaks against a server

Cause: the log's predicted wait held the price of reading parts again (2393 ms for an engine that answered in 3 ms), and the limit for silent servers rested on it. Change: an estimate of wait and penalty; refusals log the table's age.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace GraniteField::Gateway {
 
@@ -17,6 +16,8 @@
 constexpr std::uint32_t s_least_measured_tokens = 2'000;
 constexpr double s_newest_rate_weight = 0.1;
 constexpr double s_slowest_prefill_rate = 1;
+/// Stands for the latency of a plain server that has not answered yet.
+constexpr std::chrono::duration<double, std::milli> s_least_latency {1};
 
 std::uint32_t tokens_of(std::span<PromptPart const> parts)
 {
@@ -143,32 +144,40 @@
         candidates[rank].rank = rank;
 }
 
-double BackendFleet::plain_cost(BackendView const& server, GatewayCall const& call, Core::MonotonicTime now) const
+BackendFleet::Estimate BackendFleet::estimate_plain(BackendView const& server) const
 {
-    auto const slots = std::max(1U, server.record().slots);
-    auto const latency = std::max(1.0, server.mean_latency().count());
-    auto const load = static_cast<double>(server.open_count()) / slots;
-    auto const target = static_cast<double>(call.request_class->first_token_target.count());
-    return latency * (1 + load) + server.failure_rate(now) * target;
+    auto const load = static_cast<double>(server.open_count()) / std::max(1U, server.record().slots);
+    Estimate estimate;
+    estimate.wait = std::max(s_least_latency, server.mean_latency()) * (1 + load);
+    return estimate;
 }
 
-double BackendFleet::engine_cost(
-    Candidate const& candidate, GatewayCall const& call, Core::MonotonicTime now, std::uint32_t& unread_tokens) const
+BackendFleet::Estimate BackendFleet::estimate_engine(Candidate const& candidate, GatewayCall const& call) const
 {
     auto const& server = *candidate.server;
     auto const total = std::max(call.prompt_tokens, tokens_of(call.prompt));
-    auto const kept = server.prefixes().kept_tokens(call.prompt);
-    auto const shared = tokens_of(shared_parts(call));
-    double expected_kept = kept;
+    double const shared = tokens_of(shared_parts(call));
+    double expected_kept = server.prefixes().kept_tokens(call.prompt);
     if (candidate.rank < s_assumed_kept.size())
         expected_kept = std::max(expected_kept, s_assumed_kept.at(candidate.rank) * shared);
-    unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
-    auto const rate = prefill_rate(call.service);
-    auto const reading = (static_cast<double>(server.unread_tokens()) + unread_tokens) / rate;
-    auto const running = static_cast<double>(server.open_count() * m_settings.cost_per_running.count());
-    auto const target = static_cast<double>(call.request_class->first_token_target.count());
-    auto const reread = std::max(0.0, shared - expected_kept) / rate * m_settings.reread_weight;
-    return reading + running + reread + server.failure_rate(now) * target;
+    auto const reading_time = [rate = prefill_rate(call.service)](double tokens) { return Estimate::Time(tokens / rate); };
+    Estimate estimate;
+    estimate.unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
+    estimate.wait = reading_time(static_cast<double>(server.unread_tokens() + estimate.unread_tokens))
+        + Estimate::Time(m_settings.cost_per_running) * server.open_count();
+    estimate.penalty = reading_time(std::max(0.0, shared - expected_kept)) * m_settings.reread_weight;
+    return estimate;
+}
+
+BackendFleet::Estimate BackendFleet::estimate(
+    Candidate const& candidate, GatewayCall const& call, Core::MonotonicTime now) const
+{
+    auto const& server = *candidate.server;
+    auto estimate = call.prompt.empty() ? estimate_plain(server) : estimate_engine(candidate, call);
+    estimate.penalty += Estimate::Time(call.request_class->first_token_target) * server.failure_rate(now);
+    if (server.record().failure_domain != m_settings.failure_domain)
+        estimate.penalty += m_settings.cost_per_domain_change;
+    return estimate;
 }
 
 Choice BackendFleet::choose(
@@ -177,19 +186,16 @@
     auto const candidates = candidates_for(call, excluded, now);
     Choice best;
     best.candidates = candidates.size();
-    double best_cost = std::numeric_limits<double>::max();
+    auto least_cost = Estimate::Time::max();
     for (auto const& candidate : candidates) {
-        std::uint32_t unread_tokens = 0;
-        auto const wait = call.prompt.empty() ? plain_cost(*candidate.server, call, now)
-                                              : engine_cost(candidate, call, now, unread_tokens);
-        bool const is_near = candidate.server->record().failure_domain == m_settings.failure_domain;
-        auto const cost = wait + (is_near ? 0.0 : static_cast<double>(m_settings.cost_per_domain_change.count()));
-        if (cost >= best_cost)
+        auto const estimated = estimate(candidate, call, now);
+        auto const cost = estimated.wait + estimated.penalty;
+        if (cost >= least_cost)
             continue;
-        best_cost = cost;
+        least_cost = cost;
         best.server = candidate.server;
-        best.unread_tokens = unread_tokens;
-        best.predicted_wait = Core::Milliseconds(static_cast<std::int64_t>(wait));
+        best.unread_tokens = estimated.unread_tokens;
+        best.predicted_wait = std::chrono::duration_cast<Core::Milliseconds>(estimated.wait);
     }
     return best;
 }
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -64,6 +64,17 @@
     [[nodiscard]] std::map<std::string, std::shared_ptr<BackendView>> const& all() const { return m_servers; }
 
 private:
+    /// What a request would meet at a backend server.
+    struct Estimate {
+        using Time = std::chrono::duration<double, std::milli>;
+
+        /// Until the first piece of the answer.
+        Time wait {0};
+        /// What speaks against the server besides the wait, in time.
+        Time penalty {0};
+        std::uint32_t unread_tokens {0};
+    };
+
     struct Candidate {
         std::shared_ptr<BackendView> server;
         /// Place in the prompt's own order of the service's engines; 0 is its home.
@@ -73,9 +84,9 @@
     [[nodiscard]] std::vector<Candidate> candidates_for(
         GatewayCall const&, std::set<std::string> const& excluded, Core::MonotonicTime now) const;
     void rank_by_prompt(std::vector<Candidate>&, GatewayCall const&) const;
-    [[nodiscard]] double plain_cost(BackendView const&, GatewayCall const&, Core::MonotonicTime now) const;
-    [[nodiscard]] double engine_cost(
-        Candidate const&, GatewayCall const&, Core::MonotonicTime now, std::uint32_t& unread_tokens) const;
+    [[nodiscard]] Estimate estimate(Candidate const&, GatewayCall const&, Core::MonotonicTime now) const;
+    [[nodiscard]] Estimate estimate_plain(BackendView const&) const;
+    [[nodiscard]] Estimate estimate_engine(Candidate const&, GatewayCall const&) const;
     [[nodiscard]] double prefill_rate(std::string const& service) const;
     void log_change(Entry::ServerEntry const&, std::string_view change, Entry::ListRevision) const;
 
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -163,7 +163,8 @@
                     .add("request", id)
                     .add("status", error.status)
                     .add("reason", error.code)
-                    .add("table", m_table ? m_table->version().value() : 0));
+                    .add("table", m_table ? m_table->version().value() : 0)
+                    .add("table_age_ms", Core::elapsed(m_table_since, Core::monotonic_now())));
     give_own_answer(caller, error, id, m_settings.dialect);
 }
 
@@ -202,6 +203,7 @@
                         .add("workspaces", table->workspaces().size()));
         m_registry.gauge("granitefield_table_version").set(static_cast<std::int64_t>(table->version().value()));
         m_table = std::move(table);
+        m_table_since = Core::monotonic_now();
         m_fleet.follow(*m_table);
         auto const limits = m_table->caller_limits();
         m_limits = {{limits.head_bytes, limits.body_bytes}, limits.head_time, limits.idle_time};
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -96,6 +96,8 @@
     std::list<std::shared_ptr<CallerConnection>> m_connections;
     std::list<std::unique_ptr<GatewayRun>> m_runs;
     std::shared_ptr<Table::Table const> m_table;
+    /// Since when the table is in force here; the process's start before the first one.
+    Core::MonotonicTime m_table_since {Core::monotonic_now()};
     std::shared_ptr<Entry::ServerList const> m_servers;
     CallerConnection::Limits m_limits;
     std::atomic<bool> m_is_ready {false};
