LibGateway: Trial: unread prompts by rank of priority

Cause: an urgent request's wait was predicted from all prompts before it, also from less urgent ones that the engine reads later.

--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -74,7 +74,9 @@
         auto& load = *datagram.add_servers();
         load.set_server(view->id());
         load.set_open(view->own_open_count());
-        load.set_unread_tokens(static_cast<std::uint32_t>(view->own_unread_tokens()));
+        for (unsigned rank = 0; rank < s_engine_ranks && view->own_unread().behind(rank) + view->own_unread().at(rank) > 0;
+             ++rank)
+            load.add_unread_tokens(static_cast<std::uint32_t>(view->own_unread().at(rank)));
     }
     auto const count = std::min(m_placements.size(), s_most_placements);
     for (std::size_t index = 0; index < count; ++index)
@@ -127,8 +129,11 @@
 
 void LoadExchange::withdraw(PeerLoad& peer)
 {
-    for (auto const& load : peer.loads)
-        load.server->remove_others(load.open, load.unread_tokens);
+    for (auto const& load : peer.loads) {
+        load.server->remove_others(load.open);
+        for (unsigned rank = 0; rank < load.unread_tokens.size(); ++rank)
+            load.server->others_unread().remove(rank, load.unread_tokens[rank]);
+    }
     peer.loads.clear();
 }
 
@@ -141,10 +146,13 @@
     peer.heard = Core::monotonic_now();
     for (auto const& load : datagram.servers()) {
         auto server = m_fleet.find(load.server());
-        if (!server)
+        if (!server || load.unread_tokens_size() > static_cast<int>(s_engine_ranks))
             continue;
-        server->add_others(load.open(), load.unread_tokens());
-        peer.loads.push_back({std::move(server), load.open(), load.unread_tokens()});
+        ReportedLoad reported {server, load.open(), {load.unread_tokens().begin(), load.unread_tokens().end()}};
+        server->add_others(reported.open);
+        for (unsigned rank = 0; rank < reported.unread_tokens.size(); ++rank)
+            server->others_unread().add(rank, reported.unread_tokens[rank]);
+        peer.loads.push_back(std::move(reported));
     }
     for (auto const& placement : datagram.placements()) {
         auto const server = m_fleet.find(placement.server());
