--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -163,9 +163,7 @@
     auto const reading_time = [rate = prefill_rate(call.service)](double tokens) { return Estimate::Time(tokens / rate); };
     Estimate estimate;
     estimate.unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
-    auto const before = static_cast<double>(server.unread_up_to(call.priority) + estimate.unread_tokens);
-    auto const beside = static_cast<double>(server.unread_behind(call.priority)) * m_settings.less_urgent_part;
-    estimate.wait = reading_time(before + beside)
+    estimate.wait = reading_time(static_cast<double>(server.unread_tokens() + estimate.unread_tokens))
         + Estimate::Time(m_settings.cost_per_running) * server.open_count();
     estimate.penalty = reading_time(std::max(0.0, shared - expected_kept)) * m_settings.reread_weight;
     return estimate;
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -37,8 +37,6 @@
         /// How much longer a wait may be than the reading of shared parts that it saves. Reading them again takes
         /// the engine's time from all others, so it weighs more than its own time.
         double reread_weight {8};
-        /// How much of a prompt that is less urgent is read before a more urgent one all the same.
-        double less_urgent_part {0.5};
         /// What it costs to leave the own failure domain, in time.
         Core::Milliseconds cost_per_domain_change {2};
     };
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -5,41 +5,15 @@
 #include <LibEntry/SharedServers.h>
 #include <LibGateway/PrefixMemory.h>
 
-#include <algorithm>
-#include <array>
 #include <cmath>
 #include <cstdint>
-#include <numeric>
 
 namespace GraniteField::Gateway {
 
-/// Prompt tokens that an engine still has to read, by their rank of priority.
-class UnreadTokens {
-public:
-    void add(unsigned rank, std::uint64_t tokens) { m_tokens.at(rank) += tokens; }
-    void remove(unsigned rank, std::uint64_t tokens) { m_tokens.at(rank) -= tokens; }
-    [[nodiscard]] std::uint64_t at(unsigned rank) const { return m_tokens.at(rank); }
-
-    /// Those of this rank and of more urgent ones.
-    [[nodiscard]] std::uint64_t up_to(unsigned rank) const
-    {
-        return std::accumulate(m_tokens.begin(), m_tokens.begin() + rank + 1, std::uint64_t {0});
-    }
-    /// Those of less urgent ranks.
-    [[nodiscard]] std::uint64_t behind(unsigned rank) const
-    {
-        return std::accumulate(m_tokens.begin() + rank + 1, m_tokens.end(), std::uint64_t {0});
-    }
-
-private:
-    std::array<std::uint64_t, s_engine_ranks> m_tokens {};
-};
-
 /// What an open attempt weighs at its engine until it ends.
 struct AttemptLoad {
     /// Prompt tokens that the engine has to read; 0 once the first event came.
     std::uint32_t unread_tokens {0};
-    unsigned rank {0};
     bool is_open {false};
 };
 
@@ -91,38 +65,36 @@
 
     /// What this gateway has open there.
     [[nodiscard]] unsigned own_open_count() const { return m_open; }
-    [[nodiscard]] UnreadTokens const& own_unread() const { return m_unread; }
+    [[nodiscard]] std::uint64_t own_unread_tokens() const { return m_unread_tokens; }
     /// The same for all gateways, as far as their reports tell.
     [[nodiscard]] unsigned open_count() const { return m_open + m_others_open; }
-    [[nodiscard]] UnreadTokens const& others_unread() const { return m_others_unread; }
-    /// Tokens that are read before those of a new request of this rank.
-    [[nodiscard]] std::uint64_t unread_up_to(unsigned rank) const
+    [[nodiscard]] std::uint64_t unread_tokens() const { return m_unread_tokens + m_others_unread_tokens; }
+    void add_others(unsigned open, std::uint64_t unread_tokens)
     {
-        return m_unread.up_to(rank) + m_others_unread.up_to(rank);
+        m_others_open += open;
+        m_others_unread_tokens += unread_tokens;
     }
-    [[nodiscard]] std::uint64_t unread_behind(unsigned rank) const
+    void remove_others(unsigned open, std::uint64_t unread_tokens)
     {
-        return m_unread.behind(rank) + m_others_unread.behind(rank);
+        m_others_open -= open;
+        m_others_unread_tokens -= unread_tokens;
     }
-    void add_others(unsigned open) { m_others_open += open; }
-    void remove_others(unsigned open) { m_others_open -= open; }
-    [[nodiscard]] UnreadTokens& others_unread() { return m_others_unread; }
     /// The instance's hash, which stands for it in datagrams.
     [[nodiscard]] std::uint64_t id() const { return m_id; }
     [[nodiscard]] PrefixMemory& prefixes() { return m_prefixes; }
     [[nodiscard]] PrefixMemory const& prefixes() const { return m_prefixes; }
 
-    void begin_attempt(AttemptLoad& load, std::uint32_t unread_tokens, unsigned rank)
+    void begin_attempt(AttemptLoad& load, std::uint32_t unread_tokens)
     {
-        load = {unread_tokens, rank, true};
+        load = {unread_tokens, true};
         ++m_open;
-        m_unread.add(rank, unread_tokens);
+        m_unread_tokens += unread_tokens;
     }
 
     /// The engine has read the prompt: its first event came.
     void note_read(AttemptLoad& load)
     {
-        m_unread.remove(load.rank, load.unread_tokens);
+        m_unread_tokens -= load.unread_tokens;
         load.unread_tokens = 0;
     }
 
@@ -186,9 +158,9 @@
     std::uint64_t m_id;
     bool m_is_listed {true};
     unsigned m_open {0};
-    UnreadTokens m_unread;
+    std::uint64_t m_unread_tokens {0};
     unsigned m_others_open {0};
-    UnreadTokens m_others_unread;
+    std::uint64_t m_others_unread_tokens {0};
     PrefixMemory m_prefixes;
     DecayingValue m_failures;
     unsigned m_failures_in_a_row {0};
--- a/Libraries/LibGateway/GatewayCall.cpp
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -13,6 +13,8 @@
 using Entry::Outcome;
 
 constexpr Core::Milliseconds s_retry_without_table {500};
+/// Ranks of priority that engines know, from 0, the most urgent.
+constexpr unsigned s_engine_ranks = 10;
 /// Parts of a prompt that are looked at; what comes behind them is read anew.
 constexpr std::size_t s_most_parts = 64;
 
--- a/Libraries/LibGateway/GatewayCall.h
+++ b/Libraries/LibGateway/GatewayCall.h
@@ -16,9 +16,6 @@
 
 namespace GraniteField::Gateway {
 
-/// Ranks of priority that engines know, from 0, the most urgent.
-inline constexpr unsigned s_engine_ranks = 10;
-
 /// A part of a prompt. Engines keep what they have read of a part when they kept all parts before it.
 struct PromptPart {
     /// Hash of this part's id and of all before it, so that equal values mean equal beginnings.
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -90,7 +90,7 @@
     m_choice = choice;
     auto const rule = m_call.head.method == "HEAD" ? HTTP::BodyRule::None : HTTP::BodyRule::Normal;
     m_attempt = std::make_shared<BackendAttempt>(m_context.loop, choice.server, rule, *this);
-    choice.server->begin_attempt(m_attempt->load(), choice.unread_tokens, m_call.priority);
+    choice.server->begin_attempt(m_attempt->load(), choice.unread_tokens);
     choice.server->prefixes().note_read(m_call.prompt);
     m_context.load.note_placement(*choice.server, shared_parts(m_call));
     m_attempt->begin(request_for(*choice.server, now), now);
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -74,9 +74,7 @@
         auto& load = *datagram.add_servers();
         load.set_server(view->id());
         load.set_open(view->own_open_count());
-        for (unsigned rank = 0; rank < s_engine_ranks && view->own_unread().behind(rank) + view->own_unread().at(rank) > 0;
-             ++rank)
-            load.add_unread_tokens(static_cast<std::uint32_t>(view->own_unread().at(rank)));
+        load.set_unread_tokens(static_cast<std::uint32_t>(view->own_unread_tokens()));
     }
     auto const count = std::min(m_placements.size(), s_most_placements);
     for (std::size_t index = 0; index < count; ++index)
@@ -129,11 +127,8 @@
 
 void LoadExchange::withdraw(PeerLoad& peer)
 {
-    for (auto const& load : peer.loads) {
-        load.server->remove_others(load.open);
-        for (unsigned rank = 0; rank < load.unread_tokens.size(); ++rank)
-            load.server->others_unread().remove(rank, load.unread_tokens[rank]);
-    }
+    for (auto const& load : peer.loads)
+        load.server->remove_others(load.open, load.unread_tokens);
     peer.loads.clear();
 }
 
@@ -146,13 +141,10 @@
     peer.heard = Core::monotonic_now();
     for (auto const& load : datagram.servers()) {
         auto server = m_fleet.find(load.server());
-        if (!server || load.unread_tokens_size() > static_cast<int>(s_engine_ranks))
+        if (!server)
             continue;
-        ReportedLoad reported {server, load.open(), {load.unread_tokens().begin(), load.unread_tokens().end()}};
-        server->add_others(reported.open);
-        for (unsigned rank = 0; rank < reported.unread_tokens.size(); ++rank)
-            server->others_unread().add(rank, reported.unread_tokens[rank]);
-        peer.loads.push_back(std::move(reported));
+        server->add_others(load.open(), load.unread_tokens());
+        peer.loads.push_back({std::move(server), load.open(), load.unread_tokens()});
     }
     for (auto const& placement : datagram.placements()) {
         auto const server = m_fleet.find(placement.server());
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -52,7 +52,7 @@
     struct ReportedLoad {
         std::shared_ptr<BackendView> server;
         unsigned open {0};
-        std::vector<std::uint32_t> unread_tokens;
+        std::uint32_t unread_tokens {0};
     };
 
     struct PeerLoad {
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -106,7 +106,6 @@
     reader.read("retry-after", server.runs.retry_after, 1ms, 10min);
     reader.read("cost-per-running", server.fleet.cost_per_running, 0ms, 10s);
     reader.read("cost-per-domain-change", server.fleet.cost_per_domain_change, 0ms, 10s);
-    reader.read("less-urgent-part", server.fleet.less_urgent_part, 0, 1);
     reader.read("reread-weight", server.fleet.reread_weight, 0, 1'000);
     reader.read("first-prefill-rate", server.fleet.first_prefill_rate, 0.1, 100'000);
     reader.finish();
