--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace GraniteField::Core {
 
@@ -21,18 +22,21 @@
 
 std::optional<Milliseconds> parse_duration(std::string_view text)
 {
-    std::int64_t count = 0;
+    double count = 0;
     auto const* end = text.data() + text.size();
-    auto const result = std::from_chars(text.data(), end, count);
-    if (result.ec != std::errc {} || count < 0)
+    // Plain decimals only: no sign, exponent, `inf` or `nan`.
+    bool const begins_with_digit = !text.empty() && text.front() >= '0' && text.front() <= '9';
+    auto const result = std::from_chars(text.data(), end, count, std::chars_format::fixed);
+    if (!begins_with_digit || result.ec != std::errc {})
         return std::nullopt;
     std::string_view const suffix(result.ptr, static_cast<std::size_t>(end - result.ptr));
     for (auto const& unit : s_units) {
         if (unit.suffix != suffix)
             continue;
-        if (count > s_largest_duration_milliseconds / unit.milliseconds)
+        auto const milliseconds = count * static_cast<double>(unit.milliseconds);
+        if (milliseconds > static_cast<double>(s_largest_duration_milliseconds))
             return std::nullopt;
-        return Milliseconds(count * unit.milliseconds);
+        return Milliseconds(std::llround(milliseconds));
     }
     return std::nullopt;
 }
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -24,7 +24,7 @@
     return std::chrono::duration_cast<Milliseconds>(to - from);
 }
 
-/// Reads a whole number with a unit: `250ms`, `3s`, `10m`, `2h`. Nothing else is a duration.
+/// Reads a decimal number with a unit, to the millisecond: `250ms`, `9.6s`, `10m`, `2h`. Nothing else is a duration.
 [[nodiscard]] std::optional<Milliseconds> parse_duration(std::string_view);
 
 /// Writes a duration with the largest unit that divides it, so that parse_duration() reads it back.
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -100,10 +100,11 @@
     if (m_parser->problem() != HTTP::RequestProblem::None)
         return refuse(m_parser->problem());
     if (!m_parser->is_complete())
-        return;
+        return invite_body();
     auto head = std::move(m_parser->head());
     auto body = std::move(m_parser->body());
     m_parser.reset();
+    m_has_invited_body = false;
     m_state = State::Answering;
     m_is_head_request = head.method == "HEAD";
     m_caller_keeps_open = head.keeps_connection();
@@ -113,6 +114,17 @@
     m_handler.handle_request(shared_from_this(), std::move(head), std::move(body), received);
 }
 
+void CallerConnection::invite_body()
+{
+    if (m_has_invited_body || !m_parser->has_head())
+        return;
+    m_has_invited_body = true;
+    if (!HTTP::has_token(m_parser->head().fields.value_or("Expect", ""), "100-continue"))
+        return;
+    m_output += "HTTP/1.1 100 Continue\r\n\r\n";
+    write();
+}
+
 void CallerConnection::refuse(HTTP::RequestProblem problem)
 {
     m_handler.note_bad_request(problem);
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -91,6 +91,8 @@
     void read();
     void take_input();
     void process_input();
+    /// Lets a caller that asked first send its body (RFC 9110, section 10.1.1).
+    void invite_body();
     void refuse(HTTP::RequestProblem);
     void write();
     void wait_to_write();
@@ -111,6 +113,7 @@
     std::optional<HTTP::RequestParser> m_parser;
     /// A request has begun to come.
     bool m_has_begun {false};
+    bool m_has_invited_body {false};
     Core::MonotonicTime m_begun;
     Core::MonotonicTime m_last_byte;
 
--- a/Libraries/LibGateway/GatewayCall.cpp
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -88,7 +88,9 @@
 void bind_time(GatewayCall& call, Dialect const& dialect)
 {
     call.deadline = call.received + call.route->time_limit;
-    auto const remaining = read_number(call.head.fields.value_or(dialect.remaining_time, ""));
+    // A fraction of a millisecond says nothing here.
+    auto const text = call.head.fields.value_or(dialect.remaining_time, "");
+    auto const remaining = read_number(text.substr(0, text.find('.')));
     if (!remaining)
         return;
     constexpr std::uint64_t longest_ms = 86'400'000;
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr int s_io_threads = 1;
+/// How often the settings file is looked at, beside the signal that tells of a change.
+constexpr Core::Milliseconds s_settings_interval {2'000};
 
 Platform::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
 {
@@ -45,11 +47,10 @@
 
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
-void reload(std::function<Settings::DaemonSettings()> const& read_settings, Gateway::GatewayServer& server,
-    Observe::EventLog& log)
+void reload(SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
 {
     try {
-        auto const settings = read_settings();
+        auto const settings = source.read();
         server.reload(settings.gateway.server);
         log.write(Observe::LogEvent("reload").add("outcome", "done"));
     } catch (std::exception const& error) {
@@ -57,10 +58,27 @@
     }
 }
 
+/// Waits until the process is told to stop, and reads the settings again when their file changes.
+void follow_signals(
+    SignalWait const& wait, SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
+{
+    auto seen = source.changed_at();
+    while (true) {
+        auto const signal = wait(s_settings_interval);
+        if (signal == Signal::Stop)
+            return;
+        auto const changed_at = source.changed_at();
+        if (signal != Signal::Reload && changed_at == seen)
+            continue;
+        seen = changed_at;
+        reload(source, server, log);
+    }
+}
+
 }
 
-void run_gateway(Settings::DaemonSettings const& settings, std::function<Signal()> const& wait_for_signal,
-    std::function<Settings::DaemonSettings()> const& read_settings)
+void run_gateway(
+    Settings::DaemonSettings const& settings, SignalWait const& wait_for_signal, SettingsSource const& source)
 {
     auto const& common = settings.common;
     Observe::MetricRegistry metrics;
@@ -102,8 +120,7 @@
         store, std::string(Platform::configuration_kind()), configuration_sink, log, metrics);
     Platform::ObjectFollower const backend_servers(
         store, std::string(Platform::servers_kind()), servers_sink, log, metrics);
-    while (wait_for_signal() != Signal::Stop)
-        reload(read_settings, server, log);
+    follow_signals(wait_for_signal, source, server, log);
     log.write(Observe::LogEvent("stop"));
     server.drain();
     server.wait_until_drained();
--- a/Services/GraniteFieldD/main.cpp
+++ b/Services/GraniteFieldD/main.cpp
@@ -7,9 +7,11 @@
 #include <LibSettings/DaemonSettings.h>
 
 #include <csignal>
+#include <ctime>
+#include <filesystem>
 #include <fstream>
-#include <functional>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 
@@ -45,21 +47,36 @@
     return signals;
 }
 
-int run(Settings::DaemonSettings const& settings, std::function<Settings::DaemonSettings()> const& read_settings)
+std::optional<Daemon::Signal> signal_of(int number)
+{
+    if (number == SIGHUP)
+        return Daemon::Signal::Reload;
+    if (number > 0)
+        return Daemon::Signal::Stop;
+    return std::nullopt;
+}
+
+int run(Settings::DaemonSettings const& settings, Daemon::SettingsSource const& source)
 {
     auto const signals = block_signals();
     // A caller or a backend server that hangs up must not end the daemon.
     std::signal(SIGPIPE, SIG_IGN);
     HTTP::initialize_http_client();
-    auto const wait_for_signal = [&signals] {
-        int received = 0;
-        sigwait(&signals, &received);
-        return received == SIGHUP ? Daemon::Signal::Reload : Daemon::Signal::Stop;
+    auto const wait_for_signal = [&signals](Core::Milliseconds limit) {
+        auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+        timespec const time {seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
+        return signal_of(sigtimedwait(&signals, nullptr, &time));
     };
     // Entries and side processes read their settings once.
     auto const wait_for_stop = [&wait_for_signal] {
-        while (wait_for_signal() != Daemon::Signal::Stop)
-            LOG(WARNING) << "daemon: this role reads its settings only at its start";
+        constexpr Core::Milliseconds interval {60'000};
+        while (true) {
+            auto const signal = wait_for_signal(interval);
+            if (signal == Daemon::Signal::Stop)
+                return;
+            if (signal == Daemon::Signal::Reload)
+                LOG(WARNING) << "daemon: this role reads its settings only at its start";
+        }
     };
     switch (settings.role) {
     case Settings::Role::Entry:
@@ -69,7 +86,7 @@
         Daemon::run_side(settings, wait_for_stop);
         break;
     case Settings::Role::Gateway:
-        Daemon::run_gateway(settings, wait_for_signal, read_settings);
+        Daemon::run_gateway(settings, wait_for_signal, source);
         break;
     }
     return 0;
@@ -89,12 +106,16 @@
         TCLAP::SwitchArg should_check(
             "", "check", "Only check the settings: prints what is wrong and exits with 2, or with 0.", command_line);
         command_line.parse(argument_count, arguments);
-        auto const read_settings
-            = [&settings_path] { return Settings::parse_settings(read_file(settings_path.getValue())); };
-        auto const settings = read_settings();
+        Daemon::SettingsSource source;
+        source.read = [&settings_path] { return Settings::parse_settings(read_file(settings_path.getValue())); };
+        source.changed_at = [&settings_path] {
+            std::error_code ignored;
+            return std::filesystem::last_write_time(settings_path.getValue(), ignored);
+        };
+        auto const settings = source.read();
         if (should_check.getValue())
             return 0;
-        return run(settings, read_settings);
+        return run(settings, source);
     } catch (Core::InvalidInput const& error) {
         std::cerr << error.what() << '\n';
         return s_exit_usage;
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <map>
 
 #include <gtest/gtest.h>
 
@@ -51,6 +52,7 @@
                 {{"address", Core::concat("127.0.0.1:", store == 0 ? m_platform_port : store)},
                     {"call-timeout", "300ms"}, {"watch-wait", "500ms"}, {"longest-pause", "100ms"}}},
             {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
+        m_settings[name] = settings;
         auto const path = (m_directory / (name + ".json")).string();
         std::ofstream(path) << settings.dump();
         Gateway gateway;
@@ -123,6 +125,7 @@
     Process m_platform;
     std::uint16_t m_platform_port;
     std::filesystem::path m_directory;
+    std::map<std::string, Json> m_settings;
 };
 
 }
@@ -286,6 +289,23 @@
     EXPECT_EQ(run_program(tool, {"logs"}, input).exit_code, 2);
 }
 
+TEST_F(GatewayProcess, TakesOverNewSettingsWithAndWithoutASignal)
+{
+    put_configuration(1, "/a/");
+    auto const gateway = start("g-1");
+    auto const path = m_directory / "g-1.json";
+    auto const rejected = [&] {
+        return gateway.process->has_printed(R"("event":"reload","outcome":"rejected")");
+    };
+    // A file that can't be read changes nothing, and says so.
+    std::ofstream(path) << "{";
+    ::kill(gateway.process->id(), SIGHUP);
+    EXPECT_TRUE(wait_until(rejected));
+    Json const settings = m_settings.at("g-1");
+    std::ofstream(path) << settings.dump();
+    EXPECT_TRUE(wait_until([&] { return gateway.process->has_printed(R"("event":"reload","outcome":"done")"); }));
+}
+
 TEST_F(GatewayProcess, StopsAsPlannedAndReadsItsSettingsAgain)
 {
     std::promise<void> may_answer;
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -72,6 +72,7 @@
 Process::Process(Process&& other) noexcept
     : m_id(std::exchange(other.m_id, -1))
     , m_output(std::exchange(other.m_output, -1))
+    , m_printed(std::move(other.m_printed))
     , m_exit_code(other.m_exit_code)
 {
 }
@@ -80,6 +81,7 @@
 {
     std::swap(m_id, other.m_id);
     std::swap(m_output, other.m_output);
+    std::swap(m_printed, other.m_printed);
     std::swap(m_exit_code, other.m_exit_code);
     return *this;
 }
@@ -113,6 +115,19 @@
     }
 }
 
+bool Process::has_printed(std::string_view text)
+{
+    std::array<char, 4096> buffer {};
+    pollfd descriptor {m_output, POLLIN, 0};
+    while (::poll(&descriptor, 1, 0) > 0) {
+        auto const got = ::read(m_output, buffer.data(), buffer.size());
+        if (got <= 0)
+            break;
+        m_printed.append(buffer.data(), static_cast<std::size_t>(got));
+    }
+    return m_printed.find(text) != std::string::npos;
+}
+
 void Process::terminate() const
 {
     ::kill(m_id, SIGTERM);
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -24,6 +25,9 @@
     /// Waits for the program's first line, which says where it listens. Throws when it ends without one.
     [[nodiscard]] nlohmann::json wait_for_announcement();
 
+    /// Whether the program has printed the text since its announcement; takes what it has printed by now.
+    [[nodiscard]] bool has_printed(std::string_view text);
+
     void terminate() const;
     void kill();
     /// Stops the program as it stands (SIGSTOP), and lets it go on.
@@ -37,6 +41,7 @@
 private:
     pid_t m_id {-1};
     int m_output {-1};
+    std::string m_printed;
     int m_exit_code {0};
 };
 
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -330,6 +330,15 @@
     return true;
 }
 
+bool RawCaller::has_received(std::string_view text)
+{
+    while (m_input.size() < text.size()) {
+        if (!read_more())
+            return false;
+    }
+    return std::string_view(m_input).starts_with(text);
+}
+
 bool RawCaller::is_closed_by_peer()
 {
     pollfd item {m_descriptor, POLLIN, 0};
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -120,6 +120,8 @@
     [[nodiscard]] Answer read_answer();
     /// Waits until the body has so many bytes at least; false when the connection ends first.
     [[nodiscard]] bool read_body_bytes(std::size_t count);
+    /// Waits until the text is what came first; false when the connection ends before.
+    [[nodiscard]] bool has_received(std::string_view);
     /// Whether the other side has closed; waits for it.
     [[nodiscard]] bool is_closed_by_peer();
     void close();
