LibObserve: Let a log that nobody reads stop no process; Tests: a fault soak

Cause: the soak's first run hung: nobody read the gateways' standard output, the log's writer waited in write(), and a planned stop waited for the writer. Change: the writer asks for room before it writes, in pieces that a pipe takes without a wait, and gives the last lines 300 ms at the end. The soak runs gateways as processes under overlapping faults from a seed (processes killed, frozen, stopped, signalled; links cut, frozen, delayed, reset; the store out, slow, silent; servers that lose, refuse or spoil answers; configurations; servers that leave) and checks the promises from what callers and backend servers see.

--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -2,8 +2,10 @@
 
 #include <LibCore/Text.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <poll.h>
 #include <unistd.h>
 
@@ -13,7 +15,11 @@
 
 namespace {
 
-constexpr int s_poll_timeout_ms = 1000;
+constexpr int s_poll_timeout_ms = 100;
+/// What one write takes; a pipe takes as much without a wait when it takes anything.
+constexpr std::size_t s_largest_write = PIPE_BUF;
+/// How long the last lines may take when nobody reads them.
+constexpr Core::Milliseconds s_stopping_patience {300};
 
 void append_quoted(std::string& target, std::string_view text)
 {
@@ -138,22 +144,30 @@
     }
 }
 
-void EventLog::write_all(std::string_view text) const
+void EventLog::write_all(std::string_view text)
 {
+    auto given_up_at = Core::MonotonicTime::max();
     while (!text.empty()) {
-        auto const written = ::write(m_descriptor, text.data(), text.size());
-        if (written > 0) {
-            text.remove_prefix(static_cast<std::size_t>(written));
-            continue;
-        }
-        if (written < 0 && errno == EINTR)
-            continue;
-        if (written < 0 && errno != EAGAIN)
+        if (given_up_at == Core::MonotonicTime::max() && is_stopping())
+            given_up_at = Core::monotonic_now() + s_stopping_patience;
+        if (Core::monotonic_now() >= given_up_at)
             return;
+        // A pipe that can be written to has room for this much at least, so that the write does not wait.
         pollfd item {m_descriptor, POLLOUT, 0};
         if (::poll(&item, 1, s_poll_timeout_ms) <= 0)
+            continue;
+        auto const written = ::write(m_descriptor, text.data(), std::min(text.size(), s_largest_write));
+        if (written > 0)
+            text.remove_prefix(static_cast<std::size_t>(written));
+        else if (errno != EINTR && errno != EAGAIN)
             return;
     }
 }
 
+bool EventLog::is_stopping()
+{
+    std::lock_guard const lock(m_mutex);
+    return m_should_stop;
+}
+
 }
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -73,7 +73,8 @@
 private:
     void run();
     [[nodiscard]] std::string take_batch();
-    void write_all(std::string_view) const;
+    void write_all(std::string_view);
+    [[nodiscard]] bool is_stopping();
 
     int m_descriptor;
     std::string m_prefix;
--- /dev/null
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -0,0 +1,87 @@
+#include "GatewayFleet.h"
+
+#include <LibCore/Text.h>
+
+#include <fstream>
+#include <unistd.h>
+
+namespace GraniteField::Testing {
+
+GatewayFleet::GatewayFleet()
+    : m_platform(program_path("Tests/standin-platform"), {})
+    , m_platform_port(m_platform.wait_for_announcement().at("http"))
+    , m_directory(std::filesystem::temp_directory_path()
+          / Core::concat("granitefield-gateway-", ::getpid(), "-", m_platform_port))
+{
+    std::filesystem::create_directory(m_directory);
+}
+
+GatewayFleet::~GatewayFleet()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(m_directory, ignored);
+}
+
+GatewayFleet::Gateway GatewayFleet::start(std::string const& name, Json const& peer_addresses, std::uint16_t store)
+{
+    Json const settings {{"role", "gateway"}, {"name", name}, {"failure-domain", "here"}, {"region", "r"},
+        {"operator-address", "127.0.0.1:0"}, {"callers-address", "127.0.0.1:0"}, {"readiness-address", "127.0.0.1:0"},
+        {"readiness-path", "/ready"}, {"drain-notice", "100ms"}, {"drain-limit", "10s"},
+        {"platform",
+            {{"address", Core::concat("127.0.0.1:", store == 0 ? m_platform_port : store)}, {"call-timeout", "300ms"},
+                {"watch-wait", "500ms"}, {"longest-pause", "100ms"}}},
+        {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
+    m_settings[name] = settings;
+    auto const path = (m_directory / (name + ".json")).string();
+    std::ofstream(path) << settings.dump();
+    Gateway gateway;
+    gateway.process = std::make_unique<Process>(
+        program_path("Services/granitefieldd"), std::vector<std::string> {"--settings", path});
+    auto const ports = gateway.process->wait_for_announcement();
+    gateway.callers = ports.at("callers");
+    gateway.readiness = ports.at("readiness");
+    gateway.operators = ports.at("operator");
+    gateway.peers = ports.at("peers");
+    return gateway;
+}
+
+void GatewayFleet::control(Json const& json) const
+{
+    static_cast<void>(send_request(m_platform_port, "POST", "/control", json.dump()));
+}
+
+void GatewayFleet::put(std::string const& kind, std::string const& name, Json const& spec) const
+{
+    control({{"puts", Json::array({{{"kind", kind}, {"name", name}, {"spec", spec}}})}});
+}
+
+Json GatewayFleet::route(std::string const& name, std::string const& prefix, std::string const& kind)
+{
+    return {{"name", name}, {"host", "host.test"}, {"path_prefix", prefix}, {"kind", kind}, {"timeout_ms", 2000},
+        {"latency_slo_ms", 500}, {"prio", 0}, {"service", "svc"}, {"attempts", 2}, {"no_auth", true}};
+}
+
+Json GatewayFleet::configuration(unsigned version, Json const& routes)
+{
+    return {{"version", version}, {"routes", routes}, {"services", {{{"name", "svc"}, {"max_conns", 100}}}},
+        {"limits", Json::object()}, {"tenants", Json::array()}};
+}
+
+void GatewayFleet::put_configuration(unsigned version, std::string const& prefix) const
+{
+    put("config", "main", configuration(version, Json::array({route("r-1", prefix, "safe")})));
+}
+
+void GatewayFleet::put_server(Entry::ServerEntry const& entry, std::string const& state) const
+{
+    put("servers", entry.instance,
+        {{"service", entry.service}, {"addr", entry.address.to_string()}, {"zone", "here"}, {"slots", 8},
+            {"state", state}});
+}
+
+void GatewayFleet::remove_server(std::string const& instance) const
+{
+    control({{"removals", Json::array({{{"kind", "servers"}, {"name", instance}}})}});
+}
+
+}
--- /dev/null
+++ b/Tests/Integration/GatewayFleet.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "FakeBackend.h"
+#include "Fleet.h"
+#include "Process.h"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace GraniteField::Testing {
+
+/// Gateways as processes of their own, before the stand-in of the platform's store.
+class GatewayFleet {
+public:
+    GatewayFleet();
+    ~GatewayFleet();
+    GatewayFleet(GatewayFleet const&) = delete;
+    GatewayFleet& operator=(GatewayFleet const&) = delete;
+
+    struct Gateway {
+        std::unique_ptr<Process> process;
+        std::uint16_t callers {0};
+        std::uint16_t readiness {0};
+        std::uint16_t operators {0};
+        std::uint16_t peers {0};
+    };
+
+    /// Starts a gateway; `store` is the port of its way to the store, the store itself by default.
+    Gateway start(std::string const& name, Json const& peer_addresses = Json::array(), std::uint16_t store = 0);
+
+    [[nodiscard]] std::filesystem::path const& directory() const { return m_directory; }
+    [[nodiscard]] Json const& settings_of(std::string const& name) const { return m_settings.at(name); }
+    [[nodiscard]] std::uint16_t platform_port() const { return m_platform_port; }
+
+    /// Sets the store's switches; PlatformServer.h lists them.
+    void control(Json const&) const;
+    void put(std::string const& kind, std::string const& name, Json const& spec) const;
+    /// A configuration with one route to the service `svc`, for repeatable requests.
+    void put_configuration(unsigned version, std::string const& prefix) const;
+    void put_server(Entry::ServerEntry const&, std::string const& state = "ready") const;
+    void put_server(FakeBackend const& backend, std::string const& state = "ready") const
+    {
+        put_server(backend.entry(), state);
+    }
+    void remove_server(std::string const& instance) const;
+
+    /// A route as the operators write it.
+    [[nodiscard]] static Json route(std::string const& name, std::string const& prefix, std::string const& kind);
+    [[nodiscard]] static Json configuration(unsigned version, Json const& routes);
+
+private:
+    Process m_platform;
+    std::uint16_t m_platform_port;
+    std::filesystem::path m_directory;
+    std::map<std::string, Json> m_settings;
+};
+
+}
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "Process.h"
 
 #include "FakeBackend.h"
+#include "GatewayFleet.h"
 
 #include <LibCore/Text.h>
 
@@ -21,83 +22,8 @@
 /// What is promised while the store is there.
 constexpr Core::Milliseconds s_in_force_limit {2'000};
 
-class GatewayProcess : public ::testing::Test {
+class GatewayProcess : public ::testing::Test, protected GatewayFleet {
 protected:
-    GatewayProcess()
-        : m_platform(program_path("Tests/standin-platform"), {})
-        , m_platform_port(m_platform.wait_for_announcement().at("http"))
-        , m_directory(std::filesystem::temp_directory_path()
-              / Core::concat("granitefield-gateway-", ::getpid(), "-", m_platform_port))
-    {
-        std::filesystem::create_directory(m_directory);
-    }
-
-    ~GatewayProcess() override { std::filesystem::remove_all(m_directory); }
-
-    struct Gateway {
-        std::unique_ptr<Process> process;
-        std::uint16_t callers {0};
-        std::uint16_t readiness {0};
-        std::uint16_t operators {0};
-        std::uint16_t peers {0};
-    };
-
-    Gateway start(std::string const& name, Json const& peer_addresses = Json::array(), std::uint16_t store = 0)
-    {
-        Json const settings {{"role", "gateway"}, {"name", name}, {"failure-domain", "here"}, {"region", "r"},
-            {"operator-address", "127.0.0.1:0"}, {"callers-address", "127.0.0.1:0"},
-            {"readiness-address", "127.0.0.1:0"}, {"readiness-path", "/ready"}, {"drain-notice", "100ms"},
-            {"drain-limit", "10s"},
-            {"platform",
-                {{"address", Core::concat("127.0.0.1:", store == 0 ? m_platform_port : store)},
-                    {"call-timeout", "300ms"}, {"watch-wait", "500ms"}, {"longest-pause", "100ms"}}},
-            {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
-        m_settings[name] = settings;
-        auto const path = (m_directory / (name + ".json")).string();
-        std::ofstream(path) << settings.dump();
-        Gateway gateway;
-        gateway.process = std::make_unique<Process>(
-            program_path("Services/granitefieldd"), std::vector<std::string> {"--settings", path});
-        auto const ports = gateway.process->wait_for_announcement();
-        gateway.callers = ports.at("callers");
-        gateway.readiness = ports.at("readiness");
-        gateway.operators = ports.at("operator");
-        gateway.peers = ports.at("peers");
-        return gateway;
-    }
-
-    static Json configuration(unsigned version, std::string const& prefix)
-    {
-        return {{"version", version},
-            {"routes",
-                {{{"name", "r-1"}, {"host", "host.test"}, {"path_prefix", prefix}, {"kind", "safe"},
-                    {"timeout_ms", 2000}, {"latency_slo_ms", 500}, {"prio", 0}, {"service", "svc"}, {"attempts", 2},
-                    {"no_auth", true}}}},
-            {"services", {{{"name", "svc"}, {"max_conns", 100}}}}, {"limits", Json::object()},
-            {"tenants", Json::array()}};
-    }
-
-    void control(Json const& json) { static_cast<void>(send_request(m_platform_port, "POST", "/control", json.dump())); }
-    void put(std::string const& kind, std::string const& name, Json const& spec)
-    {
-        control({{"puts", Json::array({{{"kind", kind}, {"name", name}, {"spec", spec}}})}});
-    }
-    void put_configuration(unsigned version, std::string const& prefix)
-    {
-        put("config", "main", configuration(version, prefix));
-    }
-    void put_server(FakeBackend const& backend, std::string const& state = "ready")
-    {
-        auto const entry = backend.entry();
-        put("servers", entry.instance,
-            {{"service", "svc"}, {"addr", entry.address.to_string()}, {"zone", "here"}, {"slots", 8},
-                {"state", state}});
-    }
-    void remove_server(std::string const& instance)
-    {
-        control({{"removals", Json::array({{{"kind", "servers"}, {"name", instance}}})}});
-    }
-
     /// The status of a request that names its signature as the platform does.
     static int ask(Gateway const& gateway, std::string const& path)
     {
@@ -121,11 +47,6 @@
                              "fine");
         };
     }
-
-    Process m_platform;
-    std::uint16_t m_platform_port;
-    std::filesystem::path m_directory;
-    std::map<std::string, Json> m_settings;
 };
 
 }
@@ -293,7 +214,7 @@
 {
     put_configuration(1, "/a/");
     auto const gateway = start("g-1");
-    auto const path = m_directory / "g-1.json";
+    auto const path = directory() / "g-1.json";
     auto const rejected = [&] {
         return gateway.process->has_printed(R"("event":"reload","outcome":"rejected")");
     };
@@ -301,7 +222,7 @@
     std::ofstream(path) << "{";
     ::kill(gateway.process->id(), SIGHUP);
     EXPECT_TRUE(wait_until(rejected));
-    Json const settings = m_settings.at("g-1");
+    Json const settings = settings_of("g-1");
     std::ofstream(path) << settings.dump();
     EXPECT_TRUE(wait_until([&] { return gateway.process->has_printed(R"("event":"reload","outcome":"done")"); }));
 }
--- a/Tests/LibObserve/ObserveTest.cpp
+++ b/Tests/LibObserve/ObserveTest.cpp
@@ -5,8 +5,14 @@
 
 #include <string>
 
+#include <LibObserve/EventLog.h>
+
+#include <array>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
@@ -80,4 +86,43 @@
     EXPECT_EQ(written["attributes"][0]["value"]["stringValue"], "clerk");
 }
 
+TEST(EventLog, AReaderThatStopsReadingStopsNobody)
+{
+    std::array<int, 2> ends {};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    MetricRegistry metrics;
+    auto const begun = Core::monotonic_now();
+    {
+        EventLog log(ends[1], "host", Core::Incarnation(1), metrics);
+        // More than the pipe and the buffer hold together.
+        for (int line = 0; line < 20'000; ++line)
+            log.write(LogEvent("line").add("text", std::string(100, 'x')), LogWeight::Notable);
+        EXPECT_GT(metrics.counter("granitefield_log_lines_dropped_total").value(), 0U);
+    }
+    // Neither the writers nor the end wait for the reader.
+    EXPECT_LT(Core::elapsed(begun, Core::monotonic_now()).count(), 5'000);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST(EventLog, LinesAreJsonWhateverTheyHold)
+{
+    std::array<int, 2> ends {};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    MetricRegistry metrics;
+    {
+        EventLog log(ends[1], "host", Core::Incarnation(1), metrics);
+        log.write(LogEvent("line").add("text", std::string_view("a\"b\\c\n\0\xff", 8)).add("flag", true).add("number", 7));
+    }
+    std::array<char, 4096> buffer {};
+    auto const size = ::read(ends[0], buffer.data(), buffer.size());
+    auto const json = nlohmann::json::parse(std::string(buffer.data(), static_cast<std::size_t>(size)));
+    EXPECT_EQ(json["event"], "line");
+    EXPECT_EQ(json["host"], "host");
+    EXPECT_EQ(json["flag"], true);
+    EXPECT_EQ(json["number"], 7);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 }
--- /dev/null
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -0,0 +1,346 @@
+#include "GatewaySoak.h"
+
+#include <LibCore/Text.h>
+
+#include <array>
+#include <csignal>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+struct Kind {
+    char const* path;
+    bool is_stream;
+    bool is_repeatable;
+};
+
+constexpr std::array s_kinds {Kind {"/safe/", false, true}, Kind {"/pay/", false, false},
+    Kind {"/cut-stream/", true, false}, Kind {"/long-stream/", true, true}};
+
+/// Requests that a caller sends on one connection at most.
+constexpr unsigned s_requests_per_connection = 20;
+constexpr Core::Milliseconds s_pause_after_failure {20};
+constexpr Core::Milliseconds s_recovery_limit {8'000};
+constexpr Core::Milliseconds s_leaving_limit {2'000};
+
+bool promises_not_run(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+Kind const& kind_of(std::string const& path)
+{
+    return *std::ranges::find_if(s_kinds, [&](auto const& kind) { return path == kind.path; });
+}
+
+}
+
+GatewaySoak::GatewaySoak(Options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_ports(options.gateways)
+{
+    change_configuration();
+    for (unsigned number = 0; number < options.backends; ++number) {
+        m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs));
+        m_fleet.put_server(m_backends.back()->entry());
+    }
+    m_slots.resize(options.gateways);
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        auto const store = *Core::Address::from_string(Core::concat("127.0.0.1:", m_fleet.platform_port()));
+        m_slots[index].store = std::make_unique<FaultProxy>(store);
+        start_gateway(index);
+    }
+}
+
+GatewaySoak::~GatewaySoak() = default;
+
+void GatewaySoak::start_gateway(std::size_t index)
+{
+    Json seeds = Json::array();
+    for (std::size_t other = 0; other < m_slots.size(); ++other) {
+        if (other != index && m_slots[other].gateway.process)
+            seeds.push_back(Core::concat("127.0.0.1:", m_slots[other].gateway.peers));
+    }
+    auto& slot = m_slots[index];
+    slot.gateway = m_fleet.start("g-" + std::to_string(index), seeds, slot.store->port());
+    slot.is_frozen = false;
+    std::lock_guard const lock(m_mutex);
+    m_ports[index] = slot.gateway.callers;
+}
+
+std::uint16_t GatewaySoak::port_of(std::size_t index)
+{
+    std::lock_guard const lock(m_mutex);
+    return m_ports[index];
+}
+
+void GatewaySoak::change_configuration()
+{
+    Json routes = Json::array();
+    for (auto const& kind : s_kinds) {
+        auto const* name = kind.is_stream ? "stream" : kind.is_repeatable ? "safe" : "unsafe";
+        auto route = GatewayFleet::route(Core::concat("r", routes.size()), kind.path, name);
+        route["resumable"] = kind.is_stream && kind.is_repeatable;
+        routes.push_back(std::move(route));
+    }
+    ++m_version;
+    routes.push_back(GatewayFleet::route("r-new", Core::concat("/v", m_version, "/"), "safe"));
+    m_fleet.put("config", "main", GatewayFleet::configuration(m_version, routes));
+}
+
+void GatewaySoak::call_until_stopped(unsigned caller)
+{
+    std::mt19937 random(m_options.seed * 1'000 + caller);
+    for (unsigned number = 0; !m_should_stop;) {
+        try {
+            RawCaller connection(port_of(random() % m_options.gateways));
+            // Connections are used on until the process is gone or closes them.
+            for (unsigned used = 0; used < s_requests_per_connection && !m_should_stop; ++used) {
+                auto const& kind = s_kinds.at(random() % s_kinds.size());
+                Record record {Core::concat("c", caller, "n", number++), kind.path, {}};
+                connection.write(Core::concat("POST ", kind.path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ",
+                    record.id, "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"));
+                record.answer = connection.read_answer();
+                bool const is_kept = record.answer.is_whole && field_of(record.answer.head, "Connection") != "close";
+                {
+                    std::lock_guard const lock(m_mutex);
+                    m_records.push_back(std::move(record));
+                }
+                if (!is_kept)
+                    break;
+            }
+        } catch (std::runtime_error const&) {
+            // NOTE: Nobody listens there now; the caller tries another gateway.
+            std::this_thread::sleep_for(s_pause_after_failure);
+        }
+    }
+}
+
+void GatewaySoak::begin(std::string const& name, std::function<void()> heal)
+{
+    ++m_report.faults[name];
+    auto const length = Core::Milliseconds(100 + m_random() % 1'200);
+    m_active.push_back({Core::monotonic_now() + length, std::move(heal)});
+}
+
+void GatewaySoak::fault_gateway(Slot& slot, std::size_t index)
+{
+    if (slot.is_frozen)
+        return;
+    switch (m_random() % 4) {
+    case 0:
+        slot.gateway.process->freeze();
+        slot.is_frozen = true;
+        return begin("freeze", [&slot] {
+            slot.gateway.process->thaw();
+            slot.is_frozen = false;
+        });
+    case 1:
+        slot.gateway.process->kill();
+        start_gateway(index);
+        return begin("kill", [] {});
+    case 2: {
+        slot.gateway.process->terminate();
+        auto const exit_code = slot.gateway.process->wait(Core::Milliseconds(15'000));
+        if (exit_code != 0)
+            note_problem(Core::concat("a planned stop ended with ", exit_code));
+        start_gateway(index);
+        return begin("stop", [] {});
+    }
+    default:
+        ::kill(slot.gateway.process->id(), SIGHUP);
+        return begin("hangup", [] {});
+    }
+}
+
+void GatewaySoak::fault_store()
+{
+    static constexpr std::array s_outages {"busy", "many", "reset", "silent"};
+    switch (m_random() % 4) {
+    case 0:
+        m_fleet.control({{"outage", s_outages.at(m_random() % s_outages.size())}});
+        return begin("store outage", [this] { m_fleet.control({{"outage", ""}}); });
+    case 1:
+        m_fleet.control({{"hold-watches", true}});
+        return begin("watches held", [this] { m_fleet.control({{"hold-watches", false}, {"forget-history", true}}); });
+    case 2: {
+        auto& proxy = *m_slots[m_random() % m_slots.size()].store;
+        proxy.set_mode(m_random() % 2 == 0 ? FaultProxy::Mode::Freeze : FaultProxy::Mode::FreezeAnswers);
+        return begin("cut off from the store", [&proxy] {
+            proxy.set_mode(FaultProxy::Mode::Pass);
+            proxy.reset_connections();
+        });
+    }
+    default:
+        m_fleet.control({{"slow-ms", 100}});
+        return begin("store slow", [this] { m_fleet.control({{"slow-ms", 0}}); });
+    }
+}
+
+void GatewaySoak::fault_backend(SoakBackend& backend)
+{
+    using Mood = SoakBackend::Mood;
+    static constexpr std::array s_moods {Mood::LosesAnswers, Mood::Mute, Mood::Full, Mood::Garbles};
+    switch (m_random() % 4) {
+    case 0:
+        backend.proxy().reset_connections();
+        return begin("connections reset", [] {});
+    case 1:
+        backend.proxy().set_mode(
+            m_random() % 2 == 0 ? FaultProxy::Mode::Freeze : FaultProxy::Mode::FreezeAnswers);
+        return begin("backend server cut off", [&backend] {
+            backend.proxy().set_mode(FaultProxy::Mode::Pass);
+            backend.proxy().reset_connections();
+        });
+    case 2:
+        backend.proxy().set_delay(Core::Milliseconds(m_random() % 40));
+        return begin("link slow", [&backend] { backend.proxy().set_delay(Core::Milliseconds(0)); });
+    default:
+        backend.set_mood(s_moods.at(m_random() % s_moods.size()));
+        return begin("backend server unwell", [&backend] { backend.set_mood(Mood::Well); });
+    }
+}
+
+void GatewaySoak::begin_fault()
+{
+    switch (m_random() % 8) {
+    case 0:
+    case 1: {
+        auto const index = m_random() % m_slots.size();
+        return fault_gateway(m_slots[index], index);
+    }
+    case 2:
+    case 3:
+        return fault_store();
+    case 4:
+        change_configuration();
+        return begin("configuration", [] {});
+    case 5: {
+        auto& backend = *m_backends[m_random() % m_backends.size()];
+        m_fleet.put_server(backend.entry(), "draining");
+        return begin("backend server leaves", [this, &backend] { m_fleet.put_server(backend.entry()); });
+    }
+    default:
+        return fault_backend(*m_backends[m_random() % m_backends.size()]);
+    }
+}
+
+void GatewaySoak::heal_due(Core::MonotonicTime now)
+{
+    for (auto fault = m_active.begin(); fault != m_active.end();) {
+        if (fault->end > now) {
+            ++fault;
+            continue;
+        }
+        fault->heal();
+        fault = m_active.erase(fault);
+    }
+}
+
+void GatewaySoak::heal_all()
+{
+    heal_due(Core::MonotonicTime::max());
+}
+
+void GatewaySoak::check_recovery()
+{
+    change_configuration();
+    auto const path = Core::concat("/v", m_version, "/");
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        unsigned tries = 0;
+        bool const is_served = wait_until(
+            [&] {
+                RawCaller caller(port_of(index));
+                caller.write(Core::concat("GET ", path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: after-", index,
+                    "-", tries++, "\r\n\r\n"));
+                return caller.read_answer().status == 200;
+            },
+            s_recovery_limit);
+        if (!is_served)
+            note_problem(Core::concat("gateway ", index, " does not serve the newest configuration after the faults"));
+    }
+}
+
+void GatewaySoak::check_leaving()
+{
+    auto& leaving = *m_backends.front();
+    m_fleet.put_server(leaving.entry(), "draining");
+    auto const begun = Core::monotonic_now();
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        bool const is_known = wait_until(
+            [&] {
+                auto const status = send_request(m_slots[index].gateway.operators, "GET", "/status", "").json();
+                for (auto const& server : status["backend-servers"]) {
+                    if (server["backend-server"] == leaving.entry().instance)
+                        return !server["serving"].get<bool>();
+                }
+                return true;
+            },
+            s_leaving_limit);
+        if (!is_known)
+            note_problem(Core::concat("gateway ", index, " does not know of a leaving server after ",
+                Core::elapsed(begun, Core::monotonic_now()).count(), " ms"));
+    }
+    auto const before = leaving.arrivals();
+    for (unsigned number = 0; number < 20; ++number) {
+        RawCaller caller(port_of(number % m_slots.size()));
+        caller.write(Core::concat(
+            "GET /safe/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: leaving-", number, "\r\n\r\n"));
+        static_cast<void>(caller.read_answer());
+    }
+    if (leaving.arrivals() != before)
+        note_problem("a server that leaves got new requests");
+}
+
+void GatewaySoak::note_problem(std::string problem)
+{
+    m_report.problems.push_back(std::move(problem));
+}
+
+void GatewaySoak::check(Record const& record)
+{
+    auto const& kind = kind_of(record.path);
+    auto const& answer = record.answer;
+    auto const runs = m_runs.count(record.id);
+    auto const name = Core::concat(record.path, " ", record.id);
+    ++m_report.answers[Core::concat(kind.path, " ", answer.status, answer.is_whole || answer.status == 0 ? "" : " cut")];
+    if (!kind.is_repeatable && runs > 1)
+        note_problem(Core::concat(name, " ran ", runs, " times"));
+    if (!kind.is_repeatable && answer.is_whole && promises_not_run(answer.status) && runs > 0)
+        note_problem(Core::concat(name, " was refused with ", answer.status, " and ran"));
+    if (answer.status == 404 || answer.status == 401)
+        note_problem(Core::concat(name, " was refused with ", answer.status, " though its route was always there"));
+    if (answer.status != 200)
+        return;
+    auto const expected = kind.is_stream ? soak_events(record.id) : soak_body(record.id);
+    if (answer.is_whole && answer.body != expected)
+        note_problem(Core::concat(name, " got '", answer.body, "' as whole"));
+    if (!answer.is_whole && !expected.starts_with(answer.body))
+        note_problem(Core::concat(name, " got '", answer.body, "' before its answer was cut"));
+}
+
+GatewaySoak::Report GatewaySoak::run()
+{
+    std::vector<std::thread> callers;
+    for (unsigned caller = 0; caller < m_options.callers; ++caller)
+        callers.emplace_back([this, caller] { call_until_stopped(caller); });
+    auto const end = Core::monotonic_now() + m_options.length;
+    while (Core::monotonic_now() < end) {
+        heal_due(Core::monotonic_now());
+        begin_fault();
+        std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
+    }
+    heal_all();
+    check_recovery();
+    m_should_stop = true;
+    for (auto& thread : callers)
+        thread.join();
+    check_leaving();
+    for (auto const& record : m_records)
+        check(record);
+    return m_report;
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/GatewaySoak.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "GatewayFleet.h"
+#include "SoakBackend.h"
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace GraniteField::Testing {
+
+/// Runs gateways as separate processes under faults from outside them, drawn from a seed, and checks the promises from
+/// what callers and backend servers see. Faults come in series and overlap.
+class GatewaySoak {
+public:
+    struct Options {
+        unsigned seed {1};
+        Core::Milliseconds length {5'000};
+        unsigned gateways {3};
+        unsigned backends {4};
+        unsigned callers {8};
+    };
+
+    struct Report {
+        /// Broken promises, each in a sentence with its request.
+        std::vector<std::string> problems;
+        std::map<std::string, unsigned> answers;
+        std::map<std::string, unsigned> faults;
+    };
+
+    explicit GatewaySoak(Options);
+    ~GatewaySoak();
+    GatewaySoak(GatewaySoak const&) = delete;
+    GatewaySoak& operator=(GatewaySoak const&) = delete;
+
+    [[nodiscard]] Report run();
+
+private:
+    struct Slot {
+        GatewayFleet::Gateway gateway;
+        std::unique_ptr<FaultProxy> store;
+        bool is_frozen {false};
+    };
+
+    struct Record {
+        std::string id;
+        std::string path;
+        RawCaller::Answer answer;
+    };
+
+    /// A fault that has begun, and what ends it.
+    struct ActiveFault {
+        Core::MonotonicTime end;
+        std::function<void()> heal;
+    };
+
+    void start_gateway(std::size_t index);
+    void call_until_stopped(unsigned caller);
+    void begin_fault();
+    void begin(std::string const& name, std::function<void()> heal);
+    void fault_gateway(Slot&, std::size_t index);
+    void fault_store();
+    void fault_backend(SoakBackend&);
+    void change_configuration();
+    void heal_due(Core::MonotonicTime now);
+    void heal_all();
+    void check_recovery();
+    void check_leaving();
+    void check(Record const&);
+    void note_problem(std::string);
+    [[nodiscard]] std::uint16_t port_of(std::size_t index);
+
+    Options m_options;
+    std::mt19937 m_random;
+    RunLog m_runs;
+    GatewayFleet m_fleet;
+    std::vector<std::unique_ptr<SoakBackend>> m_backends;
+    std::vector<Slot> m_slots;
+    std::mutex m_mutex;
+    std::vector<std::uint16_t> m_ports;
+    std::vector<Record> m_records;
+    std::list<ActiveFault> m_active;
+    unsigned m_version {0};
+    std::atomic<bool> m_should_stop {false};
+    Report m_report;
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakBackend.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "FakeBackend.h"
+#include "FaultProxy.h"
+
+#include <LibCore/Address.h>
+#include <LibCore/Text.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace GraniteField::Testing {
+
+/// How often each request ran, over all backend servers of a soak.
+class RunLog {
+public:
+    void note(std::string const& request)
+    {
+        std::lock_guard const lock(m_mutex);
+        ++m_runs[request];
+    }
+    [[nodiscard]] unsigned count(std::string const& request) const
+    {
+        std::lock_guard const lock(m_mutex);
+        auto const found = m_runs.find(request);
+        return found == m_runs.end() ? 0 : found->second;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, unsigned> m_runs;
+};
+
+/// The body of a whole answer, and the events of a stream, by which a caller knows its own.
+[[nodiscard]] inline std::string soak_body(std::string const& request)
+{
+    return "ran " + request;
+}
+inline constexpr unsigned s_soak_events = 8;
+[[nodiscard]] inline std::string soak_event(std::string const& request, unsigned id)
+{
+    return Core::concat("id: ", id, "\ndata: ", request, "-", id, "\n\n");
+}
+[[nodiscard]] inline std::string soak_events(std::string const& request)
+{
+    std::string text;
+    for (unsigned id = 1; id <= s_soak_events; ++id)
+        text += soak_event(request, id);
+    return text;
+}
+
+/// A backend server behind a fault proxy that can also misbehave itself.
+class SoakBackend {
+public:
+    enum class Mood {
+        Well,
+        /// It runs the request, and its answer is lost.
+        LosesAnswers,
+        /// It runs the request and says nothing.
+        Mute,
+        /// It refuses and says that it did not run.
+        Full,
+        /// It runs the request and answers with bytes that are no answer, or too few.
+        Garbles,
+    };
+
+    SoakBackend(std::string const& instance, RunLog& runs)
+        : m_runs(runs)
+        , m_backend(instance,
+              [this, instance](auto& connection, auto const& request, auto) { serve(connection, request, instance); })
+        , m_proxy(m_backend.entry().address)
+    {
+    }
+
+    void set_mood(Mood mood) { m_mood = mood; }
+    [[nodiscard]] FaultProxy& proxy() { return m_proxy; }
+    [[nodiscard]] std::size_t arrivals() const { return m_backend.count(); }
+    /// Its entry in the store, with the proxy's address.
+    [[nodiscard]] Entry::ServerEntry entry() const
+    {
+        auto entry = m_backend.entry();
+        entry.address = *Core::Address::from_string(Core::concat("127.0.0.1:", m_proxy.port()));
+        return entry;
+    }
+
+private:
+    static constexpr Core::Milliseconds s_work_time {3};
+    static constexpr Core::Milliseconds s_event_interval {4};
+
+    void serve(FakeConnection& connection, std::string const& request, std::string const& instance)
+    {
+        auto const id = field_of(request, "X-Request-Id").value_or("");
+        auto const head = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n");
+        Mood const mood = m_mood;
+        bool const is_for_another = field_of(request, "X-Expect-Instance") != instance;
+        if (is_for_another || mood == Mood::Full) {
+            auto const* status = is_for_another ? "421 Misdirected Request" : "503 Service Unavailable";
+            return connection.write(
+                Core::concat("HTTP/1.1 ", status, "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", head, "\r\n"));
+        }
+        m_runs.note(id);
+        if (mood == Mood::LosesAnswers)
+            return connection.reset();
+        if (mood == Mood::Mute) {
+            static_cast<void>(connection.wait_until_closed());
+            return;
+        }
+        if (mood == Mood::Garbles)
+            return connection.write(id.back() % 2 == 0
+                    ? "HTTP/7 what\r\n\r\n"
+                    : Core::concat("HTTP/1.1 200 OK\r\n", head, "Content-Length: 900\r\n\r\nshort"));
+        bool const is_stream = request.find("-stream/") != std::string::npos;
+        std::this_thread::sleep_for(s_work_time);
+        if (!is_stream)
+            return connection.write(Core::concat(
+                "HTTP/1.1 200 OK\r\n", head, "Content-Length: ", soak_body(id).size(), "\r\n\r\n", soak_body(id)));
+        connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head,
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        auto const last = std::stoul(field_of(request, "Last-Event-Id").value_or("0"));
+        for (auto event = static_cast<unsigned>(last) + 1; event <= s_soak_events; ++event) {
+            connection.write(chunk(soak_event(id, event)));
+            std::this_thread::sleep_for(s_event_interval);
+        }
+        connection.write("0\r\n\r\n");
+    }
+
+    RunLog& m_runs;
+    std::atomic<Mood> m_mood {Mood::Well};
+    FakeBackend m_backend;
+    FaultProxy m_proxy;
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakTest.cpp
@@ -0,0 +1,26 @@
+// A short run of the fault soak. Seeds that ever failed stay here, each with its cause.
+#include "GatewaySoak.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Testing {
+
+class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
+
+TEST_P(SoakSeeds, KeepEveryPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    GatewaySoak::Options options;
+    options.seed = GetParam();
+    options.length = Core::Milliseconds(5'000);
+    auto const report = GatewaySoak(options).run();
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_GT(report.answers.size(), 4U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fixed, SoakSeeds, ::testing::Values(20261202U, 7U));
+
+}
