--- a/Libraries/LibEntry/HostFollower.h
+++ b/Libraries/LibEntry/HostFollower.h
@@ -11,8 +11,9 @@
 
 namespace GraniteField::Entry {
 
-/// Reads the list of backend servers in the platform's store now and then, for those that are leaving, on a thread of its own, in the entries that watch the
-/// platform. The list lags; a side process's own word and the data path are heard before it.
+/// Reads the list of backend servers in the platform's store now and then, for those that are leaving, on a thread of
+/// its own, in the entries that watch the platform. The list lags; a side process's own word and the data path are
+/// heard before it.
 class HostFollower {
 public:
     /// `on_news` is called on this thread when there is a newer list.
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -54,7 +54,8 @@
 }
 
 PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
-    SharedServers& servers, SharedMembership& membership, std::function<void()> on_news, Observe::MetricRegistry& metrics)
+    SharedServers& servers, SharedMembership& membership, std::function<void()> on_news,
+    Observe::MetricRegistry& metrics)
     : m_settings(std::move(settings))
     , m_context(context)
     , m_table(table)
@@ -79,8 +80,7 @@
     if (!bound)
         throw std::runtime_error("the bound address can't be read");
     m_port = bound->port();
-    m_view = PeerView(
-        {m_settings.name, m_settings.region, bound->to_string(), {}, true, m_settings.load_address});
+    m_view = PeerView({m_settings.name, m_settings.region, bound->to_string(), {}, true, m_settings.load_address});
     m_thread = std::thread([this] { run(); });
 }
 
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -26,9 +26,9 @@
 
 namespace GraniteField::Entry {
 
-/// Spreads the table, the host list and the list of backend servers between entries, on a thread of its own. An entry announces the
-/// versions that it has to its neighbours; whoever has older ones pulls. docs/design/configuration-spread.md
-/// gives the reasons.
+/// Spreads the table, the host list and the list of backend servers between entries, on a thread of its own. An entry
+/// announces the versions that it has to its neighbours; whoever has older ones pulls.
+/// docs/design/configuration-spread.md gives the reasons.
 class PeerExchange {
 public:
     struct Settings {
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -35,7 +35,8 @@
 {
 }
 
-void BackendFleet::log_change(Entry::ServerEntry const& server, std::string_view change, Entry::ListRevision revision) const
+void BackendFleet::log_change(
+    Entry::ServerEntry const& server, std::string_view change, Entry::ListRevision revision) const
 {
     m_log.write(Observe::LogEvent("backend-server")
                     .add("change", change)
@@ -62,8 +63,8 @@
         if (!view->is_listed())
             log_change(record, "back", list.revision);
         else if (view->record().state != record.state)
-            log_change(record, record.state == Table::BackendServerState::Leaving ? "leaving" : "serving",
-                list.revision);
+            log_change(
+                record, record.state == Table::BackendServerState::Leaving ? "leaving" : "serving", list.revision);
         view->set_listed(true);
         view->set_record(record);
     }
@@ -74,7 +75,8 @@
         log_change(view->record(), "gone", list.revision);
     }
     // Attempts hold their views; one without any may go.
-    std::erase_if(m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
+    std::erase_if(
+        m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
 }
 
@@ -160,7 +162,8 @@
     double expected_kept = server.prefixes().kept_tokens(call.prompt);
     if (candidate.rank < s_assumed_kept.size())
         expected_kept = std::max(expected_kept, s_assumed_kept.at(candidate.rank) * shared);
-    auto const reading_time = [rate = prefill_rate(call.service)](double tokens) { return Estimate::Time(tokens / rate); };
+    auto const reading_time
+        = [rate = prefill_rate(call.service)](double tokens) { return Estimate::Time(tokens / rate); };
     Estimate estimate;
     estimate.unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
     estimate.wait = reading_time(static_cast<double>(server.unread_tokens() + estimate.unread_tokens))
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -37,8 +37,8 @@
     class Handler {
     public:
         virtual ~Handler() = default;
-        virtual void handle_request(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body,
-            Core::MonotonicTime received)
+        virtual void handle_request(
+            std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received)
             = 0;
         /// The limits in force now.
         [[nodiscard]] virtual Limits const& limits() const = 0;
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -117,15 +117,15 @@
     auto const& dialect = m_context.dialect;
     auto const& head = m_call.head;
     // What the gateway sets itself, and the key, which no backend server may see.
-    std::array<std::string_view, 7> const replaced {"Authorization", "Content-Length", "Expect",
-        dialect.remaining_time, dialect.expected_instance, dialect.workspace, dialect.priority};
+    std::array<std::string_view, 7> const replaced {"Authorization", "Content-Length", "Expect", dialect.remaining_time,
+        dialect.expected_instance, dialect.workspace, dialect.priority};
     auto const connection = head.fields.value_or("Connection", "");
     bool const is_resumed = m_has_first_event;
     auto text = Core::concat(head.method, " ", head.target, " HTTP/1.1\r\n");
     text.reserve(text.size() + m_call.body.size() + 1024);
     for (auto const& field : head.fields.all()) {
-        bool const is_replaced = std::ranges::any_of(
-            replaced, [&](auto name) { return HTTP::is_same_name(name, field.name); });
+        bool const is_replaced
+            = std::ranges::any_of(replaced, [&](auto name) { return HTTP::is_same_name(name, field.name); });
         if (is_replaced || HTTP::is_connection_field(field.name, connection))
             continue;
         if (is_resumed && HTTP::is_same_name(field.name, dialect.last_event_id))
@@ -141,8 +141,8 @@
         Core::append(&text, dialect.priority, ": ", m_call.priority, "\r\n");
     if (is_resumed && m_events.last_id())
         Core::append(&text, dialect.last_event_id, ": ", *m_events.last_id(), "\r\n");
-    bool const names_body = head.fields.find("Content-Length") != nullptr
-        || head.fields.find("Transfer-Encoding") != nullptr;
+    bool const names_body
+        = head.fields.find("Content-Length") != nullptr || head.fields.find("Transfer-Encoding") != nullptr;
     if (names_body)
         Core::append(&text, "Content-Length: ", m_call.body.size(), "\r\n");
     text += "Connection: close\r\n\r\n";
@@ -200,7 +200,8 @@
         if (!m_has_first_event) {
             m_has_first_event = true;
             m_first_event = now;
-            m_context.metrics.note_first_byte(tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
+            m_context.metrics.note_first_byte(
+                tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
         }
         if (m_last_event) {
             auto const pause = now - *m_last_event;
@@ -405,8 +406,7 @@
         attempt->cancel();
         return handle_failure(*attempt, BackendAttempt::Failure::NotSent, "the connection did not come up in time");
     }
-    if (m_call.is_repeatable() && m_attempt->is_sent()
-        && Core::elapsed(m_attempt->last_input(), now) > stall_limit())
+    if (m_call.is_repeatable() && m_attempt->is_sent() && Core::elapsed(m_attempt->last_input(), now) > stall_limit())
         return replace_stalled_attempt(now);
     if (m_attempt->is_paused() && m_caller->pending_bytes() <= m_context.settings.caller_window / 2)
         m_attempt->resume();
@@ -529,21 +529,21 @@
     m_context.metrics.note_end(m_call.tier, outcome, outcome == Outcome::Cut ? "cut" : std::string(reason));
     if (outcome == Outcome::Done)
         m_context.metrics.note_whole(m_call.tier, std::chrono::duration_cast<Core::Microseconds>(total));
-    m_context.log.write(Observe::LogEvent("request-end")
-                            .add("request", m_call.id)
-                            .add("outcome", to_string(outcome))
-                            .add("status", status)
-                            .add("reason", reason)
-                            .add("route", m_call.route->name)
-                            .add("class", m_call.request_class->name)
-                            .add("workspace", m_call.workspace)
-                            .add("sends", m_sends)
-                            .add("server", m_choice.server ? m_choice.server->record().instance : std::string())
-                            .add("first_ms",
-                                m_first_event ? Core::elapsed(m_call.received, *m_first_event) : Core::Milliseconds(-1))
-                            .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
-                            .add("longest_pause_ms", m_longest_pause)
-                            .add("table", m_call.table->version().value()),
+    m_context.log.write(
+        Observe::LogEvent("request-end")
+            .add("request", m_call.id)
+            .add("outcome", to_string(outcome))
+            .add("status", status)
+            .add("reason", reason)
+            .add("route", m_call.route->name)
+            .add("class", m_call.request_class->name)
+            .add("workspace", m_call.workspace)
+            .add("sends", m_sends)
+            .add("server", m_choice.server ? m_choice.server->record().instance : std::string())
+            .add("first_ms", m_first_event ? Core::elapsed(m_call.received, *m_first_event) : Core::Milliseconds(-1))
+            .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
+            .add("longest_pause_ms", m_longest_pause)
+            .add("table", m_call.table->version().value()),
         is_ordinary ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
 }
 
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -140,8 +140,8 @@
     });
 }
 
-void GatewayServer::begin_run(std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body,
-    Core::MonotonicTime received)
+void GatewayServer::begin_run(
+    std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body, Core::MonotonicTime received)
 {
     follow();
     std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
@@ -168,8 +168,7 @@
     give_own_answer(caller, error, id, m_settings.dialect);
 }
 
-std::optional<Entry::ErrorAnswer> GatewayServer::refuse_for_stop(
-    GatewayCall const& call, Core::MonotonicTime now) const
+std::optional<Entry::ErrorAnswer> GatewayServer::refuse_for_stop(GatewayCall const& call, Core::MonotonicTime now) const
 {
     if (!m_drain_begun)
         return std::nullopt;
@@ -305,8 +304,8 @@
     for (auto const& [instance, view] : m_fleet.all()) {
         servers.push_back({{"backend-server", instance}, {"service", view->record().service},
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
-            {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)},
-            {"open", view->open_count()}, {"failure-rate", view->failure_rate(now)}});
+            {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->open_count()},
+            {"failure-rate", view->failure_rate(now)}});
     }
     return nlohmann::json {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
         {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Address.h>
 #include <LibEntry/SharedMembership.h>
-#include <LibEntry/SharedTable.h>
 #include <LibEntry/SharedServers.h>
+#include <LibEntry/SharedTable.h>
 #include <LibGateway/GatewayRun.h>
 
 #include <atomic>
@@ -66,7 +66,8 @@
     using Acceptor = boost::asio::ip::tcp::acceptor;
 
     void accept(Acceptor&, CallerConnection::Handler&);
-    void begin_run(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received);
+    void begin_run(
+        std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received);
     void follow();
     void schedule_tick();
     void tick();
--- a/Libraries/LibGateway/OwnAnswer.cpp
+++ b/Libraries/LibGateway/OwnAnswer.cpp
@@ -25,7 +25,8 @@
         fields.add("Retry-After", format_retry_after(error.retry_after, dialect.retry_after));
     using Json = nlohmann::json;
     Json const body {{"error",
-        {{"code", error.code}, {"message", error.message}, {"outcome", to_string(error.outcome)}, {"request", request}}}};
+        {{"code", error.code}, {"message", error.message}, {"outcome", to_string(error.outcome)},
+            {"request", request}}}};
     // What the caller sent may stand in the text and need not be valid UTF-8.
     caller.answer(error.status, fields, body.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -4,7 +4,8 @@
 
 namespace GraniteField::Gateway {
 
-void ServerRoster::take_list(std::vector<Entry::ServerEntry> servers, Entry::ListRevision revision, Core::MonotonicTime now)
+void ServerRoster::take_list(
+    std::vector<Entry::ServerEntry> servers, Entry::ListRevision revision, Core::MonotonicTime now)
 {
     std::set<std::string> listed;
     for (auto& server : servers) {
--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -136,8 +136,8 @@
             return;
         auto const dropped = m_dropped.value();
         if (dropped != m_reported_drops) {
-            Core::append(&batch, "{\"time\":", unix_milliseconds(), m_prefix,
-                R"("event":"log-lines-dropped","count":)", dropped - m_reported_drops, "}\n");
+            Core::append(&batch, "{\"time\":", unix_milliseconds(), m_prefix, R"("event":"log-lines-dropped","count":)",
+                dropped - m_reported_drops, "}\n");
             m_reported_drops = dropped;
         }
         write_all(batch);
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibObserve/Metrics.h>
 
+#include <concepts>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -11,7 +12,6 @@
 #include <string>
 #include <string_view>
 #include <thread>
-#include <type_traits>
 
 #include <absl/strings/str_cat.h>
 
@@ -28,9 +28,8 @@
     LogEvent& add(std::string_view key, double value);
     LogEvent& add(std::string_view key, Core::Milliseconds value) { return add(key, value.count()); }
 
-    template <typename Number>
-    requires(std::is_integral_v<Number> && !std::is_same_v<Number, bool>) LogEvent& add(
-        std::string_view key, Number value)
+    template <std::integral Number>
+    LogEvent& add(std::string_view key, Number value)
     {
         add_key(key);
         absl::StrAppend(&m_text, value);
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCore/Time.h>
 #include <LibCore/Backoff.h>
+#include <LibCore/Time.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
 #include <LibPlatform/ObjectClient.h>
@@ -48,8 +48,8 @@
 template <ObjectSink Sink>
 class ObjectFollower {
 public:
-    ObjectFollower(
-        FollowerSettings settings, std::string kind, Sink& sink, Observe::EventLog& log, Observe::MetricRegistry& metrics)
+    ObjectFollower(FollowerSettings settings, std::string kind, Sink& sink, Observe::EventLog& log,
+        Observe::MetricRegistry& metrics)
         : m_settings(std::move(settings))
         , m_kind(std::move(kind))
         , m_sink(sink)
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -208,7 +208,8 @@
     }
     DaemonSettings settings;
     ObjectReader reader(json, "", findings);
-    reader.read_choice<Role>("role", settings.role, {{"entry", Role::Entry}, {"side", Role::Side}, {"gateway", Role::Gateway}}, Presence::Required);
+    reader.read_choice<Role>("role", settings.role,
+        {{"entry", Role::Entry}, {"side", Role::Side}, {"gateway", Role::Gateway}}, Presence::Required);
     read_common(reader, settings.common);
     switch (settings.role) {
     case Role::Entry:
--- a/Libraries/LibTable/Column.cpp
+++ b/Libraries/LibTable/Column.cpp
@@ -237,8 +237,8 @@
         choice_column<Service, ServiceKind, 2>(
             "kind", "model or plain", &Service::kind, {{{"model", ServiceKind::Model}, {"plain", ServiceKind::Plain}}}),
         text_column("model", "the model name that callers ask for", &Service::model),
-        number_column("memory-tokens", "tokens that one engine's memory holds, 0 if not known",
-            &Service::memory_tokens, 0, s_largest_rate),
+        number_column("memory-tokens", "tokens that one engine's memory holds, 0 if not known", &Service::memory_tokens,
+            0, s_largest_rate),
     };
     return s_columns;
 }
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -108,9 +108,8 @@
         put_server(*backends.back());
     }
     auto const gateway = start("g-1");
-    EXPECT_TRUE(wait_until([&] {
-        return send_request(gateway.operators, "GET", "/status", "").json()["backend-servers"].size() == 5;
-    }));
+    EXPECT_TRUE(wait_until(
+        [&] { return send_request(gateway.operators, "GET", "/status", "").json()["backend-servers"].size() == 5; }));
 }
 
 class StoreOutages : public GatewayProcess, public ::testing::WithParamInterface<char const*> { };
@@ -126,7 +125,8 @@
     ASSERT_TRUE(wait_until([&] { return is_ready(gateway); }));
     control({{"outage", GetParam()}});
     ASSERT_TRUE(wait_until([&] {
-        return send_request(gateway.operators, "GET", "/metrics", "").body.find("granitefield_store_failures_total{kind=\"servers\"}")
+        return send_request(gateway.operators, "GET", "/metrics", "")
+                   .body.find("granitefield_store_failures_total{kind=\"servers\"}")
             != std::string::npos;
     }));
     // Both entries lapse while the store is away; one of the servers comes back after its return.
@@ -192,7 +192,7 @@
 {
     auto const line = [](int time, char const* host, char const* request, char const* event) {
         return Json {{"time", time}, {"host", host}, {"incarnation", "0"}, {"event", event}, {"request", request},
-            {"status", 200}}
+                   {"status", 200}}
                    .dump()
             + "\n";
     };
@@ -215,9 +215,7 @@
     put_configuration(1, "/a/");
     auto const gateway = start("g-1");
     auto const path = directory() / "g-1.json";
-    auto const rejected = [&] {
-        return gateway.process->has_printed(R"("event":"reload","outcome":"rejected")");
-    };
+    auto const rejected = [&] { return gateway.process->has_printed(R"("event":"reload","outcome":"rejected")"); };
     // A file that can't be read changes nothing, and says so.
     std::ofstream(path) << "{";
     ::kill(gateway.process->id(), SIGHUP);
--- a/Tests/Integration/LeavingTest.cpp
+++ b/Tests/Integration/LeavingTest.cpp
@@ -76,11 +76,11 @@
     auto const address = "127.0.0.1:" + std::to_string(m_fleet.backend("llm-1").link_proxy->port());
     expect_no_new_work_after([&] {
         // The entry that a backend server makes of itself in the platform's store.
-        Json const entry {{"service", "llm"}, {"addr", address}, {"zone", "ba-hall-a"}, {"slots", 4},
-            {"state", "draining"}};
+        Json const entry {
+            {"service", "llm"}, {"addr", address}, {"zone", "ba-hall-a"}, {"slots", 4}, {"state", "draining"}};
         // Another one on the same host stays.
-        Json const other {{"service", "llm"}, {"addr", "127.0.0.1:1"}, {"zone", "ba-hall-a"}, {"slots", 4},
-            {"state", "ready"}};
+        Json const other {
+            {"service", "llm"}, {"addr", "127.0.0.1:1"}, {"zone", "ba-hall-a"}, {"slots", 4}, {"state", "ready"}};
         m_fleet.control_platform({{"puts",
             Json::array({{{"kind", "servers"}, {"name", "i-2"}, {"spec", other}},
                 {{"kind", "servers"}, {"name", "i-1"}, {"spec", entry}}})}});
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -132,11 +132,11 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Cases, SpoiledAnswers,
-    ::testing::Values(
-        SpoiledCase {"AnotherRequests",
-            [](std::string const&) {
-                return answer_to("GET / HTTP/1.1\r\nGranitefield-Request: other\r\n\r\n", 200, "not yours");
-            }},
+    ::testing::Values(SpoiledCase {"AnotherRequests",
+                          [](std::string const&) {
+                              return answer_to(
+                                  "GET / HTTP/1.1\r\nGranitefield-Request: other\r\n\r\n", 200, "not yours");
+                          }},
         SpoiledCase {"Unsigned",
             [](std::string const&) {
                 return std::string("HTTP/1.1 200 OK\r\nGranitefield-Request: r-1\r\nContent-Length: 2\r\n\r\nno");
@@ -192,7 +192,8 @@
 TEST_F(AttemptRules, AnEarlyAnswerCounts)
 {
     // It answers and closes without reading on; the caller's long body is behind the request's head.
-    add_backend("i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "early")); });
+    add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "early")); });
     start();
     EXPECT_EQ(answer_of(request("POST", "/plain/", "", std::string(300'000, 'x'))).body, "early");
 }
@@ -280,8 +281,8 @@
 {
     add_route("brief", {{"path-prefix", "/brief/"}, {"time-limit", "200ms"}});
     std::promise<bool> is_closed;
-    add_backend("i-1",
-        [&](auto& connection, auto const&, auto) { is_closed.set_value(connection.wait_until_closed()); });
+    add_backend(
+        "i-1", [&](auto& connection, auto const&, auto) { is_closed.set_value(connection.wait_until_closed()); });
     start();
     auto const begun = Core::monotonic_now();
     auto const answer = answer_of(request("POST", "/brief/", "", "pay"));
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -238,15 +238,15 @@
 
 std::string answer_to(std::string const& request, int status, std::string const& body)
 {
-    return Core::concat("HTTP/1.1 ", status, " X\r\nGranitefield-Request: ",
-        field_of(request, "Granitefield-Request").value_or(""), "\r\nGranitefield-Answer: sig-1\r\nContent-Length: ",
-        body.size(), "\r\n\r\n", body);
+    return Core::concat("HTTP/1.1 ", status,
+        " X\r\nGranitefield-Request: ", field_of(request, "Granitefield-Request").value_or(""),
+        "\r\nGranitefield-Answer: sig-1\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
 }
 
 std::string stream_head_to(std::string const& request)
 {
-    return Core::concat("HTTP/1.1 200 OK\r\nGranitefield-Request: ",
-        field_of(request, "Granitefield-Request").value_or(""),
+    return Core::concat(
+        "HTTP/1.1 200 OK\r\nGranitefield-Request: ", field_of(request, "Granitefield-Request").value_or(""),
         "\r\nGranitefield-Answer: sig-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
 }
 
@@ -262,8 +262,8 @@
 
 std::string refusal_to(std::string const& request, int status)
 {
-    return Core::concat("HTTP/1.1 ", status, " X\r\nGranitefield-Request: ",
-        field_of(request, "Granitefield-Request").value_or(""),
+    return Core::concat("HTTP/1.1 ", status,
+        " X\r\nGranitefield-Request: ", field_of(request, "Granitefield-Request").value_or(""),
         "\r\nGranitefield-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -30,8 +30,8 @@
         add_route("plain", {{"path-prefix", "/plain/"}, {"tries", "2"}});
         add_route("safe", {{"path-prefix", "/safe/"}, {"tries", "2"}, {"repeatable", "yes"}});
         add_route("stream", {{"path-prefix", "/stream/"}, {"tries", "2"}, {"answer", "events"}});
-        add_route("resumable",
-            {{"path-prefix", "/resumable/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"}});
+        add_route(
+            "resumable", {{"path-prefix", "/resumable/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"}});
         add_route("keyed", {{"path-prefix", "/keyed/"}, {"key", "required"}});
         set(Table::SheetName::Workspaces, "ws", {{"key-hash", Core::sha256_hex(s_key)}, {"tier", "1"}});
     }
@@ -75,8 +75,8 @@
     {
         m_table.offer(Table::Table().with(m_change));
         publish_servers();
-        m_gateway = std::make_unique<Gateway::GatewayServer>(
-            m_settings, m_table, m_servers, m_membership, m_log, m_metrics);
+        m_gateway
+            = std::make_unique<Gateway::GatewayServer>(m_settings, m_table, m_servers, m_membership, m_log, m_metrics);
         m_gateway->wake();
     }
 
--- a/Tests/LibGateway/GatewayPropertiesTest.cpp
+++ b/Tests/LibGateway/GatewayPropertiesTest.cpp
@@ -61,8 +61,8 @@
 RC_GTEST_PROP(RequestParser, SurvivesAnything, ())
 {
     HTTP::RequestParser parser({200, 200});
-    auto const text = *rc::gen::element<std::string>("", "GET / HTTP/1.1\r\n", "POST / HTTP/1.1\r\nHost: h\r\n")
-        + random_bytes();
+    auto const text
+        = *rc::gen::element<std::string>("", "GET / HTTP/1.1\r\n", "POST / HTTP/1.1\r\nHost: h\r\n") + random_bytes();
     in_pieces(text, [&](std::string const& waiting) {
         if (parser.problem() != HTTP::RequestProblem::None || parser.is_complete())
             return std::size_t {0};
@@ -76,7 +76,8 @@
 RC_GTEST_PROP(AnswerParser, SurvivesAnything, ())
 {
     HTTP::AnswerParser parser(HTTP::BodyRule::Normal);
-    auto const text = *rc::gen::element<std::string>("", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK\r\n")
+    auto const text
+        = *rc::gen::element<std::string>("", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK\r\n")
         + random_bytes();
     in_pieces(text, [&](std::string const& waiting) {
         auto const count = parser.add(waiting);
@@ -95,7 +96,8 @@
     std::string expected;
     for (unsigned id = 1; id <= count; ++id) {
         auto const line_end = *rc::gen::element<std::string>("\n", "\r\n");
-        auto const one = "id: " + std::to_string(id) + line_end + "data: " + std::to_string(id * 7) + line_end + line_end;
+        auto const one
+            = "id: " + std::to_string(id) + line_end + "data: " + std::to_string(id * 7) + line_end + line_end;
         text += one;
         if (id > skipped)
             expected += one;
--- a/Tests/LibGateway/RequestRulesTest.cpp
+++ b/Tests/LibGateway/RequestRulesTest.cpp
@@ -11,9 +11,8 @@
 protected:
     RequestRules()
     {
-        add_backend("i-1", [](auto& connection, auto const& request, auto) {
-            connection.write(answer_to(request, 200, "fine"));
-        });
+        add_backend("i-1",
+            [](auto& connection, auto const& request, auto) { connection.write(answer_to(request, 200, "fine")); });
         start();
     }
 
@@ -49,7 +48,8 @@
             "0\r\n\r\nGET /plain/smuggled HTTP/1.1\r\nHost: host.test\r\n\r\n",
             400},
         BadCase {"ChunksBesideLength",
-            "POST /plain/ HTTP/1.1\r\nHost: host.test\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+            "POST /plain/ HTTP/1.1\r\nHost: host.test\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+            "4\r\n\r\n0\r\n\r\n",
             400},
         BadCase {"TwoLengths",
             "POST /plain/ HTTP/1.1\r\nHost: host.test\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
@@ -142,8 +142,8 @@
 
 TEST_F(RequestRules, TheKeyNamesTheWorkspaceAndIsShownToNobody)
 {
-    auto const fields = Core::concat(
-        "Authorization: Bearer ", s_key, "\r\nGranitefield-Workspace: other\r\nGranitefield-Prompt-Parts: a:10,b:5\r\n");
+    auto const fields = Core::concat("Authorization: Bearer ", s_key,
+        "\r\nGranitefield-Workspace: other\r\nGranitefield-Prompt-Parts: a:10,b:5\r\n");
     EXPECT_EQ(answer_of(request("GET", "/keyed/", fields)).status, 200);
     EXPECT_EQ(field_of(seen(), "Granitefield-Workspace"), "ws");
     EXPECT_FALSE(field_of(seen(), "Authorization"));
--- a/Tests/LibObserve/ObserveTest.cpp
+++ b/Tests/LibObserve/ObserveTest.cpp
@@ -12,7 +12,6 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
-#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
@@ -112,7 +111,8 @@
     MetricRegistry metrics;
     {
         EventLog log(ends[1], "host", Core::Incarnation(1), metrics);
-        log.write(LogEvent("line").add("text", std::string_view("a\"b\\c\n\0\xff", 8)).add("flag", true).add("number", 7));
+        log.write(
+            LogEvent("line").add("text", std::string_view("a\"b\\c\n\0\xff", 8)).add("flag", true).add("number", 7));
     }
     std::array<char, 4096> buffer {};
     auto const size = ::read(ends[0], buffer.data(), buffer.size());
--- a/Tests/LibSettings/DaemonSettingsTest.cpp
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -60,7 +60,8 @@
 {
     EXPECT_EQ(Core::parse_duration("9.6s"), 9'600ms);
     EXPECT_EQ(Core::parse_duration("0.25ms"), 0ms);
-    for (auto const* text : {"", "s", "-1s", "+1s", "1e3s", "inf s", "nan", ".5s", "1 s", "1sec", "1e999s", "99999999h"})
+    for (auto const* text :
+        {"", "s", "-1s", "+1s", "1e3s", "inf s", "nan", ".5s", "1 s", "1sec", "1e999s", "99999999h"})
         EXPECT_FALSE(Core::parse_duration(text)) << text;
 }
 
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -188,8 +188,7 @@
         backend.proxy().reset_connections();
         return begin("connections reset", [] {});
     case 1:
-        backend.proxy().set_mode(
-            m_random() % 2 == 0 ? FaultProxy::Mode::Freeze : FaultProxy::Mode::FreezeAnswers);
+        backend.proxy().set_mode(m_random() % 2 == 0 ? FaultProxy::Mode::Freeze : FaultProxy::Mode::FreezeAnswers);
         return begin("backend server cut off", [&backend] {
             backend.proxy().set_mode(FaultProxy::Mode::Pass);
             backend.proxy().reset_connections();
@@ -286,8 +285,8 @@
     auto const before = leaving.arrivals();
     for (unsigned number = 0; number < 20; ++number) {
         RawCaller caller(port_of(number % m_slots.size()));
-        caller.write(Core::concat(
-            "GET /safe/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: leaving-", number, "\r\n\r\n"));
+        caller.write(
+            Core::concat("GET /safe/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: leaving-", number, "\r\n\r\n"));
         static_cast<void>(caller.read_answer());
     }
     if (leaving.arrivals() != before)
@@ -305,7 +304,8 @@
     auto const& answer = record.answer;
     auto const runs = m_runs.count(record.id);
     auto const name = Core::concat(record.path, " ", record.id);
-    ++m_report.answers[Core::concat(kind.path, " ", answer.status, answer.is_whole || answer.status == 0 ? "" : " cut")];
+    ++m_report
+          .answers[Core::concat(kind.path, " ", answer.status, answer.is_whole || answer.status == 0 ? "" : " cut")];
     if (!kind.is_repeatable && runs > 1)
         note_problem(Core::concat(name, " ran ", runs, " times"));
     if (!kind.is_repeatable && answer.is_whole && promises_not_run(answer.status) && runs > 0)
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -117,8 +117,8 @@
         if (!is_stream)
             return connection.write(Core::concat(
                 "HTTP/1.1 200 OK\r\n", head, "Content-Length: ", soak_body(id).size(), "\r\n\r\n", soak_body(id)));
-        connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head,
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        connection.write(Core::concat(
+            "HTTP/1.1 200 OK\r\n", head, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
         auto const last = std::stoul(field_of(request, "Last-Event-Id").value_or("0"));
         for (auto event = static_cast<unsigned>(last) + 1; event <= s_soak_events; ++event) {
             connection.write(chunk(soak_event(id, event)));
--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -84,8 +84,7 @@
     if (m_switches.outage == "reset")
         return no_answer();
     if (m_switches.outage == "silent") {
-        m_changed.wait_for(
-            lock, s_longest_silence, [this] { return m_should_stop || m_switches.outage != "silent"; });
+        m_changed.wait_for(lock, s_longest_silence, [this] { return m_should_stop || m_switches.outage != "silent"; });
         return no_answer();
     }
     bool const is_over_rate = is_write ? is_over(m_recent_writes, m_switches.writes_per_second)
@@ -148,8 +147,7 @@
     Json items = Json::array();
     for (; next != objects.end() && items.size() < m_switches.page_size; ++next)
         items.push_back(to_json(next->first, next->second));
-    return json_answer(
-        200, {{"items", items}, {"truncated", next != objects.end()}, {"store_revision", m_revision}});
+    return json_answer(200, {{"items", items}, {"truncated", next != objects.end()}, {"store_revision", m_revision}});
 }
 
 HTTP::ServerResponse PlatformServer::watch(HTTP::ServerRequest const& request, std::string const& kind)
--- a/Utilities/granitefield/FleetCommands.cpp
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -83,8 +83,8 @@
 void print_gateway(Json const& status)
 {
     std::cout << "gateway, " << (status["ready"].get<bool>() ? "ready" : "not ready") << ", table version "
-              << text_of(status["table-version"]) << ", servers as of revision "
-              << text_of(status["servers-revision"]) << ", open requests " << text_of(status["open-requests"]) << '\n';
+              << text_of(status["table-version"]) << ", servers as of revision " << text_of(status["servers-revision"])
+              << ", open requests " << text_of(status["open-requests"]) << '\n';
     TextTable text({"backend-server", "service", "address", "domain", "serving", "avoided", "open", "failure rate"});
     for (auto const& server : status["backend-servers"]) {
         text.add({text_of(server["backend-server"]), text_of(server["service"]), text_of(server["address"]),
--- a/Utilities/granitefield/LogCommands.cpp
+++ b/Utilities/granitefield/LogCommands.cpp
@@ -45,7 +45,8 @@
     for (auto const& [key, value] : line.items()) {
         bool const has_column = std::ranges::find(s_columns, key) != s_columns.end();
         if (!has_column && key != s_incarnation)
-            Core::append(&text, text.empty() ? "" : " ", key, "=", value.is_string() ? value.get<std::string>() : value.dump());
+            Core::append(
+                &text, text.empty() ? "" : " ", key, "=", value.is_string() ? value.get<std::string>() : value.dump());
     }
     return text;
 }
--- a/Utilities/granitefield/TableCommands.cpp
+++ b/Utilities/granitefield/TableCommands.cpp
@@ -5,8 +5,8 @@
 #include <LibCore/Text.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibPlatform/TableStore.h>
-#include <LibTable/TablePages.h>
 #include <LibTable/Csv.h>
+#include <LibTable/TablePages.h>
 
 #include <fstream>
 #include <iostream>
