--- a/Libraries/LibTable/Table.cpp
+++ b/Libraries/LibTable/Table.cpp
@@ -217,8 +217,8 @@
 {
     std::set<std::pair<std::string, std::string>> places;
     for (auto const& [name, route] : m_routes) {
-        auto const place_of = [&name](std::string const& column) {
-            return CellPlace {SheetName::Routes, name, column}.to_string();
+        auto const place_of = [&row = name](std::string const& column) {
+            return CellPlace {SheetName::Routes, row, column}.to_string();
         };
         if (!m_classes.contains(route.request_class))
             findings.add(place_of("class"), Core::concat("there is no class '", route.request_class, "'"));
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -128,7 +128,7 @@
     // A connection to nowhere drops what it has: the other side gets a reset.
     sockaddr unspecified {};
     unspecified.sa_family = AF_UNSPEC;
-    ::connect(m_descriptor, &unspecified, sizeof(unspecified));
+    static_cast<void>(::connect(m_descriptor, &unspecified, sizeof(unspecified)));
 }
 
 FakeBackend::FakeBackend(std::string instance, Script script)
--- a/Tests/LibGateway/GatewayPropertiesTest.cpp
+++ b/Tests/LibGateway/GatewayPropertiesTest.cpp
@@ -1,4 +1,5 @@
 // Properties of the gateway's parts over random inputs.
+#include <LibCore/Text.h>
 #include <LibGateway/BackendFleet.h>
 #include <LibHTTP/AnswerParser.h>
 #include <LibHTTP/EventFramer.h>
@@ -96,8 +97,7 @@
     std::string expected;
     for (unsigned id = 1; id <= count; ++id) {
         auto const line_end = *rc::gen::element<std::string>("\n", "\r\n");
-        auto const one
-            = "id: " + std::to_string(id) + line_end + "data: " + std::to_string(id * 7) + line_end + line_end;
+        auto const one = Core::concat("id: ", id, line_end, "data: ", id * 7, line_end, line_end);
         text += one;
         if (id > skipped)
             expected += one;
