LibGateway: Drop what nobody calls

Cause: reading the whole change: AnswerFields and BackendFleet::has_servers were left from earlier shapes and had no caller. Change: both are gone; nothing else refers to them, so behaviour is the same.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -94,11 +94,6 @@
         view->prefixes().set_capacity(m_memory_tokens[view->record().service]);
 }
 
-bool BackendFleet::has_servers() const
-{
-    return std::ranges::any_of(m_servers, [](auto const& item) { return item.second->takes_new_requests(); });
-}
-
 double BackendFleet::prefill_rate(std::string const& service) const
 {
     auto const found = m_prefill_rates.find(service);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -60,7 +60,6 @@
     [[nodiscard]] std::size_t count() const { return m_servers.size(); }
     /// The server of that id, or null.
     [[nodiscard]] std::shared_ptr<BackendView> find(std::uint64_t id) const;
-    [[nodiscard]] bool has_servers() const;
     [[nodiscard]] std::map<std::string, std::shared_ptr<BackendView>> const& all() const { return m_servers; }
 
 private:
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -15,11 +15,6 @@
 
 namespace GraniteField::Gateway {
 
-/// What an answer's head says besides its status; the connection adds the framing.
-struct AnswerFields {
-    HTTP::FieldList fields;
-};
-
 /// One connection from a caller: reads requests one after the other, hands each on, and writes its answer. All on the
 /// gateway's thread. The next request is read only when the answer to the one before it is written.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
