LibPlatform: Let every gateway notice a hanging watch within the contact time

The store's watches hung at 7.1 s while a configuration was acknowledged; gateways served by the older one until 12.0 s. Two gateways of a region watched with a wait of 2 s for all others, which waited 4 s and counted on being told. Both were cut from the store at that time, still counted as watchers (nobody ever told the peers that the store was lost), and could tell nothing. Ruled out: the peers (the new table spread within 0.2 s once one had it), the store's history (nobody saw a 410). Telling peers of a lost store would not do either: the loss itself is noticed after 2.8 s, and the others' watch goes on for its 4 s meanwhile.

Change: no gateway relies on another one to notice a hang. The setting platform/contact-time says after which time the platform counts on the store again; a watch waits so much less that its hang is noticed and a list read within it: 2 s where the time is 3 s, 3 s where it is 4 s.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -66,6 +66,7 @@
     , m_bytes_in(metrics.counter("granitefield_peer_bytes_total", {{"direction", "in"}}))
     , m_bytes_out(metrics.counter("granitefield_peer_bytes_total", {{"direction", "out"}}))
     , m_rejected(metrics.counter("granitefield_peer_messages_rejected_total"))
+    , m_known(metrics.gauge("granitefield_peers"))
     , m_listener(context, zmq::socket_type::router)
     , m_view({m_settings.name, m_settings.region, "", {}, true, ""})
 {
@@ -114,6 +115,7 @@
         m_view.forget_silent(now);
         m_should_watch = m_view.should_watch();
         m_membership.other_entries = m_view.count();
+        m_known.set(static_cast<std::int64_t>(m_view.count()));
         m_membership.set_load_addresses(m_view.load_addresses());
         update_connections();
         announce_if_due(now);
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -102,6 +102,7 @@
     Observe::Counter& m_bytes_in;
     Observe::Counter& m_bytes_out;
     Observe::Counter& m_rejected;
+    Observe::Gauge& m_known;
     zmq::socket_t m_listener;
     std::uint16_t m_port {0};
     PeerView m_view;
--- a/Libraries/LibEntry/PlatformSettings.h
+++ b/Libraries/LibEntry/PlatformSettings.h
@@ -3,6 +3,8 @@
 #include <LibCore/Address.h>
 #include <LibCore/Time.h>
 
+#include <optional>
+
 namespace GraniteField::Entry {
 
 /// How an entry talks to the platform.
@@ -11,6 +13,9 @@
     Core::Milliseconds call_timeout {2'000};
     /// How long one watch waits for a change.
     Core::Milliseconds watch_wait {20'000};
+    /// So long after the end of its trouble the store counts as reachable, and what it holds as known. Shortens the
+    /// wait of watches where it is set.
+    std::optional<Core::Milliseconds> contact_time;
     /// Between tries while the platform does not answer.
     Core::Milliseconds shortest_pause {100};
     Core::Milliseconds longest_pause {5'000};
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -7,7 +7,6 @@
 #include <LibPlatform/ObjectClient.h>
 
 #include <concepts>
-#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -18,15 +17,9 @@
     Core::Address store;
     /// For the answer to a call; a watch may take its own wait longer.
     Core::Milliseconds call_timeout {800};
-    /// How long the store holds a watch without news. A watch may be left hanging while changes are made; that is
-    /// noticed after this and the call's time, which together stay below the three seconds after which the platform
-    /// counts on a store that has come back.
+    /// How long the store holds a watch without news. A watch may be left hanging while changes are made; only the
+    /// missing answer tells.
     Core::Milliseconds watch_wait {2'000};
-    /// The same for a process that peers tell of what they hear: its own watch brings changes as soon, and only a hang
-    /// is noticed later.
-    Core::Milliseconds follower_watch_wait {4'000};
-    /// Whether this process is one of those that notice a hang for the others.
-    std::function<bool()> is_watcher {[] { return true; }};
     Core::Milliseconds shortest_pause {60};
     Core::Milliseconds longest_pause {500};
 };
@@ -100,8 +93,7 @@
             return;
         }
         m_watches.add();
-        auto const longest = m_settings.is_watcher() ? m_settings.watch_wait : m_settings.follower_watch_wait;
-        auto const wait = std::min(m_sink.wanted_wait().value_or(longest), longest);
+        auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
         auto const answer = m_client.watch(m_kind, *m_revision, wait);
         m_revision = std::max(*m_revision, answer.revision);
         m_sink.take_events(answer);
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -68,6 +68,8 @@
     reader.read("address", platform.address, Presence::Required);
     reader.read("call-timeout", platform.call_timeout, 10ms, 60s);
     reader.read("watch-wait", platform.watch_wait, 100ms, 10min);
+    if (reader.member("contact-time") != nullptr)
+        reader.read("contact-time", platform.contact_time.emplace(), 100ms, 10min);
     reader.read("longest-pause", platform.longest_pause, 100ms, 10min);
     reader.read("host-interval", platform.host_interval, 50ms, 10min);
     reader.finish();
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -35,6 +35,7 @@
     "21|Libraries/LibEntry/SharedServers.h|s/if (!m_list->is_provisional)/if (m_list)/|ServerRosterTest|*Provisional*"
     "22|Libraries/LibGateway/CallerConnection.cpp|s/if (m_state == State::Answering \&\& m_on_gone)/if (m_state == State::Closing \&\& m_on_gone)/|AttemptRulesTest|*WhenTheCallerLeaves*"
     "23|Libraries/LibGateway/GatewayServer.cpp|s/if (auto const error = refuse_for_stop(call, now))/if (auto const error = refuse_for_stop(call, now); error \&\& !m_drain_begun)/|AttemptRulesTest|*ThePlannedStop*"
+    '24|Libraries/LibPlatform/ObjectFollower.h|s/\*m_revision, wait);/*m_revision, wait * 8);/|GatewayProcessTest|*HangingWatch*'
 )
 
 wanted=" $* "
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -11,6 +11,7 @@
 #include <LibPlatform/ObjectFollower.h>
 #include <LibTable/TablePages.h>
 
+#include <algorithm>
 #include <exception>
 #include <unistd.h>
 
@@ -24,13 +25,27 @@
 constexpr int s_io_threads = 1;
 /// How often the settings file is looked at, beside the signal that tells of a change.
 constexpr Core::Milliseconds s_settings_interval {2'000};
+/// A list takes the store some milliseconds a page, and a busy process some wake-ups.
+constexpr Core::Milliseconds s_time_to_list {200};
+/// A shorter wait would only cost calls.
+constexpr Core::Milliseconds s_shortest_watch_wait {500};
+
+/// The wait of a watch, such that one which hangs is noticed, and a list read in its place, within the contact time.
+/// Every gateway watches for itself: a peer that has lost the store can't tell, and may not know it yet.
+Core::Milliseconds watch_wait(Entry::PlatformSettings const& platform)
+{
+    if (!platform.contact_time)
+        return platform.watch_wait;
+    auto const longest = *platform.contact_time - platform.call_timeout - s_time_to_list;
+    return std::clamp(longest, s_shortest_watch_wait, platform.watch_wait);
+}
 
 Platform::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
 {
     Platform::FollowerSettings settings;
     settings.store = platform.address;
     settings.call_timeout = platform.call_timeout;
-    settings.watch_wait = platform.watch_wait;
+    settings.watch_wait = watch_wait(platform);
     settings.shortest_pause = platform.shortest_pause;
     settings.longest_pause = platform.longest_pause;
     return settings;
@@ -114,8 +129,7 @@
                   .add("peers", peers.port()));
     Platform::ConfigurationSink configuration_sink(table, tell_all, log);
     Platform::ServersSink servers_sink(servers, tell_all, log);
-    auto store = follower_settings(settings.gateway.platform);
-    store.is_watcher = [&peers] { return peers.should_watch(); };
+    auto const store = follower_settings(settings.gateway.platform);
     Platform::ObjectFollower const configuration(
         store, std::string(Platform::configuration_kind()), configuration_sink, log, metrics);
     Platform::ObjectFollower const backend_servers(
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -3,10 +3,14 @@
 #include "Process.h"
 
 #include "FakeBackend.h"
+#include "FaultProxy.h"
 #include "GatewayFleet.h"
 
+#include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
 
+#include <algorithm>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -98,6 +102,39 @@
     EXPECT_TRUE(wait_until([&] { return ask(gateway, "/c/") == 200; }, s_in_force_limit));
 }
 
+TEST_F(GatewayProcess, NoticesAHangingWatchWhileTheOthersHaveLostTheStore)
+{
+    FakeBackend const backend("i-1", good());
+    put_configuration(1, "/a/");
+    put_server(backend);
+    // Those that come first in the order of hashes watch for others where watching is shared; they lose the store.
+    std::vector<std::string> names {"g-1", "g-2", "g-3"};
+    std::ranges::sort(names, {}, [](auto const& name) { return Core::hash_bytes(name); });
+    auto const store = *Core::Address::from_string(Core::concat("127.0.0.1:", platform_port()));
+    FaultProxy first_way(store);
+    FaultProxy second_way(store);
+    auto const first = start(names[0], Json::array(), first_way.port());
+    auto const seeds = Json::array({Core::concat("127.0.0.1:", first.peers)});
+    auto const second = start(names[1], seeds, second_way.port());
+    auto const third = start(names[2], seeds);
+    auto const metric = [&third](std::string const& name) {
+        auto const text = send_request(third.operators, "GET", "/metrics", "").body;
+        auto const line = "\n" + name + " ";
+        auto const place = text.find(line);
+        return place == std::string::npos ? 0UL : std::stoul(text.substr(place + line.size()));
+    };
+    std::string const watches = R"(granitefield_store_calls_total{call="watch",kind="config"})";
+    ASSERT_TRUE(wait_until([&] { return is_ready(first) && is_ready(second) && is_ready(third); }));
+    ASSERT_TRUE(wait_until([&] { return metric("granitefield_peers") == 2; }));
+    auto const before = metric(watches);
+    ASSERT_TRUE(wait_until([&] { return metric(watches) > before; }));
+    first_way.set_mode(FaultProxy::Mode::Freeze);
+    second_way.set_mode(FaultProxy::Mode::Freeze);
+    control({{"hold-watches", true}});
+    put_configuration(2, "/b/");
+    EXPECT_TRUE(wait_until([&] { return ask(third, "/b/") == 200; }, s_in_force_limit));
+}
+
 TEST_F(GatewayProcess, ReadsListsInPages)
 {
     control({{"page-size", 2}});
