LibPlatform: Take changes in a row with one call to the store

While servers enter themselves one after the other at the start, each entry woke every gateway's watch: 25 gateways times 49 entries.

Change: after news the next watch waits 500 ms, so that what changes meanwhile comes in one answer. News are late by that at most; the bounds are 2 s and more.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -20,6 +20,9 @@
     /// How long the store holds a watch without news. A watch may be left hanging while changes are made; only the
     /// missing answer tells.
     Core::Milliseconds watch_wait {2'000};
+    /// After news, before the next watch. Objects that change one after the other then come in one answer, and each
+    /// call has its price. News are late by this much at most, far below the seconds within which they must be known.
+    Core::Milliseconds pause_after_news {500};
     Core::Milliseconds shortest_pause {60};
     Core::Milliseconds longest_pause {500};
 };
@@ -97,6 +100,8 @@
         auto const answer = m_client.watch(m_kind, *m_revision, wait);
         m_revision = std::max(*m_revision, answer.revision);
         m_sink.take_events(answer);
+        if (!answer.events.empty())
+            m_backoff.wait(m_settings.pause_after_news);
     }
 
     void handle_failure(PlatformUnavailable const& error)
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -8,6 +8,7 @@
 
 #include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
+#include <LibPlatform/ObjectFollower.h>
 
 #include <algorithm>
 
@@ -43,6 +44,14 @@
     {
         return send_request(gateway.operators, "GET", "/status", "").json()["table-version"].get<std::uint64_t>();
     }
+    /// The value of a metric by its name and labels as they are written; 0 while it is not there.
+    static std::uint64_t metric(Gateway const& gateway, std::string const& name)
+    {
+        auto const text = send_request(gateway.operators, "GET", "/metrics", "").body;
+        auto const line = "\n" + name + " ";
+        auto const place = text.find(line);
+        return place == std::string::npos ? 0 : std::stoul(text.substr(place + line.size()));
+    }
 
     static FakeBackend::Script good()
     {
@@ -117,17 +126,11 @@
     auto const seeds = Json::array({Core::concat("127.0.0.1:", first.peers)});
     auto const second = start(names[1], seeds, second_way.port());
     auto const third = start(names[2], seeds);
-    auto const metric = [&third](std::string const& name) {
-        auto const text = send_request(third.operators, "GET", "/metrics", "").body;
-        auto const line = "\n" + name + " ";
-        auto const place = text.find(line);
-        return place == std::string::npos ? 0UL : std::stoul(text.substr(place + line.size()));
-    };
     std::string const watches = R"(granitefield_store_calls_total{call="watch",kind="config"})";
     ASSERT_TRUE(wait_until([&] { return is_ready(first) && is_ready(second) && is_ready(third); }));
-    ASSERT_TRUE(wait_until([&] { return metric("granitefield_peers") == 2; }));
-    auto const before = metric(watches);
-    ASSERT_TRUE(wait_until([&] { return metric(watches) > before; }));
+    ASSERT_TRUE(wait_until([&] { return metric(third, "granitefield_peers") == 2; }));
+    auto const before = metric(third, watches);
+    ASSERT_TRUE(wait_until([&] { return metric(third, watches) > before; }));
     first_way.set_mode(FaultProxy::Mode::Freeze);
     second_way.set_mode(FaultProxy::Mode::Freeze);
     control({{"hold-watches", true}});
@@ -135,6 +138,32 @@
     EXPECT_TRUE(wait_until([&] { return ask(third, "/b/") == 200; }, s_in_force_limit));
 }
 
+TEST_F(GatewayProcess, TakesChangesInARowWithFewCalls)
+{
+    FakeBackend const backend("i-1", good());
+    put_configuration(1, "/a/");
+    put_server(backend);
+    auto const gateway = start("g-1");
+    ASSERT_TRUE(wait_until([&] { return is_ready(gateway); }));
+    auto const watches = [&gateway] {
+        return metric(gateway, R"(granitefield_store_calls_total{call="watch",kind="servers"})");
+    };
+    auto const before = watches();
+    auto const begun = Core::monotonic_now();
+    constexpr unsigned count = 60;
+    for (unsigned number = 0; number < count; ++number) {
+        auto entry = backend.entry();
+        entry.instance = Core::concat("i-more-", number);
+        put_server(entry);
+    }
+    ASSERT_TRUE(wait_until([&] {
+        return send_request(gateway.operators, "GET", "/status", "").json()["backend-servers"].size() == count + 1;
+    }));
+    // One watch is under way at the beginning, and each pause is followed by one more.
+    auto const pauses = Core::elapsed(begun, Core::monotonic_now()) / Platform::FollowerSettings().pause_after_news;
+    EXPECT_LE(watches() - before, static_cast<std::uint64_t>(pauses) + 2);
+}
+
 TEST_F(GatewayProcess, ReadsListsInPages)
 {
     control({{"page-size", 2}});
