LibEntry: Pull a list from a peer only where the store's own word is late

Every change of a server made each gateway announce a new revision, and each one that heard it pulled the whole list from everyone who announced, the seeds above all, though its own watch brought the change in the same moment. Ruled out: the load datagrams, 64 receivers ten times a second, which are left as they are.

Change: PullSchedule. Gateways now tell the exchange when they lose the store. Peers that pull one list share its bytes.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -44,6 +45,14 @@
     return address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint();
 }
 
+zmq::message_t to_frame(Message::PeerEnvelope const& envelope)
+{
+    auto const size = envelope.ByteSizeLong();
+    zmq::message_t frame(size);
+    envelope.SerializeToArray(frame.data(), static_cast<int>(size));
+    return frame;
+}
+
 std::optional<Table::SheetName> sheet_of(std::uint32_t number)
 {
     if (number >= Table::s_all_sheets.size())
@@ -104,11 +113,25 @@
     return table ? table->version() : Core::TableVersion();
 }
 
+PeerExchange::Versions PeerExchange::versions() const
+{
+    return {table_version(), m_hosts.version(), m_servers.settled_revision()};
+}
+
+Core::Milliseconds PeerExchange::pull_patience() const
+{
+    // Who has nothing yet, or does not hear the platform, takes a peer's word at once.
+    bool const has_begun = m_table.current() != nullptr && m_servers.settled() != nullptr;
+    return has_begun && m_is_platform_reachable ? m_settings.pull_patience : Core::Milliseconds(0);
+}
+
 void PeerExchange::run()
 {
     while (!m_should_stop) {
         wait_for_messages();
         auto const now = std::chrono::steady_clock::now();
+        if (versions() != std::exchange(m_seen, versions()))
+            m_pulls.note_news();
         if (auto table = m_table.current())
             m_history.note(std::move(table));
         m_view.set_platform_reachable(m_is_platform_reachable);
@@ -155,22 +178,20 @@
             m_rejected.add();
             continue;
         }
-        handle(envelope, [&](Envelope const& reply) {
+        handle(envelope, [&](zmq::message_t reply) {
             if (is_listener) {
                 zmq::message_t route_copy(route.data(), route.size());
                 if (!socket.send(route_copy, zmq::send_flags::sndmore | zmq::send_flags::dontwait))
                     return;
             }
-            send(socket, reply);
+            send(socket, std::move(reply));
         });
     }
 }
 
-void PeerExchange::send(zmq::socket_t& socket, Envelope const& envelope)
+void PeerExchange::send(zmq::socket_t& socket, zmq::message_t frame)
 {
-    auto const size = envelope.ByteSizeLong();
-    zmq::message_t frame(size);
-    envelope.SerializeToArray(frame.data(), static_cast<int>(size));
+    auto const size = frame.size();
     // What does not go out now goes with a later announcement.
     if (socket.send(frame, zmq::send_flags::dontwait))
         count_out(size);
@@ -200,24 +221,27 @@
     m_view.note(from_message(announce.sender(), now));
     for (auto const& record : announce.known())
         m_view.note(from_message(record, now));
-    auto const own_table = table_version().value();
-    auto const own_hosts = m_hosts.version().value();
-    auto const own_servers = m_servers.settled_revision().value();
+    auto const own = versions();
+    auto const own_table = own.table.value();
+    auto const own_hosts = own.hosts.value();
+    auto const own_servers = own.servers.value();
     bool const is_ahead = announce.table_version() > own_table || announce.hosts_version() > own_hosts
         || announce.servers_revision() > own_servers;
     if (is_ahead) {
+        if (!m_pulls.should_pull(now, pull_patience()))
+            return;
         Envelope answer;
         answer.set_protocol_version(Protocol::s_protocol_version);
         answer.mutable_pull()->set_table_version(own_table);
         answer.mutable_pull()->set_hosts_version(own_hosts);
         answer.mutable_pull()->set_servers_revision(own_servers);
-        return reply(answer);
+        return reply(to_frame(answer));
     }
     // The sender is behind: it is told what there is, and pulls.
     bool const is_behind = announce.table_version() < own_table || announce.hosts_version() < own_hosts
         || announce.servers_revision() < own_servers;
     if (is_behind)
-        reply(make_announcement());
+        reply(to_frame(make_announcement()));
 }
 
 void PeerExchange::handle_pull(Message::Pull const& pull, Reply const& reply)
@@ -240,7 +264,7 @@
     auto const edits = m_history.edits_since(Core::TableVersion(pull.table_version()));
     if (!edits) {
         update.set_whole(Table::encode_table(*table));
-        return reply(answer);
+        return reply(to_frame(answer));
     }
     update.set_from_version(pull.table_version());
     for (auto const& edit : *edits) {
@@ -250,7 +274,7 @@
         cell.set_column(edit.place.column);
         cell.set_value(edit.value.value_or(""));
     }
-    reply(answer);
+    reply(to_frame(answer));
 }
 
 void PeerExchange::give_hosts(Message::Pull const& pull, Reply const& reply) const
@@ -263,19 +287,28 @@
     answer.mutable_hosts()->set_version(hosts.version.value());
     for (auto const& address : hosts.addresses)
         answer.mutable_hosts()->add_leaving(address);
-    reply(answer);
+    reply(to_frame(answer));
 }
 
-void PeerExchange::give_servers(Message::Pull const& pull, Reply const& reply) const
+void PeerExchange::give_servers(Message::Pull const& pull, Reply const& reply)
 {
     auto const list = m_servers.settled();
     if (!list || list->revision.value() <= pull.servers_revision())
         return;
+    if (m_servers_frame.revision != list->revision)
+        build_servers_frame(*list);
+    zmq::message_t shared;
+    shared.copy(m_servers_frame.frame);
+    reply(std::move(shared));
+}
+
+void PeerExchange::build_servers_frame(ServerList const& list)
+{
     Envelope answer;
     answer.set_protocol_version(Protocol::s_protocol_version);
     auto& update = *answer.mutable_servers();
-    update.set_revision(list->revision.value());
-    for (auto const& server : list->servers) {
+    update.set_revision(list.revision.value());
+    for (auto const& server : list.servers) {
         auto& record = *update.add_servers();
         record.set_instance(server.instance);
         record.set_service(server.service);
@@ -284,7 +317,7 @@
         record.set_slots(server.slots);
         record.set_is_leaving(server.state == Table::BackendServerState::Leaving);
     }
-    reply(answer);
+    m_servers_frame = {list.revision, to_frame(answer)};
 }
 
 void PeerExchange::handle_table(Message::TableUpdate const& update)
@@ -381,8 +414,8 @@
 
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
-    bool const has_news = table_version() != m_announced_table || m_hosts.version() != m_announced_hosts
-        || m_servers.settled_revision() != m_announced_servers || m_is_platform_reachable != m_announced_reachable;
+    bool const has_news = versions() != m_announced || m_is_platform_reachable != m_announced_reachable
+        || m_pulls.should_ask(now, pull_patience());
     if (!has_news && now < m_next_announcement)
         return;
     announce();
@@ -412,10 +445,8 @@
 void PeerExchange::announce()
 {
     auto const now = std::chrono::steady_clock::now();
+    m_announced = versions();
     auto envelope = make_announcement();
-    m_announced_table = Core::TableVersion(envelope.announce().table_version());
-    m_announced_hosts = HostsVersion(envelope.announce().hosts_version());
-    m_announced_servers = ListRevision(envelope.announce().servers_revision());
     m_announced_reachable = envelope.announce().sender().is_platform_reachable();
     // What is due only now and then tells of other entries as well; news stay short.
     if (now >= m_next_announcement) {
@@ -423,7 +454,7 @@
             *envelope.mutable_announce()->add_known() = to_message(peer, now);
     }
     for (auto const& [address, connection] : m_connections)
-        send(*connection.socket, envelope);
+        send(*connection.socket, to_frame(envelope));
 }
 
 }
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/PeerView.h>
+#include <LibEntry/PullSchedule.h>
 #include <LibEntry/SharedHosts.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
@@ -43,6 +44,9 @@
         Core::Milliseconds announce_interval {10'000};
         /// How often the seeds are asked while there is no table.
         Core::Milliseconds first_interval {200};
+        /// How long the platform's own word is waited for before a peer's is asked for, by an entry that hears the
+        /// platform itself.
+        Core::Milliseconds pull_patience {0};
     };
 
     /// `on_news` is called on this thread when a peer brought something newer.
@@ -63,8 +67,23 @@
 private:
     using Envelope = granitefield::protocol::PeerEnvelope;
 
-    /// Sends an envelope back to where a message came from.
-    using Reply = std::function<void(Envelope const&)>;
+    /// Sends a frame back to where a message came from.
+    using Reply = std::function<void(zmq::message_t)>;
+
+    /// The versions of what this entry has.
+    struct Versions {
+        Core::TableVersion table;
+        HostsVersion hosts;
+        ListRevision servers;
+
+        friend bool operator==(Versions const&, Versions const&) = default;
+    };
+
+    /// The list of backend servers as it goes out, kept so that many peers share its bytes.
+    struct ServersFrame {
+        ListRevision revision;
+        zmq::message_t frame;
+    };
 
     /// A connection to a neighbour or a seed.
     struct Connection {
@@ -83,13 +102,16 @@
     void handle_servers(granitefield::protocol::ServersUpdate const&);
     void give_table(granitefield::protocol::Pull const&, Reply const&);
     void give_hosts(granitefield::protocol::Pull const&, Reply const&) const;
-    void give_servers(granitefield::protocol::Pull const&, Reply const&) const;
+    void give_servers(granitefield::protocol::Pull const&, Reply const&);
+    void build_servers_frame(ServerList const&);
     void update_connections();
     void announce_if_due(Core::MonotonicTime now);
     void announce();
     [[nodiscard]] Envelope make_announcement();
     [[nodiscard]] Core::TableVersion table_version() const;
-    void send(zmq::socket_t&, Envelope const&);
+    [[nodiscard]] Versions versions() const;
+    [[nodiscard]] Core::Milliseconds pull_patience() const;
+    void send(zmq::socket_t&, zmq::message_t);
     void count_out(std::size_t bytes) { m_bytes_out.add(bytes); }
 
     Settings m_settings;
@@ -108,9 +130,11 @@
     PeerView m_view;
     TableHistory m_history;
     std::map<std::string, Connection> m_connections;
-    Core::TableVersion m_announced_table;
-    HostsVersion m_announced_hosts;
-    ListRevision m_announced_servers;
+    PullSchedule m_pulls;
+    ServersFrame m_servers_frame;
+    /// What this entry had when it last looked, and when it last announced.
+    Versions m_seen;
+    Versions m_announced;
     bool m_announced_reachable {true};
     Core::MonotonicTime m_next_announcement;
     std::atomic<bool> m_is_platform_reachable {true};
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -7,6 +7,7 @@
 #include <LibPlatform/ObjectClient.h>
 
 #include <concepts>
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -25,6 +26,8 @@
     Core::Milliseconds pause_after_news {500};
     Core::Milliseconds shortest_pause {60};
     Core::Milliseconds longest_pause {500};
+    /// Called on the follower's thread when the store is lost (false) and when it answers again (true).
+    std::function<void(bool is_reachable)> on_change {[](bool) { }};
 };
 
 /// Takes what a follower learns. Calls come from the follower's thread.
@@ -112,6 +115,7 @@
         if (!m_lost_since) {
             m_lost_since = Core::monotonic_now();
             m_log.write(Observe::LogEvent("store-lost").add("kind", m_kind).add("reason", error.what()));
+            m_settings.on_change(false);
         }
         // A watch can't tell what was missed meanwhile; a list does.
         m_revision.reset();
@@ -127,6 +131,7 @@
                         .add("kind", m_kind)
                         .add("after_ms", Core::elapsed(*m_lost_since, Core::monotonic_now())));
         m_lost_since.reset();
+        m_settings.on_change(true);
     }
 
     FollowerSettings m_settings;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -80,6 +80,7 @@
     ObjectReader reader(json, "/peers", findings);
     reader.read("address", peers.address, Presence::Required);
     reader.read("announce-interval", peers.announce_interval, 50ms, 30s);
+    reader.read("pull-patience", peers.pull_patience, 0ms, 30s);
     reader.read_addresses("seeds", peers.seeds);
     reader.finish();
 }
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -12,6 +12,7 @@
 #include <LibTable/TablePages.h>
 
 #include <algorithm>
+#include <atomic>
 #include <exception>
 #include <unistd.h>
 
@@ -129,7 +130,13 @@
                   .add("peers", peers.port()));
     Platform::ConfigurationSink configuration_sink(table, tell_all, log);
     Platform::ServersSink servers_sink(servers, tell_all, log);
-    auto const store = follower_settings(settings.gateway.platform);
+    auto store = follower_settings(settings.gateway.platform);
+    // Both followers count, each with a connection of its own.
+    std::atomic<int> lost_count {0};
+    store.on_change = [&peers, &lost_count](bool is_reachable) {
+        lost_count += is_reachable ? -1 : 1;
+        peers.set_platform_reachable(lost_count == 0);
+    };
     Platform::ObjectFollower const configuration(
         store, std::string(Platform::configuration_kind()), configuration_sink, log, metrics);
     Platform::ObjectFollower const backend_servers(
