LibGateway: Keep long prompts away from streams that they would make late

Ruled out: the queue (first tokens are in time), too many streams at an engine (they do not show in the first group).

Change: PauseModel learns for each service how long events pause while their engine has a long prompt to read; classes with a target below that are pause-sensitive. Gateways tell each other how many such streams run where. A long prompt weighs each of them at 500 ms, such a stream weighs a long reading likewise, and the first of them at an engine weighs 400 ms, so that they share few engines. ServerLoad holds the three numbers that were handed about one by one.

--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -45,7 +45,7 @@
 
     [[nodiscard]] BackendView& server() { return *m_server; }
     [[nodiscard]] HTTP::AnswerParser& parser() { return m_parser; }
-    [[nodiscard]] AttemptLoad& load() { return m_load; }
+    [[nodiscard]] ServerLoad& load() { return m_load; }
     /// Whether any byte of the request has left; from then on it may have run.
     [[nodiscard]] bool is_sent() const { return m_written > 0; }
     [[nodiscard]] Core::MonotonicTime begun() const { return m_begun; }
@@ -74,7 +74,7 @@
     std::string m_request;
     std::size_t m_written {0};
     std::string m_input;
-    AttemptLoad m_load;
+    ServerLoad m_load;
     Core::MonotonicTime m_begun;
     Core::MonotonicTime m_last_input;
     bool m_is_over {false};
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -143,7 +143,7 @@
 
 BackendFleet::Estimate BackendFleet::estimate_plain(BackendView const& server) const
 {
-    auto const load = static_cast<double>(server.open_count()) / std::max(1U, server.record().slots);
+    auto const load = static_cast<double>(server.load().open) / std::max(1U, server.record().slots);
     Estimate estimate;
     estimate.wait = std::max(s_least_latency, server.mean_latency()) * (1 + load);
     return estimate;
@@ -161,12 +161,41 @@
         = [rate = prefill_rate(call.service)](double tokens) { return Estimate::Time(tokens / rate); };
     Estimate estimate;
     estimate.unread_tokens = total - std::min(total, static_cast<std::uint32_t>(expected_kept));
-    estimate.wait = reading_time(static_cast<double>(server.unread_tokens() + estimate.unread_tokens))
-        + Estimate::Time(m_settings.cost_per_running) * server.open_count();
-    estimate.penalty = reading_time(std::max(0.0, shared - expected_kept)) * m_settings.reread_weight;
+    estimate.wait = reading_time(static_cast<double>(server.load().unread_tokens + estimate.unread_tokens))
+        + Estimate::Time(m_settings.cost_per_running) * server.load().open;
+    estimate.penalty = reading_time(std::max(0.0, shared - expected_kept)) * m_settings.reread_weight
+        + pause_penalty(server, estimate.unread_tokens, is_pause_sensitive(call));
     return estimate;
 }
 
+void BackendFleet::note_pause(std::string const& service, BackendView const& server, PauseModel::Time pause)
+{
+    m_pause_models[service].note_pause(pause, server.load().unread_tokens);
+}
+
+bool BackendFleet::is_pause_sensitive(GatewayCall const& call) const
+{
+    auto const found = m_pause_models.find(call.service);
+    return call.is_stream() && found != m_pause_models.end()
+        && found->second.is_sensitive(call.request_class->token_gap_target);
+}
+
+BackendFleet::Estimate::Time BackendFleet::pause_penalty(
+    BackendView const& server, std::uint32_t unread_tokens, bool is_pause_sensitive) const
+{
+    auto const load = server.load();
+    // A reading makes streams late the surer the longer it takes.
+    auto const harm = [](std::uint64_t tokens) {
+        return std::min(1.0, static_cast<double>(tokens) / static_cast<double>(PauseModel::s_long_reading_tokens));
+    };
+    auto const late_streams
+        = harm(unread_tokens) * load.pause_sensitive + (is_pause_sensitive ? harm(load.unread_tokens) : 0.0);
+    auto penalty = Estimate::Time(m_settings.cost_per_late_stream) * late_streams;
+    if (is_pause_sensitive && load.pause_sensitive == 0)
+        penalty += m_settings.cost_per_first_sensitive_stream;
+    return penalty;
+}
+
 BackendFleet::Estimate BackendFleet::estimate(
     Candidate const& candidate, GatewayCall const& call, Core::MonotonicTime now) const
 {
@@ -195,6 +224,7 @@
         best.unread_tokens = estimated.unread_tokens;
         best.predicted_wait = std::chrono::duration_cast<Core::Milliseconds>(estimated.wait);
     }
+    best.is_pause_sensitive = is_pause_sensitive(call);
     return best;
 }
 
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/BackendView.h>
 #include <LibGateway/GatewayCall.h>
+#include <LibGateway/PauseModel.h>
 #include <LibObserve/EventLog.h>
 
 #include <map>
@@ -21,6 +22,8 @@
     std::uint32_t unread_tokens {0};
     /// Time until the first piece of the answer, as predicted.
     Core::Milliseconds predicted_wait {0};
+    /// Whether a long prompt's reading beside it makes it late.
+    bool is_pause_sensitive {false};
     std::size_t candidates {0};
 };
 
@@ -37,6 +40,12 @@
         /// How much longer a wait may be than the reading of shared parts that it saves. Reading them again takes
         /// the engine's time from all others, so it weighs more than its own time.
         double reread_weight {8};
+        /// What speaks against an engine for each stream that a long prompt's reading would make late there. From
+        /// trials with 0, 500, 1000 and 2000 ms (docs/MEASUREMENTS.md).
+        Core::Milliseconds cost_per_late_stream {500};
+        /// What speaks against an engine without such streams for the first of them: it closes the engine to long
+        /// prompts, so these streams should share few engines. From trials with 0, 150 and 400 ms.
+        Core::Milliseconds cost_per_first_sensitive_stream {400};
         /// What it costs to leave the own failure domain, in time.
         Core::Milliseconds cost_per_domain_change {2};
     };
@@ -57,6 +66,9 @@
     /// An engine gave the first event of a prompt of which it had to read so much.
     void note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait);
 
+    /// An event of a stream came after that pause.
+    void note_pause(std::string const& service, BackendView const&, PauseModel::Time pause);
+
     [[nodiscard]] std::size_t count() const { return m_servers.size(); }
     /// The server of that id, or null.
     [[nodiscard]] std::shared_ptr<BackendView> find(std::uint64_t id) const;
@@ -86,6 +98,10 @@
     [[nodiscard]] Estimate estimate(Candidate const&, GatewayCall const&, Core::MonotonicTime now) const;
     [[nodiscard]] Estimate estimate_plain(BackendView const&) const;
     [[nodiscard]] Estimate estimate_engine(Candidate const&, GatewayCall const&) const;
+    /// What the request's reading costs streams there, and what the readings there cost the request's own stream.
+    [[nodiscard]] Estimate::Time pause_penalty(
+        BackendView const&, std::uint32_t unread_tokens, bool is_pause_sensitive) const;
+    [[nodiscard]] bool is_pause_sensitive(GatewayCall const&) const;
     [[nodiscard]] double prefill_rate(std::string const& service) const;
     void log_change(Entry::ServerEntry const&, std::string_view change, Entry::ListRevision) const;
 
@@ -95,6 +111,7 @@
     absl::flat_hash_map<std::uint64_t, std::weak_ptr<BackendView>> m_servers_by_id;
     std::map<std::string, std::uint64_t> m_memory_tokens;
     std::map<std::string, double> m_prefill_rates;
+    std::map<std::string, PauseModel> m_pause_models;
 };
 
 }
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -7,14 +7,36 @@
 
 #include <cmath>
 #include <cstdint>
+#include <utility>
 
 namespace GraniteField::Gateway {
 
-/// What an open attempt weighs at its engine until it ends.
-struct AttemptLoad {
-    /// Prompt tokens that the engine has to read; 0 once the first event came.
-    std::uint32_t unread_tokens {0};
-    bool is_open {false};
+/// What is open at a backend server.
+struct ServerLoad {
+    /// Attempts.
+    unsigned open {0};
+    /// Prompt tokens that the engine still has to read for them.
+    std::uint64_t unread_tokens {0};
+    /// Those among them that miss their pause target while the engine reads a long prompt (PauseModel).
+    unsigned pause_sensitive {0};
+
+    ServerLoad& operator+=(ServerLoad const& other)
+    {
+        open += other.open;
+        unread_tokens += other.unread_tokens;
+        pause_sensitive += other.pause_sensitive;
+        return *this;
+    }
+
+    ServerLoad& operator-=(ServerLoad const& other)
+    {
+        open -= other.open;
+        unread_tokens -= other.unread_tokens;
+        pause_sensitive -= other.pause_sensitive;
+        return *this;
+    }
+
+    friend ServerLoad operator+(ServerLoad left, ServerLoad const& right) { return left += right; }
 };
 
 /// A number that decays to zero with time, for what should be forgotten.
@@ -64,48 +86,28 @@
     [[nodiscard]] bool is_avoided(Core::MonotonicTime now) const { return now < m_avoided_until; }
 
     /// What this gateway has open there.
-    [[nodiscard]] unsigned own_open_count() const { return m_open; }
-    [[nodiscard]] std::uint64_t own_unread_tokens() const { return m_unread_tokens; }
+    [[nodiscard]] ServerLoad const& own_load() const { return m_own; }
     /// The same for all gateways, as far as their reports tell.
-    [[nodiscard]] unsigned open_count() const { return m_open + m_others_open; }
-    [[nodiscard]] std::uint64_t unread_tokens() const { return m_unread_tokens + m_others_unread_tokens; }
-    void add_others(unsigned open, std::uint64_t unread_tokens)
-    {
-        m_others_open += open;
-        m_others_unread_tokens += unread_tokens;
-    }
-    void remove_others(unsigned open, std::uint64_t unread_tokens)
-    {
-        m_others_open -= open;
-        m_others_unread_tokens -= unread_tokens;
-    }
+    [[nodiscard]] ServerLoad load() const { return m_own + m_others; }
+    void add_others(ServerLoad const& load) { m_others += load; }
+    void remove_others(ServerLoad const& load) { m_others -= load; }
     /// The instance's hash, which stands for it in datagrams.
     [[nodiscard]] std::uint64_t id() const { return m_id; }
     [[nodiscard]] PrefixMemory& prefixes() { return m_prefixes; }
     [[nodiscard]] PrefixMemory const& prefixes() const { return m_prefixes; }
 
-    void begin_attempt(AttemptLoad& load, std::uint32_t unread_tokens)
-    {
-        load = {unread_tokens, true};
-        ++m_open;
-        m_unread_tokens += unread_tokens;
-    }
+    /// An attempt begins; `load` is its part of the server's load until it ends.
+    void begin_attempt(ServerLoad const& load) { m_own += load; }
 
-    /// The engine has read the prompt: its first event came.
-    void note_read(AttemptLoad& load)
+    /// The engine has read the attempt's prompt: its first event came.
+    void note_read(ServerLoad& load)
     {
-        m_unread_tokens -= load.unread_tokens;
+        m_own.unread_tokens -= load.unread_tokens;
         load.unread_tokens = 0;
     }
 
-    void end_attempt(AttemptLoad& load)
-    {
-        if (!load.is_open)
-            return;
-        note_read(load);
-        load.is_open = false;
-        --m_open;
-    }
+    /// The attempt is over; may be called again.
+    void end_attempt(ServerLoad& load) { m_own -= std::exchange(load, {}); }
 
     /// Share of recent attempts that failed, weighed towards the newest and forgotten with time.
     [[nodiscard]] double failure_rate(Core::MonotonicTime now) const { return m_failures.at(now); }
@@ -157,10 +159,8 @@
     Entry::ServerEntry m_record;
     std::uint64_t m_id;
     bool m_is_listed {true};
-    unsigned m_open {0};
-    std::uint64_t m_unread_tokens {0};
-    unsigned m_others_open {0};
-    std::uint64_t m_others_unread_tokens {0};
+    ServerLoad m_own;
+    ServerLoad m_others;
     PrefixMemory m_prefixes;
     DecayingValue m_failures;
     unsigned m_failures_in_a_row {0};
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -90,7 +90,8 @@
     m_choice = choice;
     auto const rule = m_call.head.method == "HEAD" ? HTTP::BodyRule::None : HTTP::BodyRule::Normal;
     m_attempt = std::make_shared<BackendAttempt>(m_context.loop, choice.server, rule, *this);
-    choice.server->begin_attempt(m_attempt->load(), choice.unread_tokens);
+    m_attempt->load() = {1, choice.unread_tokens, choice.is_pause_sensitive ? 1U : 0U};
+    choice.server->begin_attempt(m_attempt->load());
     choice.server->prefixes().note_read(m_call.prompt);
     m_context.load.note_placement(*choice.server, shared_parts(m_call));
     m_attempt->begin(request_for(*choice.server, now), now);
@@ -106,7 +107,9 @@
                             .add("candidates", choice.candidates)
                             .add("predicted_wait_ms", choice.predicted_wait)
                             .add("unread_tokens", choice.unread_tokens)
-                            .add("open", choice.server->open_count())
+                            .add("open", choice.server->load().open)
+                            .add("pause_sensitive", choice.is_pause_sensitive)
+                            .add("sensitive_streams", choice.server->load().pause_sensitive)
                             .add("remaining_ms", Core::elapsed(now, m_call.deadline))
                             .add("table", m_call.table->version().value()),
         m_sends == 0 ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
@@ -207,6 +210,7 @@
             auto const pause = now - *m_last_event;
             m_longest_pause = std::max(m_longest_pause, std::chrono::duration_cast<Core::Milliseconds>(pause));
             m_context.metrics.note_pause(tier, std::chrono::duration_cast<Core::Microseconds>(pause));
+            m_context.fleet.note_pause(m_call.service, attempt.server(), pause);
         }
         m_last_event = now;
         if (attempt.load().unread_tokens > 0) {
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -304,7 +304,7 @@
     for (auto const& [instance, view] : m_fleet.all()) {
         servers.push_back({{"backend-server", instance}, {"service", view->record().service},
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
-            {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->open_count()},
+            {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
             {"failure-rate", view->failure_rate(now)}});
     }
     return nlohmann::json {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -69,12 +69,14 @@
     datagram.set_protocol_version(Protocol::s_protocol_version);
     datagram.set_sender(m_self);
     for (auto const& [instance, view] : m_fleet.all()) {
-        if (view->own_open_count() == 0)
+        auto const& own = view->own_load();
+        if (own.open == 0)
             continue;
         auto& load = *datagram.add_servers();
         load.set_server(view->id());
-        load.set_open(view->own_open_count());
-        load.set_unread_tokens(static_cast<std::uint32_t>(view->own_unread_tokens()));
+        load.set_open(own.open);
+        load.set_unread_tokens(static_cast<std::uint32_t>(own.unread_tokens));
+        load.set_pause_sensitive(own.pause_sensitive);
     }
     auto const count = std::min(m_placements.size(), s_most_placements);
     for (std::size_t index = 0; index < count; ++index)
@@ -127,8 +129,8 @@
 
 void LoadExchange::withdraw(PeerLoad& peer)
 {
-    for (auto const& load : peer.loads)
-        load.server->remove_others(load.open, load.unread_tokens);
+    for (auto const& reported : peer.loads)
+        reported.server->remove_others(reported.load);
     peer.loads.clear();
 }
 
@@ -139,12 +141,13 @@
     auto& peer = m_peers[datagram.sender()];
     withdraw(peer);
     peer.heard = Core::monotonic_now();
-    for (auto const& load : datagram.servers()) {
-        auto server = m_fleet.find(load.server());
+    for (auto const& message : datagram.servers()) {
+        auto server = m_fleet.find(message.server());
         if (!server)
             continue;
-        server->add_others(load.open(), load.unread_tokens());
-        peer.loads.push_back({std::move(server), load.open(), load.unread_tokens()});
+        ServerLoad const load {message.open(), message.unread_tokens(), message.pause_sensitive()};
+        server->add_others(load);
+        peer.loads.push_back({std::move(server), load});
     }
     for (auto const& placement : datagram.placements()) {
         auto const server = m_fleet.find(placement.server());
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -51,8 +51,7 @@
     /// What one gateway has said of one server.
     struct ReportedLoad {
         std::shared_ptr<BackendView> server;
-        unsigned open {0};
-        std::uint32_t unread_tokens {0};
+        ServerLoad load;
     };
 
     struct PeerLoad {
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -36,6 +36,8 @@
     "22|Libraries/LibGateway/CallerConnection.cpp|s/if (m_state == State::Answering \&\& m_on_gone)/if (m_state == State::Closing \&\& m_on_gone)/|AttemptRulesTest|*WhenTheCallerLeaves*"
     "23|Libraries/LibGateway/GatewayServer.cpp|s/if (auto const error = refuse_for_stop(call, now))/if (auto const error = refuse_for_stop(call, now); error \&\& !m_drain_begun)/|AttemptRulesTest|*ThePlannedStop*"
     '24|Libraries/LibPlatform/ObjectFollower.h|s/\*m_revision, wait);/*m_revision, wait * 8);/|GatewayProcessTest|*HangingWatch*'
+    '25|Libraries/LibGateway/BackendFleet.cpp|s/auto penalty = Estimate::Time(m_settings.cost_per_late_stream) . late_streams;/Estimate::Time penalty {0};/|PauseRulesTest|*KeepAway*'
+    '26|Libraries/LibEntry/PullSchedule.cpp|s/if (is_under_way)/if (false)/|PullScheduleTest|*OnePull*'
 )
 
 wanted=" $* "
