LibPlatform: Go on with a long list where the store refused a page; begin from a peer's list

The store gives 3,000 servers in 60 pages; 300 gateways read them at once, far more than the store's rate, and each one whose next page was refused (429) began again with the first, so that none came to the end.

Change: a begun list goes on behind its last name when a page is refused; the watch from the first page's revision brings what changed between. A process that knows no servers yet takes a peer's list, if one has come meanwhile, and goes on with a watch from its revision. After 429 the pause grows to 1.5 s, since refused calls may count as well.

--- a/Libraries/LibCore/Backoff.h
+++ b/Libraries/LibCore/Backoff.h
@@ -23,11 +23,14 @@
     void reset() { m_next = m_shortest; }
 
     /// Waits after a failure.
-    void wait_after_failure()
+    void wait_after_failure() { wait_after_failure(m_longest); }
+
+    /// The same with another longest wait.
+    void wait_after_failure(Core::Milliseconds longest)
     {
         std::uniform_int_distribution<std::int64_t> spread(m_next.count() / 2, m_next.count());
         wait(Core::Milliseconds(spread(m_generator)));
-        m_next = std::min(m_next * 2, m_longest);
+        m_next = std::min(m_next * 2, longest);
     }
 
     void wait(Core::Milliseconds duration)
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -37,6 +37,7 @@
     [[nodiscard]] std::optional<Core::MonotonicTime> settles_at() const;
 
     [[nodiscard]] Entry::ServerList list() const;
+    [[nodiscard]] bool is_empty() const { return m_entries.empty(); }
 
 private:
     struct KnownServer {
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -13,6 +13,7 @@
 constexpr int s_not_found = 404;
 constexpr int s_conflict = 409;
 constexpr int s_gone = 410;
+constexpr int s_too_many_requests = 429;
 
 Json parse(std::string const& path, std::string const& body)
 {
@@ -36,7 +37,10 @@
 
 [[noreturn]] void throw_unexpected(std::string const& path, int status)
 {
-    throw PlatformUnavailable(Core::concat(path, ": status ", status));
+    auto const reason = Core::concat(path, ": status ", status);
+    if (status == s_too_many_requests)
+        throw PlatformOverRate(reason);
+    throw PlatformUnavailable(reason);
 }
 
 }
@@ -91,8 +95,7 @@
     ObjectListing listing;
     std::string after;
     while (true) {
-        auto const path = list_path(kind, after);
-        auto page = decode(path, read_json(path, m_call_timeout), decode_list);
+        auto page = list_page(kind, after);
         // A change between two pages is in the watch that goes on from the first page's revision.
         if (after.empty())
             listing.revision = page.listing.revision;
@@ -104,6 +107,12 @@
     }
 }
 
+ListPage ObjectClient::list_page(std::string_view kind, std::string_view after)
+{
+    auto const path = list_path(kind, after);
+    return decode(path, read_json(path, m_call_timeout), decode_list);
+}
+
 WatchAnswer ObjectClient::watch(std::string_view kind, StoreRevision revision, Core::Milliseconds wait)
 {
     auto const path = watch_path(kind, revision, wait);
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -3,6 +3,7 @@
 #include <LibCore/Address.h>
 #include <LibCore/Time.h>
 #include <LibHTTP/HttpClient.h>
+#include <LibPlatform/ObjectCodec.h>
 #include <LibPlatform/Objects.h>
 
 #include <optional>
@@ -23,6 +24,10 @@
     /// All objects of the kind. Throws PlatformUnavailable.
     [[nodiscard]] ObjectListing list(std::string_view kind);
 
+    /// The objects of the kind behind the name `after`, from the first one where it is empty, as many as the store puts
+    /// into one answer. Throws PlatformUnavailable.
+    [[nodiscard]] ListPage list_page(std::string_view kind, std::string_view after);
+
     /// What has changed behind the revision: waits for it as long as `wait` at most, and then has no events. Throws
     /// PlatformUnavailable or HistoryGone.
     [[nodiscard]] WatchAnswer watch(std::string_view kind, StoreRevision, Core::Milliseconds wait);
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -6,11 +6,14 @@
 #include <LibObserve/Metrics.h>
 #include <LibPlatform/ObjectClient.h>
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace GraniteField::Platform {
 
@@ -26,6 +29,9 @@
     Core::Milliseconds pause_after_news {500};
     Core::Milliseconds shortest_pause {60};
     Core::Milliseconds longest_pause {500};
+    /// The longest pause while the store refuses calls for their number. Half of the time after which the platform
+    /// counts on a store that turned a process away, so that the next call still comes in time.
+    Core::Milliseconds longest_pause_over_rate {1'500};
     /// Called on the follower's thread when the store is lost (false) and when it answers again (true).
     std::function<void(bool is_reachable)> on_change {[](bool) { }};
 };
@@ -37,6 +43,9 @@
     sink.take_listing(listing);
     sink.take_events(answer);
     sink.note_unavailable();
+    {
+        sink.revision_from_peers()
+        } -> std::convertible_to<std::optional<StoreRevision>>;
     {
         sink.wanted_wait()
         } -> std::convertible_to<std::optional<Core::Milliseconds>>;
@@ -83,21 +92,19 @@
             } catch (HistoryGone const&) {
                 m_log.write(Observe::LogEvent("store-history-gone").add("kind", m_kind));
                 m_revision.reset();
+                m_begun_listing.reset();
+            } catch (PlatformOverRate const& error) {
+                handle_failure(error, m_settings.longest_pause_over_rate);
             } catch (PlatformUnavailable const& error) {
-                handle_failure(error);
+                handle_failure(error, m_settings.longest_pause);
             }
         }
     }
 
     void follow_once()
     {
-        if (!m_revision) {
-            m_lists.add();
-            auto const listing = m_client.list(m_kind);
-            m_revision = listing.revision;
-            m_sink.take_listing(listing);
-            return;
-        }
+        if (!m_revision)
+            return begin();
         m_watches.add();
         auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
         auto const answer = m_client.watch(m_kind, *m_revision, wait);
@@ -107,7 +114,36 @@
             m_backoff.wait(m_settings.pause_after_news);
     }
 
-    void handle_failure(PlatformUnavailable const& error)
+    [[nodiscard]] std::string last_listed_name() const
+    {
+        bool const has_names = m_begun_listing && !m_begun_listing->objects.empty();
+        return has_names ? m_begun_listing->objects.back().name : std::string();
+    }
+
+    /// Takes a peer's list where there is one, else the store's own, page by page.
+    void begin()
+    {
+        m_revision = m_sink.revision_from_peers();
+        if (m_revision) {
+            m_begun_listing.reset();
+            return;
+        }
+        m_lists.add();
+        auto page = m_client.list_page(m_kind, last_listed_name());
+        if (!m_begun_listing)
+            m_begun_listing = ObjectListing {page.listing.revision, {}};
+        auto& objects = m_begun_listing->objects;
+        std::ranges::move(page.listing.objects, std::back_inserter(objects));
+        if (page.has_more && !page.listing.objects.empty())
+            return;
+        // A change between two pages is in the watch that goes on from the first page's revision, or that is gone from
+        // the history, and all pages are read again.
+        auto const listing = *std::exchange(m_begun_listing, std::nullopt);
+        m_revision = listing.revision;
+        m_sink.take_listing(listing);
+    }
+
+    void handle_failure(PlatformUnavailable const& error, Core::Milliseconds longest_pause)
     {
         if (m_backoff.is_stopped())
             return;
@@ -120,7 +156,7 @@
         // A watch can't tell what was missed meanwhile; a list does.
         m_revision.reset();
         m_sink.note_unavailable();
-        m_backoff.wait_after_failure();
+        m_backoff.wait_after_failure(longest_pause);
     }
 
     void note_answer()
@@ -144,6 +180,9 @@
     ObjectClient m_client;
     Core::Backoff m_backoff;
     std::optional<StoreRevision> m_revision;
+    /// A list of which some pages have come. When the store refuses the next one it goes on from here: where many
+    /// processes begin at once, none would ever get all pages in one go.
+    std::optional<ObjectListing> m_begun_listing;
     std::optional<Core::MonotonicTime> m_lost_since;
     std::thread m_thread;
 };
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -67,6 +67,13 @@
     using std::runtime_error::runtime_error;
 };
 
+/// The store refused the call since too many come. Refused calls may count as well, so that whoever comes back too
+/// soon keeps the rate used up.
+class PlatformOverRate : public PlatformUnavailable {
+public:
+    using PlatformUnavailable::PlatformUnavailable;
+};
+
 /// A conditional write found another version than it expected.
 class VersionConflict : public std::runtime_error {
 public:
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -178,6 +178,35 @@
         [&] { return send_request(gateway.operators, "GET", "/status", "").json()["backend-servers"].size() == 5; }));
 }
 
+TEST_F(GatewayProcess, GoesOnWithALongListWhereTheStoreRefusedAPage)
+{
+    FakeBackend const backend("i-1", good());
+    put_configuration(1, "/a/");
+    constexpr unsigned count = 60;
+    for (unsigned number = 0; number < count; ++number) {
+        auto entry = backend.entry();
+        entry.instance = Core::concat("i-", number);
+        put_server(entry);
+    }
+    // Fewer calls in a second than the list has pages; refused ones count as well.
+    control({{"page-size", 1}, {"reads-per-second", count / 3}});
+    auto const knows_all = [](Gateway const& gateway) {
+        return send_request(gateway.operators, "GET", "/status", "").json()["backend-servers"].size() == count;
+    };
+    auto const first = start("g-1");
+    ASSERT_TRUE(wait_until([&] { return knows_all(first); }));
+    // The next one has the list from its peer, and reads no more pages than it needs to hear of that.
+    auto const second = start("g-2", Json::array({Core::concat("127.0.0.1:", first.peers)}));
+    ASSERT_TRUE(wait_until([&] { return knows_all(second); }));
+    EXPECT_LT(metric(second, R"(granitefield_store_calls_total{call="list",kind="servers"})"), count / 2);
+    // What changes afterwards reaches it from the store.
+    control({{"reads-per-second", 0}});
+    remove_server("i-7");
+    EXPECT_TRUE(wait_until([&] {
+        return send_request(second.operators, "GET", "/status", "").json()["backend-servers"].size() == count - 1;
+    }));
+}
+
 class StoreOutages : public GatewayProcess, public ::testing::WithParamInterface<char const*> { };
 
 TEST_P(StoreOutages, AreServedThroughFromWhatIsKnown)
