LibGateway: Tell the load to ten gateways at a time

Cause: each gateway told up to 64 others ten times a second what it has open, so bytes grew with the fleet; and of a fleet above 64 always the same ones, the first by name, were told, the others never.

Change: ten datagrams in an interval of 100 ms, the receivers in turn. Up to ten others hear as often as before. What is remembered of a silent gateway lasts three turns where those are longer than 1.5 s, and placements are told through a turn.

--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -13,6 +13,10 @@
 /// Placements that one datagram tells of, so that it stays in one packet or few.
 constexpr std::size_t s_most_placements = 40;
 constexpr std::size_t s_most_waiting_placements = 400;
+/// A datagram may be lost, so each placement is told at least this often.
+constexpr std::size_t s_least_tells = 2;
+/// Turns without a word after which a gateway is taken as gone.
+constexpr std::size_t s_turns_remembered = 3;
 
 }
 
@@ -39,7 +43,8 @@
 {
     if (!m_socket.is_open() || parts.empty())
         return;
-    PendingPlacement pending;
+    auto const turn = intervals_of_a_turn(m_membership.other_entries);
+    PendingPlacement pending {{}, std::max(s_least_tells, turn)};
     pending.placement.set_server(server.id());
     for (auto const& part : parts) {
         pending.placement.add_chains(part.chain);
@@ -81,29 +86,39 @@
     auto const count = std::min(m_placements.size(), s_most_placements);
     for (std::size_t index = 0; index < count; ++index)
         *datagram.add_placements() = m_placements[index].placement;
+    auto const addresses = m_membership.load_addresses();
     auto bytes = datagram.SerializeAsString();
-    bool const is_news = bytes != m_last_sent;
-    bool const is_due = datagram.servers_size() > 0 && Core::elapsed(m_last_time, now) >= s_quiet_interval;
-    if (!is_news && !is_due)
-        return;
+    bool const is_due = datagram.servers_size() > 0 && Core::elapsed(m_last_news, now) >= s_quiet_interval;
+    if (bytes != m_last_state || is_due) {
+        m_untold = addresses.size();
+        m_last_news = now;
+    }
+    send_to_next(bytes, addresses);
+    drop_told_placements(count);
+    m_last_state = std::move(bytes);
+}
+
+std::size_t LoadExchange::intervals_of_a_turn(std::size_t gateways)
+{
+    return (gateways + s_most_datagrams - 1) / s_most_datagrams;
+}
+
+void LoadExchange::drop_told_placements(std::size_t count)
+{
     for (std::size_t index = 0; index < count; ++index) {
         auto pending = std::move(m_placements.front());
         m_placements.pop_front();
         if (--pending.tells_left > 0)
             m_placements.push_back(std::move(pending));
     }
-    send_to_all(bytes);
-    m_last_sent = std::move(bytes);
-    m_last_time = now;
 }
 
-void LoadExchange::send_to_all(std::string const& bytes)
+void LoadExchange::send_to_next(std::string const& bytes, std::vector<std::string> const& addresses)
 {
-    auto addresses = m_membership.load_addresses();
-    if (addresses.size() > s_most_receivers)
-        addresses.resize(s_most_receivers);
-    for (auto const& text : addresses) {
-        auto const address = Core::Address::from_string(text);
+    m_untold = std::min(m_untold, addresses.size());
+    for (std::size_t sent = 0; sent < s_most_datagrams && m_untold > 0; ++sent) {
+        --m_untold;
+        auto const address = Core::Address::from_string(addresses[m_next_receiver++ % addresses.size()]);
         if (!address)
             continue;
         boost::system::error_code ignored;
@@ -162,8 +177,10 @@
 
 void LoadExchange::forget_silent(Core::MonotonicTime now)
 {
+    auto const turn = s_interval * intervals_of_a_turn(m_membership.other_entries);
+    auto const memory = std::max(s_memory, Core::Milliseconds(turn * s_turns_remembered));
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        if (Core::elapsed(peer->second.heard, now) <= s_memory) {
+        if (Core::elapsed(peer->second.heard, now) <= memory) {
             ++peer;
             continue;
         }
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -30,13 +30,15 @@
 /// so that a lost one is made good by the next; nothing that must be right rests on them. On the gateway's thread.
 class LoadExchange {
 public:
-    /// How often the state is sent while it changes, and while it does not but something is open.
+    /// How often the state is looked at, and sent while it changes.
     static constexpr Core::Milliseconds s_interval {100};
+    /// How often it is sent while it does not change but something is open.
     static constexpr Core::Milliseconds s_quiet_interval {500};
-    /// What a gateway said is forgotten when it has been silent for this long.
+    /// Datagrams in one interval. Where there are more gateways they are told in turn, each the less often the more
+    /// there are: what a gateway sends and reads does not grow with the fleet.
+    static constexpr std::size_t s_most_datagrams = 10;
+    /// What a gateway said is forgotten when it has been silent for this long, and for three turns.
     static constexpr Core::Milliseconds s_memory {1'500};
-    /// Gateways that are told; a larger fleet tells a part of itself.
-    static constexpr std::size_t s_most_receivers = 64;
 
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&,
         Entry::SharedMembership const&, Observe::MetricRegistry&);
@@ -62,12 +64,16 @@
     /// A placement that is told so many times more.
     struct PendingPlacement {
         granitefield::protocol::Placement placement;
-        int tells_left {2};
+        std::size_t tells_left;
     };
 
+    /// Intervals in which each gateway is told once.
+    [[nodiscard]] static std::size_t intervals_of_a_turn(std::size_t gateways);
+
     void schedule();
     void send_if_due(Core::MonotonicTime now);
-    void send_to_all(std::string const& bytes);
+    void drop_told_placements(std::size_t count);
+    void send_to_next(std::string const& bytes, std::vector<std::string> const& addresses);
     void receive();
     void take(Datagram const&);
     static void withdraw(PeerLoad&);
@@ -83,8 +89,11 @@
     boost::asio::steady_timer m_timer;
     std::map<std::uint64_t, PeerLoad> m_peers;
     std::deque<PendingPlacement> m_placements;
-    std::string m_last_sent;
-    Core::MonotonicTime m_last_time;
+    std::string m_last_state;
+    Core::MonotonicTime m_last_news;
+    /// Gateways that have not been told the newest state yet, and whose turn it is.
+    std::size_t m_untold {0};
+    std::size_t m_next_receiver {0};
 };
 
 }
