--- a/Tests/LibGateway/PauseRulesTest.cpp
+++ b/Tests/LibGateway/PauseRulesTest.cpp
@@ -1,5 +1,6 @@
 // How long prompts and streams with short pause targets are kept apart.
 #include <LibCore/Hashing.h>
+#include <LibCore/Text.h>
 #include <LibGateway/BackendFleet.h>
 
 #include <fcntl.h>
@@ -15,6 +16,8 @@
 
 Core::MonotonicTime const s_now {1h};
 constexpr std::uint32_t s_long_prompt = 17'000;
+/// Reading this again costs more than another open request, and less than a late stream.
+constexpr std::uint32_t s_shared_part = 300;
 
 class PauseRules : public ::testing::Test {
 protected:
@@ -48,13 +51,14 @@
 
     ~PauseRules() override { ::close(m_log_descriptor); }
 
+    /// A call with a part that other prompts share, which makes one engine its home, and a part of its own.
     [[nodiscard]] GatewayCall call(std::string const& kind, std::uint32_t tokens, std::string const& part) const
     {
         HTTP::RequestHead head;
         head.method = "POST";
         head.target = "/" + kind + "/x";
         head.fields.add("Host", "host.test");
-        head.fields.add("Granitefield-Prompt-Parts", part + ":" + std::to_string(tokens));
+        head.fields.add("Granitefield-Prompt-Parts", Core::concat(part, ":", s_shared_part, ",own:", tokens));
         return std::get<GatewayCall>(read_call(std::move(head), "", m_table, Dialect(), s_now));
     }
 
@@ -103,23 +107,28 @@
 {
     learn(310ms);
     auto const long_call = call("bulk", s_long_prompt, "p");
-    auto const usual = choose(long_call).server;
-    usual->begin_attempt({1, 0, 1});
-    EXPECT_NE(choose(long_call).server, usual);
-    // A short one is read within a few steps and may go there.
-    usual->prefixes().note_read(call("bulk", 200, "q").prompt);
-    EXPECT_EQ(choose(call("bulk", 200, "q")).server, usual);
+    auto const home = choose(long_call).server;
+    // Any other stream leaves it at the engine that keeps its shared part.
+    home->begin_attempt({1, 0, 0});
+    EXPECT_EQ(choose(long_call).server, home);
+    home->begin_attempt({1, 0, 1});
+    EXPECT_NE(choose(long_call).server, home);
+    // A short one is read within a step and may stay.
+    EXPECT_EQ(choose(call("bulk", 100, "p")).server, home);
 }
 
-TEST_F(PauseRules, SensitiveStreamsKeepAwayFromLongReadingsAndShareEngines)
+TEST_F(PauseRules, SensitiveStreamsShareEnginesAndKeepAwayFromLongReadings)
 {
     learn(310ms);
-    auto const chat = call("chat", 1'000, "p");
-    auto const first = choose(chat).server;
+    auto const first = choose(call("chat", 1'000, "p")).server;
     first->begin_attempt({1, 0, 1});
-    EXPECT_EQ(choose(call("chat", 1'000, "q")).server, first);
-    first->begin_attempt({1, s_long_prompt, 0});
-    EXPECT_NE(choose(chat).server, first);
+    for (auto const* part : {"q", "r", "s", "t"})
+        EXPECT_EQ(choose(call("chat", 1'000, part)).server, first) << part;
+    // A reading that is waited for less time than the first stream of another engine weighs, but makes streams late.
+    auto const home = choose(call("chat", 1'000, "p")).server;
+    EXPECT_EQ(home, first);
+    first->begin_attempt({1, PauseModel::s_long_reading_tokens, 0});
+    EXPECT_NE(choose(call("chat", 1'000, "p")).server, first);
 }
 
 RC_GTEST_PROP(PauseModel, SettlesWhereMostPausesLieBelow, ())
