--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -1,18 +1,17 @@
 #pragma once
 
 #include "FakeBackend.h"
+#include "NullDescriptor.h"
 
 #include <LibCore/Hashing.h>
 #include <LibGateway/GatewayServer.h>
 #include <LibObserve/EventLog.h>
 
-#include <fcntl.h>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 namespace GraniteField::Testing {
 
@@ -36,8 +35,6 @@
         set(Table::SheetName::Workspaces, "ws", {{"key-hash", Core::sha256_hex(s_key)}, {"tier", "1"}});
     }
 
-    ~GatewayFixture() override { ::close(m_log_descriptor); }
-
     using Cells = std::vector<std::pair<std::string, std::string>>;
 
     void set(Table::SheetName sheet, std::string const& row, Cells const& cells)
@@ -104,12 +101,12 @@
         return m_metrics.counter(name, labels).value();
     }
 
-    int m_log_descriptor {::open("/dev/null", O_WRONLY | O_CLOEXEC)};
+    NullDescriptor m_log_descriptor;
     Gateway::GatewayServer::Settings m_settings;
     Table::Change m_change;
     Entry::ServerList m_servers_list;
     Observe::MetricRegistry m_metrics;
-    Observe::EventLog m_log {m_log_descriptor, "gateway-1", Core::Incarnation(1), m_metrics};
+    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
     Entry::SharedTable m_table;
     Entry::SharedServers m_servers;
     Entry::SharedMembership m_membership;
--- /dev/null
+++ b/Tests/LibGateway/NullDescriptor.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace GraniteField::Testing {
+
+/// A descriptor that takes what is written to it and keeps nothing, for logs. Stands before the log in a fixture, so
+/// that the log's thread has ended when it is closed.
+class NullDescriptor {
+public:
+    NullDescriptor() = default;
+    ~NullDescriptor() { ::close(m_descriptor); }
+    NullDescriptor(NullDescriptor const&) = delete;
+    NullDescriptor& operator=(NullDescriptor const&) = delete;
+
+    [[nodiscard]] int number() const { return m_descriptor; }
+
+private:
+    int m_descriptor {::open("/dev/null", O_WRONLY | O_CLOEXEC)};
+};
+
+}
--- a/Tests/LibGateway/PauseRulesTest.cpp
+++ b/Tests/LibGateway/PauseRulesTest.cpp
@@ -1,12 +1,12 @@
 // How long prompts and streams with short pause targets are kept apart.
+#include "NullDescriptor.h"
+
 #include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
 #include <LibGateway/BackendFleet.h>
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
-#include <unistd.h>
 
 namespace GraniteField::Gateway {
 
@@ -49,8 +49,6 @@
         m_fleet.follow(*m_table);
     }
 
-    ~PauseRules() override { ::close(m_log_descriptor); }
-
     /// A call with a part that other prompts share, which makes one engine its home, and a part of its own.
     [[nodiscard]] GatewayCall call(std::string const& kind, std::uint32_t tokens, std::string const& part) const
     {
@@ -75,9 +73,9 @@
 
     [[nodiscard]] Choice choose(GatewayCall const& call) { return m_fleet.choose(call, {}, s_now); }
 
-    int m_log_descriptor {::open("/dev/null", O_WRONLY | O_CLOEXEC)};
+    Testing::NullDescriptor m_log_descriptor;
     Observe::MetricRegistry m_metrics;
-    Observe::EventLog m_log {m_log_descriptor, "gateway-1", Core::Incarnation(1), m_metrics};
+    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
     BackendFleet::Settings m_settings;
     BackendFleet m_fleet {m_settings, m_log};
     std::shared_ptr<Table::Table const> m_table;
