LibPlatform: Take a peer's list for no answer of the store

Adopting a list ended a turn of the follower like an answer does. Also, a watch-wait below 500 ms beside a contact-time gave std::clamp bounds in the wrong order. Change: adopting goes on to the watch in the same turn; the bounds are taken one after the other.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -104,7 +104,10 @@
     void follow_once()
     {
         if (!m_revision)
-            return begin();
+            m_revision = m_sink.revision_from_peers();
+        if (!m_revision)
+            return list_next_page();
+        m_begun_listing.reset();
         m_watches.add();
         auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
         auto const answer = m_client.watch(m_kind, *m_revision, wait);
@@ -120,14 +123,8 @@
         return has_names ? m_begun_listing->objects.back().name : std::string();
     }
 
-    /// Takes a peer's list where there is one, else the store's own, page by page.
-    void begin()
+    void list_next_page()
     {
-        m_revision = m_sink.revision_from_peers();
-        if (m_revision) {
-            m_begun_listing.reset();
-            return;
-        }
         m_lists.add();
         auto page = m_client.list_page(m_kind, last_listed_name());
         if (!m_begun_listing)
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -38,7 +38,7 @@
     if (!platform.contact_time)
         return platform.watch_wait;
     auto const longest = *platform.contact_time - platform.call_timeout - s_time_to_list;
-    return std::clamp(longest, s_shortest_watch_wait, platform.watch_wait);
+    return std::min(platform.watch_wait, std::max(longest, s_shortest_watch_wait));
 }
 
 Platform::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -261,6 +261,12 @@
             return ask(lonely, "/b/") == 200 && second.count() == before + 1;
         },
         s_in_force_limit));
+    // What a peer told is no word of the store's own, however often the store is tried afterwards.
+    auto const failures = [&lonely] { return metric(lonely, R"(granitefield_store_failures_total{kind="servers"})"); };
+    auto const before = failures();
+    ASSERT_TRUE(wait_until([&] { return failures() > before + 3; }));
+    EXPECT_TRUE(lonely.process->has_printed(R"("event":"store-lost")"));
+    EXPECT_FALSE(lonely.process->has_printed(R"("event":"store-regained")"));
 }
 
 TEST_F(GatewayProcess, ShowsWhatItKnowsToOperators)
