LibGateway: Count a placement as told only where it was sent

Since the load is told to ten gateways at a time, an interval without anything new sent nothing but still took one tell from each placement that waits to be told twice. A datagram that was lost was so not made good, against what its comment says; before that change the exchange returned first. Ruled out: larger fleets, where the turn goes on until everybody was told. Change: an interval in which nobody is to be told ends there.

Before and after: the new LoadExchangeTest failed before (the placement came once, not twice) and passes.

--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -93,6 +93,8 @@
         m_untold = addresses.size();
         m_last_news = now;
     }
+    if (m_untold == 0)
+        return;
     send_to_next(bytes, addresses);
     drop_told_placements(count);
     m_last_state = std::move(bytes);
