granitefield: Say from the logs where requests were not answered in time

Cause: what binds on a deployment could not be told from the gateways' own logs: `logs` shows one request only, and the line that ends a request lacked the targets it was held to.

Change: `granitefield losses FILE...` joins the logs of all gateways request by request and counts by class, backend server and second why requests were late or lost, with the wait that had been predicted for them. `request-end` tells the targets of the first piece and of pauses.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -381,8 +381,10 @@
             .add("sends", m_sends)
             .add("server", m_choice.server ? m_choice.server->record().instance : std::string())
             .add("first_ms", m_first_event ? Core::elapsed(m_call.received, *m_first_event) : Core::Milliseconds(-1))
+            .add("target_ms", m_call.request_class->first_token_target)
             .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
             .add("longest_pause_ms", m_longest_pause)
+            .add("pause_target_ms", m_call.request_class->token_gap_target)
             .add("table", m_call.table->version().value()),
         is_ordinary ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
 }
--- a/Utilities/granitefield/main.cpp
+++ b/Utilities/granitefield/main.cpp
@@ -1,6 +1,7 @@
 // granitefield: the operator's command-line tool.
 #include "FleetCommands.h"
 #include "LogCommands.h"
+#include "LossCommands.h"
 #include "Options.h"
 #include "TableCommands.h"
 
@@ -29,7 +30,7 @@
       "Commands: table show [SHEET] | table get SHEET ROW COLUMN | table set SHEET ROW COLUMN=VALUE... | "
       "table unset SHEET ROW COLUMN... | table remove SHEET ROW | table export SHEET | "
       "table import SHEET [--file FILE] | table check SHEET [--file FILE] | table history | "
-      "status | explain REQUEST | logs REQUEST [FILE...] | drain BACKEND-SERVER... | undrain BACKEND-SERVER... | "
+      "status | explain REQUEST | logs REQUEST [FILE...] | losses [FILE...] | drain BACKEND-SERVER... | undrain BACKEND-SERVER... | "
       "hash-key (reads a key from standard input). "
       "Sheets: classes, workspaces, services, backend-servers, routes, limits. "
       "With --daemon in place of --platform, table show gives the table in force at a gateway. "
@@ -92,6 +93,8 @@
         return CommandLine::run_status_command(options);
     if (command == "logs")
         return CommandLine::run_logs_command(options);
+    if (command == "losses")
+        return CommandLine::run_losses_command(options);
     if (command == "explain")
         return CommandLine::run_explain_command(options);
     if (command == "drain")
