LibGateway: Begin with a belief about pauses

Cause: a gateway that has just begun took every stream for insensitive until twenty pauses beside long readings had been seen.

Change: an engine model begins with a reading rate and a longest pause (setting first-longest-pause, 250 ms, between the 190 and 310 ms that three kinds of engines showed) and moves from them quickly at first.

--- a/Libraries/LibGateway/EngineModel.cpp
+++ b/Libraries/LibGateway/EngineModel.cpp
@@ -15,6 +15,8 @@
 constexpr double s_quantile = 0.75;
 /// How far the estimate moves with one pause, as a part of itself.
 constexpr double s_step = 0.05;
+/// The same while little is known.
+constexpr double s_first_step = 0.2;
 /// The estimate stays above this, since it moves by parts of itself.
 constexpr EngineModel::Time s_least_pause {1};
 /// Pauses spread little around what the reading beside them makes them: one a sixth below the target exceeds it in
@@ -41,29 +43,23 @@
 {
     if (unread_tokens < s_first_long_reading)
         return;
-    if (m_count == 0)
-        m_longest_pause = std::max(pause, s_least_pause);
-    if (m_count < s_enough_pauses)
-        ++m_count;
+    auto const step = m_count < s_enough_pauses ? s_first_step : s_step;
+    m_count = std::min(m_count + 1, s_enough_pauses);
     // Steps whose sizes stand in the ratio of the quantile's two sides settle where they cancel out.
     if (pause > m_longest_pause)
-        m_longest_pause += m_longest_pause * s_step * s_quantile;
+        m_longest_pause += m_longest_pause * step * s_quantile;
     else
-        m_longest_pause = std::max(m_longest_pause - m_longest_pause * s_step * (1 - s_quantile), s_least_pause);
+        m_longest_pause = std::max(m_longest_pause - m_longest_pause * step * (1 - s_quantile), s_least_pause);
 }
 
 std::uint64_t EngineModel::long_reading() const
 {
-    if (m_count < s_enough_pauses)
-        return s_first_long_reading;
     auto const tokens = static_cast<std::uint64_t>(m_longest_pause.count() * m_prefill_rate);
     return std::clamp(tokens, s_least_long_reading, s_first_long_reading);
 }
 
 double EngineModel::late_probability(Time target, std::uint64_t unread_tokens) const
 {
-    if (m_count < s_enough_pauses)
-        return 0;
     auto const part = static_cast<double>(unread_tokens) / static_cast<double>(long_reading());
     return Policy::probability_of_exceeding(m_longest_pause * std::min(1.0, part), target, s_pause_steepness);
 }
--- a/Libraries/LibGateway/EngineModel.h
+++ b/Libraries/LibGateway/EngineModel.h
@@ -16,11 +16,21 @@
 
     /// Where a reading is taken to last through a whole event, before the streams have told better; in tokens.
     static constexpr std::uint64_t s_first_long_reading = 8'000;
-    /// Pauses that are seen before anything is concluded.
+    /// Pauses that are seen before the estimate moves in its usual small steps.
     static constexpr unsigned s_enough_pauses = 20;
 
-    explicit EngineModel(double first_prefill_rate)
-        : m_prefill_rate(first_prefill_rate)
+    /// What is taken to hold until answers tell better.
+    struct Prior {
+        /// Prompt tokens that an engine reads in a millisecond.
+        double prefill_rate {30};
+        /// The pause of streams beside a long reading. A gateway that has just begun knows nothing, and of a hundred
+        /// streams twenty were late in the first seconds after all gateways had been killed.
+        Core::Milliseconds longest_pause {250};
+    };
+
+    explicit EngineModel(Prior const& prior)
+        : m_prefill_rate(prior.prefill_rate)
+        , m_longest_pause(prior.longest_pause)
     {
     }
 
@@ -46,7 +56,7 @@
 private:
     unsigned m_count {0};
     double m_prefill_rate;
-    Time m_longest_pause {0};
+    Time m_longest_pause;
 };
 
 }
--- a/Libraries/LibGateway/PlacementPolicy.cpp
+++ b/Libraries/LibGateway/PlacementPolicy.cpp
@@ -80,13 +80,13 @@
 
 EngineModel& PlacementPolicy::engine_model(std::string const& service)
 {
-    return m_models.try_emplace(service, m_settings.first_prefill_rate).first->second;
+    return m_models.try_emplace(service, m_settings.engine_prior).first->second;
 }
 
-EngineModel const* PlacementPolicy::find_model(std::string const& service) const
+EngineModel const& PlacementPolicy::model_of(std::string const& service) const
 {
     auto const found = m_models.find(service);
-    return found == m_models.end() ? nullptr : &found->second;
+    return found == m_models.end() ? m_unknown : found->second;
 }
 
 PlacementPolicy::Task PlacementPolicy::task_of(GatewayCall const& call, Core::MonotonicTime now) const
@@ -99,9 +99,9 @@
         ? std::min(target * s_patience_in_targets, Core::elapsed(call.received, call.deadline))
         : Core::elapsed(call.received, call.deadline);
     task.lateness = {now - call.received, target, patience};
-    task.model = find_model(call.service);
+    task.model = &model_of(call.service);
     task.pause_target = call.request_class->token_gap_target;
-    task.is_pause_sensitive = call.is_stream() && task.model != nullptr && task.model->is_sensitive(task.pause_target);
+    task.is_pause_sensitive = call.is_stream() && task.model->is_sensitive(task.pause_target);
     auto const tightest = m_tightest_pause_targets.find(call.service);
     task.tightest_pause_target = tightest == m_tightest_pause_targets.end() ? task.pause_target : tightest->second;
     return task;
@@ -119,8 +119,7 @@
 PlacementPolicy::Estimate PlacementPolicy::estimate_engine(
     BackendView const& server, double kept, Keeper const* keeper, Task const& task) const
 {
-    EngineModel const unknown(m_settings.first_prefill_rate);
-    auto const& model = task.model == nullptr ? unknown : *task.model;
+    auto const& model = *task.model;
     auto const load = server.load();
     auto const moved = keeper == nullptr || keeper->tokens - kept < s_least_moved_tokens ? 0 : keeper->tokens - kept;
     Estimate estimate;
@@ -153,7 +152,7 @@
 double PlacementPolicy::harmed_streams(BackendView const& server, std::uint32_t unread_tokens, Task const& task)
 {
     auto const load = server.load();
-    if (task.model == nullptr || load.pause_sensitive == 0)
+    if (load.pause_sensitive == 0)
         return 0;
     // A reading meets new streams all the while it lasts, so that each of a row of readings counts as if it were the
     // first. Counted by what they add, the later ones cost nothing: engines with streams then drew all readings as soon
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -54,8 +54,8 @@
     struct Settings {
         /// Where this gateway stands; servers there are preferred among equals.
         std::string failure_domain;
-        /// Prompt tokens that an engine reads in a millisecond, until its answers tell better.
-        double first_prefill_rate {30};
+        /// How engines are taken to behave until their answers tell better.
+        EngineModel::Prior engine_prior;
         /// What each request that runs at an engine adds to the next one's first token.
         Core::Milliseconds cost_per_running {4};
         /// Loss to others of keeping an engine reading for as long as the request's target for its first piece. It
@@ -69,10 +69,15 @@
 
     explicit PlacementPolicy(Settings settings)
         : m_settings(std::move(settings))
+        , m_unknown(m_settings.engine_prior)
     {
     }
 
-    void set_settings(Settings settings) { m_settings = std::move(settings); }
+    void set_settings(Settings settings)
+    {
+        m_settings = std::move(settings);
+        m_unknown = EngineModel(m_settings.engine_prior);
+    }
 
     /// Pause targets by service.
     void follow(Table::Table const&);
@@ -114,7 +119,7 @@
     };
 
     [[nodiscard]] Task task_of(GatewayCall const&, Core::MonotonicTime now) const;
-    [[nodiscard]] EngineModel const* find_model(std::string const& service) const;
+    [[nodiscard]] EngineModel const& model_of(std::string const& service) const;
     [[nodiscard]] static Estimate estimate_plain(BackendView const&, Task const&);
     [[nodiscard]] Estimate estimate_engine(BackendView const&, double kept, Keeper const*, Task const&) const;
     /// Probability that the request's own stream is late by a pause there.
@@ -123,6 +128,8 @@
     [[nodiscard]] static double harmed_streams(BackendView const&, std::uint32_t unread_tokens, Task const&);
 
     Settings m_settings;
+    /// Of services whose engines have not answered yet.
+    EngineModel m_unknown;
     std::map<std::string, EngineModel> m_models;
     std::map<std::string, Time> m_tightest_pause_targets;
 };
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -110,7 +110,8 @@
     reader.read("cost-per-running", server.fleet.cost_per_running, 0ms, 10s);
     reader.read("domain-change-weight", server.fleet.domain_change_weight, 0, 1'000);
     reader.read("reading-weight", server.fleet.reading_weight, 0, 1'000);
-    reader.read("first-prefill-rate", server.fleet.first_prefill_rate, 0.1, 100'000);
+    reader.read("first-prefill-rate", server.fleet.engine_prior.prefill_rate, 0.1, 100'000);
+    reader.read("first-longest-pause", server.fleet.engine_prior.longest_pause, 1ms, 60s);
     reader.finish();
 }
 
