--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -36,10 +36,14 @@
     "22|Libraries/LibGateway/CallerConnection.cpp|s/if (m_state == State::Answering \&\& m_on_gone)/if (m_state == State::Closing \&\& m_on_gone)/|AttemptRulesTest|*WhenTheCallerLeaves*"
     "23|Libraries/LibGateway/GatewayServer.cpp|s/if (auto const error = refuse_for_stop(call, now))/if (auto const error = refuse_for_stop(call, now); error \&\& !m_drain_begun)/|AttemptRulesTest|*ThePlannedStop*"
     '24|Libraries/LibPlatform/ObjectFollower.h|s/\*m_revision, wait);/*m_revision, wait * 8);/|GatewayProcessTest|*HangingWatch*'
-    '25|Libraries/LibGateway/BackendFleet.cpp|s/(m_settings.cost_per_late_stream) . late_streams;/(m_settings.cost_per_late_stream) * late_streams * 0;/|PauseRulesTest|*KeepAway*'
+    '25|Libraries/LibGateway/PlacementPolicy.cpp|s/harmed_streams(server, estimate.unread_tokens, task) . s_late/0 * harmed_streams(server, estimate.unread_tokens, task) * s_late/|PauseRulesTest|*LongPromptsKeepAway*'
     '26|Libraries/LibEntry/PullSchedule.cpp|s/if (is_under_way)/if (is_under_way \&\& false)/|PullScheduleTest|*OnePull*'
     '27|Libraries/LibPlatform/ObjectClient.cpp|s/list_path(kind, has_names ?/list_path(kind, has_names \&\& false ?/|GatewayProcessTest|*LongList*'
     '28|Libraries/LibGateway/LoadExchange.cpp|s/if (m_untold == 0)/if (m_untold == 0 \&\& false)/|LoadExchangeTest|*ToldTwice*'
+    '29|Libraries/LibGateway/PlacementPolicy.cpp|s/ + slot_loss(load, server.record().slots);/ + 0 * slot_loss(load, server.record().slots);/|PauseRulesTest|*EnginesSlots*'
+    '30|Libraries/LibGateway/GatewayRun.cpp|s/ || std::ranges::any_of(dialect.engine_orders, is_named)//|RequestRulesTest|*OrdersToEngines*'
+    '31|Libraries/LibGateway/GatewayRun.cpp|s/m_choice.forgo_fetch();/static_cast<void>(0);/|AttemptRulesTest|*AFetchThatFails*'
+    '32|Libraries/LibGateway/PlacementPolicy.cpp|s/? s_hopeless_wait : 0;/? 0 * s_hopeless_wait : 0;/|PauseRulesTest|*DoNotAllWait*'
 )
 
 wanted=" $* "
