--- a/Utilities/granitefield/LossCommands.cpp
+++ b/Utilities/granitefield/LossCommands.cpp
@@ -69,8 +69,8 @@
     TextTable table({"predicted wait, ms", "requests", "quarter", "half", "three quarters", "most"});
     for (auto& [key, waits] : predicted) {
         std::ranges::sort(waits);
-        auto const at = [&waits](std::size_t quarter) {
-            return std::to_string(waits[std::min(waits.size() - 1, waits.size() * quarter / 4)]);
+        auto const at = [&sorted = waits](std::size_t quarter) {
+            return std::to_string(sorted[std::min(sorted.size() - 1, sorted.size() * quarter / 4)]);
         };
         table.add({key, std::to_string(waits.size()), at(1), at(2), at(3), at(4)});
     }
