LibPolicy: Spend what a window earned at once

The fleet's allowance stood at 0.2 x 4,300 + 246 in ten seconds; but an entry could save up no more than one repeated send, however many requests it had earned by.

Ruled out: pooling the allowance through relays: eight broken answers a gateway, of which its own last window pays six.

Change: FleetRetryBudget counts the entry's first sends of the last window and what they have paid for, in parts that make both sides safe, and lets all of it be spent at once; the slack stays a bucket.

The property that the fleet keeps inside its allowance in every window now takes the most of three windows, as the rule has it, in place of two windows together: stricter.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -39,7 +39,7 @@
 
 void GatewayRun::begin(Core::MonotonicTime now)
 {
-    m_context.budget_of(m_call.service).note_first_send();
+    m_context.budget_of(m_call.service).note_first_send(now);
     dispatch(now);
 }
 
--- a/Tests/LibGateway/GatewayPropertiesTest.cpp
+++ b/Tests/LibGateway/GatewayPropertiesTest.cpp
@@ -128,7 +128,7 @@
     for (int step = 0; step < 3'000; ++step) {
         now += Core::Milliseconds(*rc::gen::inRange(0, 30));
         auto& budget = budgets[*rc::gen::inRange<std::size_t>(0, entries)];
-        budget.note_first_send();
+        budget.note_first_send(now);
         requests.push_back(now);
         for (int wanted = 0; wanted < 3; ++wanted) {
             if (budget.try_spend(now))
@@ -137,14 +137,40 @@
         auto const begin = now - allowance.window;
         while (!retries.empty() && retries.front() < begin)
             retries.pop_front();
-        // Requests of the window or of the one before it count, whichever are more.
         while (!requests.empty() && requests.front() < begin - allowance.window)
             requests.pop_front();
-        auto const bound = allowance.ratio * static_cast<double>(requests.size()) + allowance.slack;
+        // Requests of the window, of the one before it or of the one half a window before count, whichever are most.
+        auto const requests_until = [&](Core::MonotonicTime end) {
+            return std::ranges::count_if(
+                requests, [&](auto const& time) { return time > end - allowance.window && time <= end; });
+        };
+        auto const counted
+            = std::max({requests_until(now), requests_until(now - allowance.window / 2), requests_until(begin)});
+        auto const bound = allowance.ratio * static_cast<double>(counted) + allowance.slack;
         RC_ASSERT(static_cast<double>(retries.size()) <= bound);
     }
 }
 
+TEST(FleetRetryBudget, WhatAWindowEarnedMayBeSpentWhenManyRequestsNeedItAtOnce)
+{
+    using namespace std::chrono_literals;
+    constexpr std::size_t entries = 103;
+    Policy::FleetRetryBudget budget({0.2, 246, 10s});
+    budget.set_entry_count(entries);
+    // An entry's part of 430 requests a second, and then a crash that breaks off eight of them.
+    Core::MonotonicTime now {std::chrono::hours(1)};
+    for (int request = 0; request < 84; ++request) {
+        budget.note_first_send(now);
+        now += 240ms;
+    }
+    unsigned allowed = 0;
+    for (int broken = 0; broken < 8; ++broken)
+        allowed += budget.try_spend(now) ? 1 : 0;
+    EXPECT_GE(allowed, 6U);
+    // What was spent is earned again by later requests only.
+    EXPECT_LE(budget.balance(), 1);
+}
+
 RC_GTEST_PROP(PrefixMemory, NeverRemembersMoreThanItsCapacity, ())
 {
     PrefixMemory memory;
