LibGateway: Keep what comes before the first table

Ruled out: listening later: the balancer hands connections to gateways that are not ready when none of a zone is.

Change: such requests wait (EarlyRequests): up to 500 ms, a quarter of what the caller waits in all, 500 of them; then they are refused as before, with Retry-After. Those whose callers have left are dropped.

--- a/Libraries/LibGateway/GatewayCall.cpp
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -88,13 +88,10 @@
 void bind_time(GatewayCall& call, Dialect const& dialect)
 {
     call.deadline = call.received + call.route->time_limit;
-    // A fraction of a millisecond says nothing here.
-    auto const text = call.head.fields.value_or(dialect.remaining_time, "");
-    auto const remaining = read_number(text.substr(0, text.find('.')));
-    if (!remaining)
+    auto const patience = read_patience(call.head, dialect);
+    if (!patience)
         return;
-    constexpr std::uint64_t longest_ms = 86'400'000;
-    call.caller_deadline = call.received + Core::Milliseconds(std::min(*remaining, longest_ms));
+    call.caller_deadline = call.received + *patience;
     call.deadline = std::min(call.deadline, *call.caller_deadline);
 }
 
@@ -128,6 +125,17 @@
     return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
+std::optional<Core::Milliseconds> read_patience(HTTP::RequestHead const& head, Dialect const& dialect)
+{
+    // A fraction of a millisecond says nothing here.
+    auto const text = head.fields.value_or(dialect.remaining_time, "");
+    auto const remaining = read_number(text.substr(0, text.find('.')));
+    if (!remaining)
+        return std::nullopt;
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    return Core::Milliseconds(std::min(*remaining, longest_ms));
+}
+
 std::variant<GatewayCall, ErrorAnswer> read_call(HTTP::RequestHead head, std::string body,
     std::shared_ptr<Table::Table const> table, Dialect const& dialect, Core::MonotonicTime received)
 {
--- a/Libraries/LibGateway/GatewayCall.h
+++ b/Libraries/LibGateway/GatewayCall.h
@@ -64,6 +64,9 @@
 /// The parts of the prompt that other requests share: all but the last, which belongs to the request or its session.
 [[nodiscard]] std::span<PromptPart const> shared_parts(GatewayCall const&);
 
+/// How long the caller waits in all, as it says; nothing where it does not say.
+[[nodiscard]] std::optional<Core::Milliseconds> read_patience(HTTP::RequestHead const&, Dialect const&);
+
 /// Binds a request to the table, or gives the answer that refuses it. `table` is null before the first one.
 [[nodiscard]] std::variant<GatewayCall, Entry::ErrorAnswer> read_call(HTTP::RequestHead, std::string body,
     std::shared_ptr<Table::Table const> table, Dialect const&, Core::MonotonicTime received);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -145,6 +145,8 @@
     std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body, Core::MonotonicTime received)
 {
     follow();
+    if (keep_for_table(caller, head, body, received))
+        return;
     std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
     auto read = read_call(std::move(head), std::move(body), m_table, m_settings.dialect, received);
     if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read))
@@ -157,6 +159,33 @@
     begun.begin(now);
 }
 
+bool GatewayServer::keep_for_table(std::shared_ptr<CallerConnection> const& caller, HTTP::RequestHead& head,
+    std::string& body, Core::MonotonicTime received)
+{
+    auto const now = Core::monotonic_now();
+    if (m_table || m_drain_begun || m_early_requests.is_full())
+        return false;
+    auto const patience = read_patience(head, m_settings.dialect);
+    auto const waits_until = received + EarlyRequests::wait_of(patience.value_or(EarlyRequests::s_longest_wait * 4));
+    if (now >= waits_until)
+        return false;
+    m_early_requests.add({caller, std::move(head), std::move(body), received, waits_until});
+    schedule_tick();
+    return true;
+}
+
+void GatewayServer::begin_early_requests()
+{
+    for (auto& request : m_early_requests.take_all())
+        begin_run(std::move(request.caller), std::move(request.head), std::move(request.body), request.received);
+}
+
+void GatewayServer::refuse_early_requests(Core::MonotonicTime now)
+{
+    for (auto& request : m_early_requests.take_expired(now))
+        begin_run(std::move(request.caller), std::move(request.head), std::move(request.body), request.received);
+}
+
 void GatewayServer::refuse(CallerConnection& caller, std::string const& id, Entry::ErrorAnswer const& error)
 {
     m_metrics.note_end(0, error.outcome, error.code);
@@ -214,6 +243,8 @@
         m_fleet.follow(*servers);
     }
     update_readiness();
+    if (m_is_ready && !m_early_requests.is_empty())
+        begin_early_requests();
 }
 
 void GatewayServer::update_readiness()
@@ -231,7 +262,8 @@
 
 void GatewayServer::schedule_tick()
 {
-    m_timer.expires_after(m_runs.empty() ? s_idle_tick_interval : s_tick_interval);
+    bool const is_idle = m_runs.empty() && m_early_requests.is_empty();
+    m_timer.expires_after(is_idle ? s_idle_tick_interval : s_tick_interval);
     m_timer.async_wait([this](auto const& error) {
         if (error)
             return;
@@ -249,6 +281,7 @@
     for (auto const& run : m_runs)
         run->tick(now);
     std::erase_if(m_runs, [](auto const& run) { return run->is_over(); });
+    refuse_early_requests(now);
     for (auto const& connection : m_connections)
         connection->tick(now);
     std::erase_if(m_connections, [](auto const& connection) { return connection->is_closed(); });
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -4,6 +4,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
+#include <LibGateway/EarlyRequests.h>
 #include <LibGateway/GatewayRun.h>
 
 #include <atomic>
@@ -70,6 +71,11 @@
     void accept(Acceptor&, CallerConnection::Handler&);
     void begin_run(
         std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received);
+    /// Keeps a request that can't be read without a table; says whether it does.
+    [[nodiscard]] bool keep_for_table(
+        std::shared_ptr<CallerConnection> const&, HTTP::RequestHead&, std::string& body, Core::MonotonicTime received);
+    void begin_early_requests();
+    void refuse_early_requests(Core::MonotonicTime now);
     void follow();
     void schedule_tick();
     void tick();
@@ -98,6 +104,7 @@
     boost::asio::steady_timer m_timer;
     std::list<std::shared_ptr<CallerConnection>> m_connections;
     std::list<std::unique_ptr<GatewayRun>> m_runs;
+    EarlyRequests m_early_requests;
     std::shared_ptr<Table::Table const> m_table;
     /// Since when the table is in force here; the process's start before the first one.
     Core::MonotonicTime m_table_since {Core::monotonic_now()};
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -358,6 +358,33 @@
     EXPECT_LT(Core::elapsed(begun, Core::monotonic_now()).count(), 900);
 }
 
+TEST_F(AttemptRules, WhatComesBeforeTheFirstTableWaitsForItAShortTime)
+{
+    add_backend("i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    start_without_table();
+    auto const early = call(request("POST", "/plain/"));
+    auto const gone = call(request("POST", "/plain/"));
+    gone->close();
+    // Whoever has little time is told early enough to go elsewhere.
+    auto const begun = Core::monotonic_now();
+    auto const refusal = answer_of(request("POST", "/plain/", "Granitefield-Remaining-Ms: 200\r\n"));
+    EXPECT_EQ(refusal.status, 503);
+    EXPECT_TRUE(field_of(refusal.head, "Retry-After"));
+    EXPECT_LT(Core::elapsed(begun, Core::monotonic_now()), Gateway::EarlyRequests::s_longest_wait);
+    publish_table();
+    publish_servers();
+    EXPECT_EQ(early->read_answer().body, "fine");
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(AttemptRules, WhatComesBeforeTheFirstTableIsRefusedWhereThatDoesNotCome)
+{
+    start_without_table();
+    auto const refusal = answer_of(request("POST", "/plain/"));
+    EXPECT_EQ(refusal.status, 503);
+    EXPECT_TRUE(field_of(refusal.head, "Retry-After"));
+}
+
 TEST_F(AttemptRules, AServerThatComesBackInTimeTakesWhatWaits)
 {
     m_settings.runs.hold_limit = Core::Milliseconds(5'000);
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -68,15 +68,27 @@
             m_gateway->wake();
     }
 
-    void start()
+    void publish_table()
     {
         m_table.offer(Table::Table().with(m_change));
-        publish_servers();
+        if (m_gateway)
+            m_gateway->wake();
+    }
+
+    void start_without_table()
+    {
         m_gateway = std::make_unique<Gateway::GatewayServer>(
             m_settings, m_table, m_servers, m_membership, m_duty, m_log, m_metrics);
         m_gateway->wake();
     }
 
+    void start()
+    {
+        publish_table();
+        publish_servers();
+        start_without_table();
+    }
+
     [[nodiscard]] std::unique_ptr<RawCaller> call(std::string const& request) const
     {
         auto caller = std::make_unique<RawCaller>(m_gateway->caller_port());
