LibGateway: Leave servers that others found dead

Cause: engines that lose their power say nothing.

Ruled out: a shorter limit for all silence: prompts wait for seconds where engines are full, and reading one twice costs more.

Change: where a server is suspected to be dead, a request that may run again leaves it after 300 ms of silence since then. Any answer that anybody has from it ends the suspicion within 150 ms.

Test: WhatWaitsAtAServerThatOthersFoundDead…, red without the change (break 40).

--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace GraniteField::Gateway {
@@ -112,6 +113,9 @@
     /// Whether a recent failure says to leave it alone for now.
     [[nodiscard]] bool is_avoided(Core::MonotonicTime now) const { return now < m_avoided_until; }
 
+    /// Since when it is suspected to be dead; nothing while it is not, and where it has answered since.
+    [[nodiscard]] std::optional<Core::MonotonicTime> suspected_since() const { return m_suspected_since; }
+
     /// What this gateway has open there.
     [[nodiscard]] ServerLoad const& own_load() const { return m_own; }
     /// The same for all gateways, as far as their reports tell.
@@ -155,19 +159,22 @@
     /// It answers, this gateway or another one; says whether it was suspected.
     bool note_alive()
     {
+        m_suspected_since.reset();
         m_avoided_since = {};
         m_avoided_until = {};
         return std::exchange(m_avoidances, 0U) > 0;
     }
 
-    /// This gateway or others found it dead. `gateways` is how many may try it again: their times are spread so that the
-    /// first one's finding reaches the others before they try.
+    /// This gateway or others found it dead. `gateways` is how many may try it again: their times are spread so that
+    /// the first one's finding reaches the others before they try.
     void note_suspected(std::size_t gateways, Core::MonotonicTime now)
     {
         // Many find the same out at once. What is found out later is that it is still dead.
         if (Core::elapsed(m_avoided_since, now) < s_news_time)
             return;
         avoid(now, s_spread_of_a_gateway * static_cast<int>(gateways));
+        if (!m_suspected_since)
+            m_suspected_since = now;
     }
 
     /// It answered badly or not at all.
@@ -224,6 +231,7 @@
     DecayingValue m_failures;
     unsigned m_failures_in_a_row {0};
     unsigned m_avoidances {0};
+    std::optional<Core::MonotonicTime> m_suspected_since;
     Core::MonotonicTime m_avoided_since;
     Core::MonotonicTime m_avoided_until;
     std::chrono::duration<double, std::milli> m_mean_latency {0};
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -268,12 +268,21 @@
         attempt->cancel();
         return handle_failure(*attempt, BackendAttempt::Failure::NotSent, "the connection did not come up in time");
     }
-    if (m_call.is_repeatable() && m_attempt->is_sent() && Core::elapsed(m_attempt->last_input(), now) > stall_limit())
+    if (m_call.is_repeatable() && m_attempt->is_sent() && is_stalled(now))
         return replace_stalled_attempt(now);
     if (m_attempt->is_paused() && m_caller->pending_bytes() <= m_context.settings.caller_window / 2)
         m_attempt->resume();
 }
 
+bool GatewayRun::is_stalled(Core::MonotonicTime now) const
+{
+    auto const last_input = m_attempt->last_input();
+    if (Core::elapsed(last_input, now) > stall_limit())
+        return true;
+    auto const suspected = m_attempt->server().suspected_since();
+    return suspected && last_input < *suspected && Core::elapsed(*suspected, now) > m_context.settings.stall_suspected;
+}
+
 Core::Milliseconds GatewayRun::stall_limit() const
 {
     auto const& settings = m_context.settings;
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -45,6 +45,9 @@
     /// The same for a stream's first event: a prompt that is read in vain costs more than a plain call.
     double stall_first_event_factor {6};
     double stall_first_event_part {1};
+    /// At a server that is suspected to be dead: its silence since then. Whoever gets answers from it tells that within
+    /// 150 ms.
+    Core::Milliseconds stall_suspected {300};
     /// Within a stream: so many times the class's target for a pause, and never before the least time.
     double stall_pause_factor {3};
     Core::Milliseconds stall_least_pause {1'000};
@@ -114,6 +117,7 @@
     void drop_unsent_attempt();
     /// How long the attempt's server may be silent before another one is asked.
     [[nodiscard]] Core::Milliseconds stall_limit() const;
+    [[nodiscard]] bool is_stalled(Core::MonotonicTime now) const;
     void replace_stalled_attempt(Core::MonotonicTime now);
 
     void handle_caller_gone();
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -34,9 +34,18 @@
     void note_placement(BackendView const&, std::span<PromptPart const> parts);
 
     /// What this gateway met at a server; told to the others.
-    void note_unreachable(BackendView const& server) { if_open([&] { m_sharing.note_unreachable(server); }); }
-    void note_broken(BackendView const& server) { if_open([&] { m_sharing.note_broken(server); }); }
-    void note_answering(BackendView const& server) { if_open([&] { m_sharing.note_answering(server); }); }
+    void note_unreachable(BackendView const& server)
+    {
+        if_open([&] { m_sharing.note_unreachable(server); });
+    }
+    void note_broken(BackendView const& server)
+    {
+        if_open([&] { m_sharing.note_broken(server); });
+    }
+    void note_answering(BackendView const& server)
+    {
+        if_open([&] { m_sharing.note_answering(server); });
+    }
 
     /// Where datagrams arrive, with the port that the kernel chose; empty for nowhere.
     [[nodiscard]] std::string address() const;
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -161,8 +161,7 @@
     m_reporters.take(report.sender(), report.sequence(), LoadSources::Extent::Whole, loads, now);
     if (!m_ledger.take(report.sender(), {report.sequence(), now, from, std::move(loads)}))
         return;
-    collect_suspicions(
-        span_of(report.unreachable()), span_of(report.broken()), span_of(report.answering()), now);
+    collect_suspicions(span_of(report.unreachable()), span_of(report.broken()), span_of(report.answering()), now);
     if (has_missed_one)
         relay_placements(report.placements_before());
     relay_placements(report.placements());
@@ -236,8 +235,8 @@
         static_cast<void>(view->note_alive());
 }
 
-void LoadSharing::collect_suspicions(std::span<std::uint64_t const> unreachable,
-    std::span<std::uint64_t const> broken, std::span<std::uint64_t const> answering, Core::MonotonicTime now)
+void LoadSharing::collect_suspicions(std::span<std::uint64_t const> unreachable, std::span<std::uint64_t const> broken,
+    std::span<std::uint64_t const> answering, Core::MonotonicTime now)
 {
     std::vector<std::uint64_t> dead(unreachable.begin(), unreachable.end());
     for (auto const server : broken) {
@@ -259,8 +258,8 @@
 
 void LoadSharing::believe_suspicions(RelayedLoad const& part, Core::MonotonicTime now)
 {
-    bool const is_own_domain = std::ranges::any_of(
-        part.counted(), [this](auto const& report) { return report.gateway() == m_self; });
+    bool const is_own_domain
+        = std::ranges::any_of(part.counted(), [this](auto const& report) { return report.gateway() == m_self; });
     for (auto const server : part.suspected()) {
         if (is_own_domain || m_suspicions.note_other_domain(server, part.relay(), now))
             suspect(server, now);
@@ -351,7 +350,8 @@
     std::ranges::move(m_placements, std::back_inserter(m_relay_placements));
     m_relay_placements.resize(std::min(m_relay_placements.size(), s_most_placements));
     m_placements.clear();
-    collect_suspicions(std::exchange(m_unreachable, {}), std::exchange(m_broken, {}), std::exchange(m_answering, {}), now);
+    collect_suspicions(
+        std::exchange(m_unreachable, {}), std::exchange(m_broken, {}), std::exchange(m_answering, {}), now);
 }
 
 void LoadSharing::add_refreshed(LoadsByServer& loads, Core::MonotonicTime now)
--- a/Libraries/LibGateway/SuspicionLedger.cpp
+++ b/Libraries/LibGateway/SuspicionLedger.cpp
@@ -18,9 +18,8 @@
 bool SuspicionLedger::note_other_domain(std::uint64_t server, std::uint64_t relay, Core::MonotonicTime now)
 {
     auto& words = m_other_domains[server];
-    std::erase_if(words, [&](auto const& item) {
-        return item.source == relay || Core::elapsed(item.time, now) > s_word_memory;
-    });
+    std::erase_if(
+        words, [&](auto const& item) { return item.source == relay || Core::elapsed(item.time, now) > s_word_memory; });
     words.push_back({relay, now});
     return words.size() >= s_other_domains;
 }
@@ -33,9 +32,8 @@
 
 void SuspicionLedger::forget_old(Words& words, Core::Milliseconds memory, Core::MonotonicTime now)
 {
-    absl::erase_if(words, [&](auto const& item) {
-        return item.second.empty() || Core::elapsed(item.second.back().time, now) > memory;
-    });
+    absl::erase_if(words,
+        [&](auto const& item) { return item.second.empty() || Core::elapsed(item.second.back().time, now) > memory; });
 }
 
 }
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -47,6 +47,11 @@
     '33|Libraries/LibEntry/WatchElection.cpp|s/return now >= doubt_begins();/return now < doubt_begins() \&\& false;/|WatchersTest|*AllOfThemDie*'
     '34|Libraries/LibEntry/WatchElection.cpp|s/bool const is_behind = behind_ends_at \&\& now/bool const is_behind = behind_ends_at \&\& false \&\& now/|WatchElectionTest|*DoesNotCome*'
     '35|Libraries/LibGateway/RelayElection.cpp|s/if (has_paused(m_last_told, now))/if (has_paused(m_last_told, now) \&\& false)/|LoadSharingTest|*ReplacesADeadRelay*'
+    '37|Libraries/LibGateway/GatewayRun.h|s/most_connects {64};/most_connects {4};/|AttemptRulesTest|*AQuarterOfThemDied*'
+    '38|Libraries/LibPolicy/FleetRetryBudget.h|s/if (earned() >= 1)/if (earned() >= 1 \&\& slice.spent == 0)/|GatewayPropertiesTest|*AWindowEarned*'
+    '39|Libraries/LibGateway/SuspicionLedger.cpp|s/if (breaks.size() < s_breaks_to_suspect)/if (breaks.size() < 100 * s_breaks_to_suspect)/|LoadSharingTest|*StreamsBreakTogether*'
+    '40|Libraries/LibGateway/GatewayRun.cpp|s/return suspected \&\& last_input/return false \&\& suspected \&\& last_input/|AttemptRulesTest|*OthersFoundDead*'
+    '41|Libraries/LibGateway/EarlyRequests.h|s/return std::min(s_longest_wait, patience/return 0 * std::min(s_longest_wait, patience/|AttemptRulesTest|*BeforeTheFirstTableWaits*'
     '36|Libraries/LibGateway/LoadSharing.cpp|s/load = without(load, found->second);/load = without(load, {});/|LoadSharingTest|*KnowsWhatAny*'
 )
 
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -1,10 +1,19 @@
 // What a gateway may send again, and what the caller may be told: at most once, true refusals, whole answers.
 #include "GatewayFixture.h"
 
+#include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
+#include <LibProtocol/ProtocolVersion.h>
 
+#include <Peers.pb.h>
+
+#include <array>
 #include <atomic>
 #include <future>
+#include <thread>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 namespace GraniteField::Testing {
 
@@ -333,6 +342,45 @@
     EXPECT_LE(counter("granitefield_gateway_unreachable_total"), dead * 3);
 }
 
+TEST_F(AttemptRules, WhatWaitsAtAServerThatOthersFoundDeadGoesElsewhere)
+{
+    using Udp = boost::asio::ip::udp;
+    boost::asio::io_context loop;
+    Udp::socket relay(loop, Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    m_membership.set_load_members({{"127.0.0.1:1", "here", 100, 1},
+        {{Core::concat("127.0.0.1:", relay.local_endpoint().port()), "here", 500, 2}}});
+    m_settings.load_address = *Core::Address::from_string("127.0.0.1:0");
+    // Silence alone would never end it.
+    m_settings.runs.stall_least_part = 100;
+    std::atomic<int> seen {0};
+    auto const script = [&seen](auto& connection, auto const& text, auto) {
+        if (seen++ > 0)
+            return connection.write(answer_to(text, 200, "fine"));
+        static_cast<void>(connection.wait_until_closed());
+    };
+    add_backend("i-1", script);
+    add_backend("i-2", script);
+    start();
+    std::array<char, 4096> buffer {};
+    Udp::endpoint gateway;
+    granitefield::protocol::LoadDatagram report;
+    ASSERT_TRUE(report.ParseFromArray(
+        buffer.data(), static_cast<int>(relay.receive_from(boost::asio::buffer(buffer), gateway))));
+    auto const caller = call(request("GET", "/safe/"));
+    while (arrivals() == 0)
+        std::this_thread::yield();
+    granitefield::protocol::LoadDatagram datagram;
+    datagram.set_protocol_version(Protocol::s_protocol_version);
+    auto& part = *datagram.add_relayed();
+    part.set_relay(9);
+    part.set_sequence(1);
+    part.add_counted()->set_gateway(report.report().sender());
+    part.add_suspected(Core::hash_bytes(m_backends[0]->count() == 1 ? "i-1" : "i-2"));
+    relay.send_to(boost::asio::buffer(datagram.SerializeAsString()), gateway);
+    EXPECT_EQ(caller->read_answer().body, "fine");
+    EXPECT_EQ(arrivals(), 2U);
+}
+
 TEST_F(AttemptRules, WhatWasGivenUpBeforeItWasSentIsClosed)
 {
     // The connection would come up after the request was refused as not run; it must not send it then.
@@ -360,7 +408,8 @@
 
 TEST_F(AttemptRules, WhatComesBeforeTheFirstTableWaitsForItAShortTime)
 {
-    add_backend("i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
     start_without_table();
     auto const early = call(request("POST", "/plain/"));
     auto const gone = call(request("POST", "/plain/"));
