LibEntry, LibObserve: Part peers' messages from their exchange, and read log lines in one place

Change: PeerMessages converts, apart from any socket; LogLines gives structured lines, InputFiles the files of a command line. An edit of an unknown sheet is rejected as before, now with a line in the log.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -1,7 +1,7 @@
 #include <LibEntry/PeerExchange.h>
 
+#include <LibEntry/PeerMessages.h>
 #include <LibProtocol/ProtocolVersion.h>
-#include <LibTable/TablePages.h>
 
 #include <algorithm>
 #include <random>
@@ -33,29 +33,16 @@
 constexpr int s_messages_per_turn = 200;
 constexpr int s_waiting_messages = 1'000;
 
-Message::PeerRecord to_message(Peer const& peer, Core::MonotonicTime now)
-{
-    Message::PeerRecord record;
-    record.set_name(peer.name);
-    record.set_group(peer.group);
-    record.set_address(peer.address);
-    auto const age = std::chrono::duration_cast<Core::Milliseconds>(now - peer.last_heard);
-    record.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count())));
-    record.set_is_platform_reachable(peer.is_platform_reachable);
-    record.set_load_address(peer.load_address);
-    record.set_processor_permille(peer.processor_permille);
-    return record;
-}
-
-Peer from_message(Message::PeerRecord const& record, Core::MonotonicTime now)
+std::string bind_endpoint(Core::Address const& address)
 {
-    return {record.name(), record.group(), record.address(), now - Core::Milliseconds(record.age_ms()),
-        record.is_platform_reachable(), record.load_address(), record.processor_permille()};
+    return address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint();
 }
 
-std::string bind_endpoint(Core::Address const& address)
+Message::PeerEnvelope make_envelope()
 {
-    return address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint();
+    Message::PeerEnvelope envelope;
+    envelope.set_protocol_version(Protocol::s_protocol_version);
+    return envelope;
 }
 
 zmq::message_t to_frame(Message::PeerEnvelope const& envelope)
@@ -66,13 +53,6 @@
     return frame;
 }
 
-std::optional<Table::SheetName> sheet_of(std::uint32_t number)
-{
-    if (number >= Table::s_all_sheets.size())
-        return std::nullopt;
-    return Table::s_all_sheets.at(number);
-}
-
 }
 
 PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
@@ -262,8 +242,7 @@
     if (is_ahead && !announce.wants_members()) {
         if (!m_pulls.should_pull(now, pull_patience()))
             return;
-        Envelope answer;
-        answer.set_protocol_version(Protocol::s_protocol_version);
+        auto answer = make_envelope();
         answer.mutable_pull()->set_table_version(own_table);
         answer.mutable_pull()->set_hosts_version(own_hosts);
         answer.mutable_pull()->set_servers_revision(own_servers);
@@ -295,23 +274,9 @@
     if (!table || table->version().value() <= pull.table_version())
         return;
     m_history.note(table);
-    Envelope answer;
-    answer.set_protocol_version(Protocol::s_protocol_version);
-    auto& update = *answer.mutable_table();
-    update.set_to_version(table->version().value());
-    auto const edits = m_history.edits_since(Core::TableVersion(pull.table_version()));
-    if (!edits) {
-        update.set_whole(Table::encode_table(*table));
-        return reply(to_frame(answer));
-    }
-    update.set_from_version(pull.table_version());
-    for (auto const& edit : *edits) {
-        auto& cell = *update.add_edits();
-        cell.set_sheet(static_cast<std::uint32_t>(edit.place.sheet));
-        cell.set_row(edit.place.row);
-        cell.set_column(edit.place.column);
-        cell.set_value(edit.value.value_or(""));
-    }
+    Core::TableVersion const from(pull.table_version());
+    auto answer = make_envelope();
+    *answer.mutable_table() = to_message(*table, from, m_history.edits_since(from));
     reply(to_frame(answer));
 }
 
@@ -320,11 +285,8 @@
     auto const hosts = m_hosts.current();
     if (hosts.version.value() <= pull.hosts_version())
         return;
-    Envelope answer;
-    answer.set_protocol_version(Protocol::s_protocol_version);
-    answer.mutable_hosts()->set_version(hosts.version.value());
-    for (auto const& address : hosts.addresses)
-        answer.mutable_hosts()->add_leaving(address);
+    auto answer = make_envelope();
+    *answer.mutable_hosts() = to_message(hosts);
     reply(to_frame(answer));
 }
 
@@ -333,58 +295,24 @@
     auto const list = m_servers.settled();
     if (!list || list->revision.value() <= pull.servers_revision())
         return;
-    if (m_servers_frame.revision != list->revision)
-        build_servers_frame(*list);
+    if (m_servers_frame.revision != list->revision) {
+        auto answer = make_envelope();
+        *answer.mutable_servers() = to_message(*list);
+        m_servers_frame = {list->revision, to_frame(answer)};
+    }
     zmq::message_t shared;
     shared.copy(m_servers_frame.frame);
     reply(std::move(shared));
 }
 
-void PeerExchange::build_servers_frame(ServerList const& list)
-{
-    Envelope answer;
-    answer.set_protocol_version(Protocol::s_protocol_version);
-    auto& update = *answer.mutable_servers();
-    update.set_revision(list.revision.value());
-    for (auto const& server : list.servers) {
-        auto& record = *update.add_servers();
-        record.set_instance(server.instance);
-        record.set_service(server.service);
-        record.set_address(server.address.to_string());
-        record.set_failure_domain(server.failure_domain);
-        record.set_slots(server.slots);
-        record.set_is_leaving(server.state == Table::BackendServerState::Leaving);
-    }
-    m_servers_frame = {list.revision, to_frame(answer)};
-}
-
 void PeerExchange::handle_table(Message::TableUpdate const& update)
 {
     auto const current = m_table.current();
     if (current && current->version().value() >= update.to_version())
         return;
     try {
-        Table::Table table;
-        if (update.from_version() == 0) {
-            table = Table::decode_table(update.whole());
-        } else {
-            if (!current || current->version().value() != update.from_version())
-                return;
-            Table::Change change;
-            for (auto const& edit : update.edits()) {
-                auto const sheet = sheet_of(edit.sheet());
-                if (!sheet) {
-                    m_rejected.add();
-                    return;
-                }
-                bool const is_removal = edit.column().empty();
-                change.push_back(
-                    {{*sheet, edit.row(), edit.column()}, is_removal ? std::nullopt : std::optional(edit.value())});
-            }
-            table = current->with(change);
-        }
-        table.set_version(Core::TableVersion(update.to_version()));
-        if (m_table.offer(std::move(table)))
+        auto table = apply(update, current);
+        if (table && m_table.offer(*std::move(table)))
             m_events.on_news();
     } catch (Core::InvalidInput const& error) {
         m_rejected.add();
@@ -394,30 +322,18 @@
 
 void PeerExchange::handle_hosts(Message::HostsUpdate const& update)
 {
-    LeavingHosts hosts;
-    hosts.version = HostsVersion(update.version());
-    hosts.addresses.insert(update.leaving().begin(), update.leaving().end());
-    if (m_hosts.offer(std::move(hosts)))
+    if (m_hosts.offer(from_message(update)))
         m_events.on_news();
 }
 
 void PeerExchange::handle_servers(Message::ServersUpdate const& update)
 {
-    ServerList list;
-    list.revision = ListRevision(update.revision());
-    list.is_provisional = false;
-    for (auto const& record : update.servers()) {
-        auto const address = Core::Address::from_string(record.address());
-        if (!address) {
-            m_rejected.add();
-            return;
-        }
-        auto const state
-            = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
-        list.servers.push_back(
-            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state});
+    auto list = from_message(update);
+    if (!list) {
+        m_rejected.add();
+        return;
     }
-    if (m_servers.offer(std::move(list)))
+    if (m_servers.offer(*std::move(list)))
         m_events.on_news();
 }
 
@@ -472,8 +388,7 @@
 PeerExchange::Envelope PeerExchange::make_announcement()
 {
     auto const now = std::chrono::steady_clock::now();
-    Envelope envelope;
-    envelope.set_protocol_version(Protocol::s_protocol_version);
+    auto envelope = make_envelope();
     auto& announce = *envelope.mutable_announce();
     auto self = m_view.self();
     self.last_heard = now;
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -116,7 +116,6 @@
     void give_table(granitefield::protocol::Pull const&, Reply const&);
     void give_hosts(granitefield::protocol::Pull const&, Reply const&) const;
     void give_servers(granitefield::protocol::Pull const&, Reply const&);
-    void build_servers_frame(ServerList const&);
     void update_connections();
     void update_election(Core::MonotonicTime now);
     [[nodiscard]] bool is_acquainted(Core::MonotonicTime now) const;
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -96,9 +96,9 @@
                 is_before_self = false;
                 continue;
             }
-            if (is_heard(member.address, now))
-                relays.push_back(member.address);
-            else if (is_before_self && seniors++ < s_most_seniors)
+            bool const is_senior = is_before_self && seniors < s_most_seniors;
+            seniors += is_senior ? 1 : 0;
+            if (is_senior || is_heard(member.address, now))
                 relays.push_back(member.address);
         }
         if (name == m_self.group || relays.size() > heard_before)
--- a/Libraries/LibObserve/LossReport.cpp
+++ b/Libraries/LibObserve/LossReport.cpp
@@ -1,6 +1,7 @@
 #include <LibObserve/LossReport.h>
 
 #include <LibCore/Text.h>
+#include <LibObserve/LogLines.h>
 
 #include <nlohmann/json.hpp>
 
@@ -39,16 +40,7 @@
 
 void LossReport::read(std::istream& input)
 {
-    std::string text;
-    while (std::getline(input, text)) {
-        // What a collector puts before the line is left out.
-        auto const begin = text.find('{');
-        if (begin == std::string::npos)
-            continue;
-        auto const line = Json::parse(text.substr(begin), nullptr, false);
-        if (line.is_object() && line.contains("time") && line.contains("event"))
-            take(line);
-    }
+    for_each_log_line(input, "", [this](Json const& line) { take(line); });
 }
 
 void LossReport::take(Json const& line)
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -146,6 +146,8 @@
     gateway.peers.name = settings.common.name;
     gateway.peers.group = settings.common.failure_domain;
     gateway.peers.processor_permille = static_cast<unsigned>(settings.common.processor_share * 1'000);
+    if (server.load_address)
+        gateway.peers.load_address = server.load_address->to_string();
     server.fleet.failure_domain = settings.common.failure_domain;
     server.fleet.seed = Core::hash_bytes(settings.common.name);
     server.drain_notice = settings.common.drain_notice;
--- a/Utilities/granitefield/LogCommands.cpp
+++ b/Utilities/granitefield/LogCommands.cpp
@@ -1,14 +1,16 @@
 #include "LogCommands.h"
 
+#include "InputFiles.h"
 #include "TextTable.h"
 
 #include <LibCore/Text.h>
+#include <LibObserve/LogLines.h>
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <iostream>
 #include <istream>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -24,19 +26,13 @@
 /// Of no use to a reader of one request.
 constexpr std::string_view s_incarnation = "incarnation";
 
-/// Takes the lines about the request. Lines that are no JSON, such as those of other programs, are passed over.
+/// Takes the lines about the request.
 void collect(std::istream& input, std::string const& request, std::vector<Json>& lines)
 {
-    std::string text;
-    while (std::getline(input, text)) {
-        // What a collector puts before the line is left out.
-        auto const begin = text.find('{');
-        if (begin == std::string::npos || text.find(request) == std::string::npos)
-            continue;
-        auto line = Json::parse(text.substr(begin), nullptr, false);
-        if (line.is_object() && line.value("request", "") == request && line.contains("time"))
+    Observe::for_each_log_line(input, request, [&](Json line) {
+        if (line.value("request", "") == request)
             lines.push_back(std::move(line));
-    }
+    });
 }
 
 std::string details_of(Json const& line)
@@ -70,14 +66,7 @@
         throw UsageError("logs REQUEST [FILE...]: the request is missing");
     auto const& request = options.words[1];
     std::vector<Json> lines;
-    if (options.words.size() == 2)
-        collect(std::cin, request, lines);
-    for (std::size_t index = 2; index < options.words.size(); ++index) {
-        std::ifstream file(options.words[index]);
-        if (!file)
-            throw std::runtime_error("can't read " + options.words[index]);
-        collect(file, request, lines);
-    }
+    read_input_files(options, 2, [&](std::istream& input) { collect(input, request, lines); });
     if (lines.empty()) {
         std::cerr << "no line names the request " << request
                   << "; ordinary lines are dropped first when a gateway logs more than it can write\n";
--- a/Utilities/granitefield/LossCommands.cpp
+++ b/Utilities/granitefield/LossCommands.cpp
@@ -1,12 +1,12 @@
 #include "LossCommands.h"
 
+#include "InputFiles.h"
 #include "TextTable.h"
 
 #include <LibCore/Text.h>
 #include <LibObserve/LossReport.h>
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -82,14 +82,7 @@
 int run_losses_command(Options const& options)
 {
     LossReport report;
-    if (options.words.size() == 1)
-        report.read(std::cin);
-    for (std::size_t index = 1; index < options.words.size(); ++index) {
-        std::ifstream file(options.words[index]);
-        if (!file)
-            throw std::runtime_error("can't read " + options.words[index]);
-        report.read(file);
-    }
+    read_input_files(options, 1, [&report](std::istream& input) { report.read(input); });
     if (report.fates().empty()) {
         std::cerr << "no line ends a request\n";
         return s_exit_failed;
