Tests: Wait until the log has written that the store was lost

The log gathers lines for 200 ms before it writes them. A gateway that was turned away used to call the store at its start, a second before the test looked; since watchers are elected it calls later, and the four failures that the test waits for are through in 130 to 260 ms.

Ruled out: a fault of the gateway: with a gathering time of 600 ms the test failed three times of three at this line, and passed three times of three with the change.

Change: the test waits for the line in place of looking once. It still has to come, and "regained" still must not.

--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -235,7 +235,8 @@
     auto const failures = [&lonely] { return metric(lonely, R"(granitefield_store_failures_total{kind="servers"})"); };
     auto const before = failures();
     ASSERT_TRUE(wait_until([&] { return failures() > before + 3; }));
-    EXPECT_TRUE(lonely.process->has_printed(R"("event":"store-lost")"));
+    // The log gathers lines for a moment before it writes them.
+    EXPECT_TRUE(wait_until([&] { return lonely.process->has_printed(R"("event":"store-lost")"); }));
     EXPECT_FALSE(lonely.process->has_printed(R"("event":"store-regained")"));
 }
 
