LibCluster: Count usage, agree on the time, and report under a lease

Cause: the shifted deployment asks that one daemon at a time reports each window's usage.

Ruled out: renewing the lease all the time (three writes a window; the write that records a report renews it as well); summing counts at relays (a relay that dies takes its sums along; counters by gateway, merged by maximum, are known by all); each host's own clock (a jump of two seconds moves 40 of 100 requests of a window; the median of all hosts' clocks does not move).

Change: a library of its own. FleetClock, UsageLedger and UsageReporter know neither network nor clock. The lease is one object, written only under the version that was read; the token is the version of the write that took it over; a report is in the object before it is sent.

--- /dev/null
+++ b/Libraries/LibCluster/SharedDuty.cpp
@@ -0,0 +1,153 @@
+#include <LibCluster/SharedDuty.h>
+
+#include <algorithm>
+
+namespace GraniteField::Cluster {
+
+namespace {
+
+/// Counts of windows that ended longer ago than their reports are due serve nobody; kept a little longer for clocks
+/// that differ.
+constexpr int s_windows_kept_beyond = 2;
+/// What was lost of a closed window's counts is made good this much later. A lost datagram of ten in a hundred leaves
+/// one count in a hundred to it.
+constexpr Core::Milliseconds s_repetition {250};
+
+}
+
+SharedDuty::SharedDuty(UsageSettings settings, std::uint64_t self, Core::MonotonicTime begun)
+    : m_settings(settings)
+    , m_self(self)
+    , m_clock(begun)
+    , m_ledger(self)
+{
+}
+
+void SharedDuty::count(std::string const& workspace, Core::MonotonicTime begun)
+{
+    std::lock_guard const lock(m_mutex);
+    if (auto const time = m_clock.at(begun))
+        m_ledger.count(window_at(*time, m_settings.window), workspace);
+}
+
+void SharedDuty::turn(WallTime own_clock, Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_clock.note_reading(m_self, {own_clock}, now);
+    if (!m_clock.at(now))
+        m_clock.follow_readings(now);
+    auto const window = window_at(*m_clock.at(now), m_settings.window);
+    if (m_repetition && now >= m_repetition->second) {
+        m_ledger.tell_again(m_repetition->first);
+        m_repetition.reset();
+    }
+    if (window <= m_current)
+        return;
+    m_current = window;
+    UsageWindow const closed(window.value() - 1);
+    m_ledger.close(closed);
+    m_repetition = {closed, now + s_repetition};
+    auto const kept = static_cast<std::uint64_t>(m_settings.late / m_settings.window) + s_windows_kept_beyond;
+    m_ledger.forget_before(UsageWindow(window.value() - std::min(window.value(), kept)));
+}
+
+bool SharedDuty::has_changes() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_ledger.has_changes();
+}
+
+std::vector<GatewayUsage> SharedDuty::take_changes(std::size_t most_counts)
+{
+    std::lock_guard const lock(m_mutex);
+    return m_ledger.take_changes(most_counts);
+}
+
+std::vector<GatewayUsage> SharedDuty::everything(std::size_t most_counts) const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_ledger.everything(most_counts);
+}
+
+void SharedDuty::take(GatewayUsage const& usage, UsageLedger::Relaying relaying)
+{
+    std::lock_guard const lock(m_mutex);
+    m_ledger.take(usage, relaying);
+}
+
+void SharedDuty::note_clock(std::uint64_t id, FleetClock::Reading reading, Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_clock.note_reading(id, reading, now);
+}
+
+void SharedDuty::follow_clock_word(FleetClock::Reading word, Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_clock.follow_word(word, now);
+}
+
+void SharedDuty::follow_clock_readings(Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_clock.follow_readings(now);
+}
+
+std::optional<FleetClock::Reading> SharedDuty::host_median(Core::MonotonicTime now) const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_clock.host_median(now);
+}
+
+std::optional<WallTime> SharedDuty::fleet_time(Core::MonotonicTime now) const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_clock.at(now);
+}
+
+void SharedDuty::note_word(DutyWord const& word)
+{
+    std::lock_guard const lock(m_mutex);
+    m_word.merge(word);
+}
+
+DutyWord SharedDuty::word() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_word;
+}
+
+bool SharedDuty::is_settled(UsageWindow window, WallTime time) const
+{
+    auto const passed = time - end_of(window, m_settings.window);
+    if (passed < UsageSettings::s_shortest_wait)
+        return false;
+    return m_ledger.is_closed_by_all(window) || passed >= m_settings.late * UsageSettings::s_longest_wait_part;
+}
+
+std::vector<UsageReport> SharedDuty::settled_reports(UsageWindow after, Core::MonotonicTime now) const
+{
+    std::lock_guard const lock(m_mutex);
+    std::vector<UsageReport> reports;
+    auto const time = m_clock.at(now);
+    if (!time)
+        return reports;
+    for (auto const window : m_ledger.windows_after(after)) {
+        if (!is_settled(window, *time))
+            break;
+        if (*time < end_of(window, m_settings.window) + m_settings.late)
+            reports.push_back({window, m_ledger.totals(window)});
+    }
+    return reports;
+}
+
+std::optional<Core::Milliseconds> SharedDuty::time_left(UsageWindow window, Core::MonotonicTime now) const
+{
+    std::lock_guard const lock(m_mutex);
+    auto const time = m_clock.at(now);
+    if (!time)
+        return std::nullopt;
+    return end_of(window, m_settings.window) + m_settings.late - *time;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCluster/UsageReporter.h
@@ -0,0 +1,523 @@
+#pragma once
+
+#include <LibCluster/DutyRecord.h>
+#include <LibCluster/SharedDuty.h>
+#include <LibCore/Time.h>
+#include <LibObserve/EventLog.h>
+#include <LibObserve/Metrics.h>
+#include <LibPlatform/Objects.h>
+
+#include <algorithm>
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace GraniteField::Cluster {
+
+/// Where the lease lies: an object store with versions and conditional writes (Platform::ObjectClient).
+template <typename Candidate>
+concept LeaseStore
+    = requires(Candidate store, std::string_view name, Platform::ObjectVersion version, Platform::Json const& spec)
+{
+    {
+        store.read(name, name)
+        } -> std::same_as<std::optional<Platform::Object>>;
+    {
+        store.create(name, name, spec)
+        } -> std::same_as<Platform::ObjectVersion>;
+    {
+        store.update(name, name, version, spec)
+        } -> std::same_as<Platform::ObjectVersion>;
+};
+
+/// What became of a report that was sent.
+enum class ReportOutcome {
+    Accepted,
+    /// Too many calls: to be sent again a little later.
+    OverRate,
+    /// The recipient has seen a later holder.
+    Outdated,
+    /// Refused, lost or late; it may have been taken.
+    Failed,
+};
+
+/// Who a duty's calls say that they come from.
+struct DutyCredentials {
+    std::string holder;
+    std::uint64_t token {0};
+};
+
+/// Takes reports of usage; the outcome comes within the limit.
+template <typename Candidate>
+concept ReportRecipient = requires(
+    Candidate recipient, UsageReport const& report, DutyCredentials const& credentials, Core::Milliseconds limit)
+{
+    {
+        recipient.send(report, credentials, limit)
+        } -> std::same_as<ReportOutcome>;
+};
+
+/// How a gateway takes part in the duty of reporting usage.
+struct DutySettings {
+    /// This host: its name, as reports give it, and the address that tells it from another host of the same name.
+    std::string name;
+    std::string address;
+    /// For so long after a write the holder may act, and nobody else.
+    Core::Milliseconds lease {3'000};
+    /// The holder stops acting this much earlier, since a process may sleep between looking at the clock and sending.
+    Core::Milliseconds margin {500};
+    Core::Milliseconds call_timeout {800};
+    /// Between two calls to the recipient, which bounds the calls of all gateways together.
+    Core::Milliseconds call_pause {200};
+    /// So long the holder is not heard of before this gateway asks the store. It speaks each 100 ms; with a relay's
+    /// death 350 ms pass before the next one speaks.
+    Core::Milliseconds patience {800};
+    /// Gateways that do not watch the store leave it to those who do for this much longer.
+    Core::Milliseconds bystander_patience {2'500};
+    /// One that has just begun has not heard all counts of the windows that are open, and leaves it to the others.
+    Core::Milliseconds acquaintance {5'000};
+};
+
+/// One gateway's part in the duty of reporting usage, which one gateway at a time has. Who has it is settled by one
+/// object in the platform's store (DutyRecord):
+///
+/// - A holder acts for the length of the lease at most, counted from before its last write was sent, by its own clock.
+/// - A successor writes only when the version that it replaces has not changed for the length of the lease, by its own
+///   clock, or when the holder has given it up. So no two act at once, and nobody acts with a token below one that was
+///   sent.
+/// - A report is written into the object before it is sent, by the write that renews the lease as well; who follows
+///   sends the same text. So two differing reports for one window are never sent, whatever is lost or late.
+///
+/// While nothing is to be reported nothing is written: one write for each window, in place of three renewals.
+/// One thread; the clock, the store and the recipient are the caller's.
+template <LeaseStore Store, ReportRecipient Recipient>
+class UsageReporter {
+public:
+    static constexpr std::string_view s_kind = "granitefield-duties";
+    static constexpr std::string_view s_name = "usage";
+    /// Between two looks while there is nothing to do.
+    static constexpr Core::Milliseconds s_interval {200};
+    /// After a call to the store that failed: it doubles up to the longest.
+    static constexpr Core::Milliseconds s_shortest_pause {200};
+    static constexpr Core::Milliseconds s_longest_pause {1'000};
+    /// A holder whose reports fail for this long gives the lease up, since another gateway may reach the recipient.
+    static constexpr Core::Milliseconds s_failing_limit {2'500};
+    /// It leaves the lease to others for so long then.
+    static constexpr Core::Milliseconds s_rest {4'000};
+    /// A holder that has not reached the store for this long no longer says that it is there.
+    static constexpr Core::Milliseconds s_store_silence {1'500};
+
+    using Clock = std::function<Core::MonotonicTime()>;
+
+    /// `order`, from 0 to 1, spreads the patience of the gateways.
+    UsageReporter(DutySettings settings, std::uint64_t incarnation, double order, Clock clock, SharedDuty& shared,
+        Store& store, Recipient& recipient, Observe::EventLog& log, Observe::MetricRegistry& metrics)
+        : m_settings(std::move(settings))
+        , m_self(m_settings.name + "@" + m_settings.address)
+        , m_incarnation(incarnation)
+        , m_spread(std::chrono::duration_cast<Core::Milliseconds>(m_settings.patience * order))
+        , m_clock(std::move(clock))
+        , m_shared(shared)
+        , m_store(store)
+        , m_recipient(recipient)
+        , m_log(log)
+        , m_holding(metrics.gauge("granitefield_duty_holding"))
+        , m_writes(metrics.counter("granitefield_duty_store_calls_total"))
+        , m_accepted(metrics.counter("granitefield_usage_reports_total", {{"outcome", "accepted"}}))
+        , m_missed(metrics.counter("granitefield_usage_reports_total", {{"outcome", "missed"}}))
+        , m_begun(m_clock())
+    {
+    }
+
+    /// Whether this gateway is among the few that watch the store.
+    void set_watching(bool value) { m_is_watching = value; }
+
+    /// Does what is due, at most one call, and says when to look again.
+    Core::Milliseconds step()
+    {
+        if (m_is_stopped)
+            return s_interval;
+        auto const now = m_clock();
+        try {
+            auto const pause = m_term ? act_as_holder(now) : look_for_lease(now);
+            m_store_pause = s_shortest_pause;
+            return pause;
+        } catch (Platform::VersionConflict const&) {
+            // Somebody else has written, or a write of this gateway's own was done late.
+            m_must_read = true;
+            return Core::Milliseconds(0);
+        } catch (Platform::PlatformUnavailable const& error) {
+            // What was asked may have been done, or may be done later.
+            m_must_read = true;
+            note_store_failure(error.what(), m_clock());
+            auto const pause = m_store_pause;
+            m_store_pause = std::min(m_store_pause * 2, s_longest_pause);
+            return pause;
+        }
+    }
+
+    /// Gives the lease up, so that another gateway can follow at once; for a planned stop. Nothing is done after it.
+    void release()
+    {
+        m_is_stopped = true;
+        if (!m_term || !m_known)
+            return;
+        try {
+            if (m_must_read)
+                read();
+            if (m_term)
+                give_up("stopping");
+        } catch (std::runtime_error const& error) {
+            m_log.write(Observe::LogEvent("duty-release-failed").add("reason", error.what()));
+        }
+    }
+
+    [[nodiscard]] bool is_holding() const { return m_term.has_value(); }
+
+private:
+    /// The object as it was last seen.
+    struct Known {
+        Platform::ObjectVersion version;
+        DutyRecord record;
+        /// Not before that version was written.
+        Core::MonotonicTime seen;
+    };
+
+    struct Term {
+        std::uint64_t token {0};
+        /// The holder acts before this only.
+        Core::MonotonicTime valid_until;
+        Core::MonotonicTime reached_store;
+    };
+
+    // As the holder.
+
+    Core::Milliseconds act_as_holder(Core::MonotonicTime now)
+    {
+        if (m_must_read) {
+            read();
+            return Core::Milliseconds(0);
+        }
+        tell_alive(now);
+        drop_late_reports(now);
+        auto const fresh = m_shared.settled_reports(m_known->record.recorded_through, now);
+        auto* const unsent = first_unsent();
+        bool const can_send = now < m_term->valid_until;
+        if (!fresh.empty() || (unsent != nullptr && !can_send && now >= m_next_send)) {
+            renew(fresh, now);
+            return Core::Milliseconds(0);
+        }
+        if (unsent == nullptr)
+            return s_interval;
+        if (now < m_next_send)
+            return Core::elapsed(now, m_next_send) + Core::Milliseconds(1);
+        return send_report(*unsent);
+    }
+
+    void renew(std::vector<UsageReport> const& fresh, Core::MonotonicTime now)
+    {
+        auto record = m_known->record;
+        record.token = m_term->token;
+        for (auto const& report : fresh) {
+            record.reports.push_back({report});
+            record.recorded_through = report.window;
+        }
+        write(std::move(record), now);
+        for (auto const& report : fresh) {
+            m_log.write(Observe::LogEvent("usage-recorded")
+                            .add("window", report.window.value())
+                            .add("workspaces", report.counts.size())
+                            .add("requests", total_of(report)));
+        }
+        m_term->valid_until = now + m_settings.lease - m_settings.margin;
+    }
+
+    Core::Milliseconds send_report(RecordedReport& recorded)
+    {
+        auto const now = m_clock();
+        auto const limit = std::min(m_settings.call_timeout, Core::elapsed(now, m_term->valid_until));
+        if (limit.count() <= 0)
+            return Core::Milliseconds(0);
+        ++m_tries;
+        auto const outcome = m_recipient.send(recorded.report, {m_settings.name, m_term->token}, limit);
+        auto const after = m_clock();
+        m_next_send = after + m_settings.call_pause;
+        m_log.write(Observe::LogEvent("usage-sent")
+                        .add("window", recorded.report.window.value())
+                        .add("requests", total_of(recorded.report))
+                        .add("token", m_term->token)
+                        .add("try", m_tries)
+                        .add("outcome", to_text(outcome))
+                        .add("took_ms", Core::elapsed(now, after)));
+        switch (outcome) {
+        case ReportOutcome::Accepted:
+            recorded.is_accepted = true;
+            m_accepted.add();
+            m_failing_since.reset();
+            m_tries = 0;
+            break;
+        case ReportOutcome::Outdated:
+            lose("the recipient has seen a later holder");
+            m_must_read = true;
+            break;
+        case ReportOutcome::OverRate:
+            break;
+        case ReportOutcome::Failed:
+            note_failed_report(after);
+            break;
+        }
+        return Core::Milliseconds(0);
+    }
+
+    void note_failed_report(Core::MonotonicTime now)
+    {
+        if (!m_failing_since)
+            m_failing_since = now;
+        if (Core::elapsed(*m_failing_since, now) < s_failing_limit)
+            return;
+        m_failing_since.reset();
+        m_next_look = now + s_rest;
+        give_up("reports fail");
+    }
+
+    void give_up(std::string_view reason)
+    {
+        auto record = m_known->record;
+        record.token = m_term->token;
+        record.is_released = true;
+        auto const token = m_term->token;
+        write(std::move(record), m_clock());
+        lose(reason);
+        m_log.write(Observe::LogEvent("duty-released").add("token", token).add("reason", reason));
+    }
+
+    /// Late reports serve nobody.
+    void drop_late_reports(Core::MonotonicTime now)
+    {
+        std::erase_if(m_known->record.reports, [&](auto const& recorded) {
+            auto const left = m_shared.time_left(recorded.report.window, now);
+            bool const is_late = left && left->count() <= 0;
+            if (is_late && !recorded.is_accepted) {
+                m_missed.add();
+                m_log.write(Observe::LogEvent("usage-missed")
+                                .add("window", recorded.report.window.value())
+                                .add("tries", m_tries));
+            }
+            return is_late;
+        });
+    }
+
+    [[nodiscard]] RecordedReport* first_unsent()
+    {
+        auto& reports = m_known->record.reports;
+        auto const found = std::ranges::find_if(reports, [](auto const& recorded) { return !recorded.is_accepted; });
+        return found == reports.end() ? nullptr : &*found;
+    }
+
+    void tell_alive(Core::MonotonicTime now)
+    {
+        if (Core::elapsed(m_term->reached_store, now) > s_store_silence && m_store_failing)
+            return;
+        m_shared.note_word({m_known->version.value(), m_known->seen, now, false});
+    }
+
+    // As one who may follow.
+
+    Core::Milliseconds look_for_lease(Core::MonotonicTime now)
+    {
+        auto const word = m_shared.word();
+        if (now < m_next_look || !is_holder_missing(word, now))
+            return s_interval;
+        bool const is_news = !m_known || word.version > m_known->version.value();
+        if (is_news || m_must_read) {
+            read();
+            return Core::Milliseconds(0);
+        }
+        if (word.version == m_known->version.value())
+            m_known->seen = std::min(m_known->seen, word.heard);
+        auto const free_at = free_from();
+        if (now < free_at)
+            return std::min(s_interval, Core::elapsed(now, free_at) + Core::Milliseconds(1));
+        take_over(now);
+        return Core::Milliseconds(0);
+    }
+
+    [[nodiscard]] bool is_holder_missing(DutyWord const& word, Core::MonotonicTime now) const
+    {
+        auto patience = m_spread;
+        if (!m_is_watching)
+            patience += m_settings.bystander_patience;
+        if (Core::elapsed(m_begun, now) < m_settings.acquaintance)
+            patience += m_settings.patience;
+        if (word.is_released)
+            return Core::elapsed(word.heard, now) >= patience - m_settings.patience / 2;
+        auto const heard = std::max(word.alive.value_or(m_begun), m_begun);
+        return Core::elapsed(heard, now) >= m_settings.patience + patience;
+    }
+
+    /// From when on nobody else can act under the version that is known.
+    [[nodiscard]] Core::MonotonicTime free_from() const
+    {
+        auto const& record = m_known->record;
+        bool const was_this_host = record.holder == m_self;
+        bool const is_free
+            = record.holder.empty() || was_this_host || (record.is_released && !record.was_held_recently_by(m_self));
+        return is_free ? m_known->seen : m_known->seen + m_settings.lease;
+    }
+
+    void take_over(Core::MonotonicTime now)
+    {
+        auto record = m_known->record;
+        auto const before = record.holder;
+        record.hand_over(m_self, m_incarnation);
+        write(std::move(record), now);
+        begin_term(m_known->version.value(), now + m_settings.lease - m_settings.margin, before);
+    }
+
+    void begin_term(std::uint64_t token, Core::MonotonicTime valid_until, std::string const& before)
+    {
+        m_term = Term {token, valid_until, m_clock()};
+        m_failing_since.reset();
+        m_tries = 0;
+        m_holding.set(1);
+        m_log.write(Observe::LogEvent("duty-taken").add("token", token).add("before", before));
+    }
+
+    void lose(std::string_view reason)
+    {
+        m_log.write(Observe::LogEvent("duty-lost").add("token", m_term->token).add("reason", reason));
+        m_term.reset();
+        m_holding.set(0);
+    }
+
+    // The object.
+
+    void read()
+    {
+        m_writes.add();
+        auto const object = m_store.read(s_kind, s_name);
+        auto const now = m_clock();
+        note_store_answer(now);
+        if (!object) {
+            m_known = Known {Platform::ObjectVersion(), {}, now};
+            return;
+        }
+        auto record = decode_duty_record(object->spec);
+        if (!record) {
+            m_log.write(Observe::LogEvent("duty-unreadable").add("version", object->version.value()));
+            m_next_look = now + s_rest;
+            return;
+        }
+        bool const is_same = m_known && m_known->version == object->version;
+        auto const seen = is_same ? m_known->seen : now;
+        take_known({object->version, *std::move(record), seen});
+    }
+
+    void take_known(Known known)
+    {
+        bool const is_own = known.record.holder == m_self && known.record.term == m_incarnation;
+        if (m_term && !is_own)
+            lose("another host has taken it over");
+        m_known = std::move(known);
+        auto const& record = m_known->record;
+        m_shared.note_word({m_known->version.value(), m_known->seen, std::nullopt, record.is_released});
+        if (m_term && record.is_released)
+            lose("given up");
+        if (!is_own || record.is_released)
+            return;
+        // A write whose answer was lost. Nobody knows when it was done: it gives no time to act, only the next one
+        // does.
+        auto const token = record.token == 0 ? m_known->version.value() : record.token;
+        if (!m_term)
+            begin_term(token, m_clock(), "an answer that was lost");
+        m_term->valid_until = m_clock();
+    }
+
+    void write(DutyRecord record, Core::MonotonicTime now)
+    {
+        ++record.renewal;
+        m_writes.add();
+        auto const spec = encode_duty_record(record);
+        auto const version = m_known->version == Platform::ObjectVersion()
+            ? m_store.create(s_kind, s_name, spec)
+            : m_store.update(s_kind, s_name, m_known->version, spec);
+        auto const after = m_clock();
+        note_store_answer(after);
+        m_known = Known {version, std::move(record), after};
+        m_shared.note_word({version.value(), after, now, m_known->record.is_released});
+    }
+
+    void note_store_answer(Core::MonotonicTime now)
+    {
+        m_must_read = false;
+        m_store_failing = false;
+        if (m_term)
+            m_term->reached_store = now;
+    }
+
+    void note_store_failure(std::string_view reason, Core::MonotonicTime now)
+    {
+        if (!std::exchange(m_store_failing, true))
+            m_log.write(Observe::LogEvent("duty-store-lost").add("holds", m_term.has_value()).add("reason", reason));
+        if (m_term && now >= m_term->valid_until && Core::elapsed(m_term->reached_store, now) > s_store_silence)
+            lose("the store is out of reach");
+        if (!m_term)
+            m_next_look = now + m_settings.patience;
+    }
+
+    [[nodiscard]] static std::uint64_t total_of(UsageReport const& report)
+    {
+        std::uint64_t total = 0;
+        for (auto const& [workspace, count] : report.counts)
+            total += count;
+        return total;
+    }
+
+    [[nodiscard]] static std::string_view to_text(ReportOutcome outcome)
+    {
+        switch (outcome) {
+        case ReportOutcome::Accepted:
+            return "accepted";
+        case ReportOutcome::OverRate:
+            return "over_rate";
+        case ReportOutcome::Outdated:
+            return "outdated";
+        case ReportOutcome::Failed:
+            return "failed";
+        }
+        return "failed";
+    }
+
+    DutySettings m_settings;
+    std::string m_self;
+    std::uint64_t m_incarnation;
+    Core::Milliseconds m_spread;
+    Clock m_clock;
+    SharedDuty& m_shared;
+    Store& m_store;
+    Recipient& m_recipient;
+    Observe::EventLog& m_log;
+    Observe::Gauge& m_holding;
+    Observe::Counter& m_writes;
+    Observe::Counter& m_accepted;
+    Observe::Counter& m_missed;
+    Core::MonotonicTime m_begun;
+    bool m_is_watching {false};
+    bool m_is_stopped {false};
+    std::optional<Known> m_known;
+    std::optional<Term> m_term;
+    /// What the store holds is not known for sure.
+    bool m_must_read {false};
+    bool m_store_failing {false};
+    Core::Milliseconds m_store_pause {s_shortest_pause};
+    Core::MonotonicTime m_next_look;
+    Core::MonotonicTime m_next_send;
+    std::optional<Core::MonotonicTime> m_failing_since;
+    unsigned m_tries {0};
+};
+
+}
--- /dev/null
+++ b/Tests/LibCluster/UsageLedgerTest.cpp
@@ -0,0 +1,148 @@
+// Counters that gateways tell each other: repeats, losses and another order change nothing.
+#include <LibCluster/FleetClock.h>
+#include <LibCluster/UsageLedger.h>
+
+#include <algorithm>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Cluster {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t s_any_number = 1'000;
+UsageWindow const s_window {7};
+
+}
+
+TEST(UsageLedger, AddsUpWhatGatewaysTell)
+{
+    UsageLedger first(1);
+    UsageLedger second(2);
+    first.count(s_window, "a");
+    first.count(s_window, "a");
+    second.count(s_window, "a");
+    second.count(s_window, "b");
+    for (auto const& usage : first.take_changes(s_any_number))
+        second.take(usage, UsageLedger::Relaying::No);
+    EXPECT_EQ(second.totals(s_window), (UsageCounts {{"a", 3}, {"b", 1}}));
+    EXPECT_EQ(first.totals(s_window), (UsageCounts {{"a", 2}}));
+}
+
+TEST(UsageLedger, AWindowIsFinalWhenAllThatCountedInItSaySo)
+{
+    UsageLedger first(1);
+    UsageLedger second(2);
+    first.count(s_window, "a");
+    second.count(s_window, "a");
+    for (auto const& usage : first.take_changes(s_any_number))
+        second.take(usage, UsageLedger::Relaying::No);
+    second.close(s_window);
+    EXPECT_FALSE(second.is_closed_by_all(s_window));
+    first.close(s_window);
+    for (auto const& usage : first.take_changes(s_any_number))
+        second.take(usage, UsageLedger::Relaying::No);
+    EXPECT_TRUE(second.is_closed_by_all(s_window));
+}
+
+TEST(UsageLedger, AWindowIsNotSaidToBeFinalBeforeItsCountsAreTold)
+{
+    UsageLedger first(1);
+    UsageLedger second(2);
+    for (int number = 0; number < 10; ++number)
+        first.count(s_window, std::to_string(number));
+    first.close(s_window);
+    while (first.has_changes()) {
+        EXPECT_TRUE(second.totals(s_window).size() < 10 && second.windows_after(UsageWindow()).size() <= 1);
+        for (auto const& usage : first.take_changes(4))
+            second.take(usage, UsageLedger::Relaying::No);
+        EXPECT_EQ(second.is_closed_by_all(s_window), second.totals(s_window).size() == 10);
+    }
+    EXPECT_EQ(second.totals(s_window).size(), 10U);
+}
+
+RC_GTEST_PROP(UsageLedger, RepeatsLossesAndAnotherOrderChangeNothing, ())
+{
+    std::mt19937_64 generator(*rc::gen::arbitrary<std::uint64_t>());
+    auto const happens = [&](double part) { return std::uniform_real_distribution<double>(0, 1)(generator) < part; };
+    UsageLedger gateway(1);
+    UsageLedger relay(2);
+    UsageLedger holder(3);
+    std::vector<GatewayUsage> under_way;
+    UsageCounts truth;
+    for (int step = 0; step < 200; ++step) {
+        auto const workspace = std::to_string(generator() % 5);
+        gateway.count(s_window, workspace);
+        ++truth[workspace];
+        for (auto const& usage : gateway.take_changes(s_any_number)) {
+            if (!happens(0.3))
+                relay.take(usage, UsageLedger::Relaying::Yes);
+        }
+        std::ranges::copy(relay.take_changes(s_any_number), std::back_inserter(under_way));
+    }
+    std::ranges::shuffle(under_way, generator);
+    for (auto const& usage : under_way) {
+        for (int copy = happens(0.2) ? 0 : 1 + static_cast<int>(generator() % 2); copy > 0; --copy)
+            holder.take(usage, UsageLedger::Relaying::No);
+    }
+    // The end of the window makes all losses good.
+    gateway.close(s_window);
+    for (auto const& usage : gateway.take_changes(s_any_number))
+        relay.take(usage, UsageLedger::Relaying::Yes);
+    for (auto const& usage : relay.take_changes(s_any_number))
+        holder.take(usage, UsageLedger::Relaying::No);
+    RC_ASSERT(holder.totals(s_window) == truth);
+    RC_ASSERT(holder.is_closed_by_all(s_window));
+}
+
+TEST(FleetClock, TheMedianIsNotMovedByClocksThatAreOff)
+{
+    Core::MonotonicTime const start {1h};
+    WallTime const time {1'000'000h};
+    FleetClock clock(start);
+    for (std::uint64_t host = 0; host < 10; ++host)
+        clock.note_reading(host, {host < 3 ? time + 2s : time}, start);
+    clock.follow_readings(start);
+    EXPECT_EQ(clock.at(start), time);
+    EXPECT_EQ(clock.at(start + 1'234ms), time + 1'234ms);
+}
+
+TEST(FleetClock, AJumpOfEveryClockIsBelievedOnlyWhenItLasts)
+{
+    Core::MonotonicTime now {1h};
+    WallTime const time {1'000'000h};
+    auto const truth = [&, begun = now] { return time + Core::elapsed(begun, now); };
+    FleetClock clock(now);
+    auto const play = [&](Core::Milliseconds duration, Core::Milliseconds error) {
+        for (auto const end = now + duration; now < end; now += 100ms) {
+            clock.note_reading(1, {truth() + error}, now);
+            clock.follow_readings(now);
+        }
+    };
+    play(5s, 0ms);
+    play(8s, -2s);
+    EXPECT_EQ(clock.at(now), truth());
+    play(5s, 0ms);
+    EXPECT_EQ(clock.at(now), truth());
+    play(40s, 2s);
+    EXPECT_EQ(clock.at(now), truth() + 2s);
+}
+
+TEST(FleetClock, AGroupCountsByItsHosts)
+{
+    Core::MonotonicTime const start {1h};
+    WallTime const time {1'000'000h};
+    FleetClock clock(start);
+    clock.note_reading(1, {time + 5s}, start);
+    clock.note_reading(2, {time + 5s}, start);
+    clock.note_reading(3, {time, 8, FleetClock::Source::Group}, start);
+    clock.follow_readings(start);
+    EXPECT_EQ(clock.at(start), time);
+    EXPECT_EQ(clock.host_median(start)->time, time + 5s);
+}
+
+}
