LibGateway, platform: Report usage

A request counts once, by the first server that begins.

Change: datagrams about load carry counts, clocks and the word on the holder; DutySharing translates. Streams that break unseen are counted when their engine proves alive. The call's connection is reset when it is given up, so that no cut link delivers it after a successor has acted.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -173,6 +173,19 @@
     boost::asio::post(m_context.loop, [attempt] {});
 }
 
+void GatewayRun::note_running(Core::MonotonicTime begun)
+{
+    if (m_context.usage == nullptr || m_call.workspace.empty() || std::exchange(*m_is_counted, true))
+        return;
+    m_context.usage->count(m_call.workspace, begun);
+}
+
+void GatewayRun::note_unanswered()
+{
+    if (m_attempt && m_attempt->is_sent() && !m_call.is_stream())
+        note_running(m_attempt->begun());
+}
+
 void GatewayRun::handle_failure(BackendAttempt& attempt, BackendAttempt::Failure failure, std::string const& reason)
 {
     auto const now = Core::monotonic_now();
@@ -214,6 +227,9 @@
 {
     m_may_have_run = true;
     m_tried.insert(m_attempt->server().record().instance);
+    note_unanswered();
+    if (m_context.usage != nullptr && m_call.is_stream() && !*m_is_counted && !m_call.workspace.empty())
+        m_context.unseen_runs.add(m_choice.server, m_call.workspace, m_is_counted, now);
     end_attempt(false, now);
     m_kept_answer.clear();
     m_context.log.write(Observe::LogEvent("broken")
@@ -316,6 +332,7 @@
                             .add("has_begun", m_has_begun_answer));
     m_may_have_run = true;
     m_tried.insert(server);
+    note_unanswered();
     end_attempt(false, now);
     m_events.drop_partial_event();
     try_again("the backend server is silent", now);
@@ -325,6 +342,7 @@
 {
     if (m_attempt && m_attempt->is_sent()) {
         m_may_have_run = true;
+        note_unanswered();
         end_attempt(m_first_event.has_value(), now);
     }
     drop_unsent_attempt();
@@ -346,6 +364,7 @@
     if (m_is_over)
         return;
     m_context.metrics.note_cancelled();
+    note_unanswered();
     if (m_attempt)
         m_attempt->cancel();
     finish(m_may_have_run || m_sends > 0 || (m_attempt && m_attempt->is_sent()) ? Outcome::Unknown : Outcome::NotRun, 0,
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <LibCluster/SharedDuty.h>
 #include <LibGateway/BackendAttempt.h>
 #include <LibGateway/BackendFleet.h>
 #include <LibGateway/CallerConnection.h>
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/LoadExchange.h>
+#include <LibGateway/UnseenRuns.h>
 #include <LibHTTP/EventFramer.h>
 #include <LibObserve/EventLog.h>
 #include <LibPolicy/FleetRetryBudget.h>
@@ -60,6 +62,9 @@
     Dialect dialect;
     BackendFleet& fleet;
     LoadExchange& load;
+    /// Where requests that begin to run are counted; null where nobody reports them.
+    Cluster::SharedDuty* usage;
+    UnseenRuns unseen_runs;
     /// By service.
     std::map<std::string, Policy::FleetRetryBudget> budgets;
     std::size_t entry_count {1};
@@ -113,6 +118,11 @@
     [[nodiscard]] bool must_hide(HTTP::AnswerHead const&) const;
     void give_whole_answer(BackendAttempt&);
     void end_attempt(bool is_success, Core::MonotonicTime now);
+    /// A backend server began to run the request then. It counts once, by the first server, also where that fails.
+    void note_running(Core::MonotonicTime begun);
+    /// The attempt in hand was sent and brought no whole answer. A plain service may have lost only its answer; of a
+    /// stream without an event nobody knows.
+    void note_unanswered();
 
     void drop_unsent_attempt();
     /// How long the attempt's server may be silent before another one is asked.
@@ -140,6 +150,8 @@
     unsigned m_sends {0};
     unsigned m_unsent {0};
     bool m_may_have_run {false};
+    /// Whether it is counted as begun.
+    std::shared_ptr<bool> m_is_counted {std::make_shared<bool>(false)};
     bool m_is_over {false};
     std::optional<Core::MonotonicTime> m_held_since;
 
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -69,6 +69,7 @@
             m_context.fleet.note_pause(m_call.service, attempt.server(), pause);
         }
         m_last_event = now;
+        note_running(now);
         if (attempt.load().unread_tokens > 0) {
             m_context.fleet.note_first_event(
                 m_call.service, attempt.load().unread_tokens, Core::elapsed(attempt.begun(), now));
@@ -120,6 +121,7 @@
     auto const now = Core::monotonic_now();
     auto const& head = attempt.parser().head();
     bool const is_server_error = head.status >= Status::s_first_server_error;
+    note_running(m_call.is_stream() ? now : attempt.begun());
     if (is_server_error && m_call.is_repeatable() && !m_has_begun_answer && may_try_again(now)) {
         m_tried.insert(attempt.server().record().instance);
         end_attempt(false, now);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -92,7 +92,7 @@
 
 GatewayServer::GatewayServer(Settings settings, Entry::SharedTable const& table, Entry::SharedServers const& servers,
     Entry::SharedMembership const& membership, Entry::WatchDuty& duty, Observe::EventLog& log,
-    Observe::MetricRegistry& registry)
+    Observe::MetricRegistry& registry, Cluster::SharedDuty* usage)
     : m_settings(std::move(settings))
     , m_shared_table(table)
     , m_shared_servers(servers)
@@ -101,8 +101,10 @@
     , m_registry(registry)
     , m_metrics(registry)
     , m_fleet(m_settings.fleet, log)
-    , m_load(m_loop, m_settings.load_address, m_fleet, membership, duty, log, registry)
-    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, {}, 1, log, m_metrics}
+    , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
+    , m_load(m_loop, m_settings.load_address, m_fleet, m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty,
+          log, registry)
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, usage, {}, {}, 1, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
@@ -281,6 +283,8 @@
     for (auto const& run : m_runs)
         run->tick(now);
     std::erase_if(m_runs, [](auto const& run) { return run->is_over(); });
+    if (m_context.usage != nullptr)
+        m_context.unseen_runs.settle(*m_context.usage, now);
     refuse_early_requests(now);
     for (auto const& connection : m_connections)
         connection->tick(now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -39,8 +39,9 @@
         Core::Milliseconds drain_limit {8'000};
     };
 
+    /// `usage` counts the requests that begin to run; null where nobody reports them.
     GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
-        Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&);
+        Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&, Cluster::SharedDuty* usage = nullptr);
     ~GatewayServer();
     GatewayServer(GatewayServer const&) = delete;
     GatewayServer& operator=(GatewayServer const&) = delete;
@@ -95,6 +96,7 @@
     boost::asio::io_context m_loop {1};
     GatewayMetrics m_metrics;
     BackendFleet m_fleet;
+    std::optional<DutySharing> m_duty_sharing;
     LoadExchange m_load;
     RunContext m_context;
     std::unique_ptr<CallerHandler> m_caller_handler;
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -27,7 +27,8 @@
     /// How often there may be something to send while nothing is open.
     static constexpr Core::Milliseconds s_idle_interval {100};
 
-    LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&,
+    /// What is shared for duties is null where gateways have none.
+    LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, DutySharing* duties,
         Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&);
 
     /// A prompt was sent to the server; `parts` are those that other prompts may share.
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -86,9 +86,10 @@
 
 }
 
-LoadSharing::LoadSharing(std::uint64_t self, BackendFleet& fleet, Core::MonotonicTime begun)
+LoadSharing::LoadSharing(std::uint64_t self, BackendFleet& fleet, DutySharing* duties, Core::MonotonicTime begun)
     : m_self(self)
     , m_fleet(fleet)
+    , m_duties(duties)
     , m_election(begun)
     , m_reporters(fleet)
     , m_relays(fleet)
@@ -128,7 +129,11 @@
     auto const most_suspected = static_cast<int>(s_most_suspected);
     bool const are_reported_sound = report.unreachable_size() <= most_suspected
         && report.broken_size() <= most_suspected && report.answering_size() <= most_suspected;
-    return is_report_sound && are_reported_sound && datagram.relayed_size() <= static_cast<int>(s_most_forwarded) + 1
+    bool const are_counts_sound = DutySharing::is_within_bounds(report)
+        && std::ranges::all_of(
+            datagram.relayed(), [](auto const& part) { return DutySharing::is_within_bounds(part); });
+    return is_report_sound && are_reported_sound && are_counts_sound
+        && datagram.relayed_size() <= static_cast<int>(s_most_forwarded) + 1
         && std::ranges::all_of(datagram.relayed(), [&](auto const& part) {
                return part.servers_size() <= static_cast<int>(s_most_servers) && are_sound(part.placements())
                    && part.suspected_size() <= most_suspected && part.answering_size() <= most_suspected;
@@ -156,6 +161,9 @@
     if (report.sender() == m_self)
         return;
     m_heard_store_word.merge(read_word(report.store(), now));
+    if (m_duties != nullptr)
+        m_duties->take_report(report, now);
+    m_has_newcomer = m_has_newcomer || m_ledger.sequence_of(report.sender()) == 0;
     bool const has_missed_one = m_ledger.sequence_of(report.sender()) + 1 < report.sequence();
     auto loads = loads_of(report.servers());
     m_reporters.take(report.sender(), report.sequence(), LoadSources::Extent::Whole, loads, now);
@@ -195,6 +203,8 @@
     if (part.relay() == m_self)
         return;
     m_heard_store_word.merge(read_word(part.store(), now));
+    if (m_duties != nullptr)
+        m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
     auto loads = loads_of(part.servers());
     subtract_own(part, loads);
     if (!m_relays.take(part.relay(), part.sequence(), LoadSources::Extent::Changes, loads, now))
@@ -256,10 +266,14 @@
     }
 }
 
+bool LoadSharing::counts_own(RelayedLoad const& part) const
+{
+    return std::ranges::any_of(part.counted(), [this](auto const& report) { return report.gateway() == m_self; });
+}
+
 void LoadSharing::believe_suspicions(RelayedLoad const& part, Core::MonotonicTime now)
 {
-    bool const is_own_domain
-        = std::ranges::any_of(part.counted(), [this](auto const& report) { return report.gateway() == m_self; });
+    bool const is_own_domain = counts_own(part);
     for (auto const server : part.suspected()) {
         if (is_own_domain || m_suspicions.note_other_domain(server, part.relay(), now))
             suspect(server, now);
@@ -289,8 +303,10 @@
     return m_report_sequence;
 }
 
-std::vector<OutgoingLoad> LoadSharing::turn(Core::MonotonicTime now)
+std::vector<OutgoingLoad> LoadSharing::turn(Cluster::WallTime own_clock, Core::MonotonicTime now)
 {
+    if (m_duties != nullptr)
+        m_duties->duty().turn(own_clock, now);
     m_suspicions.forget_old(now);
     m_relays.forget_silent(now, s_relay_memory, s_entry_memory);
     for (auto const gateway : m_ledger.forget_silent(now))
@@ -301,7 +317,7 @@
     if (relays_itself)
         count_own(now);
     else if (relay)
-        report_to(*relay, outgoing, now);
+        report_to(*relay, outgoing, own_clock, now);
     m_is_relay = relays_itself || !m_ledger.reports().empty();
     if (m_is_relay)
         send_as_relay(outgoing, now);
@@ -310,12 +326,14 @@
     return outgoing;
 }
 
-void LoadSharing::report_to(std::string const& relay, std::vector<OutgoingLoad>& outgoing, Core::MonotonicTime now)
+void LoadSharing::report_to(
+    std::string const& relay, std::vector<OutgoingLoad>& outgoing, Cluster::WallTime own_clock, Core::MonotonicTime now)
 {
     auto loads = own_loads();
     bool const has_changed = m_own_reports.empty() || loads != m_own_reports.back().loads;
     bool const has_placements = !m_placements.empty() || !m_placements_before.empty();
-    bool const has_findings = !m_unreachable.empty() || !m_broken.empty() || !m_answering.empty();
+    bool const has_findings
+        = !m_unreachable.empty() || !m_broken.empty() || !m_answering.empty() || has_news_of_duties();
     if (!has_changed && !has_placements && !has_findings && Core::elapsed(m_reported, now) < s_heartbeat)
         return;
     m_reported = now;
@@ -323,6 +341,8 @@
     auto& report = *datagram.mutable_report();
     report.set_sender(m_self);
     write_word(*report.mutable_store(), m_store_word, now);
+    if (m_duties != nullptr)
+        m_duties->fill_report(report, own_clock, now);
     for (auto const& [server, load] : loads) {
         if (report.servers_size() < static_cast<int>(s_most_servers))
             add_load(*report.add_servers(), server, load);
@@ -381,6 +401,8 @@
     part.set_relay(m_self);
     part.set_sequence(++m_relay_sequence);
     write_word(*part.mutable_store(), m_store_word, now);
+    if (m_duties != nullptr)
+        m_duties->fill_part(part, now);
     for (auto const& [server, load] : loads) {
         if (part.servers_size() < static_cast<int>(s_most_servers))
             add_load(*part.add_servers(), server, load);
@@ -400,7 +422,7 @@
 {
     bool const is_due = Core::elapsed(m_relayed, now) >= s_heartbeat;
     bool const has_news = m_ledger.has_changes() || !m_relay_placements.empty() || !m_forwarded.empty()
-        || !m_suspected_to_tell.empty() || !m_answering_to_tell.empty();
+        || !m_suspected_to_tell.empty() || !m_answering_to_tell.empty() || has_news_of_duties();
     if (!is_due && !has_news)
         return;
     m_relayed = now;
@@ -411,6 +433,8 @@
     for (auto& address : m_election.fellow_relays(now))
         outgoing.push_back({std::move(address), bytes});
 
+    if (std::exchange(m_has_newcomer, false) && m_duties != nullptr)
+        m_duties->fill_everything(part);
     Datagram to_reporters;
     for (auto const& [gateway, report] : m_ledger.reports()) {
         auto& counted = *part.add_counted();
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -4,6 +4,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/WatchElection.h>
 #include <LibGateway/BackendFleet.h>
+#include <LibGateway/DutySharing.h>
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/LoadLedger.h>
 #include <LibGateway/LoadSources.h>
@@ -63,8 +64,8 @@
     /// Servers that are told of as dead, or as answering again, at once.
     static constexpr std::size_t s_most_suspected = 1'000;
 
-    /// `self` is the gateway's incarnation.
-    LoadSharing(std::uint64_t self, BackendFleet&, Core::MonotonicTime begun);
+    /// `self` is the gateway's incarnation. What is shared for duties is null where gateways have none.
+    LoadSharing(std::uint64_t self, BackendFleet&, DutySharing* duties, Core::MonotonicTime begun);
 
     void set_members(Entry::LoadMembers const&);
 
@@ -85,8 +86,8 @@
     /// What others have told of it since the last call.
     [[nodiscard]] Entry::StoreWord take_store_word() { return std::exchange(m_heard_store_word, {}); }
 
-    /// What there is to send now.
-    [[nodiscard]] std::vector<OutgoingLoad> turn(Core::MonotonicTime now);
+    /// What there is to send now; `own_clock` is this host's time of day.
+    [[nodiscard]] std::vector<OutgoingLoad> turn(Cluster::WallTime own_clock, Core::MonotonicTime now);
 
     /// Whether something is open here or at those who report.
     [[nodiscard]] bool is_busy() const { return m_is_busy; }
@@ -115,6 +116,8 @@
     /// What the gateways of this relay's failure domain have met.
     void collect_suspicions(std::span<std::uint64_t const> unreachable, std::span<std::uint64_t const> broken,
         std::span<std::uint64_t const> answering, Core::MonotonicTime now);
+    /// Whether the part comes from the relay that this gateway reports to.
+    [[nodiscard]] bool counts_own(RelayedLoad const&) const;
     void believe_suspicions(RelayedLoad const&, Core::MonotonicTime now);
     void suspect(std::uint64_t server, Core::MonotonicTime now);
     void trust(std::uint64_t server);
@@ -122,7 +125,9 @@
     [[nodiscard]] LoadsByServer own_loads() const;
     /// Begins the next report of what is open here.
     std::uint64_t begin_report(LoadsByServer);
-    void report_to(std::string const& relay, std::vector<OutgoingLoad>&, Core::MonotonicTime now);
+    [[nodiscard]] bool has_news_of_duties() const { return m_duties != nullptr && m_duties->has_changes(); }
+    void report_to(
+        std::string const& relay, std::vector<OutgoingLoad>&, Cluster::WallTime own_clock, Core::MonotonicTime now);
     void count_own(Core::MonotonicTime now);
     void send_as_relay(std::vector<OutgoingLoad>&, Core::MonotonicTime now);
     [[nodiscard]] RelayedLoad make_part(Core::MonotonicTime now);
@@ -130,6 +135,9 @@
 
     std::uint64_t m_self;
     BackendFleet& m_fleet;
+    DutySharing* m_duties;
+    /// A gateway that was not known reports here.
+    bool m_has_newcomer {false};
     RelayElection m_election;
     LoadLedger m_ledger;
     LoadSources m_reporters;
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 namespace GraniteField::HTTP {
 
@@ -44,6 +45,14 @@
     return static_cast<std::atomic<bool>*>(user)->load() ? 1 : 0;
 }
 
+/// Makes closing the socket reset its connection.
+int set_reset(void*, curl_socket_t socket, curlsocktype)
+{
+    linger const option {1, 0};
+    bool const is_set = setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option)) == 0;
+    return is_set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 Effect effect_of(CURLcode code)
 {
     bool const never_connected
@@ -103,6 +112,8 @@
     // On a connection that was kept and has died libcurl would send a request again by itself.
     bool const is_read = request.method == "GET" || request.method == "HEAD";
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, is_read ? 0L : 1L);
+    if (request.end == ConnectionEnd::Reset)
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, set_reset);
     if (request.method == "HEAD")
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     if (!request.body.empty() || request.method == "PUT" || request.method == "POST") {
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -13,6 +13,14 @@
 /// Header names in lower case.
 using Headers = std::map<std::string, std::string>;
 
+/// How a connection ends that is given up.
+enum class ConnectionEnd {
+    /// What is under way may still arrive.
+    Orderly,
+    /// What has not arrived is thrown away.
+    Reset,
+};
+
 struct ClientRequest {
     std::string method {"GET"};
     std::string url;
@@ -20,6 +28,7 @@
     std::string body;
     Core::Milliseconds connect_timeout {1000};
     Core::Milliseconds timeout {5000};
+    ConnectionEnd end {ConnectionEnd::Orderly};
 };
 
 struct ClientResponse {
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -126,6 +126,22 @@
     reader.finish();
 }
 
+void read_duties(Json const& json, DutiesSettings& duties, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/duties", findings);
+    reader.read("address", duties.address, Presence::Required);
+    reader.read("usage-window", duties.usage.window, 100ms, 24h);
+    reader.read("usage-late", duties.usage.late, 100ms, 24h);
+    reader.read("lease", duties.lease.lease, 100ms, 10min);
+    reader.read("lease-margin", duties.lease.margin, 10ms, 10min);
+    reader.read("call-timeout", duties.lease.call_timeout, 10ms, 60s);
+    reader.read("call-pause", duties.lease.call_pause, 1ms, 60s);
+    reader.read("patience", duties.lease.patience, 10ms, 10min);
+    reader.finish();
+    if (duties.lease.margin >= duties.lease.lease)
+        findings.add("/duties/lease-margin", "must be shorter than the lease");
+}
+
 void read_gateway(ObjectReader& reader, DaemonSettings& settings, Core::Findings& findings)
 {
     auto& gateway = settings.gateway;
@@ -143,6 +159,8 @@
         read_gateway_routing(*routing, server, findings);
     if (auto const* retries = reader.member("retries"))
         read_retries(*retries, server.runs.retries, findings);
+    if (auto const* duties = reader.member("duties"))
+        read_duties(*duties, gateway.duties.emplace(), findings);
     gateway.peers.name = settings.common.name;
     gateway.peers.group = settings.common.failure_domain;
     gateway.peers.processor_permille = static_cast<unsigned>(settings.common.processor_share * 1'000);
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCluster/UsageReporter.h>
 #include <LibCore/Address.h>
 #include <LibCore/Findings.h>
 #include <LibCore/Time.h>
@@ -47,11 +48,21 @@
     Entry::PeerExchange::Settings peers;
 };
 
+/// Reporting usage to the platform.
+struct DutiesSettings {
+    /// Who takes the reports.
+    Core::Address address;
+    Cluster::UsageSettings usage;
+    Cluster::DutySettings lease;
+};
+
 struct GatewaySettings {
     Gateway::GatewayServer::Settings server;
     Entry::PeerExchange::Settings peers;
     /// The platform's store, for the configuration and the backend servers.
     Entry::PlatformSettings platform;
+    /// Duties that one gateway at a time has; none by default.
+    std::optional<DutiesSettings> duties;
 };
 
 /// The settings of one daemon, read from its JSON file. docs/OPERATIONS.md lists them.
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -3,6 +3,8 @@
 #include "Announcement.h"
 #include "OperatorServer.h"
 
+#include <LibCluster/DutyThread.h>
+#include <LibCluster/UsageReporter.h>
 #include <LibCore/Hashing.h>
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/SharedHosts.h>
@@ -20,6 +22,7 @@
 
 #include <platform/Decoders.h>
 #include <platform/StoreSinks.h>
+#include <platform/UsageClient.h>
 
 namespace GraniteField::Daemon {
 
@@ -65,6 +68,43 @@
     return {200, "application/json", {}, json.dump()};
 }
 
+/// This gateway's part in reporting usage, on a thread of its own.
+class UsageDuty {
+public:
+    UsageDuty(Settings::DaemonSettings const& settings, std::uint64_t incarnation, Cluster::SharedDuty& usage,
+        Entry::WatchDuty& watching, Observe::EventLog& log, Observe::MetricRegistry& metrics)
+        : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout)
+        , m_recipient(settings.gateway.duties->address, log)
+        , m_reporter(lease_settings(settings), incarnation, order_of(settings.common.name), Core::monotonic_now, usage,
+              m_store, m_recipient, log, metrics)
+        , m_thread(m_reporter, [&watching] { return watching.follows_store(); })
+    {
+    }
+
+private:
+    using Reporter = Cluster::UsageReporter<Platform::ObjectClient, Platform::UsageClient>;
+
+    static Cluster::DutySettings lease_settings(Settings::DaemonSettings const& settings)
+    {
+        auto lease = settings.gateway.duties->lease;
+        lease.name = settings.common.name;
+        lease.address = settings.gateway.peers.address.to_string();
+        return lease;
+    }
+
+    /// A number from 0 to 1 that each gateway has of its own.
+    static double order_of(std::string const& name)
+    {
+        constexpr std::uint64_t steps = 1'000;
+        return static_cast<double>(Core::hash_bytes(name) % steps) / steps;
+    }
+
+    Platform::ObjectClient m_store;
+    Platform::UsageClient m_recipient;
+    Reporter m_reporter;
+    Cluster::DutyThread<Reporter> m_thread;
+};
+
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
 void reload(SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
@@ -114,7 +154,13 @@
     server_settings.dialect = Platform::platform_dialect();
     auto const contact_time = settings.gateway.platform.contact_time.value_or(s_contact_time);
     Entry::WatchDuty duty(contact_time, Core::hash_bytes(common.name), table, servers, log, metrics);
-    Gateway::GatewayServer server(server_settings, table, servers, membership, duty, log, metrics);
+    auto const incarnation = Core::draw_incarnation().value();
+    auto const& duties = settings.gateway.duties;
+    std::optional<Cluster::SharedDuty> usage;
+    if (duties)
+        usage.emplace(duties->usage, incarnation, Core::monotonic_now());
+    Gateway::GatewayServer server(
+        server_settings, table, servers, membership, duty, log, metrics, usage ? &*usage : nullptr);
     auto peer_settings = settings.gateway.peers;
     peer_settings.load_address = server.load_address();
     Entry::PeerExchange peers(peer_settings, context, table, hosts, servers, membership,
@@ -151,9 +197,13 @@
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Table), log, metrics);
     Platform::ObjectFollower const backend_servers(store, std::string(Platform::servers_kind()), servers_sink,
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Servers), log, metrics);
+    std::optional<UsageDuty> usage_duty;
+    if (duties)
+        usage_duty.emplace(settings, incarnation, *usage, duty, log, metrics);
     follow_signals(wait_for_signal, source, server, log);
     log.write(Observe::LogEvent("stop"));
     server.drain();
+    usage_duty.reset();
     server.wait_until_drained();
     log.write(Observe::LogEvent("stopped"));
 }
--- a/Tests/LibGateway/LoadExchangeTest.cpp
+++ b/Tests/LibGateway/LoadExchangeTest.cpp
@@ -76,7 +76,7 @@
     Entry::SharedServers m_servers;
     Entry::WatchDuty m_duty {Core::Milliseconds(3'000), 0, m_table, m_servers, m_log, m_metrics};
     LoadExchange m_exchange {
-        m_loop, Core::Address::from_string("127.0.0.1:0"), m_fleet, m_membership, m_duty, m_log, m_metrics};
+        m_loop, Core::Address::from_string("127.0.0.1:0"), m_fleet, nullptr, m_membership, m_duty, m_log, m_metrics};
 };
 
 }
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -54,7 +54,7 @@
     Observe::MetricRegistry metrics;
     Observe::EventLog log {log_descriptor.number(), "gateway", Core::Incarnation(1), metrics};
     BackendFleet fleet {settings(), log};
-    LoadSharing sharing {id, fleet, s_start};
+    LoadSharing sharing {id, fleet, nullptr, s_start};
     /// Gateways do not turn at the same moment.
     Core::MonotonicTime next_turn {s_start + s_step * static_cast<int>(id % 10)};
 };
@@ -103,7 +103,7 @@
         if (!node.is_alive || m_now < node.next_turn)
             return;
         node.next_turn += LoadSharing::s_interval;
-        for (auto const& outgoing : node.sharing.turn(m_now)) {
+        for (auto const& outgoing : node.sharing.turn({}, m_now)) {
             ++m_sent;
             m_bytes += outgoing.bytes->size();
             if (std::uniform_real_distribution<double>(0, 1)(m_generator) >= m_loss)
@@ -398,10 +398,10 @@
         if (read.ParseFromString(bytes))
             node.sharing.take(read, peer.address, now);
         now += Core::Milliseconds(*rc::gen::inRange(0, 300));
-        static_cast<void>(node.sharing.turn(now));
+        static_cast<void>(node.sharing.turn({}, now));
     }
     now += LoadSharing::s_entry_memory + LoadSharing::s_relay_memory;
-    static_cast<void>(node.sharing.turn(now));
+    static_cast<void>(node.sharing.turn({}, now));
     for (auto const& [instance, view] : node.fleet.all())
         RC_ASSERT(view->load() == ServerLoad());
 }
