LibGateway: Count others' own prompt parts in an engine's memory

Cause: in a burst 40.9 million prompt tokens were read where gateways expected 28.2, 10.0 million of shared parts again. Gateways told each other of shared parts only, so that each believed an engine to keep what others' private parts had long put out, and sent prompts there, or fetched from there, in vain.

Ruled out: prompts that leave their home for its load (their reading is in what was expected).

Change: a placement tells the tokens that no other prompt shares; they take their place in the order of last use.

--- a/Libraries/LibGateway/GatewayCall.cpp
+++ b/Libraries/LibGateway/GatewayCall.cpp
@@ -125,6 +125,11 @@
     return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
+std::uint32_t own_tokens(GatewayCall const& call)
+{
+    return call.prompt.empty() ? 0 : call.prompt.back().tokens;
+}
+
 std::optional<Core::Milliseconds> read_patience(HTTP::RequestHead const& head, Dialect const& dialect)
 {
     // A fraction of a millisecond says nothing here.
--- a/Libraries/LibGateway/GatewayCall.h
+++ b/Libraries/LibGateway/GatewayCall.h
@@ -64,6 +64,9 @@
 /// The parts of the prompt that other requests share: all but the last, which belongs to the request or its session.
 [[nodiscard]] std::span<PromptPart const> shared_parts(GatewayCall const&);
 
+/// Tokens of the last part.
+[[nodiscard]] std::uint32_t own_tokens(GatewayCall const&);
+
 /// How long the caller waits in all, as it says; nothing where it does not say.
 [[nodiscard]] std::optional<Core::Milliseconds> read_patience(HTTP::RequestHead const&, Dialect const&);
 
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -87,7 +87,7 @@
     m_attempt->load() = {1, m_choice.unread_tokens, m_choice.is_pause_sensitive ? 1U : 0U};
     m_choice.server->begin_attempt(m_attempt->load());
     m_choice.server->prefixes().note_read(m_call.prompt);
-    m_context.load.note_placement(*m_choice.server, shared_parts(m_call));
+    m_context.load.note_placement(*m_choice.server, shared_parts(m_call), own_tokens(m_call));
     m_attempt->begin(request_for(*m_choice.server, now), now);
     m_context.log.write(Observe::LogEvent("dispatch")
                             .add("request", m_call.id)
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -39,9 +39,10 @@
     schedule();
 }
 
-void LoadExchange::note_placement(BackendView const& server, std::span<PromptPart const> parts)
+void LoadExchange::note_placement(
+    BackendView const& server, std::span<PromptPart const> parts, std::uint32_t own_tokens)
 {
-    if_open([&] { m_sharing.note_placement(server, parts); });
+    if_open([&] { m_sharing.note_placement(server, parts, own_tokens); });
 }
 
 std::string LoadExchange::address() const
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -31,8 +31,8 @@
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, DutySharing* duties,
         Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&);
 
-    /// A prompt was sent to the server; `parts` are those that other prompts may share.
-    void note_placement(BackendView const&, std::span<PromptPart const> parts);
+    /// A prompt was sent to the server; `parts` are those that other prompts may share, `own_tokens` the rest of it.
+    void note_placement(BackendView const&, std::span<PromptPart const> parts, std::uint32_t own_tokens);
 
     /// What this gateway met at a server; told to the others.
     void note_unreachable(BackendView const& server)
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -102,12 +102,13 @@
     m_other_gateways = members.others.size();
 }
 
-void LoadSharing::note_placement(BackendView const& server, std::span<PromptPart const> parts)
+void LoadSharing::note_placement(BackendView const& server, std::span<PromptPart const> parts, std::uint32_t own_tokens)
 {
     if (parts.empty() || m_placements.size() >= s_most_placements)
         return;
     Placement placement;
     placement.set_server(server.id());
+    placement.set_own_tokens(own_tokens);
     for (auto const& part : parts.first(std::min<std::size_t>(parts.size(), s_most_parts))) {
         placement.add_chains(part.chain);
         placement.add_tokens(part.tokens);
@@ -194,7 +195,7 @@
         parts.clear();
         for (int index = 0; index < placement.chains_size(); ++index)
             parts.push_back({placement.chains(index), placement.tokens(index)});
-        server->prefixes().note_read(parts);
+        server->prefixes().note_read(parts, placement.own_tokens());
     }
 }
 
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -69,8 +69,8 @@
 
     void set_members(Entry::LoadMembers const&);
 
-    /// A prompt was sent to the server; `parts` are those that other prompts may share.
-    void note_placement(BackendView const&, std::span<PromptPart const> parts);
+    /// A prompt was sent to the server; `parts` are those that other prompts may share, `own_tokens` the rest of it.
+    void note_placement(BackendView const&, std::span<PromptPart const> parts, std::uint32_t own_tokens);
 
     /// The server took no connection, broke off an answer, or has answered again.
     void note_unreachable(BackendView const& server) { m_unreachable.push_back(server.id()); }
--- a/Libraries/LibGateway/PrefixMemory.h
+++ b/Libraries/LibGateway/PrefixMemory.h
@@ -37,18 +37,21 @@
         return tokens;
     }
 
-    /// The engine reads this prompt.
-    void note_read(std::span<PromptPart const> prompt)
+    /// The engine reads this prompt, and tokens behind it that no other prompt shares: they take memory as well. Where
+    /// other gateways' were left out, 12.7 of 40.9 million tokens were read that no gateway expected, and 10.0 million
+    /// of shared parts were read again in a burst; counted, 5.8 million, and questions in time rose from 0.648 to 0.738
+    /// (one play each).
+    void note_read(std::span<PromptPart const> prompt, std::uint32_t own_tokens = 0)
     {
+        if (own_tokens > 0)
+            remember({++m_last_own, own_tokens});
         for (auto const& part : prompt) {
             auto const place = m_places.find(part.chain);
             if (place != m_places.end()) {
                 m_order.splice(m_order.begin(), m_order, place->second);
                 continue;
             }
-            m_order.push_front(part);
-            m_places.emplace(part.chain, m_order.begin());
-            m_tokens += part.tokens;
+            remember(part);
         }
         while (!m_order.empty() && (m_tokens > m_capacity || m_order.size() > s_most_parts)) {
             m_tokens -= m_order.back().tokens;
@@ -58,6 +61,15 @@
     }
 
 private:
+    void remember(PromptPart const& part)
+    {
+        m_order.push_front(part);
+        m_places.emplace(part.chain, m_order.begin());
+        m_tokens += part.tokens;
+    }
+
+    /// Stands for what has no name; prompts' parts have hashes, which are never so small.
+    std::uint64_t m_last_own {0};
     std::uint64_t m_capacity {s_default_capacity};
     std::uint64_t m_tokens {0};
     std::list<PromptPart> m_order;
--- a/Tests/LibGateway/GatewayPropertiesTest.cpp
+++ b/Tests/LibGateway/GatewayPropertiesTest.cpp
@@ -171,6 +171,18 @@
     EXPECT_LE(budget.balance(), 1);
 }
 
+TEST(PrefixMemory, WhatNoOtherPromptSharesTakesMemoryAsWell)
+{
+    PrefixMemory memory;
+    memory.set_capacity(10'000);
+    std::vector<PromptPart> const shared {{77, 6'000}};
+    memory.note_read(shared);
+    memory.note_read({}, 3'000);
+    EXPECT_EQ(memory.kept_tokens(shared), 6'000U);
+    memory.note_read({}, 3'000);
+    EXPECT_EQ(memory.kept_tokens(shared), 0U);
+}
+
 RC_GTEST_PROP(PrefixMemory, NeverRemembersMoreThanItsCapacity, ())
 {
     PrefixMemory memory;
--- a/Tests/LibGateway/LoadExchangeTest.cpp
+++ b/Tests/LibGateway/LoadExchangeTest.cpp
@@ -84,7 +84,7 @@
 TEST_F(LoadExchanges, APlacementIsToldTwiceAlsoWhereNothingElseChanges)
 {
     std::vector<PromptPart> const parts {{7, 100}};
-    m_exchange.note_placement(server(), parts);
+    m_exchange.note_placement(server(), parts, 0);
     run(1);
     unsigned told = count_placements();
     EXPECT_EQ(told, 1U);
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -245,7 +245,7 @@
     for (int round = 0; round < 20; ++round) {
         for (auto const& node : m_nodes) {
             view(*node, "i-0").begin_attempt({1, 10, 0});
-            node->sharing.note_placement(view(*node, "i-0"), parts);
+            node->sharing.note_placement(view(*node, "i-0"), parts, 0);
         }
         play(LoadSharing::s_interval);
     }
@@ -256,7 +256,7 @@
 TEST_F(LoadFleet, PlacementsReachAllAlsoWhereAReportIsLost)
 {
     std::vector<PromptPart> const parts {{9, 400}};
-    node(4).sharing.note_placement(view(node(4), "i-5"), parts);
+    node(4).sharing.note_placement(view(node(4), "i-5"), parts, 0);
     m_loss = 1;
     play(LoadSharing::s_interval);
     m_loss = 0;
