LibPolicy: Refuse what will not begin in time

Change: Admission, a class without network or clock. Each class learns what predicted waits come to, in the middle and for eight in ten. Refused is what the middle of them would begin too late, and in a shortage that lasts, what two in ten would. Retry-After is the time that the shortage has lasted or the excess of the wait, spread, within what callers honour. What has begun, and what goes elsewhere after a fault, is never refused.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/GatewayRun.h>
 
+#include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
 #include <LibEntry/CallInterpreter.h>
 #include <LibGateway/OwnAnswer.h>
@@ -51,9 +52,26 @@
     if (!choice.server)
         return hold(now);
     m_held_since.reset();
+    if (auto const retry_after = refuse_now(choice, now)) {
+        m_choice = choice;
+        return fail(Status::s_bad_gateway, "engines_full", "no engine is expected to begin in time", retry_after);
+    }
     send_to(choice, now);
 }
 
+std::optional<Core::Milliseconds> GatewayRun::refuse_now(Choice const& choice, Core::MonotonicTime now)
+{
+    // What was taken once goes on: a fault is no reason to refuse it.
+    bool const has_just_come = m_sends == 0 && m_unsent == 0;
+    if (!has_just_come || !m_call.is_stream() || m_call.prompt.empty())
+        return std::nullopt;
+    Policy::AdmissionQuestion const question {m_call.service, m_call.request_class->name, m_call.priority,
+        now - m_call.received, choice.predicted_wait, m_call.request_class->first_token_target, m_call.deadline - now};
+    constexpr std::uint64_t steps = 1'000;
+    auto const draw = static_cast<double>(Core::hash_bytes(m_call.id) % steps) / steps;
+    return m_context.admission.refuse(question, draw, now);
+}
+
 std::set<std::string> GatewayRun::excluded() const
 {
     auto servers = m_tried;
@@ -384,14 +402,15 @@
     fail(Status::s_bad_gateway, "stopping", "this gateway stops");
 }
 
-void GatewayRun::fail(int status_if_may_have_run, std::string code, std::string message)
+void GatewayRun::fail(
+    int status_if_may_have_run, std::string code, std::string message, std::optional<Core::Milliseconds> retry_after)
 {
     Entry::ErrorAnswer error;
     error.status = m_may_have_run ? status_if_may_have_run : Status::s_unavailable;
     error.outcome = m_may_have_run ? Outcome::Unknown : Outcome::NotRun;
     error.code = std::move(code);
     error.message = std::move(message);
-    error.retry_after = m_context.settings.retry_after;
+    error.retry_after = retry_after.value_or(m_context.settings.retry_after);
     give_own_answer(*m_caller, error, m_call.id, m_context.dialect);
     finish(error.outcome, error.status, error.code);
 }
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -10,6 +10,7 @@
 #include <LibGateway/UnseenRuns.h>
 #include <LibHTTP/EventFramer.h>
 #include <LibObserve/EventLog.h>
+#include <LibPolicy/Admission.h>
 #include <LibPolicy/FleetRetryBudget.h>
 
 #include <map>
@@ -65,6 +66,7 @@
     /// Where requests that begin to run are counted; null where nobody reports them.
     Cluster::SharedDuty* usage;
     UnseenRuns unseen_runs;
+    Policy::Admission admission;
     /// By service.
     std::map<std::string, Policy::FleetRetryBudget> budgets;
     std::size_t entry_count {1};
@@ -101,6 +103,8 @@
     void dispatch(Core::MonotonicTime now);
     void hold(Core::MonotonicTime now);
     void send_to(Choice const&, Core::MonotonicTime now);
+    /// When a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
+    [[nodiscard]] std::optional<Core::Milliseconds> refuse_now(Choice const&, Core::MonotonicTime now);
     [[nodiscard]] std::string request_for(BackendView const&, Core::MonotonicTime now) const;
 
     /// Whom not to ask.
@@ -133,7 +137,8 @@
     void handle_caller_gone();
     void give_up(Core::MonotonicTime now);
     /// A final answer of the gateway's own: 503 where nothing ran, else 502 or 504.
-    void fail(int status_if_may_have_run, std::string code, std::string message);
+    void fail(int status_if_may_have_run, std::string code, std::string message,
+        std::optional<Core::Milliseconds> retry_after = std::nullopt);
     void cut(std::string_view reason);
     void finish(Entry::Outcome, int status, std::string_view reason);
     void log_end(Entry::Outcome, int status, std::string_view reason);
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -59,6 +59,8 @@
             m_context.load.note_answering(attempt.server());
         if (!m_first_event) {
             m_first_event = now;
+            m_context.admission.note_wait(
+                m_call.service, m_call.request_class->name, m_choice.predicted_wait, now - attempt.begun());
             m_context.metrics.note_first_byte(
                 tier, std::chrono::duration_cast<Core::Microseconds>(now - m_call.received));
         }
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -104,7 +104,7 @@
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
     , m_load(m_loop, m_settings.load_address, m_fleet, m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty,
           log, registry)
-    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, usage, {}, {}, 1, log, m_metrics}
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, usage, {}, {}, {}, 1, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
--- /dev/null
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -0,0 +1,59 @@
+#include <LibPolicy/Admission.h>
+
+#include <algorithm>
+
+namespace GraniteField::Policy {
+
+namespace {
+
+Core::Milliseconds whole(FineTime time)
+{
+    return std::chrono::duration_cast<Core::Milliseconds>(time);
+}
+
+}
+
+bool Admission::is_closed(Service const& service, unsigned rank, Core::MonotonicTime now)
+{
+    return std::any_of(service.ranks.begin(), service.ranks.lower_bound(rank), [now](auto const& item) {
+        return item.second.pressed && Core::elapsed(*item.second.pressed, now) < s_closure;
+    });
+}
+
+bool Admission::is_lower_rank_open(Service const& service, unsigned rank, Core::MonotonicTime now)
+{
+    return std::any_of(service.ranks.upper_bound(rank), service.ranks.end(),
+        [now](auto const& item) { return item.second.taken && Core::elapsed(*item.second.taken, now) < s_closure; });
+}
+
+std::optional<Core::Milliseconds> Admission::refuse(
+    AdmissionQuestion const& question, double draw, Core::MonotonicTime now)
+{
+    auto& service = m_services[question.service];
+    auto const& correction = service.classes[question.request_class];
+    auto& rank = service.ranks[question.rank];
+    auto const left = question.target - question.elapsed;
+    auto const probable_wait = correction.most(question.predicted_wait);
+    if (probable_wait <= left)
+        rank.short_since.reset();
+    else if (!rank.short_since)
+        rank.short_since = now;
+    FineTime const lasted = rank.short_since ? now - *rank.short_since : FineTime(0);
+    bool const is_middle_late = correction.middle(question.predicted_wait) > left;
+    bool const is_late = is_middle_late || (rank.short_since && lasted >= question.target * s_patience_part);
+    if (is_late)
+        rank.pressed = now;
+    bool const is_in_place = is_closed(service, question.rank, now) && (is_late || ++rank.closed_count % s_floor != 0);
+    if (!is_in_place && (!is_late || is_lower_rank_open(service, question.rank, now))) {
+        rank.taken = now;
+        return std::nullopt;
+    }
+    // A shortage that has lasted for a while lasts about as long again, and what waits must be worked off in any case.
+    auto const longest = std::max(s_shortest_return, question.patience * s_longest_return_part);
+    auto const shortest_middle = s_shortest_return / (1 - s_return_spread);
+    auto const longest_middle = std::max(shortest_middle, longest / (1 + s_return_spread));
+    auto const middle = std::clamp(std::max(probable_wait - left, lasted), shortest_middle, longest_middle);
+    return whole(middle * (1 + s_return_spread * (2 * draw - 1)));
+}
+
+}
--- /dev/null
+++ b/Tests/LibPolicy/AdmissionTest.cpp
@@ -0,0 +1,141 @@
+// When a request is refused, and when it is told to come back.
+#include <LibPolicy/Admission.h>
+
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Policy {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::MonotonicTime const s_start {1h};
+std::string const s_service {"svc"};
+std::string const s_urgent {"question"};
+std::string const s_patient {"case"};
+constexpr FineTime s_target {2'000};
+constexpr FineTime s_patience {12'000};
+
+AdmissionQuestion urgent(FineTime wait)
+{
+    return {s_service, s_urgent, 0, FineTime(0), wait, s_target, s_patience};
+}
+
+AdmissionQuestion patient(FineTime wait)
+{
+    return {s_service, s_patient, 2, FineTime(0), wait, s_target, s_patience};
+}
+
+/// Longer than most would survive, and no longer than the middle does.
+constexpr FineTime s_long_wait {1'000};
+constexpr FineTime s_hopeless_wait {4'000};
+
+}
+
+TEST(Admission, TakesWhatIsLikelyToBeginInTime)
+{
+    Admission admission;
+    for (auto now = s_start; now < s_start + 10s; now += 10ms)
+        EXPECT_FALSE(admission.refuse(patient(FineTime(500)), 0.5, now));
+}
+
+TEST(Admission, LetsAShortPeakPass)
+{
+    Admission admission;
+    for (auto now = s_start; now < s_start + 300ms; now += 10ms)
+        EXPECT_FALSE(admission.refuse(patient(s_long_wait), 0.5, now));
+    EXPECT_FALSE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 310ms));
+    EXPECT_FALSE(admission.refuse(patient(s_long_wait), 0.5, s_start + 500ms));
+}
+
+TEST(Admission, RefusesWhileAShortageLasts)
+{
+    Admission admission;
+    static_cast<void>(admission.refuse(patient(s_long_wait), 0.5, s_start));
+    EXPECT_TRUE(admission.refuse(patient(s_long_wait), 0.5, s_start + 500ms));
+    EXPECT_FALSE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 600ms));
+}
+
+TEST(Admission, RefusesAtOnceWhatIsHopeless)
+{
+    Admission admission;
+    EXPECT_TRUE(admission.refuse(patient(s_hopeless_wait), 0.5, s_start));
+}
+
+TEST(Admission, NoUrgentRequestIsRefusedWhileALowerRankIsTaken)
+{
+    Admission admission;
+    EXPECT_FALSE(admission.refuse(patient(FineTime(100)), 0.5, s_start));
+    EXPECT_FALSE(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + 10ms));
+    // Those of a lower rank make room from now on.
+    EXPECT_TRUE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 20ms));
+    EXPECT_TRUE(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + 20ms + Admission::s_closure));
+}
+
+TEST(Admission, ALowerRankIsNeverShutOutForLong)
+{
+    Admission admission;
+    unsigned taken = 0;
+    constexpr unsigned asked = 400;
+    for (unsigned count = 0; count < asked; ++count) {
+        auto const now = s_start + 10ms * count;
+        static_cast<void>(admission.refuse(urgent(s_hopeless_wait), 0.5, now));
+        taken += admission.refuse(patient(FineTime(100)), 0.5, now) ? 0 : 1;
+    }
+    EXPECT_GE(taken, asked / Admission::s_floor - 1);
+}
+
+TEST(Admission, RanksOfAnotherServiceDoNotMatter)
+{
+    Admission admission;
+    std::string const other {"other"};
+    AdmissionQuestion const elsewhere {other, s_patient, 2, FineTime(0), FineTime(100), s_target, s_patience};
+    static_cast<void>(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start));
+    EXPECT_FALSE(admission.refuse(elsewhere, 0.5, s_start));
+}
+
+TEST(Admission, LearnsThatUrgentRequestsWaitLessThanPredicted)
+{
+    Admission admission;
+    for (int count = 0; count < 40; ++count)
+        admission.note_wait(s_service, s_urgent, FineTime(4'000), FineTime(400));
+    EXPECT_FALSE(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start));
+    // What it learned holds for that class alone.
+    EXPECT_TRUE(admission.refuse(patient(s_hopeless_wait), 0.5, s_start + 10ms));
+}
+
+TEST(Admission, ThoseRefusedTogetherDoNotComeBackTogether)
+{
+    Admission admission;
+    std::set<std::int64_t> times;
+    for (int draw = 0; draw < 10; ++draw)
+        times.insert(admission.refuse(patient(s_hopeless_wait), draw / 10.0, s_start)->count());
+    EXPECT_EQ(times.size(), 10U);
+    EXPECT_GE(*times.rbegin() - *times.begin(), 500);
+}
+
+TEST(Admission, TheLongerAShortageLastsTheLaterTheyComeBack)
+{
+    Admission admission;
+    static_cast<void>(admission.refuse(patient(s_long_wait), 0.5, s_start));
+    auto const first = *admission.refuse(patient(s_long_wait), 0.5, s_start + 500ms);
+    auto const later = *admission.refuse(patient(s_long_wait), 0.5, s_start + 2s);
+    EXPECT_GT(later, first);
+}
+
+RC_GTEST_PROP(Admission, TheTimeToComeBackIsOneThatCallersHonour, ())
+{
+    Admission admission;
+    auto const patience = FineTime(*rc::gen::inRange(1'000, 20'000));
+    auto const wait = FineTime(*rc::gen::inRange(4'000, 60'000));
+    AdmissionQuestion const question {s_service, s_patient, 2, FineTime(0), wait, s_target, patience};
+    auto const time = admission.refuse(question, *rc::gen::inRange(0, 1'000) / 1'000.0, s_start);
+    RC_ASSERT(time.has_value());
+    RC_ASSERT(*time >= 250ms);
+    RC_ASSERT(*time <= std::max(FineTime(600), patience / 3));
+}
+
+}
