--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -53,6 +53,15 @@
     '40|Libraries/LibGateway/GatewayRun.cpp|s/return suspected \&\& last_input/return false \&\& suspected \&\& last_input/|AttemptRulesTest|*OthersFoundDead*'
     '41|Libraries/LibGateway/EarlyRequests.h|s/return std::min(s_longest_wait, patience/return 0 * std::min(s_longest_wait, patience/|AttemptRulesTest|*BeforeTheFirstTableWaits*'
     '36|Libraries/LibGateway/LoadSharing.cpp|s/load = without(load, found->second);/load = without(load, {});/|LoadSharingTest|*KnowsWhatAny*'
+    '42|Libraries/LibCluster/UsageReporter.h|s/return is_free ? m_known->seen : m_known->seen + m_settings.lease;/return m_known->seen;/|UsageReporterTest|*CutOffFromItsPeers*'
+    '43|Libraries/LibCluster/UsageReporter.h|s/bool const can_send = now < m_term->valid_until;/bool const can_send = true;/|UsageReporterTest|*WhateverFails*'
+    '44|Libraries/LibCluster/UsageReporter.h|s/record.recorded_through = report.window;/static_cast<void>(report.window);/|UsageReporterTest|*EachWindowOnce*'
+    '45|Libraries/LibCluster/UsageLedger.cpp|s/    tell_again(window);/    static_cast<void>(window);/|UsageLedgerTest|*RepeatsLosses*'
+    '46|Libraries/LibCluster/FleetClock.cpp|s/return passed \* 2 >= hosts;/return passed >= hosts;/|UsageReporterTest|*ClocksThatJump*'
+    '47|Libraries/LibPolicy/Admission.cpp|s/if (!is_in_place \&\& (!is_late/if (true \&\& (true/|OverloadTest|*ServesNoFewer*'
+    '48|Libraries/LibPolicy/Admission.cpp|s/is_lower_rank_open(service, question.rank, now)) {/false) {/|AdmissionTest|*NoUrgentRequest*'
+    '49|Libraries/LibGateway/PrefixMemory.h|s/if (own_tokens > 0)/if (own_tokens > 0 \&\& false)/|GatewayPropertiesTest|*WhatNoOtherPromptShares*'
+    '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
 wanted=" $* "
