--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -24,7 +24,7 @@
 
 GatewayFleet::Gateway GatewayFleet::start(std::string const& name, Json const& peer_addresses, std::uint16_t store)
 {
-    Json const settings {{"role", "gateway"}, {"name", name}, {"failure-domain", "here"}, {"region", "r"},
+    Json settings {{"role", "gateway"}, {"name", name}, {"failure-domain", "here"}, {"region", "r"},
         {"operator-address", "127.0.0.1:0"}, {"callers-address", "127.0.0.1:0"}, {"readiness-address", "127.0.0.1:0"},
         {"load-address", "127.0.0.1:0"}, {"readiness-path", "/ready"}, {"drain-notice", "100ms"},
         {"drain-limit", "10s"},
@@ -32,6 +32,8 @@
             {{"address", Core::concat("127.0.0.1:", store == 0 ? m_platform_port : store)}, {"call-timeout", "300ms"},
                 {"watch-wait", "500ms"}, {"longest-pause", "100ms"}}},
         {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
+    if (!m_duties.is_null())
+        settings["duties"] = m_duties;
     m_settings[name] = settings;
     auto const path = (m_directory / (name + ".json")).string();
     std::ofstream(path) << settings.dump();
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -30,6 +30,9 @@
     /// Starts a gateway; `store` is the port of its way to the store, the store itself by default.
     Gateway start(std::string const& name, Json const& peer_addresses = Json::array(), std::uint16_t store = 0);
 
+    /// Gateways that start from now on report usage; these are their settings for it.
+    void set_duties(Json duties) { m_duties = std::move(duties); }
+
     [[nodiscard]] std::filesystem::path const& directory() const { return m_directory; }
     [[nodiscard]] Json const& settings_of(std::string const& name) const { return m_settings.at(name); }
     [[nodiscard]] std::uint16_t platform_port() const { return m_platform_port; }
@@ -63,6 +66,7 @@
     std::uint16_t m_platform_port;
     std::filesystem::path m_directory;
     std::map<std::string, Json> m_settings;
+    Json m_duties;
 };
 
 }
