LibGateway: Show the duty and open windows in the status

Cause: operators could see who holds the duty in metrics and logs of one gateway only, and open windows nowhere.

Change: `usage` in the status of each gateway: the lease's version, when its holder was last heard of, and each window with its count and the time until it is late. The sum over workspaces stands in one place.

No decision changes.

--- a/Libraries/LibCluster/SharedDuty.cpp
+++ b/Libraries/LibCluster/SharedDuty.cpp
@@ -141,6 +141,15 @@
     return reports;
 }
 
+std::map<UsageWindow, std::uint64_t> SharedDuty::window_totals() const
+{
+    std::lock_guard const lock(m_mutex);
+    std::map<UsageWindow, std::uint64_t> totals;
+    for (auto const window : m_ledger.windows_after(UsageWindow()))
+        totals[window] = total_of(m_ledger.totals(window));
+    return totals;
+}
+
 std::optional<Core::Milliseconds> SharedDuty::time_left(UsageWindow window, Core::MonotonicTime now) const
 {
     std::lock_guard const lock(m_mutex);
--- a/Libraries/LibCluster/SharedDuty.h
+++ b/Libraries/LibCluster/SharedDuty.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -57,6 +58,8 @@
 
     /// Windows behind that one whose reports can be made and are not late, with their counts, in order.
     [[nodiscard]] std::vector<UsageReport> settled_reports(UsageWindow after, Core::MonotonicTime now) const;
+    /// What was counted in each window that is remembered, by all gateways.
+    [[nodiscard]] std::map<UsageWindow, std::uint64_t> window_totals() const;
     /// Time until the window's report is late; nothing before the time is agreed.
     [[nodiscard]] std::optional<Core::Milliseconds> time_left(UsageWindow, Core::MonotonicTime now) const;
     [[nodiscard]] UsageSettings const& settings() const { return m_settings; }
--- a/Libraries/LibCluster/UsageReporter.h
+++ b/Libraries/LibCluster/UsageReporter.h
@@ -231,7 +231,7 @@
             m_log.write(Observe::LogEvent("usage-recorded")
                             .add("window", report.window.value())
                             .add("workspaces", report.counts.size())
-                            .add("requests", total_of(report)));
+                            .add("requests", total_of(report.counts)));
         }
         m_term->valid_until = now + m_settings.lease - m_settings.margin;
     }
@@ -248,7 +248,7 @@
         m_next_send = after + m_settings.call_pause;
         m_log.write(Observe::LogEvent("usage-sent")
                         .add("window", recorded.report.window.value())
-                        .add("requests", total_of(recorded.report))
+                        .add("requests", total_of(recorded.report.counts))
                         .add("token", m_term->token)
                         .add("try", m_tries)
                         .add("outcome", to_text(outcome))
@@ -469,14 +469,6 @@
             m_next_look = now + m_settings.patience;
     }
 
-    [[nodiscard]] static std::uint64_t total_of(UsageReport const& report)
-    {
-        std::uint64_t total = 0;
-        for (auto const& [workspace, count] : report.counts)
-            total += count;
-        return total;
-    }
-
     [[nodiscard]] static std::string_view to_text(ReportOutcome outcome)
     {
         switch (outcome) {
--- a/Libraries/LibCluster/UsageWindow.h
+++ b/Libraries/LibCluster/UsageWindow.h
@@ -15,6 +15,14 @@
 /// Requests that began to run, by workspace.
 using UsageCounts = std::map<std::string, std::uint64_t>;
 
+[[nodiscard]] inline std::uint64_t total_of(UsageCounts const& counts)
+{
+    std::uint64_t total = 0;
+    for (auto const& [workspace, count] : counts)
+        total += count;
+    return total;
+}
+
 /// What is reported for one window.
 struct UsageReport {
     UsageWindow window;
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -336,6 +336,19 @@
     m_thread = std::thread([] {});
 }
 
+nlohmann::json GatewayServer::usage_status(Cluster::SharedDuty const& usage, Core::MonotonicTime now)
+{
+    auto const word = usage.word();
+    nlohmann::json windows = nlohmann::json::array();
+    for (auto const& [window, requests] : usage.window_totals()) {
+        auto const left = usage.time_left(window, now);
+        windows.push_back(
+            {{"window", window.value()}, {"requests", requests}, {"late-in-ms", left ? left->count() : 0}});
+    }
+    return {{"lease-version", word.version}, {"released", word.is_released},
+        {"holder-heard-ms-ago", word.alive ? Core::elapsed(*word.alive, now).count() : -1}, {"windows", windows}};
+}
+
 std::string GatewayServer::make_status() const
 {
     auto const now = Core::monotonic_now();
@@ -346,10 +359,12 @@
             {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
             {"failure-rate", view->failure_rate(now)}});
     }
-    return nlohmann::json {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
+    nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
         {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
-        {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}}
-        .dump();
+        {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}};
+    if (m_context.usage != nullptr)
+        status["usage"] = usage_status(*m_context.usage, now);
+    return status.dump();
 }
 
 std::string GatewayServer::status()
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 namespace GraniteField::Gateway {
 
@@ -86,6 +87,8 @@
     void refuse(CallerConnection&, std::string const& id, Entry::ErrorAnswer const&);
     void update_readiness();
     [[nodiscard]] std::string make_status() const;
+    /// Who is known to report usage, and what was counted in each window.
+    [[nodiscard]] static nlohmann::json usage_status(Cluster::SharedDuty const&, Core::MonotonicTime now);
 
     Settings m_settings;
     Entry::SharedTable const& m_shared_table;
--- a/Tests/Integration/UsageDutyTest.cpp
+++ b/Tests/Integration/UsageDutyTest.cpp
@@ -167,6 +167,13 @@
     for (auto const& call : m_recipient.calls())
         holders.insert(call.holder);
     EXPECT_EQ(holders.size(), 1U);
+    // Every gateway knows of the holder and of the windows.
+    for (auto const& gateway : m_gateways) {
+        auto const usage = send_request(gateway.operators, "GET", "/status", "").json().at("usage");
+        EXPECT_GT(usage.at("lease-version"), 0);
+        EXPECT_LT(usage.at("holder-heard-ms-ago"), 1'000);
+        EXPECT_FALSE(usage.at("windows").empty());
+    }
 }
 
 TEST_F(UsageDuty, AnotherGatewayFollowsAHolderThatIsKilled)
