LibGateway: Say in the log which requests are the same, and whether a broken one had begun

Cause: the logs of an incident could not tell its hypotheses apart. A request that comes again has another id, and nothing in a line says that it is the same; a broken attempt did not say whether the engine had begun it.

Ruled out: logging the target and the body (callers' data, and large); the id of the prompt's last part (plain services have none).

'broken' has it, with the sends, the age of the send and of the answer's head; 'request-end' has it but for ordinary successes.

Nothing else changed.

Conclusion: the digest tells requests apart, and a request that comes again is known by it.

--- a/Libraries/LibCore/Hashing.cpp
+++ b/Libraries/LibCore/Hashing.cpp
@@ -1,10 +1,9 @@
 #include <LibCore/Hashing.h>
 
-#include <array>
 #include <new>
 
 #include <absl/strings/escaping.h>
-#include <openssl/sha.h>
+#include <openssl/evp.h>
 #include <xxhash.h>
 
 namespace GraniteField::Core {
@@ -14,11 +13,36 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+Sha256::Sha256()
+    : m_context(EVP_MD_CTX_new())
+{
+    if (m_context == nullptr || EVP_DigestInit_ex(static_cast<EVP_MD_CTX*>(m_context), EVP_sha256(), nullptr) != 1)
+        throw std::bad_alloc();
+}
+
+Sha256::~Sha256()
+{
+    EVP_MD_CTX_free(static_cast<EVP_MD_CTX*>(m_context));
+}
+
+void Sha256::add(std::string_view bytes)
+{
+    EVP_DigestUpdate(static_cast<EVP_MD_CTX*>(m_context), bytes.data(), bytes.size());
+}
+
+Sha256::Value Sha256::value()
+{
+    Value value {};
+    EVP_DigestFinal_ex(static_cast<EVP_MD_CTX*>(m_context), reinterpret_cast<unsigned char*>(value.data()), nullptr);
+    return value;
+}
+
 std::string sha256_hex(std::string_view bytes)
 {
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<unsigned char const*>(bytes.data()), bytes.size(), digest.data());
-    return absl::BytesToHexString({reinterpret_cast<char const*>(digest.data()), digest.size()});
+    Sha256 hash;
+    hash.add(bytes);
+    auto const value = hash.value();
+    return absl::BytesToHexString({value.data(), value.size()});
 }
 
 StreamHash::StreamHash()
--- a/Libraries/LibCore/Hashing.h
+++ b/Libraries/LibCore/Hashing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -9,6 +10,26 @@
 /// XXH3 with 64 bits: for placement and checksums, never for secrets.
 [[nodiscard]] std::uint64_t hash_bytes(std::string_view, std::uint64_t seed = 0);
 
+/// SHA-256 over a sequence of texts, as over all of them in one.
+class Sha256 {
+public:
+    using Value = std::array<char, 32>;
+
+    /// Throws std::bad_alloc where the library has no memory for it.
+    Sha256();
+    ~Sha256();
+    Sha256(Sha256 const&) = delete;
+    Sha256& operator=(Sha256 const&) = delete;
+
+    void add(std::string_view);
+    /// To be asked once, at the end.
+    [[nodiscard]] Value value();
+
+private:
+    /// OpenSSL's state.
+    void* m_context;
+};
+
 /// SHA-256 as 64 lower-case hexadecimal digits: how a workspace's key is kept.
 [[nodiscard]] std::string sha256_hex(std::string_view);
 
--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -156,6 +156,8 @@
     m_input.erase(0, m_parser.add(m_input));
     if (m_parser.is_broken())
         return fail(Failure::Broken, "what came is no HTTP answer");
+    if (m_parser.has_head() && !m_head_came)
+        m_head_came = m_last_input;
     if (m_parser.has_head())
         m_listener->handle_answer(*this);
     if (!m_is_over)
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -5,6 +5,7 @@
 #include <LibHTTP/AnswerParser.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -51,6 +52,8 @@
     [[nodiscard]] Core::MonotonicTime begun() const { return m_begun; }
     /// When something last came from the server; the beginning before that.
     [[nodiscard]] Core::MonotonicTime last_input() const { return m_last_input; }
+    /// When the answer's head came; nothing before.
+    [[nodiscard]] std::optional<Core::MonotonicTime> head_came() const { return m_head_came; }
     [[nodiscard]] bool is_over() const { return m_is_over; }
 
     /// Reads nothing more until resume(); for a caller that does not keep up.
@@ -77,6 +80,7 @@
     ServerLoad m_load;
     Core::MonotonicTime m_begun;
     Core::MonotonicTime m_last_input;
+    std::optional<Core::MonotonicTime> m_head_came;
     bool m_is_over {false};
     bool m_is_paused {false};
     bool m_is_reading {false};
--- a/Libraries/LibGateway/GatewayCall.h
+++ b/Libraries/LibGateway/GatewayCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/RequestDigest.h>
 #include <LibCore/Time.h>
 #include <LibEntry/Call.h>
 #include <LibGateway/Dialect.h>
@@ -51,6 +52,16 @@
     std::uint32_t prompt_tokens {0};
     std::uint32_t most_output_tokens {0};
 
+    /// What makes it the same request as one that came before. Drawn when it is first asked for, which most requests
+    /// never are.
+    [[nodiscard]] Core::RequestDigest const& digest() const
+    {
+        if (!drawn_digest)
+            drawn_digest = Core::RequestDigest::of(head.target, workspace, body);
+        return *drawn_digest;
+    }
+    mutable std::optional<Core::RequestDigest> drawn_digest;
+
     [[nodiscard]] bool is_stream() const { return route->answer == Table::AnswerKind::EventStream; }
     /// Whether it may run again after it may have run.
     [[nodiscard]] bool is_repeatable() const
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -245,6 +245,8 @@
 {
     m_may_have_run = true;
     m_tried.insert(m_attempt->server().record().instance);
+    auto const head_came = m_attempt->head_came();
+    auto const sent = m_attempt->begun();
     note_unanswered();
     if (m_context.usage != nullptr && m_call.is_stream() && !*m_is_counted && !m_call.workspace.empty())
         m_context.unseen_runs.add(m_choice.server, m_call.workspace, m_is_counted, now);
@@ -253,7 +255,11 @@
     m_context.log.write(Observe::LogEvent("broken")
                             .add("request", m_call.id)
                             .add("server", m_choice.server->record().instance)
+                            .add("digest", m_call.digest().to_string())
+                            .add("send", m_sends)
                             .add("has_begun", m_has_begun_answer)
+                            .add("sent_ms_ago", Core::elapsed(sent, now))
+                            .add("head_ms_ago", head_came ? Core::elapsed(*head_came, now) : Core::Milliseconds(-1))
                             .add("reason", reason));
     bool const can_go_on = !m_has_begun_answer || (m_call.is_stream() && (m_events.last_id() || !m_first_event));
     if (m_call.is_repeatable() && can_go_on && may_try_again(now)) {
@@ -442,6 +448,7 @@
     m_context.log.write(
         Observe::LogEvent("request-end")
             .add("request", m_call.id)
+            .add("digest", is_ordinary ? std::string() : m_call.digest().to_string())
             .add("outcome", to_string(outcome))
             .add("status", status)
             .add("reason", reason)
