Tests: A request that crashes each engine that begins it, red

Cause: see the test's story. Three gateways that know each other, before six engines that crash when they begin a certain body and are back after 300 ms.

Change: CrashRules.ARequestThatHasCrashedThreeEnginesReachesThreeMoreAtMost, and a FakeBackend that can crash and come back.

--- /dev/null
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -0,0 +1,161 @@
+// A request that crashes each engine that begins it.
+//
+// What users saw: engines ended one after the other for 15 to 20 seconds, three times in a day; two prompts of three
+// were not served meanwhile, and one request reached engines 34 times more after it had ended three of them.
+//
+// Order of events: a caller's request crashes its engine some 50 ms after it has begun. All other streams of that
+// engine break at the same moment and go on elsewhere, and so does this one. When its two tries are over, its caller
+// gets a failure and comes again with a new id, mostly at another gateway, who places it as any other. Engines are back
+// after two to four seconds and get it again.
+//
+// Cause: whatever a gateway knew of a request ended with its run, and no other gateway heard of it. Limits on tries and
+// on repeated sends count within one run, or over all requests, so that no limit concerned one request that comes as
+// many.
+//
+// Evidence: 17 engines that ended in eight seconds had requests of one class and workspace on them in 12 cases, while
+// no other pair was at more than 6; 977 of 1,020 sends were first ones; nothing ended in the pauses in which none of
+// these requests came.
+#include "GatewayFixture.h"
+
+#include <LibCore/Text.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Within it all gateways know what one of them knows.
+constexpr Core::Milliseconds s_contact_time {3'000};
+/// How often a request may still reach engines when it has crashed three of them and the contact time has passed.
+constexpr std::size_t s_most_late_sends = 3;
+constexpr Core::Milliseconds s_time_down {300};
+
+/// Three gateways that know each other, before engines that crash when they begin a certain body.
+class CrashRules : public GatewayFixture {
+protected:
+    static constexpr std::size_t s_gateways = 3;
+    static constexpr std::size_t s_engines = 6;
+
+    struct Node {
+        explicit Node(CrashRules& test)
+            : duty(Core::Milliseconds(3'000), 0, test.m_table, test.m_servers, test.m_log, test.m_metrics)
+            , gateway(test.m_settings, test.m_table, test.m_servers, membership, duty, test.m_log, test.m_metrics)
+        {
+        }
+
+        Entry::SharedMembership membership;
+        Entry::WatchDuty duty;
+        Gateway::GatewayServer gateway;
+    };
+
+    CrashRules()
+    {
+        m_settings.load_address = Core::Address::from_string("127.0.0.1:0");
+        add_route("asked",
+            {{"path-prefix", "/asked/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"},
+                {"key", "required"}});
+        for (std::size_t number = 0; number < s_engines; ++number)
+            add_engine(number);
+        publish_table();
+        publish_servers();
+        for (std::size_t number = 0; number < s_gateways; ++number)
+            m_nodes.push_back(std::make_unique<Node>(*this));
+        introduce();
+        for (auto const& node : m_nodes)
+            node->gateway.wake();
+    }
+
+    void add_engine(std::size_t number)
+    {
+        add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
+            connection.write(stream_head_to(text));
+            if (body_of(text) == "deadly")
+                return m_backends[number]->crash();
+            connection.write(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+        });
+    }
+
+    void introduce()
+    {
+        std::vector<Entry::LoadMember> members;
+        for (std::size_t number = 0; number < s_gateways; ++number)
+            members.push_back({m_nodes[number]->gateway.load_address(), "here", 100, number});
+        for (std::size_t number = 0; number < s_gateways; ++number) {
+            Entry::LoadMembers known {members[number], members};
+            known.others.erase(known.others.begin() + static_cast<std::ptrdiff_t>(number));
+            m_nodes[number]->membership.set_load_members(known);
+            m_nodes[number]->membership.other_entries = s_gateways - 1;
+        }
+    }
+
+    /// Asks the gateways in turn.
+    RawCaller::Answer ask(std::string const& body)
+    {
+        restart_engines();
+        RawCaller caller(m_nodes[m_asked++ % s_gateways]->gateway.caller_port());
+        caller.write(request("POST", "/asked/case", Core::concat("Authorization: Bearer ", s_key, "\r\n"), body));
+        return caller.read_answer();
+    }
+
+    void restart_engines()
+    {
+        for (auto const& backend : m_backends) {
+            auto const crashed = backend->crashed();
+            if (crashed && Core::elapsed(*crashed, Core::monotonic_now()) >= s_time_down)
+                backend->restart();
+        }
+    }
+
+    [[nodiscard]] std::size_t arrivals(std::string_view body) const
+    {
+        std::size_t sum = 0;
+        for (auto const& backend : m_backends) {
+            sum += static_cast<std::size_t>(
+                std::ranges::count_if(backend->requests(), [body](auto const& text) { return body_of(text) == body; }));
+        }
+        return sum;
+    }
+
+    /// Its caller asks again and again until the gateways have had their time to know of three crashes.
+    void crash_three_and_wait()
+    {
+        while (arrivals("deadly") < 3)
+            static_cast<void>(ask("deadly"));
+        auto const known_by = Core::monotonic_now() + s_contact_time;
+        while (Core::monotonic_now() < known_by) {
+            static_cast<void>(ask("deadly"));
+            std::this_thread::sleep_for(s_time_down / 10);
+        }
+    }
+
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::size_t m_asked {0};
+};
+
+}
+
+TEST_F(CrashRules, ARequestThatHasCrashedThreeEnginesReachesThreeMoreAtMost)
+{
+    crash_three_and_wait();
+    auto const before = arrivals("deadly");
+    constexpr int asked = 40;
+    for (int count = 0; count < asked; ++count) {
+        auto const answer = ask("deadly");
+        // It has run, so that nothing may say that it has not, and it is not invited to come again.
+        EXPECT_GE(answer.status, 500);
+        EXPECT_NE(answer.status, 503);
+        EXPECT_FALSE(field_of(answer.head, "Retry-After"));
+    }
+    EXPECT_LE(arrivals("deadly") - before, s_most_late_sends);
+    // Whoever asks otherwise is served, the same caller at the same path among them.
+    restart_engines();
+    EXPECT_TRUE(ask("harmless").is_whole);
+    EXPECT_EQ(arrivals("harmless"), 1U);
+}
+
+}
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -31,10 +31,13 @@
     return address;
 }
 
+/// At that port, or at one that the kernel chooses where it is 0.
 int listen_on_loopback(int backlog, std::uint16_t& port)
 {
     int const listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto address = loopback(0);
+    int const yes = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    auto address = loopback(port);
     socklen_t size = sizeof(address);
     if (::bind(listener, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(listener, backlog) != 0)
         throw std::runtime_error("can't listen");
@@ -134,9 +137,41 @@
 FakeBackend::FakeBackend(std::string instance, Script script)
     : m_instance(std::move(instance))
     , m_script(std::move(script))
-    , m_listener(listen_on_loopback(64, m_port))
-    , m_acceptor([this] { accept_connections(); })
 {
+    start_accepting(0);
+}
+
+void FakeBackend::start_accepting(std::uint16_t port)
+{
+    m_port = port;
+    m_listener = listen_on_loopback(64, m_port);
+    m_acceptor = std::thread([this] { accept_connections(); });
+}
+
+void FakeBackend::crash()
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_crashed)
+        return;
+    m_crashed = Core::monotonic_now();
+    ::shutdown(m_listener, SHUT_RDWR);
+    for (int const descriptor : m_open)
+        ::shutdown(descriptor, SHUT_RDWR);
+}
+
+std::optional<Core::MonotonicTime> FakeBackend::crashed() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_crashed;
+}
+
+void FakeBackend::restart()
+{
+    m_acceptor.join();
+    ::close(m_listener);
+    start_accepting(m_port);
+    std::lock_guard const lock(m_mutex);
+    m_crashed.reset();
 }
 
 FakeBackend::~FakeBackend()
@@ -159,8 +194,11 @@
     for (std::size_t index = 0;; ++index) {
         int const descriptor = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         std::lock_guard const lock(m_mutex);
-        if (descriptor < 0 || m_should_stop)
+        if (descriptor < 0 || m_should_stop || m_crashed) {
+            if (descriptor >= 0)
+                ::close(descriptor);
             return;
+        }
         m_open.push_back(descriptor);
         m_threads.emplace_back([this, descriptor, index] {
             {
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -56,7 +56,15 @@
     [[nodiscard]] std::vector<std::string> requests() const;
     [[nodiscard]] std::size_t count() const { return requests().size(); }
 
+    /// Ends as a process that crashes: all connections are closed at once, and new ones are refused. For scripts.
+    void crash();
+    /// When it crashed last; nothing while it runs.
+    [[nodiscard]] std::optional<Core::MonotonicTime> crashed() const;
+    /// Comes back at its address after a crash. Not for scripts.
+    void restart();
+
 private:
+    void start_accepting(std::uint16_t port);
     void accept_connections();
 
     std::string m_instance;
@@ -67,6 +75,7 @@
     std::vector<std::string> m_requests;
     std::list<int> m_open;
     bool m_should_stop {false};
+    std::optional<Core::MonotonicTime> m_crashed;
     std::list<std::thread> m_threads;
     std::thread m_acceptor;
 };
