--- a/Tests/Benchmarks/DecisionBenchmark.cpp
+++ b/Tests/Benchmarks/DecisionBenchmark.cpp
@@ -1,6 +1,7 @@
 // What a decision costs at the side process and at the entry, and what a change of the table costs, over the
 // sizes that docs/CAPACITY.md needs slopes for.
 #include <LibCore/Hashing.h>
+#include <LibCore/RequestDigest.h>
 #include <LibCore/Text.h>
 #include <LibEntry/PeerView.h>
 #include <LibEntry/TableHistory.h>
@@ -135,8 +136,16 @@
     }
 }
 
+void draw_digest(benchmark::State& state)
+{
+    std::string const body(static_cast<std::size_t>(state.range(0)), 'b');
+    while (state.KeepRunning())
+        benchmark::DoNotOptimize(Core::RequestDigest::of("/some/path/of/usual/length", "workspace-17", body));
+}
+
 }
 
+BENCHMARK(draw_digest)->Arg(0)->Arg(1'000)->Arg(60'000);
 BENCHMARK(decide<Policy::TieredDiscipline>)->RangeMultiplier(10)->Range(100, 100'000);
 BENCHMARK(decide<Policy::ArrivalDiscipline>)->RangeMultiplier(10)->Range(100, 100'000);
 BENCHMARK(choose_backend)->Arg(9)->Arg(24)->Arg(64)->Arg(256);
