LibGateway: Hold back what crashes the servers that begin it, at all gateways

Cause: one request (target, caller, body) crashes each server that begins it, and comes again under another id at any gateway. The gateways knew a request for its run only, and each alone.

Ruled out: two breaks of one server within 0.3 s as the sign of a crash (resets and drains show the same); the lapse of its entry (later than the contact time); refusing with 503 (it promises that it has not run, and with Retry-After invites it back).

Change: GatewayRun::dispatch, through which every way to a server leads, asks the ledger; a quarantined request gets 502 without Retry-After at once, and what is still at a server is recalled. A broken answer is a crash where a new connection is refused while the server is listed and not leaving (CrashDoubts decides, CrashWatch asks). CrashSharing carries the facts with the datagrams about load. A request is sent away from places where servers crashed under it, and one that was at two moments of crashes is not sent again by a gateway.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -79,6 +79,16 @@
     m_policy.follow(table);
 }
 
+void BackendFleet::add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const
+{
+    if (places.empty())
+        return;
+    for (auto const& [instance, view] : m_servers) {
+        if (std::ranges::find(places, view->life().place) != places.end())
+            instances.insert(instance);
+    }
+}
+
 void BackendFleet::note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait)
 {
     m_policy.engine_model(service).note_first_event(unread_tokens, wait);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
     [[nodiscard]] Choice choose(
         GatewayCall const&, std::set<std::string> const& excluded, Core::MonotonicTime now) const;
 
+    /// Adds the instances that live at one of the places (hashes of addresses).
+    void add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const;
+
     /// An engine gave the first event of a prompt of which it had to read so much.
     void note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait);
 
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibEntry/SharedServers.h>
 #include <LibGateway/PrefixMemory.h>
+#include <LibPolicy/CrashFacts.h>
 
 #include <algorithm>
 #include <cmath>
@@ -127,6 +128,12 @@
     [[nodiscard]] PrefixMemory& prefixes() { return m_prefixes; }
     [[nodiscard]] PrefixMemory const& prefixes() const { return m_prefixes; }
 
+    /// Its present life, as gateways tell each other of crashes.
+    [[nodiscard]] Policy::ServerLife life() const
+    {
+        return {m_id, Core::hash_bytes(m_record.address.to_string()), Core::hash_bytes(m_record.service)};
+    }
+
     /// An attempt begins; `load` is its part of the server's load until it ends.
     void begin_attempt(ServerLoad const& load) { m_own += load; }
 
--- /dev/null
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -0,0 +1,137 @@
+#include <LibGateway/CrashWatch.h>
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace GraniteField::Gateway {
+
+/// One connection that is opened and closed again, with nothing sent.
+class CrashWatch::Probe : public std::enable_shared_from_this<Probe> {
+public:
+    enum class Result {
+        Refused,
+        Taken,
+        /// No answer in time, or another failure.
+        Unknown,
+    };
+
+    explicit Probe(boost::asio::io_context& loop)
+        : m_socket(loop)
+        , m_timer(loop, CrashDoubts::s_patience)
+    {
+    }
+
+    /// `on_result` is called once, from the loop.
+    void begin(Core::Address const& address, auto on_result)
+    {
+        boost::asio::ip::tcp::endpoint const endpoint(boost::asio::ip::make_address(address.host()), address.port());
+        m_timer.async_wait([self = shared_from_this()](auto const& error) {
+            boost::system::error_code ignored;
+            if (!error)
+                self->m_socket.close(ignored);
+        });
+        m_socket.async_connect(endpoint, [self = shared_from_this(), on_result](auto const& error) {
+            self->m_timer.cancel();
+            on_result(result_of(error));
+        });
+    }
+
+private:
+    static Result result_of(boost::system::error_code const& error)
+    {
+        if (!error)
+            return Result::Taken;
+        return error == boost::asio::error::connection_refused ? Result::Refused : Result::Unknown;
+    }
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+};
+
+CrashWatch::CrashWatch(boost::asio::io_context& loop, Observe::EventLog& log, GatewayMetrics& metrics)
+    : m_loop(loop)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+void CrashWatch::note_break(
+    BackendView const& server, Core::RequestDigest const& digest, Policy::Exposure exposure, Core::MonotonicTime now)
+{
+    // One that leaves ends with whatever it still has.
+    if (!server.takes_new_requests())
+        return;
+    auto const& instance = server.record().instance;
+    Policy::CrashWitness const witness {digest, server.life(), exposure, now};
+    switch (m_doubts.add(witness, now)) {
+    case CrashDoubts::Step::AskServer:
+        return ask(instance, server.record().address, witness.server.life);
+    case CrashDoubts::Step::Count:
+        return count(instance, witness, now);
+    case CrashDoubts::Step::Wait:
+        return;
+    }
+}
+
+void CrashWatch::ask(std::string const& instance, Core::Address const& address, std::uint64_t life)
+{
+    auto const probe = std::make_shared<Probe>(m_loop);
+    probe->begin(address, [this, instance, life](Probe::Result result) {
+        if (result == Probe::Result::Refused)
+            return handle_refusal(instance, life, Core::monotonic_now());
+        m_doubts.drop(life);
+    });
+}
+
+void CrashWatch::handle_refusal(std::string const& instance, std::uint64_t life, Core::MonotonicTime now)
+{
+    for (auto const& witness : m_doubts.note_refused(life, now))
+        count(instance, witness, now);
+}
+
+void CrashWatch::count(std::string_view instance, Policy::CrashWitness const& witness, Core::MonotonicTime now)
+{
+    m_ledger.note_crash(witness, now);
+    m_metrics.note_crash_witness();
+    m_log.write(Observe::LogEvent("crash-witness")
+                    .add("digest", witness.digest.to_string())
+                    .add("server", instance)
+                    .add("had_just_begun", witness.exposure == Policy::Exposure::Fresh)
+                    .add("ms_ago", Core::elapsed(witness.crashed, now))
+                    .add("moments", m_ledger.moments_of(witness.digest)));
+}
+
+void CrashWatch::turn(Core::MonotonicTime now)
+{
+    m_ledger.turn(now);
+    for (auto const& conclusion : m_ledger.take_conclusions())
+        log(conclusion);
+    m_metrics.set_quarantined(m_ledger.count_quarantined());
+}
+
+void CrashWatch::log(Policy::CrashConclusion const& conclusion)
+{
+    using Kind = Policy::CrashConclusion::Kind;
+    auto const write = [&](Observe::LogEvent event) {
+        m_log.write(event.add("digest", conclusion.digest.to_string())
+                        .add("concluded_here", conclusion.source == Policy::CrashConclusion::Source::Here)
+                        .add("crashes", conclusion.crashes)
+                        .add("moments", conclusion.moments));
+    };
+    switch (conclusion.kind) {
+    case Kind::Quarantined:
+        m_metrics.note_quarantine();
+        return write(Observe::LogEvent("quarantined"));
+    case Kind::Cleared:
+        m_metrics.note_crash_cleared();
+        return write(Observe::LogEvent("crash-cleared"));
+    case Kind::Expired:
+        return write(Observe::LogEvent("quarantine-expired"));
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CrashWatch.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibGateway/BackendView.h>
+#include <LibGateway/CrashDoubts.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibObserve/EventLog.h>
+#include <LibPolicy/CrashLedger.h>
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+namespace GraniteField::Gateway {
+
+/// This gateway's part in finding requests that crash servers: asks servers whose answers broke off whether they are
+/// still there, keeps the ledger, and logs and counts what comes of it. On the gateway's thread.
+class CrashWatch {
+public:
+    CrashWatch(boost::asio::io_context&, Observe::EventLog&, GatewayMetrics&);
+
+    [[nodiscard]] Policy::CrashLedger& ledger() { return m_ledger; }
+    [[nodiscard]] Policy::CrashLedger const& ledger() const { return m_ledger; }
+
+    /// An answer of the server broke off. A connection is asked of it, once for all answers that break with this one.
+    void note_break(BackendView const&, Core::RequestDigest const&, Policy::Exposure, Core::MonotonicTime now);
+    /// Judges what has settled, and logs what was concluded here or elsewhere. To be called often.
+    void turn(Core::MonotonicTime now);
+
+private:
+    class Probe;
+
+    void ask(std::string const& instance, Core::Address const&, std::uint64_t life);
+    void handle_refusal(std::string const& instance, std::uint64_t life, Core::MonotonicTime now);
+    void count(std::string_view instance, Policy::CrashWitness const&, Core::MonotonicTime now);
+    void log(Policy::CrashConclusion const&);
+
+    boost::asio::io_context& m_loop;
+    Observe::EventLog& m_log;
+    GatewayMetrics& m_metrics;
+    Policy::CrashLedger m_ledger;
+    CrashDoubts m_doubts;
+};
+
+}
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -16,6 +16,11 @@
         , m_denied_retries(registry.counter("granitefield_gateway_retries_denied_total"))
         , m_unreachable(registry.counter("granitefield_gateway_unreachable_total"))
         , m_cancelled(registry.counter("granitefield_gateway_cancelled_total"))
+        , m_crash_witnesses(registry.counter("granitefield_gateway_crash_witnesses_total"))
+        , m_crash_cleared(registry.counter("granitefield_gateway_crash_cleared_total"))
+        , m_quarantines(registry.counter("granitefield_gateway_quarantines_total"))
+        , m_quarantined(registry.gauge("granitefield_gateway_quarantined"))
+        , m_held_back(registry.counter("granitefield_gateway_held_back_total"))
     {
     }
 
@@ -47,6 +52,15 @@
     void note_denied_retry() { m_denied_retries.add(); }
     void note_unreachable() { m_unreachable.add(); }
     void note_cancelled() { m_cancelled.add(); }
+    /// A request was at a server when that crashed.
+    void note_crash_witness() { m_crash_witnesses.add(); }
+    /// A request at which servers had crashed ran to a good end.
+    void note_crash_cleared() { m_crash_cleared.add(); }
+    /// A request reaches no server from now on.
+    void note_quarantine() { m_quarantines.add(); }
+    void set_quarantined(std::size_t count) { m_quarantined.set(static_cast<std::int64_t>(count)); }
+    /// Such a request came, and reached none.
+    void note_held_back() { m_held_back.add(); }
     void note_bad_request(int status)
     {
         m_registry.counter("granitefield_gateway_bad_requests_total", {{"status", std::to_string(status)}}).add();
@@ -58,6 +72,11 @@
     Observe::Counter& m_denied_retries;
     Observe::Counter& m_unreachable;
     Observe::Counter& m_cancelled;
+    Observe::Counter& m_crash_witnesses;
+    Observe::Counter& m_crash_cleared;
+    Observe::Counter& m_quarantines;
+    Observe::Gauge& m_quarantined;
+    Observe::Counter& m_held_back;
 };
 
 }
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -48,7 +48,13 @@
 {
     if (now >= m_call.deadline)
         return give_up(now);
-    auto const choice = m_context.fleet.choose(m_call, excluded(), now);
+    // Every way to a server leads through here: the first send, a repeat, a stream that goes on, one that has stalled.
+    if (is_quarantined(now))
+        return hold_back();
+    // Looked at again with the next tick.
+    if (is_in_doubt(now))
+        return;
+    auto const choice = choose(now);
     if (!choice.server)
         return hold(now);
     m_held_since.reset();
@@ -59,6 +65,54 @@
     send_to(choice, now);
 }
 
+bool GatewayRun::is_quarantined(Core::MonotonicTime now) const
+{
+    auto& ledger = m_context.crashes.ledger();
+    return ledger.count_quarantined() > 0 && ledger.is_quarantined(m_call.digest(), now);
+}
+
+bool GatewayRun::is_in_doubt(Core::MonotonicTime now) const
+{
+    auto const& ledger = m_context.crashes.ledger();
+    return !ledger.is_empty() && ledger.is_in_doubt(m_call.digest(), now);
+}
+
+void GatewayRun::hold_back()
+{
+    m_context.metrics.note_held_back();
+    drop_unsent_attempt();
+    if (m_has_begun_answer)
+        return cut("quarantined");
+    // It has run, if not under this id, so that nothing may say that it has not, or invite it to come again.
+    m_may_have_run = true;
+    fail(Status::s_bad_gateway, "quarantined", "this request has crashed the servers that began it");
+}
+
+void GatewayRun::recall()
+{
+    m_may_have_run = true;
+    drop_unsent_attempt();
+    hold_back();
+}
+
+Choice GatewayRun::choose(Core::MonotonicTime now) const
+{
+    auto const& ledger = m_context.crashes.ledger();
+    auto const without = excluded();
+    if (!ledger.is_empty()) {
+        // A host that crashes whatever it gets is so told from a request that crashes whatever gets it, and the request
+        // is not held for the host's fault.
+        auto away = without;
+        m_context.fleet.add_servers_at(ledger.places_crashed(m_call.digest()), away);
+        if (away.size() > without.size()) {
+            auto choice = m_context.fleet.choose(m_call, away, now);
+            if (choice.server)
+                return choice;
+        }
+    }
+    return m_context.fleet.choose(m_call, without, now);
+}
+
 std::optional<Core::Milliseconds> GatewayRun::refuse_now(Choice const& choice, Core::MonotonicTime now)
 {
     // What was taken once goes on: a fault is no reason to refuse it.
@@ -248,6 +302,7 @@
     auto const head_came = m_attempt->head_came();
     auto const sent = m_attempt->begun();
     note_unanswered();
+    m_context.crashes.note_break(m_attempt->server(), m_call.digest(), exposure(now), now);
     if (m_context.usage != nullptr && m_call.is_stream() && !*m_is_counted && !m_call.workspace.empty())
         m_context.unseen_runs.add(m_choice.server, m_call.workspace, m_is_counted, now);
     end_attempt(false, now);
@@ -271,12 +326,25 @@
     fail(Status::s_bad_gateway, "broken", "the backend server broke off its answer");
 }
 
+Policy::Exposure GatewayRun::exposure(Core::MonotonicTime now) const
+{
+    auto const head_came = m_attempt->head_came();
+    // An answer that is no stream begins when it ends, so that the send stands for the beginning.
+    auto const begun = head_came || m_call.is_stream() ? head_came : m_attempt->begun();
+    bool const has_just_begun = begun && Core::elapsed(*begun, now) <= m_context.settings.just_begun;
+    return has_just_begun ? Policy::Exposure::Fresh : Policy::Exposure::Weak;
+}
+
 bool GatewayRun::may_try_again(Core::MonotonicTime now)
 {
     // The attempt in hand is counted when it ends.
     auto const sends = m_sends + (m_attempt ? 1 : 0);
     if (sends >= m_call.route->tries || now >= m_call.deadline)
         return false;
+    // The repeats of one that crashes servers would use up what those need that died beside it.
+    auto const& ledger = m_context.crashes.ledger();
+    if (!ledger.is_empty() && ledger.moments_of(m_call.digest()) >= m_context.settings.moments_without_repeats)
+        return false;
     if (m_context.budget_of(m_call.service).try_spend(now))
         return true;
     m_context.metrics.note_denied_retry();
@@ -303,6 +371,8 @@
         return give_up(now);
     if (!m_attempt)
         return dispatch(now);
+    if (is_quarantined(now))
+        return recall();
     if (!m_attempt->is_sent() && Core::elapsed(m_attempt->begun(), now) > m_context.settings.connect_limit) {
         auto const attempt = m_attempt;
         attempt->cancel();
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -4,6 +4,7 @@
 #include <LibGateway/BackendAttempt.h>
 #include <LibGateway/BackendFleet.h>
 #include <LibGateway/CallerConnection.h>
+#include <LibGateway/CrashWatch.h>
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/LoadExchange.h>
@@ -40,6 +41,11 @@
     /// Told to callers of requests that did not run, where nothing better is known.
     Core::Milliseconds retry_after {300};
     Policy::RetryAllowance retries;
+    /// A server that crashes so soon after it has begun a request may have crashed by it. In the recorded day that
+    /// showed it 5 to 95 ms passed; a busy gateway reads some hundred ms late.
+    Core::Milliseconds just_begun {1'000};
+    /// A request that was at so many moments of crashes, and at no good end since, is not sent again by a gateway.
+    std::size_t moments_without_repeats {2};
 
     // When a server that took a repeatable request and says nothing is given up for another one.
     /// So many times the wait that was predicted, and never before this part of the class's target is over.
@@ -63,6 +69,7 @@
     Dialect dialect;
     BackendFleet& fleet;
     LoadExchange& load;
+    CrashWatch& crashes;
     /// Where requests that begin to run are counted; null where nobody reports them.
     Cluster::SharedDuty* usage;
     UnseenRuns unseen_runs;
@@ -109,6 +116,18 @@
 
     /// Whom not to ask.
     [[nodiscard]] std::set<std::string> excluded() const;
+    /// The best server, away from places where servers crashed under this request while there are others.
+    [[nodiscard]] Choice choose(Core::MonotonicTime now) const;
+    /// Whether the request is known to crash whatever begins it.
+    [[nodiscard]] bool is_quarantined(Core::MonotonicTime now) const;
+    /// Whether that is about to be known.
+    [[nodiscard]] bool is_in_doubt(Core::MonotonicTime now) const;
+    /// Ends a request that is quarantined.
+    void hold_back();
+    /// The same while it is at a server, which may not have begun it yet.
+    void recall();
+    /// How the request is at its server.
+    [[nodiscard]] Policy::Exposure exposure(Core::MonotonicTime now) const;
     void handle_not_run(Core::MonotonicTime now);
     void handle_broken(std::string const& reason, Core::MonotonicTime now);
     [[nodiscard]] bool may_try_again(Core::MonotonicTime now);
@@ -124,6 +143,8 @@
     void end_attempt(bool is_success, Core::MonotonicTime now);
     /// A backend server began to run the request then. It counts once, by the first server, also where that fails.
     void note_running(Core::MonotonicTime begun);
+    /// The server ran the request to its end: it crashes nobody.
+    void note_good_end(Core::MonotonicTime now);
     /// The attempt in hand was sent and brought no whole answer. A plain service may have lost only its answer; of a
     /// stream without an event nobody knows.
     void note_unanswered();
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -87,6 +87,7 @@
             return handle_broken("the stream ended within an event", now);
         }
         end_attempt(true, now);
+        note_good_end(now);
         m_caller->finish();
         return finish(Outcome::Done, attempt.parser().head().status, "answered");
     }
@@ -112,6 +113,11 @@
         attempt.pause();
 }
 
+void GatewayRun::note_good_end(Core::MonotonicTime now)
+{
+    m_context.crashes.ledger().note_good_end(m_call.digest(), now);
+}
+
 bool GatewayRun::must_hide(HTTP::AnswerHead const& head) const
 {
     // Without its mark nobody knows that the request did not run, and the status would promise it.
@@ -124,6 +130,7 @@
     auto const& head = attempt.parser().head();
     bool const is_server_error = head.status >= Status::s_first_server_error;
     note_running(m_call.is_stream() ? now : attempt.begun());
+    note_good_end(now);
     if (is_server_error && m_call.is_repeatable() && !m_has_begun_answer && may_try_again(now)) {
         m_tried.insert(attempt.server().record().instance);
         end_attempt(false, now);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -101,10 +101,12 @@
     , m_registry(registry)
     , m_metrics(registry)
     , m_fleet(m_settings.fleet, log)
+    , m_crashes(m_loop, log, m_metrics)
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
-    , m_load(m_loop, m_settings.load_address, m_fleet, m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty,
-          log, registry)
-    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, usage, {}, {}, {}, 1, log, m_metrics}
+    , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
+          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry)
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_crashes, usage, {}, {}, {}, 1, log,
+          m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
@@ -279,6 +281,7 @@
     auto const now = Core::monotonic_now();
     m_context.entry_count = m_membership.other_entries + 1;
     m_fleet.observe(now);
+    m_crashes.turn(now);
     // A run may only be dropped here, outside its own calls.
     for (auto const& run : m_runs)
         run->tick(now);
@@ -349,6 +352,16 @@
         {"holder-heard-ms-ago", word.alive ? Core::elapsed(*word.alive, now).count() : -1}, {"windows", windows}};
 }
 
+nlohmann::json GatewayServer::quarantine_status(Policy::CrashLedger const& ledger, Core::MonotonicTime now)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (auto const& item : ledger.quarantined()) {
+        list.push_back({{"digest", item.digest.to_string()}, {"since-ms-ago", Core::elapsed(item.since, now).count()},
+            {"asked-ms-ago", Core::elapsed(item.asked, now).count()}});
+    }
+    return list;
+}
+
 std::string GatewayServer::make_status() const
 {
     auto const now = Core::monotonic_now();
@@ -362,19 +375,35 @@
     nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
         {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
         {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}};
+    status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
     if (m_context.usage != nullptr)
         status["usage"] = usage_status(*m_context.usage, now);
     return status.dump();
 }
 
-std::string GatewayServer::status()
+namespace {
+
+/// What the action gives on the loop's thread, or the fallback where that does not come to it in time.
+template <typename Action, typename Result = std::invoke_result_t<Action>>
+Result ask_loop(boost::asio::io_context& loop, Result fallback, Action action)
 {
-    auto promise = std::make_shared<std::promise<std::string>>();
+    auto promise = std::make_shared<std::promise<Result>>();
     auto future = promise->get_future();
-    boost::asio::post(m_loop, [this, promise] { promise->set_value(make_status()); });
-    if (future.wait_for(s_status_patience) != std::future_status::ready)
-        return "{}";
-    return future.get();
+    boost::asio::post(loop, [promise, action] { promise->set_value(action()); });
+    return future.wait_for(s_status_patience) == std::future_status::ready ? future.get() : fallback;
+}
+
+}
+
+std::string GatewayServer::status()
+{
+    return ask_loop(m_loop, std::string("{}"), [this] { return make_status(); });
+}
+
+bool GatewayServer::release(Core::RequestDigest const& digest)
+{
+    return ask_loop(
+        m_loop, false, [this, digest] { return m_crashes.ledger().release(digest, Core::monotonic_now()); });
 }
 
 std::uint16_t GatewayServer::caller_port() const
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -55,6 +55,9 @@
     void reload(Settings const&);
     /// Waits until a planned stop is over.
     void wait_until_drained();
+    /// Lets a request reach backend servers again that was held back for crashing them, here and at all gateways that
+    /// hear of it; says whether anything had been held against it. Any thread but the gateway's.
+    [[nodiscard]] bool release(Core::RequestDigest const&);
     /// What an operator sees, as JSON. Any thread but the gateway's.
     [[nodiscard]] std::string status();
     [[nodiscard]] bool is_ready() const { return m_is_ready; }
@@ -87,6 +90,8 @@
     void refuse(CallerConnection&, std::string const& id, Entry::ErrorAnswer const&);
     void update_readiness();
     [[nodiscard]] std::string make_status() const;
+    /// Requests that are held back for crashing servers.
+    [[nodiscard]] static nlohmann::json quarantine_status(Policy::CrashLedger const&, Core::MonotonicTime now);
     /// Who is known to report usage, and what was counted in each window.
     [[nodiscard]] static nlohmann::json usage_status(Cluster::SharedDuty const&, Core::MonotonicTime now);
 
@@ -99,6 +104,7 @@
     boost::asio::io_context m_loop {1};
     GatewayMetrics m_metrics;
     BackendFleet m_fleet;
+    CrashWatch m_crashes;
     std::optional<DutySharing> m_duty_sharing;
     LoadExchange m_load;
     RunContext m_context;
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -28,8 +28,9 @@
     static constexpr Core::Milliseconds s_idle_interval {100};
 
     /// What is shared for duties is null where gateways have none.
-    LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, DutySharing* duties,
-        Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&);
+    LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, CrashSharing,
+        DutySharing* duties, Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&,
+        Observe::MetricRegistry&);
 
     /// A prompt was sent to the server; `parts` are those that other prompts may share, `own_tokens` the rest of it.
     void note_placement(BackendView const&, std::span<PromptPart const> parts, std::uint32_t own_tokens);
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -86,9 +86,11 @@
 
 }
 
-LoadSharing::LoadSharing(std::uint64_t self, BackendFleet& fleet, DutySharing* duties, Core::MonotonicTime begun)
+LoadSharing::LoadSharing(
+    std::uint64_t self, BackendFleet& fleet, CrashSharing crashes, DutySharing* duties, Core::MonotonicTime begun)
     : m_self(self)
     , m_fleet(fleet)
+    , m_crashes(crashes)
     , m_duties(duties)
     , m_election(begun)
     , m_reporters(fleet)
@@ -131,8 +133,10 @@
     bool const are_reported_sound = report.unreachable_size() <= most_suspected
         && report.broken_size() <= most_suspected && report.answering_size() <= most_suspected;
     bool const are_counts_sound = DutySharing::is_within_bounds(report)
-        && std::ranges::all_of(
-            datagram.relayed(), [](auto const& part) { return DutySharing::is_within_bounds(part); });
+        && CrashSharing::is_within_bounds(report.crashes())
+        && std::ranges::all_of(datagram.relayed(), [](auto const& part) {
+               return DutySharing::is_within_bounds(part) && CrashSharing::is_within_bounds(part.crashes());
+           });
     return is_report_sound && are_reported_sound && are_counts_sound
         && datagram.relayed_size() <= static_cast<int>(s_most_forwarded) + 1
         && std::ranges::all_of(datagram.relayed(), [&](auto const& part) {
@@ -164,6 +168,7 @@
     m_heard_store_word.merge(read_word(report.store(), now));
     if (m_duties != nullptr)
         m_duties->take_report(report, now);
+    m_crashes.take(report.crashes(), Policy::CrashLedger::Relaying::Yes, now);
     m_has_newcomer = m_has_newcomer || m_ledger.sequence_of(report.sender()) == 0;
     bool const has_missed_one = m_ledger.sequence_of(report.sender()) + 1 < report.sequence();
     auto loads = loads_of(report.servers());
@@ -206,6 +211,7 @@
     m_heard_store_word.merge(read_word(part.store(), now));
     if (m_duties != nullptr)
         m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
+    m_crashes.take(part.crashes(), Policy::CrashLedger::Relaying::No, now);
     auto loads = loads_of(part.servers());
     subtract_own(part, loads);
     if (!m_relays.take(part.relay(), part.sequence(), LoadSources::Extent::Changes, loads, now))
@@ -334,7 +340,7 @@
     bool const has_changed = m_own_reports.empty() || loads != m_own_reports.back().loads;
     bool const has_placements = !m_placements.empty() || !m_placements_before.empty();
     bool const has_findings
-        = !m_unreachable.empty() || !m_broken.empty() || !m_answering.empty() || has_news_of_duties();
+        = !m_unreachable.empty() || !m_broken.empty() || !m_answering.empty() || has_shared_news(now);
     if (!has_changed && !has_placements && !has_findings && Core::elapsed(m_reported, now) < s_heartbeat)
         return;
     m_reported = now;
@@ -344,6 +350,7 @@
     write_word(*report.mutable_store(), m_store_word, now);
     if (m_duties != nullptr)
         m_duties->fill_report(report, own_clock, now);
+    m_crashes.fill(*report.mutable_crashes(), now);
     for (auto const& [server, load] : loads) {
         if (report.servers_size() < static_cast<int>(s_most_servers))
             add_load(*report.add_servers(), server, load);
@@ -404,6 +411,7 @@
     write_word(*part.mutable_store(), m_store_word, now);
     if (m_duties != nullptr)
         m_duties->fill_part(part, now);
+    m_crashes.fill(*part.mutable_crashes(), now);
     for (auto const& [server, load] : loads) {
         if (part.servers_size() < static_cast<int>(s_most_servers))
             add_load(*part.add_servers(), server, load);
@@ -423,7 +431,7 @@
 {
     bool const is_due = Core::elapsed(m_relayed, now) >= s_heartbeat;
     bool const has_news = m_ledger.has_changes() || !m_relay_placements.empty() || !m_forwarded.empty()
-        || !m_suspected_to_tell.empty() || !m_answering_to_tell.empty() || has_news_of_duties();
+        || !m_suspected_to_tell.empty() || !m_answering_to_tell.empty() || has_shared_news(now);
     if (!is_due && !has_news)
         return;
     m_relayed = now;
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -4,6 +4,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/WatchElection.h>
 #include <LibGateway/BackendFleet.h>
+#include <LibGateway/CrashSharing.h>
 #include <LibGateway/DutySharing.h>
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/LoadLedger.h>
@@ -65,7 +66,7 @@
     static constexpr std::size_t s_most_suspected = 1'000;
 
     /// `self` is the gateway's incarnation. What is shared for duties is null where gateways have none.
-    LoadSharing(std::uint64_t self, BackendFleet&, DutySharing* duties, Core::MonotonicTime begun);
+    LoadSharing(std::uint64_t self, BackendFleet&, CrashSharing, DutySharing* duties, Core::MonotonicTime begun);
 
     void set_members(Entry::LoadMembers const&);
 
@@ -125,6 +126,11 @@
     [[nodiscard]] LoadsByServer own_loads() const;
     /// Begins the next report of what is open here.
     std::uint64_t begin_report(LoadsByServer);
+    /// What goes with the next datagram and can't wait.
+    [[nodiscard]] bool has_shared_news(Core::MonotonicTime now) const
+    {
+        return has_news_of_duties() || m_crashes.has_news(now);
+    }
     [[nodiscard]] bool has_news_of_duties() const { return m_duties != nullptr && m_duties->has_changes(); }
     void report_to(
         std::string const& relay, std::vector<OutgoingLoad>&, Cluster::WallTime own_clock, Core::MonotonicTime now);
@@ -135,6 +141,7 @@
 
     std::uint64_t m_self;
     BackendFleet& m_fleet;
+    CrashSharing m_crashes;
     DutySharing* m_duties;
     /// A gateway that was not known reports here.
     bool m_has_newcomer {false};
--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -158,4 +158,79 @@
     EXPECT_EQ(arrivals("harmless"), 1U);
 }
 
+// Answers break where nothing has crashed: they are reset, or spoiled, and the server goes on.
+TEST_F(CrashRules, ABreakOfAServerThatGoesOnIsNoCrash)
+{
+    add_backend("i-breaking", [](auto& connection, auto const& text, auto) {
+        if (body_of(text) == "probe")
+            return connection.write(answer_to(text, 200, "fine"));
+        connection.write(stream_head_to(text));
+        connection.reset();
+    });
+    m_servers_list.servers.erase(m_servers_list.servers.begin(), m_servers_list.servers.end() - 1);
+    publish_servers();
+    for (int count = 0; count < 12; ++count)
+        EXPECT_FALSE(ask("unlucky").is_whole);
+    EXPECT_EQ(m_backends.back()->count(), 12U);
+    EXPECT_EQ(counter("granitefield_gateway_crash_witnesses_total"), 0U);
+}
+
+// A server that leaves ends with what it still has, and refuses connections after it, as one that crashed.
+TEST_F(CrashRules, TheEndOfAServerThatLeavesIsNoCrash)
+{
+    std::atomic<bool> may_end {false};
+    auto& leaving = add_backend("i-leaving", [&](auto& connection, auto const& text, auto) {
+        connection.write(stream_head_to(text) + chunk(event(1)));
+        while (!may_end)
+            std::this_thread::yield();
+        m_backends.back()->crash();
+    });
+    m_servers_list.servers.erase(m_servers_list.servers.begin(), m_servers_list.servers.end() - 1);
+    publish_servers();
+    RawCaller caller(m_nodes[0]->gateway.caller_port());
+    caller.write(request("POST", "/stream/x", "", "long"));
+    ASSERT_TRUE(caller.read_body_bytes(1));
+    m_servers_list.servers.front().state = Table::BackendServerState::Leaving;
+    publish_servers();
+    for (auto const& node : m_nodes)
+        node->gateway.wake();
+    // The gateway has taken the list when its status says so.
+    while (m_nodes[0]->gateway.status().find("\"serving\":false") == std::string::npos)
+        std::this_thread::yield();
+    may_end = true;
+    EXPECT_FALSE(caller.read_answer().is_whole);
+    EXPECT_EQ(leaving.count(), 1U);
+    EXPECT_EQ(counter("granitefield_gateway_crash_witnesses_total"), 0U);
+}
+
+// What died beside such a request goes on elsewhere, and is not held with it.
+TEST_F(CrashRules, WhatRanBesideItIsServed)
+{
+    crash_three_and_wait();
+    EXPECT_EQ(counter("granitefield_gateway_quarantines_total"), s_gateways);
+    for (int count = 0; count < 20; ++count) {
+        EXPECT_GE(ask("deadly").status, 500);
+        EXPECT_TRUE(ask(Core::concat("harmless-", count)).is_whole);
+    }
+    EXPECT_GE(counter("granitefield_gateway_held_back_total"), 20U);
+}
+
+// An operator lets one go, at any gateway.
+TEST_F(CrashRules, WhatAnOperatorReleasesReachesServersAgain)
+{
+    crash_three_and_wait();
+    auto const digest = Core::RequestDigest::of("/asked/case", "ws", "deadly");
+    auto const text = digest.to_string();
+    auto const is_held_at = [&](auto& node) { return node.gateway.status().find(text) != std::string::npos; };
+    for (auto const& node : m_nodes)
+        ASSERT_TRUE(is_held_at(*node));
+    EXPECT_TRUE(m_nodes[1]->gateway.release(digest));
+    EXPECT_FALSE(m_nodes[1]->gateway.release(Core::RequestDigest::of("/asked/case", "ws", "harmless")));
+    while (std::ranges::any_of(m_nodes, [&](auto const& node) { return is_held_at(*node); }))
+        std::this_thread::yield();
+    auto const before = arrivals("deadly");
+    static_cast<void>(ask("deadly"));
+    EXPECT_GT(arrivals("deadly"), before);
+}
+
 }
--- a/Tests/LibGateway/LoadExchangeTest.cpp
+++ b/Tests/LibGateway/LoadExchangeTest.cpp
@@ -75,8 +75,9 @@
     Entry::SharedTable m_table;
     Entry::SharedServers m_servers;
     Entry::WatchDuty m_duty {Core::Milliseconds(3'000), 0, m_table, m_servers, m_log, m_metrics};
-    LoadExchange m_exchange {
-        m_loop, Core::Address::from_string("127.0.0.1:0"), m_fleet, nullptr, m_membership, m_duty, m_log, m_metrics};
+    Policy::CrashLedger m_crashes;
+    LoadExchange m_exchange {m_loop, Core::Address::from_string("127.0.0.1:0"), m_fleet, CrashSharing(m_crashes),
+        nullptr, m_membership, m_duty, m_log, m_metrics};
 };
 
 }
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -1,172 +1,12 @@
 // What a dozen gateways know of each other's load, played by simulated time: how old it is, and what it is after
 // losses.
-#include "NullDescriptor.h"
-
-#include <LibCore/Text.h>
-#include <LibGateway/LoadSharing.h>
-#include <LibProtocol/ProtocolVersion.h>
-
-#include <algorithm>
-#include <map>
-#include <memory>
-#include <random>
-#include <string>
-#include <vector>
+#include "LoadFleet.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 namespace GraniteField::Gateway {
 
-using namespace std::chrono_literals;
-
-namespace {
-
-Core::MonotonicTime const s_start {1h};
-constexpr Core::Milliseconds s_step {5};
-/// One way between two gateways.
-constexpr Core::Milliseconds s_latency {1};
-/// What every gateway knows has to be no older than this: three intervals, and the ways between.
-constexpr Core::Milliseconds s_knowledge_limit = LoadSharing::s_interval * 3 + s_step * 2;
-constexpr std::size_t s_groups = 3;
-
-/// One gateway of the fleet.
-struct Node {
-    explicit Node(std::size_t number)
-        : address(Core::concat("10.0.0.", number, ":1"))
-        , member {address, Core::concat("domain-", number % s_groups), number < s_groups ? 500U : 90U, number}
-        , id(number + 1)
-    {
-    }
-
-    [[nodiscard]] BackendFleet::Settings settings() const
-    {
-        BackendFleet::Settings settings;
-        settings.seed = id;
-        return settings;
-    }
-
-    std::string address;
-    Entry::LoadMember member;
-    std::uint64_t id;
-    bool is_alive {true};
-    Testing::NullDescriptor log_descriptor;
-    Observe::MetricRegistry metrics;
-    Observe::EventLog log {log_descriptor.number(), "gateway", Core::Incarnation(1), metrics};
-    BackendFleet fleet {settings(), log};
-    LoadSharing sharing {id, fleet, nullptr, s_start};
-    /// Gateways do not turn at the same moment.
-    Core::MonotonicTime next_turn {s_start + s_step * static_cast<int>(id % 10)};
-};
-
-/// Gateways of three failure domains before a few engines.
-class LoadFleet : public ::testing::Test {
-protected:
-    static constexpr std::size_t s_count = 12;
-
-    LoadFleet()
-    {
-        Entry::ServerList list;
-        for (int number = 0; number < 6; ++number)
-            list.servers.push_back({Core::concat("i-", number), "svc", *Core::Address::from_string("127.0.0.1:9"),
-                "here", 64, Table::BackendServerState::Serving});
-        for (std::size_t number = 0; number < s_count; ++number) {
-            m_nodes.push_back(std::make_unique<Node>(number));
-            m_nodes.back()->fleet.follow(list);
-        }
-        for (auto& node : m_nodes) {
-            Entry::LoadMembers members {node->member, {}};
-            for (auto const& other : m_nodes) {
-                if (other != node)
-                    members.others.push_back(other->member);
-            }
-            node->sharing.set_members(members);
-        }
-        play(3s);
-    }
-
-    [[nodiscard]] Node& node(std::size_t number) { return *m_nodes.at(number); }
-    static BackendView& view(Node& node, char const* instance) { return *node.fleet.all().at(instance); }
-
-    /// Lets time pass.
-    void play(Core::Milliseconds duration)
-    {
-        for (auto const end = m_now + duration; m_now < end; m_now += s_step) {
-            deliver();
-            for (auto& node : m_nodes)
-                turn(*node);
-        }
-    }
-
-    void turn(Node& node)
-    {
-        if (!node.is_alive || m_now < node.next_turn)
-            return;
-        node.next_turn += LoadSharing::s_interval;
-        for (auto const& outgoing : node.sharing.turn({}, m_now)) {
-            ++m_sent;
-            m_bytes += outgoing.bytes->size();
-            if (std::uniform_real_distribution<double>(0, 1)(m_generator) >= m_loss)
-                m_under_way.push_back({m_now + s_latency, node.address, outgoing});
-        }
-    }
-
-    void deliver()
-    {
-        auto const arrived = std::stable_partition(
-            m_under_way.begin(), m_under_way.end(), [&](auto const& item) { return item.at > m_now; });
-        std::vector<UnderWay> const due(arrived, m_under_way.end());
-        m_under_way.erase(arrived, m_under_way.end());
-        for (auto const& item : due) {
-            auto const target
-                = std::ranges::find(m_nodes, item.outgoing.address, [](auto const& node) { return node->address; });
-            LoadSharing::Datagram datagram;
-            ASSERT_TRUE(datagram.ParseFromString(*item.outgoing.bytes));
-            if ((*target)->is_alive) {
-                EXPECT_TRUE((*target)->sharing.take(datagram, item.from, m_now));
-            }
-        }
-    }
-
-    /// The gateways that do not know what is open at the engine in truth.
-    [[nodiscard]] std::vector<std::string> mistaken(char const* instance)
-    {
-        ServerLoad truth;
-        for (auto const& node : m_nodes) {
-            if (node->is_alive)
-                truth += view(*node, instance).own_load();
-        }
-        std::vector<std::string> names;
-        for (auto const& node : m_nodes) {
-            if (node->is_alive && view(*node, instance).load() != truth)
-                names.push_back(node->address);
-        }
-        return names;
-    }
-
-    [[nodiscard]] std::size_t count_relays() const
-    {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            m_nodes, [](auto const& node) { return node->is_alive && node->sharing.is_relay(); }));
-    }
-
-    struct UnderWay {
-        Core::MonotonicTime at;
-        std::string from;
-        OutgoingLoad outgoing;
-    };
-
-    std::vector<std::unique_ptr<Node>> m_nodes;
-    std::vector<UnderWay> m_under_way;
-    Core::MonotonicTime m_now {s_start};
-    double m_loss {0};
-    std::mt19937 m_generator {20261202};
-    std::size_t m_sent {0};
-    std::size_t m_bytes {0};
-};
-
-}
-
 TEST_F(LoadFleet, HasOneRelayInEachFailureDomainWhereTheProcessorIs)
 {
     EXPECT_EQ(count_relays(), s_groups);
@@ -357,8 +197,8 @@
 
 RC_GTEST_PROP(LoadSharing, LeavesNothingBehindOfAnyDatagrams, ())
 {
-    Node node(0);
-    Node peer(3);
+    Node node(0, 0, s_start);
+    Node peer(3, 0, s_start);
     Entry::ServerList list;
     for (int number = 0; number < 3; ++number)
         list.servers.push_back({Core::concat("i-", number), "svc", *Core::Address::from_string("127.0.0.1:9"), "here",
