platform: Read what is sound beside what another writer has put into the store

An entry may come from another writer: fields missing or of another type, an unknown state, bytes that can't be read. One object without a name, or one byte that is no UTF-8, spoiled the whole list (the follower took it for a lost store and listed again and again); an entry that became unreadable left the server as it was; missing fields were filled in.

Ruled out: refusing the whole answer (all gateways would be without servers); leaving out lines for such entries (an operator would look for a server that the store has).

A list goes on behind its last name, also where that object can't be read. An answer with bytes that are no text is read with these replaced. Server entries need all their fields, of their types, and one of the two states; born is read where it is given.

No corpus of a coverage-guided fuzzer: a property with drawn lists in its place.

--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/ObjectClient.h>
 
 #include <LibCore/Text.h>
+#include <LibCore/Utf8.h>
 #include <LibPlatform/ObjectCodec.h>
 
 #include <algorithm>
@@ -21,7 +22,9 @@
 Json parse(std::string const& path, std::string const& body)
 {
     try {
-        return Json::parse(body);
+        // Another writer's object may hold bytes that are no text; all else in the answer is to be read.
+        auto json = Json::parse(body, nullptr, false);
+        return json.is_discarded() ? Json::parse(Core::replace_invalid_utf8(body)) : json;
     } catch (Json::exception const& error) {
         throw PlatformUnavailable(Core::concat(path, ": the answer is not JSON: ", error.what()));
     }
@@ -102,15 +105,16 @@
 
 bool ObjectClient::list_next_page(std::string_view kind, std::optional<ObjectListing>& begun)
 {
-    bool const has_names = begun && !begun->objects.empty();
-    auto const path = list_path(kind, has_names ? begun->objects.back().name : std::string_view());
+    auto const path = list_path(kind, begun ? std::string_view(begun->last_name) : std::string_view());
     auto page = decode(path, read_json(path, m_call_timeout), decode_list);
     // A change between two pages is in the watch that goes on from the first page's revision.
     if (!begun)
-        begun = ObjectListing {page.listing.revision, {}};
-    auto& objects = page.listing.objects;
-    std::ranges::move(objects, std::back_inserter(begun->objects));
-    return !page.has_more || objects.empty();
+        begun = ObjectListing {page.listing.revision, {}, {}, {}};
+    std::ranges::move(page.listing.objects, std::back_inserter(begun->objects));
+    std::ranges::move(page.listing.unreadable, std::back_inserter(begun->unreadable));
+    bool const goes_on = page.has_more && page.listing.last_name > begun->last_name;
+    begun->last_name = std::max(begun->last_name, page.listing.last_name);
+    return !goes_on;
 }
 
 WatchAnswer ObjectClient::watch(std::string_view kind, StoreRevision revision, Core::Milliseconds wait)
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Address.h>
 #include <LibCore/StrongInteger.h>
+#include <LibCore/Time.h>
 #include <LibTable/Rows.h>
 
 #include <stdexcept>
@@ -26,9 +27,19 @@
     Json spec;
 };
 
+/// Something in an answer of the store that is no object of ours, and why. All else in the answer holds.
+struct UnreadableObject {
+    /// Empty where not even that can be read.
+    std::string name;
+    std::string reason;
+};
+
 struct ObjectListing {
     StoreRevision revision;
     std::vector<Object> objects;
+    std::vector<UnreadableObject> unreadable;
+    /// The greatest name among all of them, behind which a list goes on; lists are in the order of names.
+    std::string last_name;
 };
 
 enum class EventKind {
@@ -45,11 +56,15 @@
     /// To go on from.
     StoreRevision revision;
     std::vector<StoreEvent> events;
+    std::vector<UnreadableObject> unreadable;
 };
 
+/// When a backend server started, as it says itself: it tells its lives apart, and is never compared with a clock.
+using BirthTime = std::chrono::sys_time<Core::Milliseconds>;
+
 /// A backend server as its own entry in the store describes it.
 struct ServerEntry {
-    /// One run of the server. A server that starts again, or another one at the same address, has another id.
+    /// The server's name. One that starts again may have the same one.
     std::string instance;
     std::string service;
     Core::Address address;
@@ -57,6 +72,11 @@
     /// Requests that it works on at once.
     unsigned slots {1};
     Table::BackendServerState state {Table::BackendServerState::Serving};
+    /// The start of 1970 where it does not say.
+    BirthTime born {};
+
+    /// Whether this is what an earlier life of that server said.
+    [[nodiscard]] bool is_of_earlier_life_than(ServerEntry const& other) const { return born < other.born; }
 
     bool operator==(ServerEntry const&) const = default;
 };
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -1,10 +1,13 @@
+#include <LibCore/Utf8.h>
 #include <LibPlatform/ObjectCodec.h>
 
+#include <map>
 #include <set>
 #include <string>
 
 #include <gtest/gtest.h>
 #include <platform/Decoders.h>
+#include <rapidcheck/gtest.h>
 
 namespace GraniteField::Platform {
 
@@ -24,6 +27,11 @@
         "tenants": [{"name": "t-1", "api_keys": ["k-1", "k-2"], "prio": 1}, {"name": "t-2", "api_keys": []}]})");
 }
 
+Json server_spec()
+{
+    return {{"service", "s-a"}, {"addr", "10.128.0.9:8080"}, {"zone", "z"}, {"slots", 64}, {"state", "ready"}};
+}
+
 }
 
 TEST(DecodeConfiguration, BecomesATableOfTheSameVersion)
@@ -92,9 +100,92 @@
     EXPECT_EQ(server.address.to_string(), "10.128.0.9:8080");
     EXPECT_EQ(server.slots, 64U);
     EXPECT_EQ(server.state, Table::BackendServerState::Leaving);
+    EXPECT_EQ(server.born, BirthTime());
     EXPECT_THROW(static_cast<void>(decode_server({"i-2", {}, Json {{"addr", "nowhere"}}})), Core::InvalidInput);
 }
 
+TEST(DecodeServer, KnowsTheLivesOfOneNameByTheirBirth)
+{
+    auto spec = server_spec();
+    spec["born"] = 1'781'704'505'269;
+    auto const first = decode_server({"i-1", {}, spec});
+    spec["born"] = 1'781'704'509'000;
+    auto const second = decode_server({"i-1", {}, spec});
+    EXPECT_TRUE(first.is_of_earlier_life_than(second));
+    EXPECT_FALSE(second.is_of_earlier_life_than(first));
+}
+
+// Another writer may put anything there. It names no server, and spoils no other.
+TEST(DecodeServer, RefusesWhatIsNoServersEntry)
+{
+    for (auto const* field : {"service", "addr", "zone", "slots", "state"}) {
+        auto spec = server_spec();
+        spec.erase(field);
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+        spec[field] = Json::array({1, 2});
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+    }
+    for (auto const& [field, value] : std::map<std::string, Json> {{"state", "asleep"}, {"service", ""}, {"slots", 1.5},
+             {"slots", "64"}, {"born", 1.5}, {"born", "yesterday"}, {"addr", "10.128.0.9"}}) {
+        auto spec = server_spec();
+        spec[field] = value;
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+    }
+    for (auto const& spec : {Json(), Json(3), Json("text"), Json::array()})
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec})));
+}
+
+TEST(DecodeList, WhatCanNotBeReadSpoilsNoOther)
+{
+    auto const json = Json::parse(R"({"store_revision": 9, "truncated": true, "items": [
+        {"metadata": {"name": "a", "rev": 1}, "spec": {}}, 17, {"metadata": {"name": "b", "rev": "x"}},
+        {"metadata": 5}, {"metadata": {"name": 6}}, {"metadata": {"name": "c", "rev": 2}, "spec": "text"},
+        {"metadata": {"name": "d", "rev": {}}}]})");
+    auto const page = decode_list(json);
+    ASSERT_EQ(page.listing.objects.size(), 2U);
+    EXPECT_EQ(page.listing.objects[0].name, "a");
+    EXPECT_EQ(page.listing.objects[1].name, "c");
+    EXPECT_EQ(page.listing.unreadable.size(), 5U);
+    // The next page begins behind the last name, also where that one can't be read.
+    EXPECT_EQ(page.listing.last_name, "d");
+}
+
+// Any bytes in place of an entry: nothing but an exception comes of it, and the others are read.
+RC_GTEST_PROP(DecodeList, AnyObjectAmongOthersSpoilsNone, (std::vector<std::string> const& texts))
+{
+    auto items = Json::array();
+    for (auto const& text : texts) {
+        auto const bytes = Core::replace_invalid_utf8(text);
+        auto const parsed = Json::parse(bytes, nullptr, false);
+        items.push_back(parsed.is_discarded() ? Json(bytes) : parsed);
+        auto spec = server_spec();
+        spec[bytes] = bytes;
+        spec["zone"] = items.back();
+        items.push_back({{"metadata", {{"name", "odd"}, {"rev", 1}}}, {"spec", spec}});
+    }
+    items.push_back({{"metadata", {{"name", "sound"}, {"rev", 1}}}, {"spec", server_spec()}});
+    auto const page = decode_list({{"store_revision", 1}, {"items", items}});
+    std::size_t servers = 0;
+    for (auto const& object : page.listing.objects) {
+        try {
+            servers += decode_server(object).instance == "sound" ? 1 : 0;
+        } catch (std::exception const&) {
+            RC_ASSERT(object.name != "sound");
+        }
+    }
+    RC_ASSERT(servers == 1U);
+}
+
+TEST(Utf8, ReplacesOnlyWhatIsNoCharacter)
+{
+    EXPECT_EQ(Core::replace_invalid_utf8("ž € 𝄞"), "ž € 𝄞");
+    EXPECT_EQ(Core::replace_invalid_utf8("a\xff\xc5z\xe2\x82"), "a??z??");
+    // An overlong form, a surrogate, and a code point behind the last.
+    EXPECT_EQ(Core::replace_invalid_utf8("\xc0\x80"), "??");
+    EXPECT_EQ(Core::replace_invalid_utf8("\xed\xa0\x80"), "???");
+    EXPECT_EQ(Core::replace_invalid_utf8("\xf4\x90\x80\x80"), "????");
+}
+
 TEST(PlatformDialect, NamesEveryFieldThatOnlyAGatewayMaySet)
 {
     auto const dialect = platform_dialect();
