LibGateway: Begin anew with a backend server that starts again under its name

A runner may start again under the id that it had; born tells its lives apart. Views, load words, kept prompts and suspicions were keyed by the name alone, so that what was believed of the life before held for the next one.

Ruled out: clearing each belief in the view (a list that grows with each belief; attempts of the old life would take their load from the new one).

Change: a newer born replaces the BackendView; what was sent to the old life keeps its own view, which is no longer listed. The id in datagrams is hashed from name and birth, so that late words on the old life reach nothing. Peers hand born on; the roster and the fleet pass over what an older life says.

Figures: ServerLives.* and ServerRoster.AWordOfAnEarlierLifeChangesNothing; without the mend the first one finds four requests open at a server that has just begun (its first expectation).

Where no born is given a name is one life, as before.

--- a/Libraries/LibEntry/PeerMessages.cpp
+++ b/Libraries/LibEntry/PeerMessages.cpp
@@ -120,6 +120,7 @@
         record.set_failure_domain(server.failure_domain);
         record.set_slots(server.slots);
         record.set_is_leaving(server.state == Table::BackendServerState::Leaving);
+        record.set_born_ms(static_cast<std::uint64_t>(server.born.time_since_epoch().count()));
     }
     return update;
 }
@@ -134,8 +135,8 @@
             return std::nullopt;
         auto const state
             = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
-        list.servers.push_back(
-            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state});
+        list.servers.push_back({record.instance(), record.service(), *address, record.failure_domain(), record.slots(),
+            state, Platform::BirthTime(Core::Milliseconds(record.born_ms()))});
     }
     return list;
 }
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -37,11 +37,18 @@
     for (auto const& record : list.servers) {
         listed.insert(record.instance);
         auto& view = m_servers[record.instance];
-        if (view == nullptr) {
+        // What was believed of an earlier life holds for nothing in this one: what it has open and keeps, how it
+        // answers, whether it is dead. Attempts that were sent to that life keep their view of it.
+        bool const is_reborn = view != nullptr && view->record().is_of_earlier_life_than(record);
+        if (view != nullptr && record.is_of_earlier_life_than(view->record()))
+            continue;
+        if (is_reborn)
+            view->set_listed(false);
+        if (view == nullptr || is_reborn) {
             view = std::make_shared<BackendView>(record, spread_of(record.instance));
             view->prefixes().set_capacity(m_memory_tokens[record.service]);
             m_servers_by_id[view->id()] = view;
-            log_change(record, "added", list.revision);
+            log_change(record, is_reborn ? "reborn" : "added", list.revision);
             continue;
         }
         if (!view->is_listed())
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -88,14 +88,14 @@
     Core::MonotonicTime m_time;
 };
 
-/// What a gateway knows of one backend server: its entry in the list, the gateway's own load on it, and how it has
-/// answered of late. On the gateway's thread only.
+/// What a gateway knows of one life of a backend server: its entry in the list, the gateway's own load on it, and how
+/// it has answered of late. On the gateway's thread only.
 class BackendView {
 public:
     /// `spread`, from 0 to 1, is this gateway's own: how much longer than the shortest time it leaves a server alone.
     explicit BackendView(Entry::ServerEntry record, double spread = 0)
         : m_record(std::move(record))
-        , m_id(Core::hash_bytes(m_record.instance))
+        , m_id(id_of(m_record))
         , m_spread(spread)
     {
     }
@@ -123,7 +123,7 @@
     [[nodiscard]] ServerLoad load() const { return m_own + m_others; }
     void add_others(ServerLoad const& load) { m_others += load; }
     void remove_others(ServerLoad const& load) { m_others -= load; }
-    /// The instance's hash, which stands for it in datagrams.
+    /// The hash of the instance and of its birth, which stands for this life of it in datagrams.
     [[nodiscard]] std::uint64_t id() const { return m_id; }
     [[nodiscard]] PrefixMemory& prefixes() { return m_prefixes; }
     [[nodiscard]] PrefixMemory const& prefixes() const { return m_prefixes; }
@@ -206,6 +206,11 @@
     }
 
 private:
+    static std::uint64_t id_of(Entry::ServerEntry const& record)
+    {
+        return Core::hash_bytes(record.instance, static_cast<std::uint64_t>(record.born.time_since_epoch().count()));
+    }
+
     /// What the newest attempt counts in the failure rate.
     static constexpr double s_newest_weight = 0.25;
     /// Failures one after the other from which the server is left alone for a while.
--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -35,6 +35,10 @@
 void ServerRoster::take_change(Entry::ServerEntry server)
 {
     auto const instance = server.instance;
+    auto const known = m_entries.find(instance);
+    // A late word of an earlier life says nothing about the one that followed.
+    if (known != m_entries.end() && server.is_of_earlier_life_than(known->second.server))
+        return;
     m_entries.insert_or_assign(instance, KnownServer {std::move(server), false});
 }
 
--- /dev/null
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -0,0 +1,77 @@
+// What is believed of a backend server ends with its life, also where the next one has the same name.
+#include "NullDescriptor.h"
+
+#include <LibGateway/BackendFleet.h>
+#include <LibGateway/LoadSources.h>
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::MonotonicTime const s_start {1h};
+
+class ServerLives : public ::testing::Test {
+protected:
+    /// The list tells of the server's life that began then.
+    void follow(int born)
+    {
+        Entry::ServerList list;
+        list.servers.push_back({"i-1", "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 8,
+            Table::BackendServerState::Serving, Platform::BirthTime(Core::Milliseconds(born))});
+        m_fleet.follow(list);
+    }
+
+    [[nodiscard]] std::shared_ptr<BackendView> view() const { return m_fleet.all().at("i-1"); }
+
+    Testing::NullDescriptor m_log_descriptor;
+    Observe::MetricRegistry m_metrics;
+    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
+    BackendFleet m_fleet {{}, m_log};
+};
+
+}
+
+TEST_F(ServerLives, NothingThatWasBelievedHoldsForTheNextLife)
+{
+    follow(1'000);
+    auto const before = view();
+    std::vector<PromptPart> const prompt {{7, 100}};
+    before->prefixes().note_read(prompt);
+    before->begin_attempt({1, 100, 0});
+    before->note_unreachable(1, s_start);
+    LoadSources others(m_fleet);
+    ASSERT_TRUE(others.take(5, 1, LoadSources::Extent::Whole, {{before->id(), {3, 300, 0}}}, s_start));
+    ASSERT_EQ(before->load().open, 4U);
+
+    follow(2'000);
+    auto const after = view();
+    EXPECT_EQ(after->prefixes().kept_tokens(prompt), 0U);
+    EXPECT_EQ(after->load(), ServerLoad());
+    EXPECT_FALSE(after->is_avoided(s_start));
+    EXPECT_FALSE(after->suspected_since());
+    EXPECT_EQ(after->failure_rate(s_start), 0);
+    EXPECT_TRUE(after->takes_new_requests());
+    // What was sent to the life before is not there any more.
+    EXPECT_FALSE(before->is_listed());
+    // A late word on the load of the life before says nothing about this one.
+    ASSERT_TRUE(others.take(5, 2, LoadSources::Extent::Whole, {{before->id(), {4, 400, 0}}}, s_start));
+    EXPECT_EQ(view()->load(), ServerLoad());
+    EXPECT_NE(before->life().life, after->life().life);
+    EXPECT_EQ(before->life().place, after->life().place);
+}
+
+TEST_F(ServerLives, AListOfTheLifeBeforeChangesNothing)
+{
+    follow(2'000);
+    auto const now = view();
+    now->begin_attempt({1, 100, 0});
+    follow(1'000);
+    EXPECT_EQ(view(), now);
+    EXPECT_EQ(view()->load().open, 1U);
+}
+
+}
--- a/Tests/LibGateway/ServerRosterTest.cpp
+++ b/Tests/LibGateway/ServerRosterTest.cpp
@@ -37,6 +37,22 @@
     EXPECT_FALSE(roster.list().is_provisional);
 }
 
+TEST(ServerRoster, AWordOfAnEarlierLifeChangesNothing)
+{
+    auto const of_life = [](int born, unsigned slots) {
+        auto entry = server("a");
+        entry.born = Platform::BirthTime(Core::Milliseconds(born));
+        entry.slots = slots;
+        return entry;
+    };
+    ServerRoster roster;
+    roster.take_change(of_life(2'000, 8));
+    roster.take_change(of_life(1'000, 4));
+    EXPECT_EQ(roster.list().servers.front().slots, 8U);
+    roster.take_change(of_life(3'000, 16));
+    EXPECT_EQ(roster.list().servers.front().slots, 16U);
+}
+
 TEST(ServerRoster, WaitsForWhatLapsedWhileTheStoreWasAway)
 {
     ServerRoster roster;
