LibCore: Count the time of a suspension, and conclude nothing from our own absence

A host may be suspended for seconds; the steady clock does not count that time. Leases, ages, windows and callers' limits were all counted by it. After any absence, a freeze too, the first turn took the silence of all servers for theirs and left repeatable requests for other ones.

Ruled out: the time of day (it jumps); two clocks side by side (a time point of one compared with the other's compiles no more).

Change: Core::BootClock (CLOCK_BOOTTIME) is the one clock of all time points.

--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 
 namespace GraniteField::Core {
 
@@ -20,6 +21,14 @@
 
 }
 
+BootClock::time_point BootClock::now() noexcept
+{
+    timespec reading {};
+    // Fails for an unknown clock only; Linux has this one since 2.6.39.
+    ::clock_gettime(CLOCK_BOOTTIME, &reading);
+    return time_point(std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 std::optional<Milliseconds> parse_duration(std::string_view text)
 {
     double count = 0;
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -7,15 +7,29 @@
 
 namespace GraniteField::Core {
 
-/// A reading of the clock that never steps back. Decisions take it as an argument and never read it themselves.
-using MonotonicTime = std::chrono::steady_clock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 
+/// The clock that never steps back and goes on while the host is suspended (CLOCK_BOOTTIME). The library's steady clock
+/// stands still meanwhile: by it a lease that ran out would still hold, and what others said would be as fresh as
+/// before.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    [[nodiscard]] static time_point now() noexcept;
+};
+
+/// A reading of that clock. Decisions take it as an argument and never read it themselves.
+using MonotonicTime = BootClock::time_point;
+
 /// The present reading. For the duties that wait and talk; decisions are told the time.
 [[nodiscard]] inline MonotonicTime monotonic_now()
 {
-    return std::chrono::steady_clock::now();
+    return BootClock::now();
 }
 
 /// Whole milliseconds from one reading to another; negative when `to` is earlier.
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -129,7 +129,7 @@
         std::move(connection.body)};
     auto const key = raw.headers.find("idempotency-key");
     bool const has_ticket = key != raw.headers.end() && Side::Ticket::looks_like_ticket(key->second);
-    auto interpreted = interpret_call(std::move(raw), *table, id, std::chrono::steady_clock::now());
+    auto interpreted = interpret_call(std::move(raw), *table, id, Core::monotonic_now());
     if (auto* error = std::get_if<ErrorAnswer>(&interpreted)) {
         // An earlier use of the ticket may have run; only its side process can say.
         if (has_ticket)
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -127,7 +127,7 @@
 {
     while (!m_should_stop) {
         wait_for_messages();
-        auto const now = std::chrono::steady_clock::now();
+        auto const now = Core::monotonic_now();
         auto const own = versions();
         if (own != std::exchange(m_seen, own))
             m_pulls.note_news();
@@ -229,7 +229,7 @@
 
 void PeerExchange::handle_announce(Message::Announce const& announce, Reply const& reply)
 {
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = Core::monotonic_now();
     m_view.note(from_message(announce.sender(), now));
     for (auto const& record : announce.known())
         m_view.note(from_message(record, now));
@@ -365,7 +365,7 @@
         connection.socket->connect("tcp://" + address);
         // A new neighbour hears of this entry soon.
         m_next_announcement
-            = std::min(m_next_announcement, std::chrono::steady_clock::now() + m_settings.first_interval);
+            = std::min(m_next_announcement, Core::monotonic_now() + m_settings.first_interval);
     }
     std::erase_if(m_connections, [](auto const& item) { return !item.second.is_wanted; });
 }
@@ -387,7 +387,7 @@
 
 PeerExchange::Envelope PeerExchange::make_announcement()
 {
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = Core::monotonic_now();
     auto envelope = make_envelope();
     auto& announce = *envelope.mutable_announce();
     auto self = m_view.self();
@@ -401,7 +401,7 @@
 
 void PeerExchange::announce()
 {
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = Core::monotonic_now();
     m_announced = versions();
     auto envelope = make_announcement();
     m_announced_reachable = envelope.announce().sender().is_platform_reachable();
--- a/Libraries/LibEntry/RequestRuns.cpp
+++ b/Libraries/LibEntry/RequestRuns.cpp
@@ -161,7 +161,7 @@
     decide(run, Core::concat("ended as ", to_string(outcome)));
     if (m_spans != nullptr && run.call().trace.is_sampled) {
         auto const wall_now = std::chrono::system_clock::now();
-        auto const age = std::chrono::steady_clock::now() - run.call().received;
+        auto const age = Core::monotonic_now() - run.call().received;
         auto const start = wall_now - std::chrono::duration_cast<std::chrono::system_clock::duration>(age);
         m_spans->record({run.call().trace, run.call().parent_span_id, "entry", start, wall_now,
             {{"request", run.call().id.to_string()}, {"class", run.call().request_class.name},
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -54,6 +54,8 @@
     [[nodiscard]] Core::MonotonicTime last_input() const { return m_last_input; }
     /// When the answer's head came; nothing before.
     [[nodiscard]] std::optional<Core::MonotonicTime> head_came() const { return m_head_came; }
+    /// This process was away: the server's silence is counted from now on.
+    void forgive_silence(Core::MonotonicTime now) { m_last_input = now; }
     [[nodiscard]] bool is_over() const { return m_is_over; }
 
     /// Reads nothing more until resume(); for a caller that does not keep up.
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -384,6 +384,12 @@
         m_attempt->resume();
 }
 
+void GatewayRun::note_absence(Core::MonotonicTime now)
+{
+    if (m_attempt)
+        m_attempt->forgive_silence(now);
+}
+
 bool GatewayRun::is_stalled(Core::MonotonicTime now) const
 {
     auto const last_input = m_attempt->last_input();
@@ -400,7 +406,7 @@
     auto const times = [](Core::Milliseconds duration, double factor) {
         return std::chrono::duration_cast<Core::Milliseconds>(duration * factor);
     };
-    bool const has_begun = m_attempt->last_input() > m_attempt->begun();
+    bool const has_begun = m_attempt->head_came().has_value();
     if (m_call.is_stream() && has_begun)
         return std::max(settings.stall_least_pause, times(request_class.token_gap_target, settings.stall_pause_factor));
     auto const factor = m_call.is_stream() ? settings.stall_first_event_factor : settings.stall_factor;
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -96,6 +96,8 @@
     void begin(Core::MonotonicTime now);
     /// Limits in time, and held requests.
     void tick(Core::MonotonicTime now);
+    /// This process was away, and servers may have spoken meanwhile.
+    void note_absence(Core::MonotonicTime now);
     /// The process ends: the caller gets what can be said.
     void abandon();
 
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -279,6 +279,11 @@
 void GatewayServer::tick()
 {
     auto const now = Core::monotonic_now();
+    if (m_absence.note_turn(now)) {
+        m_log.write(Observe::LogEvent("was-away").add("in_flight", m_runs.size()));
+        for (auto const& run : m_runs)
+            run->note_absence(now);
+    }
     m_context.entry_count = m_membership.other_entries + 1;
     m_fleet.observe(now);
     m_crashes.turn(now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -4,6 +4,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
+#include <LibGateway/AbsenceWatch.h>
 #include <LibGateway/EarlyRequests.h>
 #include <LibGateway/GatewayRun.h>
 
@@ -122,6 +123,7 @@
     std::shared_ptr<Entry::ServerList const> m_servers;
     CallerConnection::Limits m_limits;
     std::atomic<bool> m_is_ready {false};
+    AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_drain_begun;
     std::thread m_thread;
 };
--- a/Services/GraniteFieldD/EntryDaemon.cpp
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -25,8 +25,8 @@
 
 void wait_until_idle(Entry::Router const& router, Core::Milliseconds limit)
 {
-    auto const deadline = std::chrono::steady_clock::now() + limit;
-    while (router.open_count() > 0 && std::chrono::steady_clock::now() < deadline)
+    auto const deadline = Core::monotonic_now() + limit;
+    while (router.open_count() > 0 && Core::monotonic_now() < deadline)
         std::this_thread::sleep_for(s_drain_poll);
     if (router.open_count() > 0)
         LOG(WARNING) << "daemon: stops with " << router.open_count() << " requests in flight, after " << limit.count()
--- a/Services/GraniteFieldD/SideDaemon.cpp
+++ b/Services/GraniteFieldD/SideDaemon.cpp
@@ -19,8 +19,8 @@
 
 void wait_until_drained(Side::SideAuthority const& authority, Core::Milliseconds limit)
 {
-    auto const deadline = std::chrono::steady_clock::now() + limit;
-    while (!authority.is_drained() && std::chrono::steady_clock::now() < deadline)
+    auto const deadline = Core::monotonic_now() + limit;
+    while (!authority.is_drained() && Core::monotonic_now() < deadline)
         std::this_thread::sleep_for(s_drain_poll);
     if (!authority.is_drained())
         LOG(WARNING) << "daemon: stops with work in flight, after " << limit.count() << " ms";
--- a/Tests/Integration/FaultProxy.cpp
+++ b/Tests/Integration/FaultProxy.cpp
@@ -203,7 +203,7 @@
         ::poll(descriptors.data(), descriptors.size(), timeout);
         m_wake.drain();
         std::lock_guard const lock(m_mutex);
-        auto const now = std::chrono::steady_clock::now();
+        auto const now = Core::monotonic_now();
         if (m_should_reset) {
             for (auto& pair : m_pairs)
                 close_pair(pair, true);
--- a/Tests/StandIns/BatchEngine.cpp
+++ b/Tests/StandIns/BatchEngine.cpp
@@ -99,7 +99,7 @@
 BatchEngine::Load BatchEngine::reported_load() const
 {
     std::lock_guard const lock(m_mutex);
-    auto const limit = std::chrono::steady_clock::now() - m_settings.load_report_lag;
+    auto const limit = Core::monotonic_now() - m_settings.load_report_lag;
     Load report;
     for (auto const& [time, load] : m_reports) {
         if (time <= limit)
@@ -212,7 +212,7 @@
         std::this_thread::sleep_for(step);
         lock.lock();
         advance();
-        auto const now = std::chrono::steady_clock::now();
+        auto const now = Core::monotonic_now();
         m_reports.emplace_back(now, load_now());
         while (m_reports.front().first + 2 * m_settings.load_report_lag < now)
             m_reports.pop_front();
--- a/Utilities/granitefield-load/LoadRunner.cpp
+++ b/Utilities/granitefield-load/LoadRunner.cpp
@@ -54,7 +54,7 @@
 
 Core::Microseconds LoadRunner::elapsed() const
 {
-    return std::chrono::duration_cast<Core::Microseconds>(std::chrono::steady_clock::now() - m_start);
+    return std::chrono::duration_cast<Core::Microseconds>(Core::monotonic_now() - m_start);
 }
 
 std::size_t LoadRunner::take_header(char* data, std::size_t size, std::size_t count, void* user)
@@ -147,7 +147,7 @@
 {
     std::vector<CallResult> results;
     results.reserve(schedule.size());
-    m_start = std::chrono::steady_clock::now();
+    m_start = Core::monotonic_now();
     std::size_t next = 0;
     while (next < schedule.size() || !m_calls.empty() || !m_returning.empty()) {
         auto const now = elapsed();
