granitefield: Show what is quarantined, release it, and find it from a request's id

Cause: operators could not see which requests are held, nor let one go after the servers were mended.

Ruled out: a route of the callers' interface for it (callers must not be able to); releasing at one gateway only (the others would go on holding it, and tell it back).

Change: 'granitefield quarantine' and 'granitefield release DIGEST' over the operators' ports; 'granitefield logs' takes a digest as well. Eight deliberate breaks for the proofs of the mend.

The command line itself has no test of its own.

--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -62,6 +62,14 @@
     '48|Libraries/LibPolicy/Admission.cpp|s/is_lower_rank_open(service, question.rank, now)/(is_lower_rank_open(service, question.rank, now) \&\& false)/|AdmissionTest|*NoUrgentRequest*'
     '49|Libraries/LibGateway/PrefixMemory.h|s/if (own_tokens > 0)/if (own_tokens > 0 \&\& false)/|GatewayPropertiesTest|*WhatNoOtherPromptShares*'
     '51|Libraries/LibGateway/PlacementPolicy.cpp|s/return occupied \* s_copy_share/return 0 * occupied * s_copy_share/|PauseRulesTest|*CopiesOfSharedParts*'
+    '52|Libraries/LibPolicy/CrashLedger.cpp|s/needed \&\& leads(digest, evidence, until);/needed;/|CrashLedgerTest|*HoldsNobodyAmongTwo*'
+    '53|Libraries/LibPolicy/CrashLedger.cpp|s/return good \&\& crash.time - \*good <= s_good_memory;/return good \&\& crash.time < *good;/|CrashLedgerTest|*HoldsNobodyWhoEndedWell*'
+    '54|Libraries/LibPolicy/CrashLedger.h|s/s_least_places = 2;/s_least_places = 1;/|CrashLedgerTest|*HostThatCrashes*'
+    '55|Libraries/LibPolicy/CrashLedger.h|s/s_telling_time {1.500}/s_telling_time {1}/|CrashSharingTest|*ThreeDatagramsInTen*'
+    '56|Libraries/LibPolicy/CrashLedger.h|s/s_refresh {1.000}/s_refresh {100000000}/|CrashSharingTest|*WhoBeginsLater*'
+    '57|Libraries/LibGateway/GatewayRun.cpp|s/return ledger.count_quarantined() > 0/return ledger.count_quarantined() > 9999/|CrashRulesTest|*ReachesThreeMore*'
+    '58|Libraries/LibGateway/CrashWatch.cpp|s/if (!server.takes_new_requests())/if (false)/|CrashRulesTest|*LeavesIsNoCrash*'
+    '59|Libraries/LibGateway/BackendFleet.cpp|s/bool const is_reborn = view != nullptr \&\& /bool const is_reborn = view == nullptr \&\& /|BackendFleetTest|*NothingThatWasBelieved*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -68,6 +68,17 @@
     return {200, "application/json", {}, json.dump()};
 }
 
+/// Lets a request go that is held back for crashing backend servers.
+HTTP::ServerResponse release_request(HTTP::ServerRequest const& request, Gateway::GatewayServer& server)
+{
+    auto const text = request.query.find("digest");
+    auto const digest = text == request.query.end() ? std::nullopt : Core::RequestDigest::from_string(text->second);
+    if (!digest)
+        return {400, "text/plain", {}, "digest must be 32 hexadecimal digits\n"};
+    nlohmann::json const answer {{"released", server.release(*digest)}};
+    return {200, "application/json", {}, answer.dump()};
+}
+
 /// This gateway's part in reporting usage, on a thread of its own.
 class UsageDuty {
 public:
@@ -175,6 +186,8 @@
     sources.is_ready = [&server] { return server.is_ready(); };
     sources.status = [&server] { return server.status(); };
     sources.actions["GET /table"] = [&table](auto const&) { return show_table(table); };
+    sources.actions["POST /quarantine/release"]
+        = [&server](auto const& request) { return release_request(request, server); };
     OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
     announce({{"role", "gateway"}, {"callers", server.caller_port()}, {"readiness", server.readiness_port()},
         {"operator", operators.port()}, {"peers", peers.port()}});
--- a/Utilities/granitefield/FleetCommands.cpp
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -3,6 +3,7 @@
 #include "TextTable.h"
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/RequestDigest.h>
 #include <LibCore/Text.h>
 #include <LibHTTP/HttpClient.h>
 
@@ -24,7 +25,7 @@
 };
 
 /// Asks every daemon for the same path. One that does not answer is named, not fatal.
-std::vector<Answer> ask_all(Options const& options, std::string const& path)
+std::vector<Answer> ask_all(Options const& options, std::string const& path, std::string const& method = "GET")
 {
     if (options.daemons.empty())
         throw UsageError("--daemon ADDRESS is missing");
@@ -32,6 +33,7 @@
     std::vector<Answer> answers;
     for (auto const& daemon : options.daemons) {
         HTTP::ClientRequest request;
+        request.method = method;
         request.url = Core::concat("http://", daemon.to_string(), path);
         Answer answer {daemon, {}, ""};
         try {
@@ -128,6 +130,40 @@
     return exit_code_of(answers);
 }
 
+int run_quarantine_command(Options const& options)
+{
+    auto const answers = ask_all(options, "/status");
+    Json all = Json::object();
+    TextTable text({"daemon", "digest", "held since, ms ago", "last asked for, ms ago"});
+    for (auto const& answer : answers) {
+        if (!answer.problem.empty())
+            continue;
+        auto const held = answer.json.value("quarantined", Json::array());
+        all[answer.daemon.to_string()] = held;
+        for (auto const& item : held) {
+            text.add({answer.daemon.to_string(), text_of(item["digest"]), text_of(item["since-ms-ago"]),
+                text_of(item["asked-ms-ago"])});
+        }
+    }
+    std::cout << (options.should_print_json ? all.dump(2) + "\n" : text.to_string());
+    print_problems(answers);
+    return exit_code_of(answers);
+}
+
+int run_release_command(Options const& options)
+{
+    if (options.words.size() != 2 || !Core::RequestDigest::from_string(options.words[1]))
+        throw UsageError("DIGEST must be the 32 hexadecimal digits that 'quarantine' shows");
+    auto const answers = ask_all(options, "/quarantine/release?digest=" + options.words[1], "POST");
+    for (auto const& answer : answers) {
+        if (answer.problem.empty())
+            std::cout << answer.daemon.to_string() << ": "
+                      << (answer.json.value("released", false) ? "released" : "nothing was held against it") << '\n';
+    }
+    print_problems(answers);
+    return exit_code_of(answers);
+}
+
 int run_explain_command(Options const& options)
 {
     if (options.words.size() != 2 || !Core::RequestId::from_string(options.words[1]))
--- a/Utilities/granitefield/LogCommands.cpp
+++ b/Utilities/granitefield/LogCommands.cpp
@@ -26,11 +26,11 @@
 /// Of no use to a reader of one request.
 constexpr std::string_view s_incarnation = "incarnation";
 
-/// Takes the lines about the request.
-void collect(std::istream& input, std::string const& request, std::vector<Json>& lines)
+/// Takes the lines that name the request, by its id or by its digest.
+void collect(std::istream& input, std::string const& name, std::vector<Json>& lines)
 {
-    Observe::for_each_log_line(input, request, [&](Json line) {
-        if (line.value("request", "") == request)
+    Observe::for_each_log_line(input, name, [&](Json line) {
+        if (line.value("request", "") == name || line.value("digest", "") == name)
             lines.push_back(std::move(line));
     });
 }
@@ -63,7 +63,7 @@
 int run_logs_command(Options const& options)
 {
     if (options.words.size() < 2)
-        throw UsageError("logs REQUEST [FILE...]: the request is missing");
+        throw UsageError("logs REQUEST-OR-DIGEST [FILE...]: the request is missing");
     auto const& request = options.words[1];
     std::vector<Json> lines;
     read_input_files(options, 2, [&](std::istream& input) { collect(input, request, lines); });
