LibGateway: Leave a quarantined request at a server where it has run for long

Cause: found in reading. Whatever is at a server is recalled when the request is quarantined, also a copy that has run for seconds, whose good end would show that the quarantine is wrong. And a datagram that is full of everything else had room for up to 22 KB of crashes.

Ruled out: recalling nothing (copies that wait at engines crash these as well).

At most 100 words of each kind go into a datagram.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -88,6 +88,12 @@
     fail(Status::s_bad_gateway, "quarantined", "this request has crashed the servers that began it");
 }
 
+bool GatewayRun::has_run_for_long(Core::MonotonicTime now) const
+{
+    auto const head_came = m_attempt->head_came();
+    return head_came && Core::elapsed(*head_came, now) > m_context.settings.just_begun;
+}
+
 void GatewayRun::recall()
 {
     m_may_have_run = true;
@@ -371,7 +377,7 @@
         return give_up(now);
     if (!m_attempt)
         return dispatch(now);
-    if (is_quarantined(now))
+    if (is_quarantined(now) && !has_run_for_long(now))
         return recall();
     if (!m_attempt->is_sent() && Core::elapsed(m_attempt->begun(), now) > m_context.settings.connect_limit) {
         auto const attempt = m_attempt;
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -126,8 +126,10 @@
     [[nodiscard]] bool is_in_doubt(Core::MonotonicTime now) const;
     /// Ends a request that is quarantined.
     void hold_back();
-    /// The same while it is at a server, which may not have begun it yet.
+    /// The same while it is at a server, which may not have begun it yet. One that has run for long is left there: its
+    /// good end would clear the request.
     void recall();
+    [[nodiscard]] bool has_run_for_long(Core::MonotonicTime now) const;
     /// How the request is at its server.
     [[nodiscard]] Policy::Exposure exposure(Core::MonotonicTime now) const;
     void handle_not_run(Core::MonotonicTime now);
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -81,14 +81,14 @@
     static constexpr std::size_t s_most_requests_of_a_crash = 128;
     static constexpr std::size_t s_most_words = 4'096;
 
-    /// News are told again and again for this long after they came, each time after such a pause. Fifteen datagrams in a row
-    /// are lost less than once in ten million times where three in ten are.
+    /// News are told again and again for this long after they came, each time after such a pause. Fifteen datagrams in
+    /// a row are lost less than once in ten million times where three in ten are.
     static constexpr Core::Milliseconds s_telling_time {1'500};
     static constexpr Core::Milliseconds s_telling_pause {100};
     /// Quarantined requests are told for good with this pause, so that whoever begins or was cut off hears of them.
     static constexpr Core::Milliseconds s_refresh {1'000};
-    /// What one datagram holds of each kind.
-    static constexpr std::size_t s_most_told = 200;
+    /// What one datagram holds of each kind: some 11 KB together at the most, of the 64 that it can have.
+    static constexpr std::size_t s_most_told = 100;
 
     /// Whether nothing is held against any request.
     [[nodiscard]] bool is_empty() const { return m_crashes_of.empty() && m_quarantined.empty(); }
