--- a/Libraries/LibPolicy/CrashLedger.cpp
+++ b/Libraries/LibPolicy/CrashLedger.cpp
@@ -101,7 +101,8 @@
         return false;
     auto const known = crash.requests.find(witness.digest);
     Presence const presence {witness.exposure, witness.crashed};
-    if (known != crash.requests.end() && known->second >= presence)
+    // The same word comes again and again, each time with an age that has been rounded anew.
+    if (known != crash.requests.end() && known->second.covers(presence))
         return false;
     if (known == crash.requests.end() && crash.requests.size() >= s_most_requests_of_a_crash)
         return false;
@@ -130,7 +131,8 @@
 bool CrashLedger::add_clearance(DigestWord const& word, CrashConclusion::Source source)
 {
     auto const known = m_good.find(word.digest);
-    if (known && word.time <= *known)
+    auto const slack = source == CrashConclusion::Source::Here ? Core::Milliseconds(0) : s_clock_slack;
+    if (known && word.time <= *known + slack)
         return false;
     m_good.note(word.digest, word.time);
     bool const was_held = m_crashes_of.contains(word.digest) || m_quarantined.contains(word.digest);
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -146,7 +146,13 @@
         Exposure exposure {Exposure::Weak};
         Core::MonotonicTime crashed;
 
-        auto operator<=>(Presence const&) const = default;
+        /// Whether the other word says nothing more.
+        [[nodiscard]] bool covers(Presence const& other) const
+        {
+            bool const is_stronger = other.exposure > exposure;
+            bool const is_later = other.exposure == exposure && other.crashed > crashed + s_clock_slack;
+            return !is_stronger && !is_later;
+        }
     };
     struct Crash {
         ServerLife server;
--- a/Tests/LibPolicy/CrashLedgerTest.cpp
+++ b/Tests/LibPolicy/CrashLedgerTest.cpp
@@ -157,6 +157,28 @@
     EXPECT_EQ(m_ledger.count_quarantined(), 0U);
 }
 
+// A word comes with each datagram of a second, and its age is rounded each time. A relay that took each for a new one
+// would tell on twenty for one.
+TEST_F(CrashLedgers, AWordThatComesAgainIsNotToldOnAgain)
+{
+    auto const crashed = m_now;
+    CrashNews news;
+    news.witnesses.push_back({digest_of("beside"), {1, 1, 1}, Exposure::Fresh, crashed});
+    news.cleared.push_back({digest_of("good"), crashed});
+    std::size_t told = 0;
+    for (int count = 0; count < 20; ++count) {
+        news.witnesses.front().crashed = crashed + Core::Milliseconds(count);
+        news.cleared.front().time = crashed + Core::Milliseconds(count);
+        m_ledger.take(news, CrashLedger::Relaying::Yes, m_now);
+        auto const due = m_ledger.take_news(m_now);
+        EXPECT_LE(due.witnesses.size(), 1U);
+        EXPECT_LE(due.cleared.size(), 1U);
+        told += due.witnesses.size();
+        m_now += CrashLedger::s_telling_pause;
+    }
+    EXPECT_EQ(told, 20U);
+}
+
 TEST_F(CrashLedgers, StaysWithinItsBoundsAndForgets)
 {
     for (int number = 0; number < 1'500; ++number) {
