--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -42,7 +42,7 @@
     Core::Milliseconds retry_after {300};
     Policy::RetryAllowance retries;
     /// A server that crashes so soon after it has begun a request may have crashed by it. In the recorded day that
-    /// showed it 5 to 95 ms passed; a busy gateway reads some hundred ms late.
+    /// showed it 19 to 93 ms passed (five runs); a busy gateway reads some hundred ms late.
     Core::Milliseconds just_begun {1'000};
     /// A request that was at so many moments of crashes, and at no good end since, is not sent again by a gateway.
     std::size_t moments_without_repeats {2};
