--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -1,9 +1,12 @@
 #include "Process.h"
 
+#include <LibCore/Text.h>
+
 #include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <stdexcept>
 #include <system_error>
 #include <thread>
@@ -21,6 +24,11 @@
 
 constexpr int s_announcement_limit_milliseconds = 30'000;
 constexpr Core::Milliseconds s_poll_interval {5};
+constexpr char const* s_logs_variable = "GRANITEFIELD_TEST_LOGS";
+/// What a program prints and nobody reads before its end; the kernel gives a pipe no more without a privilege.
+constexpr int s_kept_output_bytes = 1 << 20;
+/// A program writes its own backlog as soon as its pipe is read.
+constexpr Core::Milliseconds s_backlog_patience {20};
 
 std::array<int, 2> make_pipe()
 {
@@ -64,13 +72,17 @@
 Process::Process(std::string const& program, std::vector<std::string> arguments)
 {
     auto const ends = make_pipe();
+    if (std::getenv(s_logs_variable) != nullptr)
+        ::fcntl(ends[0], F_SETPIPE_SZ, s_kept_output_bytes);
     m_id = spawn(program, arguments, -1, ends[1]);
+    m_log_id = m_id;
     ::close(ends[1]);
     m_output = ends[0];
 }
 
 Process::Process(Process&& other) noexcept
     : m_id(std::exchange(other.m_id, -1))
+    , m_log_id(std::exchange(other.m_log_id, -1))
     , m_output(std::exchange(other.m_output, -1))
     , m_printed(std::move(other.m_printed))
     , m_exit_code(other.m_exit_code)
@@ -80,6 +92,7 @@
 Process& Process::operator=(Process&& other) noexcept
 {
     std::swap(m_id, other.m_id);
+    std::swap(m_log_id, other.m_log_id);
     std::swap(m_output, other.m_output);
     std::swap(m_printed, other.m_printed);
     std::swap(m_exit_code, other.m_exit_code);
@@ -88,6 +101,7 @@
 
 Process::~Process()
 {
+    keep_output();
     if (m_id > 0) {
         ::kill(m_id, SIGKILL);
         ::waitpid(m_id, nullptr, 0);
@@ -115,16 +129,30 @@
     }
 }
 
-bool Process::has_printed(std::string_view text)
+void Process::take_output(Core::Milliseconds patience)
 {
     std::array<char, 4096> buffer {};
     pollfd descriptor {m_output, POLLIN, 0};
-    while (::poll(&descriptor, 1, 0) > 0) {
+    while (::poll(&descriptor, 1, static_cast<int>(patience.count())) > 0) {
         auto const got = ::read(m_output, buffer.data(), buffer.size());
         if (got <= 0)
             break;
         m_printed.append(buffer.data(), static_cast<std::size_t>(got));
     }
+}
+
+void Process::keep_output()
+{
+    auto const* directory = std::getenv(s_logs_variable);
+    if (directory == nullptr || m_output < 0)
+        return;
+    take_output(is_running() ? s_backlog_patience : Core::Milliseconds(0));
+    std::ofstream(Core::concat(directory, "/", m_log_id, ".log")) << m_printed;
+}
+
+bool Process::has_printed(std::string_view text)
+{
+    take_output(Core::Milliseconds(0));
     return m_printed.find(text) != std::string::npos;
 }
 
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -12,6 +12,9 @@
 namespace GraniteField::Testing {
 
 /// A program that a test has started. It ends with its owner.
+///
+/// Where the environment variable GRANITEFIELD_TEST_LOGS names a directory, what the program printed after its
+/// announcement is kept there in a file of its own, so that a failure that shows once can be traced.
 class Process {
 public:
     /// Starts the program, with its log going to a file in the test's directory.
@@ -39,7 +42,12 @@
     [[nodiscard]] pid_t id() const { return m_id; }
 
 private:
+    void take_output(Core::Milliseconds patience);
+    void keep_output();
+
     pid_t m_id {-1};
+    /// The same, also after the program's end.
+    pid_t m_log_id {-1};
     int m_output {-1};
     std::string m_printed;
     int m_exit_code {0};
