--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -82,10 +82,11 @@
     if (!bound)
         throw std::runtime_error("the bound address can't be read");
     m_port = bound->port();
-    m_view = PeerView({m_settings.name, m_settings.group, bound->to_string(), {}, true, m_settings.load_address,
+    auto const advertised = m_settings.advertised_address.value_or(*bound);
+    m_view = PeerView({m_settings.name, m_settings.group, advertised.to_string(), {}, true, m_settings.load_address,
         m_settings.processor_permille});
-    m_is_seed = std::ranges::all_of(m_settings.seeds, [&](auto const& seed) { return seed == *bound; })
-        || std::ranges::find(m_settings.seeds, *bound) != m_settings.seeds.end();
+    m_is_seed = std::ranges::all_of(m_settings.seeds, [&](auto const& seed) { return seed == advertised; })
+        || std::ranges::find(m_settings.seeds, advertised) != m_settings.seeds.end();
     if (!m_is_seed)
         m_next_member_request = m_begun + s_first_member_request;
     m_thread = std::thread([this] { run(); });
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -40,6 +40,8 @@
         /// Its host's share of a core, in thousandths; 0 if not known.
         unsigned processor_permille {0};
         Core::Address address;
+        /// Where other entries reach that address, if elsewhere: behind a translation of addresses.
+        std::optional<Core::Address> advertised_address;
         /// Where this entry takes datagrams about load; empty for none.
         std::string load_address;
         /// Peer ports of a few other entries, to find the rest from.
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -81,6 +81,8 @@
 {
     ObjectReader reader(json, "/peers", findings);
     reader.read("address", peers.address, Presence::Required);
+    if (reader.member("advertised-address") != nullptr)
+        reader.read("advertised-address", peers.advertised_address.emplace());
     reader.read("announce-interval", peers.announce_interval, 50ms, 30s);
     reader.read("pull-patience", peers.pull_patience, 0ms, 30s);
     reader.read_addresses("seeds", peers.seeds);
--- /dev/null
+++ b/Tests/Benchmarks/ConfigurationBenchmark.cpp
@@ -0,0 +1,146 @@
+// What a change of the configuration costs a gateway, by the number of routes that there are: at the one that has it
+// from the store, at those that have it from a peer, and at those that hand it on.
+#include <LibCore/Text.h>
+#include <LibEntry/PeerMessages.h>
+#include <LibEntry/TableHistory.h>
+#include <LibTable/TablePages.h>
+
+#include <memory>
+#include <string>
+
+#include <benchmark/benchmark.h>
+#include <nlohmann/json.hpp>
+#include <platform/Decoders.h>
+
+namespace GraniteField {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t s_hosts = 12;
+constexpr std::size_t s_workspaces = 24;
+
+/// As the operators write it; two of different `version` differ in one route.
+std::string configuration_text(std::size_t routes, unsigned version)
+{
+    Json json {{"version", version}, {"services", {{{"name", "svc-a"}}, {{"name", "svc-b"}}}},
+        {"limits", {{"max_header_bytes", 8'192}}}};
+    for (std::size_t number = 0; number < routes; ++number) {
+        json["routes"].push_back({{"name", Core::concat("route-", number)},
+            {"host", Core::concat("host", number % s_hosts, ".example")},
+            {"path_prefix", Core::concat("/path", number, "/")}, {"kind", "safe"},
+            {"timeout_ms", number == 0 ? 1'000 + version : 1'200}, {"latency_slo_ms", 150}, {"prio", 2},
+            {"service", number % 2 == 0 ? "svc-a" : "svc-b"}, {"attempts", 2}});
+    }
+    for (std::size_t number = 0; number < s_workspaces; ++number) {
+        json["tenants"].push_back({{"name", Core::concat("workspace-", number)},
+            {"api_keys", {Core::concat("key-a-", number), Core::concat("key-b-", number)}}});
+    }
+    return json.dump();
+}
+
+Table::Table table_of(std::size_t routes, unsigned version)
+{
+    return Platform::decode_configuration(Json::parse(configuration_text(routes, version)));
+}
+
+std::shared_ptr<Table::Table const> shared_table_of(std::size_t routes, unsigned version)
+{
+    return std::make_shared<Table::Table const>(table_of(routes, version));
+}
+
+void parse_text(benchmark::State& state)
+{
+    auto const text = configuration_text(static_cast<std::size_t>(state.range(0)), 2);
+    state.counters["bytes"] = static_cast<double>(text.size());
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Json::parse(text));
+}
+
+void decode(benchmark::State& state)
+{
+    auto const json = Json::parse(configuration_text(static_cast<std::size_t>(state.range(0)), 2));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Platform::decode_configuration(json));
+}
+
+void find_difference(benchmark::State& state)
+{
+    auto const before = table_of(static_cast<std::size_t>(state.range(0)), 1);
+    auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Table::difference(before, after));
+}
+
+void find_difference_of_many_new(benchmark::State& state)
+{
+    auto const before = table_of(50, 1);
+    auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Table::difference(before, after));
+}
+
+void take_one_edit(benchmark::State& state)
+{
+    auto const before = shared_table_of(static_cast<std::size_t>(state.range(0)), 1);
+    auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    auto const update = Entry::to_message(after, before->version(), Table::difference(*before, after));
+    state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Entry::apply(update, before));
+}
+
+void take_many_new(benchmark::State& state)
+{
+    auto const before = shared_table_of(50, 1);
+    auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    auto const update = Entry::to_message(after, before->version(), Table::difference(*before, after));
+    state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Entry::apply(update, before));
+}
+
+void give_whole(benchmark::State& state)
+{
+    auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Entry::to_message(table, {}, std::nullopt));
+}
+
+void take_whole(benchmark::State& state)
+{
+    auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    auto const update = Entry::to_message(table, {}, std::nullopt);
+    state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Entry::apply(update, nullptr));
+}
+
+void find_route(benchmark::State& state)
+{
+    auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(table.find_route("host1.example", "/path1/item"));
+}
+
+void sizes(benchmark::internal::Benchmark* one)
+{
+    one->Arg(50)->Arg(1'450)->Arg(4'000)->Unit(benchmark::kMillisecond);
+}
+
+}
+
+BENCHMARK(parse_text)->Apply(sizes);
+BENCHMARK(decode)->Apply(sizes);
+BENCHMARK(find_difference)->Apply(sizes);
+BENCHMARK(find_difference_of_many_new)->Apply(sizes);
+BENCHMARK(take_one_edit)->Apply(sizes);
+BENCHMARK(take_many_new)->Apply(sizes);
+BENCHMARK(give_whole)->Apply(sizes);
+BENCHMARK(take_whole)->Apply(sizes);
+BENCHMARK(find_route)->Apply(sizes);
+
+}
+
+BENCHMARK_MAIN();
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -34,6 +34,12 @@
         {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
     if (!m_duties.is_null())
         settings["duties"] = m_duties;
+    return start_with(settings);
+}
+
+GatewayFleet::Gateway GatewayFleet::start_with(Json const& settings)
+{
+    auto const name = settings.at("name").get<std::string>();
     m_settings[name] = settings;
     auto const path = (m_directory / (name + ".json")).string();
     std::ofstream(path) << settings.dump();
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -30,6 +30,9 @@
     /// Starts a gateway; `store` is the port of its way to the store, the store itself by default.
     Gateway start(std::string const& name, Json const& peer_addresses = Json::array(), std::uint16_t store = 0);
 
+    /// Starts a gateway with these settings, which name it.
+    Gateway start_with(Json const& settings);
+
     /// Gateways that start from now on report usage; these are their settings for it.
     void set_duties(Json duties) { m_duties = std::move(duties); }
 
--- /dev/null
+++ b/Tests/Soak/RotatingBackend.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <LibCore/Address.h>
+#include <LibCore/Text.h>
+#include <LibCore/Time.h>
+#include <LibEntry/SharedServers.h>
+#include <LibHTTP/HttpServer.h>
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace GraniteField::Testing {
+
+/// A backend server that is replaced at its address by one instance after the other, and says which request reached
+/// which of them.
+class RotatingBackend {
+public:
+    struct Arrival {
+        std::string instance;
+        std::string request;
+        Core::MonotonicTime time;
+    };
+
+    RotatingBackend(std::string service, std::string name)
+        : m_service(std::move(service))
+        , m_name(std::move(name))
+        , m_server(*Core::Address::from_string("127.0.0.1:0"), [this](auto const& request) { return serve(request); })
+    {
+    }
+
+    [[nodiscard]] std::string const& service() const { return m_service; }
+
+    [[nodiscard]] std::string instance() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return instance_locked();
+    }
+
+    /// Another instance takes the place of this one.
+    void replace()
+    {
+        std::lock_guard const lock(m_mutex);
+        ++m_life;
+        m_watched = false;
+    }
+
+    /// From now on what arrives is noted.
+    void watch_arrivals()
+    {
+        std::lock_guard const lock(m_mutex);
+        m_watched = true;
+    }
+
+    [[nodiscard]] std::vector<Arrival> take_arrivals()
+    {
+        std::lock_guard const lock(m_mutex);
+        return std::exchange(m_arrivals, {});
+    }
+
+    [[nodiscard]] Entry::ServerEntry entry() const
+    {
+        Entry::ServerEntry entry;
+        entry.instance = instance();
+        entry.service = m_service;
+        entry.address = *Core::Address::from_string(Core::concat("127.0.0.1:", m_server.port()));
+        return entry;
+    }
+
+private:
+    [[nodiscard]] std::string instance_locked() const { return Core::concat(m_name, "-", m_life); }
+
+    [[nodiscard]] HTTP::ServerResponse serve(HTTP::ServerRequest const& request)
+    {
+        auto const value_of = [&](char const* name) {
+            auto const found = request.headers.find(name);
+            return found == request.headers.end() ? std::string() : found->second;
+        };
+        auto const id = value_of("x-request-id");
+        std::lock_guard const lock(m_mutex);
+        if (value_of("x-expect-instance") != instance_locked())
+            return {421, "text/plain", {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, ""};
+        if (m_watched)
+            m_arrivals.push_back({instance_locked(), id, Core::monotonic_now()});
+        return {200, "text/plain", {{"X-Request-Id", id}, {"X-Response-Stamp", instance_locked()}}, m_service};
+    }
+
+    std::string m_service;
+    std::string m_name;
+    mutable std::mutex m_mutex;
+    unsigned m_life {0};
+    bool m_watched {false};
+    std::vector<Arrival> m_arrivals;
+    HTTP::HttpServer m_server;
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -0,0 +1,616 @@
+#include "SpreadSoak.h"
+
+#include "SettingsTemplate.h"
+
+#include <LibCore/Text.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <numeric>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+constexpr char const* s_host = "host.test";
+constexpr std::array s_services {"svc-a", "svc-b"};
+constexpr std::array s_domains {"domain-a", "domain-b", "domain-c"};
+constexpr std::size_t s_backends_per_service = 4;
+constexpr std::size_t s_seeds = 3;
+/// One gateway in so many has all the processor time that it wants.
+constexpr std::size_t s_large_hosts = 5;
+constexpr double s_slow_share = 0.02;
+
+/// The users' bounds, as the template wants them; those of the run take the place of the first two.
+Json bounds()
+{
+    return {{"contact_ms", 4'000}, {"grace_s", 8}, {"budget_ratio", 0.2}, {"budget_slack", 100}, {"budget_window_s", 10},
+        {"max_stretch_ms", 6'000}};
+}
+/// What a request may still show of an older version after one has shown a newer one.
+constexpr Core::Milliseconds s_rollback_slack {250};
+
+constexpr std::size_t s_kept_paths = 4;
+constexpr std::size_t s_kept_keys = 4;
+constexpr std::size_t s_remembered_removals = 4;
+constexpr std::size_t s_workspaces = 3;
+
+constexpr Core::Milliseconds s_round_pause {120};
+constexpr Core::Milliseconds s_pause_after_failure {30};
+constexpr Core::Milliseconds s_turn {20};
+constexpr Core::Milliseconds s_stop_limit {20'000};
+/// How long a server that leaves goes on serving after it was to be left alone.
+constexpr Core::Milliseconds s_served_on {2'500};
+
+std::uint16_t free_udp_port()
+{
+    int const probe = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    static_cast<void>(::bind(probe, reinterpret_cast<sockaddr*>(&address), size));
+    ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    ::close(probe);
+    return ntohs(address.sin_port);
+}
+
+std::string local(std::uint16_t port)
+{
+    return Core::concat("127.0.0.1:", port);
+}
+
+Core::Address address_of(std::uint16_t port)
+{
+    return *Core::Address::from_string(local(port));
+}
+
+Json route(std::string const& name, std::string const& path, std::string const& service, bool needs_key)
+{
+    auto route = GatewayFleet::route(name, path, "safe");
+    route["service"] = service;
+    route["no_auth"] = !needs_key;
+    return route;
+}
+
+}
+
+SpreadSoak::SpreadSoak(Options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_contact({}, options.gateways)
+    , m_seen(options.gateways)
+{
+    change_configuration();
+    for (auto const* service : s_services) {
+        for (std::size_t number = 0; number < s_backends_per_service; ++number) {
+            auto& backend = m_backends.emplace_back(
+                std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number)));
+            m_fleet.put_server(backend->entry());
+        }
+    }
+    for (std::size_t index = 0; index < options.gateways; ++index) {
+        auto& slot = m_slots.emplace_back();
+        slot.store = std::make_unique<FaultProxy>(address_of(m_fleet.platform_port()));
+        slot.peers = std::make_unique<FaultProxy>(address_of(m_fleet.platform_port()));
+        slot.peers->set_mode(FaultProxy::Mode::Refuse);
+    }
+    for (std::size_t index = 0; index < options.gateways; ++index)
+        make_settings(index);
+    for (std::size_t index = 0; index < options.gateways; ++index)
+        start_gateway(index);
+}
+
+SpreadSoak::~SpreadSoak() = default;
+
+void SpreadSoak::make_settings(std::size_t index)
+{
+    auto& slot = m_slots[index];
+    Json seeds = Json::array();
+    for (std::size_t seed = 0; seed < std::min(s_seeds, m_slots.size()); ++seed)
+        seeds.push_back(local(m_slots[seed].peers->port()));
+    bool const is_small = index % s_large_hosts != 0;
+    slot.share = is_small ? m_options.processor_share : 0;
+    Json fields {{"node", Core::concat("g-", index)}, {"zone", s_domains.at(index % s_domains.size())},
+        {"region", "region"}, {"ip", "127.0.0.1"}, {"port_range", {0, free_udp_port()}}, {"bounds", bounds()},
+        {"listen", {{"front", local(0)}, {"ready", local(0)}, {"control", local(0)}}},
+        {"platform", {{"addr", local(slot.store->port())}}}, {"seeds", seeds}};
+    fields["bounds"]["apply_ms"] = m_options.apply_bound.count();
+    fields["bounds"]["drain_ms"] = m_options.leave_bound.count();
+    if (is_small && m_options.processor_share > 0)
+        fields["limits"]["cpu_share"] = m_options.processor_share;
+    slot.settings = Json::parse(fill_template(gateway_template(), fields));
+    // Other gateways reach it through its proxy only.
+    slot.settings["peers"]["advertised-address"] = local(slot.peers->port());
+}
+
+void SpreadSoak::start_gateway(std::size_t index)
+{
+    auto& slot = m_slots[index];
+    slot.gateway = m_fleet.start_with(slot.settings);
+    // The same ports in its next life, as on a host.
+    slot.settings["callers-address"] = local(slot.gateway.callers);
+    slot.settings["readiness-address"] = local(slot.gateway.readiness);
+    slot.settings["operator-address"] = local(slot.gateway.operators);
+    slot.settings["peers"]["address"] = local(slot.gateway.peers);
+    slot.peers->set_target(address_of(slot.gateway.peers));
+    slot.peers->set_mode(FaultProxy::Mode::Pass);
+    slot.callers = slot.gateway.callers;
+    slot.life = ++m_next_life;
+    slot.begun = Core::monotonic_now();
+    m_shares.set(slot.gateway.process->id(), slot.share);
+    // Until it has been in touch for long enough nothing is promised.
+    m_contact.end_gateway(index, m_contact.begin_gateway(index, "start", slot.begun), slot.begun);
+}
+
+void SpreadSoak::change_configuration()
+{
+    m_version += 1 + m_random() % 4;
+    std::lock_guard const lock(m_mutex);
+    // Now and then a route or a key comes again under its name.
+    bool const comes_again = !m_removed_paths.empty() && m_random() % 4 == 0;
+    auto const path = comes_again ? m_removed_paths.front() : Core::concat("/m", m_version, "/");
+    if (comes_again)
+        m_removed_paths.pop_front();
+    m_paths.push_back(path);
+    m_keys.push_back(Core::concat("key-", m_version));
+    while (m_paths.size() > s_kept_paths) {
+        m_removed_paths.push_back(m_paths.front());
+        m_paths.pop_front();
+    }
+    while (m_keys.size() > s_kept_keys) {
+        m_removed_keys.push_back(m_keys.front());
+        m_keys.pop_front();
+    }
+    while (m_removed_paths.size() > s_remembered_removals)
+        m_removed_paths.pop_front();
+    while (m_removed_keys.size() > s_remembered_removals)
+        m_removed_keys.pop_front();
+    m_moves_to_second = m_moves_to_second != (m_random() % 2 == 0);
+    if (m_random() % 4 == 0)
+        m_filler_routes = m_options.most_routes * (m_random() % 5) / 4;
+
+    auto const* target = s_services.at(m_moves_to_second ? 1 : 0);
+    Json routes = Json::array({route("moving", "/moving/", target, false), route("keyed", "/keyed/", "svc-a", true)});
+    for (auto const& added : m_paths)
+        routes.push_back(route(Core::concat("r", added.substr(1, added.size() - 2)), added, "svc-a", false));
+    for (unsigned number = 0; number < m_filler_routes; ++number)
+        routes.push_back(route(Core::concat("f", number), Core::concat("/f", number, "/"), "svc-b", false));
+    auto configuration = GatewayFleet::configuration(m_version, routes);
+    configuration["services"] = Json::array();
+    for (auto const* service : s_services)
+        configuration["services"].push_back({{"name", service}, {"max_conns", 100}});
+    for (std::size_t number = 0; number < s_workspaces; ++number)
+        configuration["tenants"].push_back({{"name", Core::concat("w", number)}, {"api_keys", Json::array()}});
+    for (auto const& key : m_keys)
+        configuration["tenants"][std::stoul(key.substr(4)) % s_workspaces]["api_keys"].push_back(key);
+    // The store takes one with keys only.
+    ConfigurationFacts facts {m_version, {m_paths.begin(), m_paths.end()}, {m_keys.begin(), m_keys.end()}, target};
+    m_trail.note_sent(std::move(facts), Core::monotonic_now());
+    m_fleet.put("config", "main", configuration);
+    m_trail.note_acknowledged(m_version, Core::monotonic_now());
+    ++m_report.changes;
+}
+
+void SpreadSoak::rotate_backends(Core::MonotonicTime now)
+{
+    auto& backend = *m_backends[m_random() % m_backends.size()];
+    auto const leaving = backend.entry();
+    bool const says_so = m_random() % 3 != 0;
+    if (says_so)
+        m_fleet.put_server(leaving, "draining");
+    else
+        m_fleet.remove_server(leaving.instance);
+    auto const acknowledged = Core::monotonic_now();
+    m_faults.begin(says_so ? "server leaves" : "server's entry goes", acknowledged + m_options.leave_bound,
+        [this, &backend, leaving, now] {
+            backend.watch_arrivals();
+            m_faults.begin("server is left alone", now + m_options.leave_bound + s_served_on, [this, &backend, leaving] {
+                m_fleet.remove_server(leaving.instance);
+                judge_arrivals();
+                backend.replace();
+                m_fleet.put_server(backend.entry());
+            });
+        });
+}
+
+void SpreadSoak::judge_arrivals()
+{
+    for (auto const& backend : m_backends) {
+        for (auto const& arrival : backend->take_arrivals()) {
+            auto const index = std::stoul(arrival.request.substr(1));
+            auto const stretch = m_contact.stretch(index, arrival.time, arrival.time);
+            // The store gave its word while it was stable, so that nothing stretches this bound.
+            if (!stretch || stretch->count() > 0)
+                continue;
+            note_problem(Core::concat("DRAIN ", at(arrival.time), ": ", arrival.request, " reached ", arrival.instance,
+                " later than promised after it was told that it leaves;",
+                m_contact.describe(index, arrival.time - Core::Milliseconds(10'000))));
+        }
+    }
+}
+
+SpreadSoak::Indices SpreadSoak::draw_gateways()
+{
+    Indices indices(m_slots.size());
+    std::iota(indices.begin(), indices.end(), 0);
+    std::ranges::shuffle(indices, m_random);
+    auto const most = std::max<std::size_t>(1, m_slots.size() * 35 / 100);
+    indices.resize(1 + m_random() % most);
+    return indices;
+}
+
+SpreadSoak::Indices SpreadSoak::watchers() const
+{
+    Indices found;
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        auto const& slot = m_slots[index];
+        if (!slot.is_busy && GatewayFleet::metric(slot.gateway, "granitefield_store_watching") == 1)
+            found.push_back(index);
+    }
+    return found;
+}
+
+Core::Milliseconds SpreadSoak::draw_time(unsigned least, unsigned most)
+{
+    return Core::Milliseconds(least + m_random() % (most - least + 1));
+}
+
+void SpreadSoak::disturb(std::string const& what, Indices const& indices, Core::Milliseconds length,
+    std::function<void(Slot&)> begin, std::function<void(Slot&)> end)
+{
+    auto const now = Core::monotonic_now();
+    std::vector<std::size_t> numbers;
+    for (auto const index : indices) {
+        numbers.push_back(m_contact.begin_gateway(index, what, now));
+        begin(m_slots[index]);
+    }
+    m_faults.begin(what, now + length, [this, indices, numbers, end] {
+        for (std::size_t place = 0; place < indices.size(); ++place) {
+            end(m_slots[indices[place]]);
+            m_contact.end_gateway(indices[place], numbers[place], Core::monotonic_now());
+        }
+    });
+}
+
+void SpreadSoak::kill(Indices const& indices)
+{
+    for (auto const index : indices) {
+        if (m_slots[index].is_busy)
+            continue;
+        disturb(
+            "kill", {index}, draw_time(50, 1'500),
+            [this](Slot& slot) {
+                slot.is_busy = true;
+                m_shares.forget(slot.gateway.process->id());
+                slot.gateway.process->kill();
+            },
+            [this, index](Slot& slot) {
+                start_gateway(index);
+                slot.is_busy = false;
+            });
+    }
+}
+
+void SpreadSoak::terminate(Indices const& indices)
+{
+    auto delay = Core::Milliseconds(0);
+    for (auto const index : indices) {
+        if (m_slots[index].is_busy)
+            continue;
+        m_slots[index].is_busy = true;
+        m_faults.begin("stop comes", Core::monotonic_now() + delay, [this, index] {
+            disturb(
+                "stop", {index}, s_stop_limit, [](Slot& slot) { slot.gateway.process->terminate(); }, [](Slot&) {});
+        });
+        m_faults.begin("start comes", Core::monotonic_now() + delay + Core::Milliseconds(8'500), [this, index] {
+            auto& slot = m_slots[index];
+            m_shares.forget(slot.gateway.process->id());
+            slot.gateway.process->kill();
+            start_gateway(index);
+            slot.is_busy = false;
+        });
+        delay += draw_time(0, 1'000);
+    }
+}
+
+void SpreadSoak::freeze(Indices const& indices)
+{
+    for (auto const index : indices) {
+        if (m_slots[index].is_busy)
+            continue;
+        disturb(
+            "freeze", {index}, draw_time(100, 5'000),
+            [this](Slot& slot) {
+                slot.is_busy = true;
+                m_shares.forget(slot.gateway.process->id());
+                slot.gateway.process->freeze();
+            },
+            [this](Slot& slot) {
+                slot.gateway.process->thaw();
+                m_shares.set(slot.gateway.process->id(), slot.share);
+                slot.is_busy = false;
+            });
+    }
+}
+
+void SpreadSoak::slow_down(Indices const& indices)
+{
+    for (auto const index : indices) {
+        if (m_slots[index].is_busy)
+            continue;
+        disturb(
+            "slow", {index}, draw_time(1'000, 8'000),
+            [this](Slot& slot) {
+                slot.is_busy = true;
+                m_shares.set(slot.gateway.process->id(), s_slow_share);
+            },
+            [this](Slot& slot) {
+                m_shares.set(slot.gateway.process->id(), slot.share);
+                slot.is_busy = false;
+            });
+    }
+}
+
+void SpreadSoak::cut_from_store(Indices const& indices)
+{
+    using Mode = FaultProxy::Mode;
+    static constexpr std::array s_modes {Mode::Freeze, Mode::FreezeAnswers, Mode::FreezeRequests, Mode::Refuse};
+    auto const mode = s_modes.at(m_random() % s_modes.size());
+    disturb(
+        "cut from the store", indices, draw_time(500, 12'000), [mode](Slot& slot) { slot.store->set_mode(mode); },
+        [](Slot& slot) {
+            slot.store->set_mode(Mode::Pass);
+            slot.store->reset_connections();
+        });
+}
+
+void SpreadSoak::cut_off(Indices const& indices)
+{
+    using Mode = FaultProxy::Mode;
+    bool const ends_with_reset = m_random() % 2 == 0;
+    disturb(
+        "cut off", indices, draw_time(500, 12'000),
+        [](Slot& slot) {
+            slot.store->set_mode(Mode::Freeze);
+            slot.peers->set_mode(Mode::Freeze);
+        },
+        [ends_with_reset](Slot& slot) {
+            slot.store->set_mode(Mode::Pass);
+            slot.peers->set_mode(Mode::Pass);
+            if (!ends_with_reset)
+                return;
+            slot.store->reset_connections();
+            slot.peers->reset_connections();
+        });
+}
+
+void SpreadSoak::reset_connections(Indices const& indices)
+{
+    disturb(
+        "reset", indices, Core::Milliseconds(0),
+        [](Slot& slot) {
+            slot.store->reset_connections();
+            slot.peers->reset_connections();
+        },
+        [](Slot&) {});
+}
+
+void SpreadSoak::trouble_store()
+{
+    using Trouble = ContactBook::StoreTrouble;
+    static constexpr std::array s_outages {"busy", "many", "reset", "silent"};
+    auto const now = Core::monotonic_now();
+    auto const begin = [&](Trouble kind, std::string const& what, Core::Milliseconds length, Json const& switches,
+                           Json const& back) {
+        auto const number = m_contact.begin_store(kind, what, now);
+        m_fleet.control(switches);
+        m_faults.begin(what, now + length, [this, number, back] {
+            m_fleet.control(back);
+            m_contact.end_store(number, Core::monotonic_now());
+        });
+    };
+    switch (m_random() % 4) {
+    case 0:
+        return begin(Trouble::Away, "store away", draw_time(200, 5'000),
+            {{"outage", s_outages.at(m_random() % s_outages.size())}}, {{"outage", ""}});
+    case 1:
+        return begin(
+            Trouble::Away, "store slow", draw_time(500, 5'000), {{"slow-ms", 50 + m_random() % 250}}, {{"slow-ms", 0}});
+    case 2:
+        return begin(Trouble::Unstable, "store's watches held", draw_time(200, 1'000), {{"hold-watches", true}},
+            {{"hold-watches", false}, {"forget-history", true}});
+    default:
+        return begin(
+            Trouble::Unstable, "store's history gone", Core::Milliseconds(0), {{"forget-history", true}}, Json::object());
+    }
+}
+
+void SpreadSoak::begin_fault()
+{
+    switch (m_random() % 12) {
+    case 0:
+        return kill(draw_gateways());
+    case 1:
+        return terminate(draw_gateways());
+    case 2:
+        return freeze(draw_gateways());
+    case 3:
+        return slow_down(draw_gateways());
+    case 4:
+    case 5:
+        return cut_from_store(draw_gateways());
+    case 6:
+        return cut_from_store(watchers());
+    case 7:
+    case 8:
+        return cut_off(draw_gateways());
+    case 9:
+        return reset_connections(draw_gateways());
+    case 10: {
+        auto const& slot = m_slots[m_random() % m_slots.size()];
+        if (!slot.is_busy)
+            ::kill(slot.gateway.process->id(), SIGHUP);
+        return;
+    }
+    default:
+        return trouble_store();
+    }
+}
+
+std::vector<SpreadSoak::Question> SpreadSoak::questions(std::mt19937& random) const
+{
+    std::vector<Question> questions;
+    auto const ask = [&](Sighting::Kind kind, std::string const& name) {
+        bool const is_key = kind == Sighting::Kind::Key;
+        auto const path = kind == Sighting::Kind::Path ? name : is_key ? "/keyed/" : "/moving/";
+        questions.push_back({{kind, name, true, {}, {}}, path, is_key ? name : ""});
+    };
+    std::lock_guard const lock(m_mutex);
+    auto const one_of = [&](auto const& names) { return names[random() % names.size()]; };
+    ask(Sighting::Kind::Path, m_paths.back());
+    ask(Sighting::Kind::Path, one_of(m_paths));
+    ask(Sighting::Kind::Key, m_keys.back());
+    ask(Sighting::Kind::Service, "");
+    if (!m_removed_paths.empty())
+        ask(Sighting::Kind::Path, one_of(m_removed_paths));
+    if (!m_removed_keys.empty())
+        ask(Sighting::Kind::Key, one_of(m_removed_keys));
+    return questions;
+}
+
+void SpreadSoak::ask_round(std::size_t index, std::mt19937& random, unsigned& number)
+{
+    auto& slot = m_slots[index];
+    unsigned const life = slot.life;
+    RawCaller caller(slot.callers);
+    for (auto& question : questions(random)) {
+        auto const id = Core::concat("g", index, "-", number++);
+        auto const key = question.key.empty() ? "" : Core::concat("Authorization: Bearer ", question.key, "\r\n");
+        auto& sighting = question.sighting;
+        sighting.sent = Core::monotonic_now();
+        caller.write(Core::concat("GET ", question.path, " HTTP/1.1\r\nHost: ", s_host, "\r\nX-Request-Id: ", id,
+            "\r\nX-Deadline-Ms: 2000\r\n", key, "\r\n"));
+        auto const answer = caller.read_answer();
+        sighting.answered = Core::monotonic_now();
+        {
+            std::lock_guard const lock(m_mutex);
+            ++m_report.answers[std::to_string(answer.status)];
+        }
+        int const unknown = sighting.kind == Sighting::Kind::Key ? 401 : 404;
+        sighting.is_known = answer.status == 200;
+        if (sighting.kind == Sighting::Kind::Service)
+            sighting.name = answer.body;
+        bool const says_something
+            = answer.is_whole && (answer.status == 200 || (answer.status == unknown && !sighting.name.empty()));
+        if (says_something)
+            judge(index, life, sighting, id);
+        if (!answer.is_whole || field_of(answer.head, "Connection") == "close")
+            return;
+    }
+}
+
+void SpreadSoak::call_until_stopped(std::size_t index)
+{
+    std::mt19937 random(m_options.seed * 1'000 + static_cast<unsigned>(index));
+    unsigned number = 0;
+    while (!m_should_stop) {
+        try {
+            ask_round(index, random, number);
+            std::this_thread::sleep_for(s_round_pause);
+        } catch (std::runtime_error const&) {
+            // NOTE: Nobody listens there now.
+            std::this_thread::sleep_for(s_pause_after_failure);
+        }
+    }
+}
+
+void SpreadSoak::judge(std::size_t index, unsigned life, Sighting const& sighting, std::string const& id)
+{
+    auto const describe = [&](std::string const& rule, unsigned version) {
+        static constexpr std::array s_kinds {"path", "key", "service"};
+        return Core::concat(rule, " ", at(sighting.sent), ": ", id, " ", s_kinds.at(static_cast<int>(sighting.kind)), " ",
+            sighting.name, sighting.is_known ? " known" : " refused", " as only before version ", version, ", which is ",
+            m_trail.age(version, sighting.sent).count(), " ms old;",
+            m_contact.describe(index, sighting.sent - Core::Milliseconds(10'000)));
+    };
+    std::optional<std::pair<unsigned, unsigned>> const all = m_trail.versions_of(sighting, 0);
+    auto const stretch = m_contact.stretch(index, sighting.sent, sighting.answered);
+    if (stretch) {
+        auto const oldest = m_trail.oldest_in_force(sighting.sent, m_options.apply_bound + *stretch);
+        if (!m_trail.versions_of(sighting, oldest))
+            note_problem(describe("CONFIG", oldest));
+    }
+    std::lock_guard const lock(m_mutex);
+    auto& seen = m_seen[index];
+    if (seen.life != life)
+        seen = {life, 0, sighting.answered, 0};
+    bool const is_settled = seen.since + s_rollback_slack < sighting.sent;
+    auto const least = is_settled ? seen.version : seen.version_before;
+    bool const is_undisturbed = m_contact.is_undisturbed(index, sighting.sent, sighting.answered);
+    if (is_undisturbed && !m_trail.versions_of(sighting, least))
+        m_report.problems.push_back(describe("WENT BACK", least));
+    if (!all || all->first <= seen.version)
+        return;
+    seen.version_before = seen.version;
+    seen.version = all->first;
+    seen.since = sighting.answered;
+    if (stretch && stretch->count() == 0)
+        m_report.delays.push_back(m_trail.age(seen.version, sighting.sent));
+}
+
+void SpreadSoak::note_problem(std::string problem)
+{
+    std::lock_guard const lock(m_mutex);
+    m_report.problems.push_back(std::move(problem));
+}
+
+std::string SpreadSoak::at(Core::MonotonicTime time) const
+{
+    return Core::concat("at ", Core::elapsed(m_begun, time).count(), " ms");
+}
+
+SpreadSoak::Report SpreadSoak::run()
+{
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < m_slots.size(); ++index)
+        callers.emplace_back([this, index] { call_until_stopped(index); });
+    std::this_thread::sleep_for(Core::Milliseconds(2'000));
+    auto const end = Core::monotonic_now() + m_options.length;
+    auto next_change = Core::monotonic_now();
+    auto next_rotation = next_change;
+    auto next_fault = next_change + draw_time(0, 3'000);
+    while (Core::monotonic_now() < end) {
+        auto const now = Core::monotonic_now();
+        m_faults.heal_due(now);
+        if (now >= next_change) {
+            change_configuration();
+            next_change = now + draw_time(200, 4'500);
+        }
+        if (now >= next_rotation) {
+            rotate_backends(now);
+            next_rotation = now + m_options.leave_bound + s_served_on + draw_time(100, 1'500);
+        }
+        if (m_options.has_faults && now >= next_fault) {
+            begin_fault();
+            next_fault = now + draw_time(300, 4'000);
+        }
+        std::this_thread::sleep_for(s_turn);
+    }
+    m_should_stop = true;
+    for (auto& caller : callers)
+        caller.join();
+    judge_arrivals();
+    m_faults.heal_all();
+    m_report.faults = m_faults.counts();
+    std::ranges::sort(m_report.delays);
+    return m_report;
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/SpreadSoak.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "ConfigurationTrail.h"
+#include "ContactBook.h"
+#include "FakeBackend.h"
+#include "FaultProxy.h"
+#include "FaultSeries.h"
+#include "GatewayFleet.h"
+#include "ProcessorShares.h"
+#include "RotatingBackend.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace GraniteField::Testing {
+
+/// A fleet of gateways as processes, with the settings that they are deployed with, whose configuration and backend
+/// servers change while faults from a seed come and go. Judges as the users do, all the while, from what callers get and
+/// backend servers receive: each added, moved and removed route, each key given and taken, and each server that leaves, at
+/// every gateway in touch from the promised time after the store's answer on; and that no gateway goes back within a life.
+class SpreadSoak {
+public:
+    struct Options {
+        unsigned seed {1};
+        Core::Milliseconds length {30'000};
+        unsigned gateways {12};
+        /// Routes that a large configuration has.
+        unsigned most_routes {300};
+        /// The share of a core that four gateways in five get; 0 for all that they want.
+        double processor_share {0};
+        /// Without faults only changes come.
+        bool has_faults {true};
+        /// The promise: how long after the store's answer a change holds, and a leaving server is left alone.
+        Core::Milliseconds apply_bound {3'000};
+        Core::Milliseconds leave_bound {3'000};
+    };
+
+    struct Report {
+        std::vector<std::string> problems;
+        std::map<std::string, unsigned> faults;
+        /// Answers by status, and how many of them were judged.
+        std::map<std::string, unsigned> answers;
+        unsigned changes {0};
+        /// How long after the store's answer each gateway in touch was first seen to have each version, sorted.
+        std::vector<Core::Milliseconds> delays;
+    };
+
+    explicit SpreadSoak(Options);
+    ~SpreadSoak();
+    SpreadSoak(SpreadSoak const&) = delete;
+    SpreadSoak& operator=(SpreadSoak const&) = delete;
+
+    [[nodiscard]] Report run();
+
+private:
+    using Indices = std::vector<std::size_t>;
+
+    struct Slot {
+        GatewayFleet::Gateway gateway;
+        std::unique_ptr<FaultProxy> store;
+        std::unique_ptr<FaultProxy> peers;
+        Json settings;
+        double share {0};
+        /// It is stopped, killed or ending: no further fault hits the process.
+        bool is_busy {false};
+        std::atomic<std::uint16_t> callers {0};
+        /// The life of the process, for what it was seen to have.
+        std::atomic<unsigned> life {0};
+        Core::MonotonicTime begun;
+    };
+
+    /// What a gateway was seen to have in its present life.
+    struct Seen {
+        unsigned life {0};
+        /// The oldest version that its answers allow, and since when.
+        unsigned version {0};
+        Core::MonotonicTime since;
+        unsigned version_before {0};
+    };
+
+    void make_settings(std::size_t index);
+    void start_gateway(std::size_t index);
+    void change_configuration();
+    void rotate_backends(Core::MonotonicTime now);
+    void judge_arrivals();
+
+    void begin_fault();
+    void kill(Indices const&);
+    void terminate(Indices const&);
+    void freeze(Indices const&);
+    void slow_down(Indices const&);
+    void cut_from_store(Indices const&);
+    void cut_off(Indices const&);
+    void reset_connections(Indices const&);
+    void trouble_store();
+    /// Notes the disturbance and how it ends.
+    void disturb(std::string const& what, Indices const&, Core::Milliseconds length, std::function<void(Slot&)> begin,
+        std::function<void(Slot&)> end);
+    [[nodiscard]] Indices draw_gateways();
+    [[nodiscard]] Core::Milliseconds draw_time(unsigned least, unsigned most);
+    [[nodiscard]] Indices watchers() const;
+
+    void call_until_stopped(std::size_t index);
+    void ask_round(std::size_t index, std::mt19937&, unsigned& number);
+    struct Question {
+        Sighting sighting;
+        std::string path;
+        std::string key;
+    };
+    [[nodiscard]] std::vector<Question> questions(std::mt19937&) const;
+    void judge(std::size_t index, unsigned life, Sighting const&, std::string const& id);
+    void note_delay(std::size_t index, unsigned version, Core::MonotonicTime now);
+    void note_problem(std::string);
+    [[nodiscard]] std::string at(Core::MonotonicTime) const;
+
+    Options m_options;
+    std::mt19937 m_random;
+    Core::MonotonicTime m_begun {Core::monotonic_now()};
+    ContactBook m_contact;
+    ConfigurationTrail m_trail;
+    GatewayFleet m_fleet;
+    ProcessorShares m_shares;
+    std::vector<std::unique_ptr<RotatingBackend>> m_backends;
+    std::deque<Slot> m_slots;
+    FaultSeries m_faults;
+    unsigned m_next_life {0};
+
+    // The configuration.
+    unsigned m_version {0};
+    std::deque<std::string> m_paths;
+    std::deque<std::string> m_keys;
+    unsigned m_filler_routes {0};
+    bool m_moves_to_second {false};
+
+    mutable std::mutex m_mutex;
+    std::deque<std::string> m_removed_paths;
+    std::deque<std::string> m_removed_keys;
+    std::vector<Seen> m_seen;
+    Report m_report;
+    std::atomic<bool> m_should_stop {false};
+};
+
+}
