LibEntry, LibGateway: Say by which way a table came, how late, and what a refusal knew of newer ones

Cause: the logs could not tell the hypotheses of the incident apart. Change: no logic. Lines table-in-force have the way (watch, list, a peer's whole table or its edits) and how long the version was known to be elsewhere, with a histogram by way; lines refused have the newest version known anywhere and the age of the newest sound word on the store. Fault proxies carry a rate.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -313,7 +313,8 @@
         return;
     try {
         auto table = apply(update, current);
-        if (table && m_table.offer(*std::move(table)))
+        auto const source = update.from_version() == 0 ? TableSource::PeerWhole : TableSource::PeerEdits;
+        if (table && m_table.offer(*std::move(table), source))
             m_events.on_news();
     } catch (Core::InvalidInput const& error) {
         m_rejected.add();
--- a/Libraries/LibEntry/SharedTable.h
+++ b/Libraries/LibEntry/SharedTable.h
@@ -2,12 +2,39 @@
 
 #include <LibTable/Table.h>
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <utility>
 
 namespace GraniteField::Entry {
 
+/// By which way a table came.
+enum class TableSource : std::uint8_t {
+    StoreList,
+    StoreWatch,
+    /// All of it from a peer, or what differs from the one before.
+    PeerWhole,
+    PeerEdits,
+};
+
+/// The name of a way in the log and in metrics.
+[[nodiscard]] constexpr std::string_view to_string(TableSource source)
+{
+    switch (source) {
+    case TableSource::StoreList:
+        return "list";
+    case TableSource::StoreWatch:
+        return "watch";
+    case TableSource::PeerWhole:
+        return "peer-whole";
+    case TableSource::PeerEdits:
+        break;
+    }
+    return "peer-edits";
+}
+
 /// The table in force in this process. Readers on any thread keep the one that they took; an older table
 /// never takes the place of a newer one.
 class SharedTable {
@@ -19,19 +46,28 @@
         return m_table;
     }
 
+    /// By which way it came; of no meaning before the first table.
+    [[nodiscard]] TableSource source() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_source;
+    }
+
     /// Puts the table in force if it is newer than the present one, and says whether it was.
-    bool offer(Table::Table table)
+    bool offer(Table::Table table, TableSource source = TableSource::StoreList)
     {
         std::lock_guard const lock(m_mutex);
         if (m_table && table.version() <= m_table->version())
             return false;
         m_table = std::make_shared<Table::Table const>(std::move(table));
+        m_source = source;
         return true;
     }
 
 private:
     mutable std::mutex m_mutex;
     std::shared_ptr<Table::Table const> m_table;
+    TableSource m_source {TableSource::StoreList};
 };
 
 }
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -60,6 +60,13 @@
     return m_election.word(now);
 }
 
+StoreKnowledge WatchDuty::knowledge(Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    look_at_versions(now);
+    return m_election.knowledge(now);
+}
+
 bool WatchDuty::follows_store()
 {
     std::lock_guard const lock(m_mutex);
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -25,6 +25,8 @@
     /// What others told; also looks at what this gateway has.
     void note_word(StoreWord const&, Core::MonotonicTime now);
     [[nodiscard]] StoreWord word(Core::MonotonicTime now);
+    /// What is known of how current this gateway is. Any thread.
+    [[nodiscard]] StoreKnowledge knowledge(Core::MonotonicTime now);
     /// Whether this gateway follows the store itself. Any thread.
     [[nodiscard]] bool follows_store();
     /// Ends all waits, now and later.
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -22,6 +22,8 @@
 
 void WatchElection::note_word(StoreWord const& word, Core::MonotonicTime now)
 {
+    if (word.table > std::max(m_heard.table, m_table))
+        m_table_known_since = now;
     m_heard.merge(word);
     bool const is_behind = m_heard.table > m_table || m_heard.servers > m_servers;
     if (!is_behind || m_behind_since)
@@ -32,6 +34,8 @@
 
 void WatchElection::note_versions(Core::TableVersion table, ListRevision servers, Core::MonotonicTime now)
 {
+    if (table > std::max(m_heard.table, m_table))
+        m_table_known_since = now;
     m_table = std::max(m_table, table);
     m_servers = std::max(m_servers, servers);
     if (!m_behind_since || m_wanted.table > m_table || m_wanted.servers > m_servers)
@@ -66,6 +70,12 @@
         m_contacts, [now](auto const& contact) { return contact.is_answered && now <= contact.overdue_at; });
 }
 
+StoreKnowledge WatchElection::knowledge(Core::MonotonicTime now) const
+{
+    auto const heard = is_sound(now) ? std::optional(now) : m_heard.any;
+    return {std::max(m_heard.table, m_table), std::max(m_heard.servers, m_servers), m_table_known_since, heard};
+}
+
 StoreWord WatchElection::word(Core::MonotonicTime now) const
 {
     StoreWord word = m_heard;
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -24,6 +24,17 @@
     void merge(StoreWord const& other);
 };
 
+/// What a gateway knows of how current it is.
+struct StoreKnowledge {
+    /// The newest that is known to be somewhere, here included.
+    Core::TableVersion table;
+    ListRevision servers;
+    /// Since when the table is known to be somewhere.
+    std::optional<Core::MonotonicTime> table_known_since;
+    /// When somebody with a sound watch spoke last, this gateway included.
+    std::optional<Core::MonotonicTime> heard;
+};
+
 /// Says whether this gateway is to watch the platform's store. Few do, since each call has its price and the store's
 /// rate does not grow with the fleet: those elected by rank in each failure domain. The others rest on two signs, which
 /// come with each datagram about load: that somebody's watch is sound, and that nobody has anything newer than they
@@ -74,6 +85,7 @@
 
     /// Whether this gateway's own watches are answered.
     [[nodiscard]] bool is_sound(Core::MonotonicTime now) const;
+    [[nodiscard]] StoreKnowledge knowledge(Core::MonotonicTime now) const;
     /// What to tell others.
     [[nodiscard]] StoreWord word(Core::MonotonicTime now) const;
 
@@ -100,6 +112,7 @@
     /// Since when nothing was heard, before the first word.
     Core::MonotonicTime m_heard_since;
     StoreWord m_heard;
+    std::optional<Core::MonotonicTime> m_table_known_since;
     Core::TableVersion m_table;
     ListRevision m_servers;
     /// Since when somebody has something newer; and what that is.
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include <LibObserve/Metrics.h>
 
 #include <string>
+#include <string_view>
 
 namespace GraniteField::Gateway {
 
@@ -33,6 +34,12 @@
             .add();
     }
 
+    /// A table is in force that was known to be somewhere for so long; `way` is one of a fixed set of short names.
+    void note_table(std::string_view way, Core::Milliseconds delay)
+    {
+        m_registry.distribution("granitefield_table_delay_seconds", {{"way", std::string(way)}}).add(delay);
+    }
+
     void note_first_byte(unsigned tier, Core::Microseconds time)
     {
         m_registry.distribution("granitefield_gateway_first_byte_seconds", {{"tier", std::to_string(tier)}}).add(time);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -97,6 +97,7 @@
     , m_shared_table(table)
     , m_shared_servers(servers)
     , m_membership(membership)
+    , m_duty(duty)
     , m_log(log)
     , m_registry(registry)
     , m_metrics(registry)
@@ -193,12 +194,16 @@
 void GatewayServer::refuse(CallerConnection& caller, std::string const& id, Entry::ErrorAnswer const& error)
 {
     m_metrics.note_end(0, error.outcome, error.code);
+    auto const now = Core::monotonic_now();
+    auto const known = m_duty.knowledge(now);
     m_log.write(Observe::LogEvent("refused")
                     .add("request", id)
                     .add("status", error.status)
                     .add("reason", error.code)
                     .add("table", m_table ? m_table->version().value() : 0)
-                    .add("table_age_ms", Core::elapsed(m_table_since, Core::monotonic_now())));
+                    .add("table_age_ms", Core::elapsed(m_table_since, now))
+                    .add("newest_known", known.table.value())
+                    .add("store_heard_ms", known.heard ? Core::elapsed(*known.heard, now).count() : -1));
     give_own_answer(caller, error, id, m_settings.dialect);
 }
 
@@ -229,14 +234,18 @@
 {
     auto table = m_shared_table.current();
     if (table && table != m_table) {
+        m_table_since = Core::monotonic_now();
+        auto const delay = table_delay(table->version());
+        m_metrics.note_table(to_string(m_shared_table.source()), delay);
         m_log.write(Observe::LogEvent("table-in-force")
                         .add("table", table->version().value())
                         .add("before", m_table ? m_table->version().value() : 0)
                         .add("routes", table->routes().size())
-                        .add("workspaces", table->workspaces().size()));
+                        .add("workspaces", table->workspaces().size())
+                        .add("way", to_string(m_shared_table.source()))
+                        .add("known_for_ms", delay));
         m_registry.gauge("granitefield_table_version").set(static_cast<std::int64_t>(table->version().value()));
         m_table = std::move(table);
-        m_table_since = Core::monotonic_now();
         m_fleet.follow(*m_table);
         auto const limits = m_table->caller_limits();
         m_limits = {{limits.head_bytes, limits.body_bytes}, limits.head_time, limits.idle_time};
@@ -251,6 +260,13 @@
         begin_early_requests();
 }
 
+Core::Milliseconds GatewayServer::table_delay(Core::TableVersion version) const
+{
+    auto const known = m_duty.knowledge(m_table_since);
+    bool const was_known = known.table_known_since && known.table <= version;
+    return was_known ? Core::elapsed(*known.table_known_since, m_table_since) : Core::Milliseconds(0);
+}
+
 void GatewayServer::update_readiness()
 {
     bool const is_ready = m_table != nullptr && m_fleet.count() > 0 && !m_drain_begun;
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -91,6 +91,8 @@
     /// The refusal for a request that a planned stop would cut; nothing when there is time for it.
     [[nodiscard]] std::optional<Entry::ErrorAnswer> refuse_for_stop(GatewayCall const&, Core::MonotonicTime now) const;
     void refuse(CallerConnection&, std::string const& id, Entry::ErrorAnswer const&);
+    /// How long a table that is in force since just now was known to be somewhere before.
+    [[nodiscard]] Core::Milliseconds table_delay(Core::TableVersion) const;
     void update_readiness();
     [[nodiscard]] std::string make_status() const;
     /// Requests that are held back for crashing servers.
@@ -102,6 +104,7 @@
     Entry::SharedTable const& m_shared_table;
     Entry::SharedServers const& m_shared_servers;
     Entry::SharedMembership const& m_membership;
+    Entry::WatchDuty& m_duty;
     Observe::EventLog& m_log;
     Observe::MetricRegistry& m_registry;
     boost::asio::io_context m_loop {1};
--- a/Tests/Integration/FaultProxy.cpp
+++ b/Tests/Integration/FaultProxy.cpp
@@ -1,8 +1,10 @@
 #include "FaultProxy.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -18,6 +20,9 @@
 
 constexpr int s_backlog = 256;
 constexpr int s_poll_milliseconds = 20;
+constexpr int s_rated_poll_milliseconds = 2;
+/// A rate that was not used is saved up for so many seconds.
+constexpr double s_longest_saving = 0.01;
 /// A direction that holds this much reads no more until some of it is written.
 constexpr std::size_t s_largest_chunk_count = 1024;
 
@@ -83,6 +88,21 @@
     m_delay = delay;
 }
 
+void FaultProxy::set_rate(std::size_t bytes_per_second)
+{
+    std::lock_guard const lock(m_mutex);
+    m_rate = bytes_per_second;
+}
+
+void FaultProxy::count_allowances(Core::MonotonicTime now)
+{
+    for (auto* allowance : {&m_request_allowance, &m_answer_allowance}) {
+        std::chrono::duration<double> const passed = now - std::exchange(allowance->counted, now);
+        auto const rate = static_cast<double>(m_rate);
+        allowance->bytes = std::min(allowance->bytes + rate * passed.count(), rate * s_longest_saving);
+    }
+}
+
 void FaultProxy::reset_connections()
 {
     std::lock_guard const lock(m_mutex);
@@ -162,15 +182,20 @@
         close_pair(pair, true);
 }
 
-void FaultProxy::write_to(Stream& stream, Pair& pair, Core::MonotonicTime now) const
+void FaultProxy::write_to(Stream& stream, Pair& pair, Core::MonotonicTime now)
 {
+    auto& allowance = &stream == &pair.request ? m_request_allowance : m_answer_allowance;
     while (!stream.chunks.empty() && stream.chunks.front().due <= now) {
         auto& bytes = stream.chunks.front().bytes;
-        auto const sent = ::send(stream.to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        auto const allowed = m_rate == 0 ? bytes.size() : static_cast<std::size_t>(std::max(0.0, allowance.bytes));
+        if (allowed == 0)
+            return;
+        auto const sent = ::send(stream.to, bytes.data(), std::min(bytes.size(), allowed), MSG_NOSIGNAL);
         if (sent < 0 && (errno == EAGAIN || errno == EINTR))
             return;
         if (sent < 0)
             return close_pair(pair, true);
+        allowance.bytes -= m_rate == 0 ? 0 : static_cast<double>(sent);
         bytes.erase(0, static_cast<std::size_t>(sent));
         if (bytes.empty())
             stream.chunks.pop_front();
@@ -195,6 +220,8 @@
                         descriptors.push_back({stream->from, POLLIN, 0});
                     if (!stream->chunks.empty() && m_delay.count() > 0)
                         timeout = 1;
+                    else if (!stream->chunks.empty() && m_rate > 0 && !is_frozen(pair, *stream))
+                        timeout = std::min(timeout, s_rated_poll_milliseconds);
                     else if (!stream->chunks.empty() && !is_frozen(pair, *stream))
                         descriptors.push_back({stream->to, POLLOUT, 0});
                 }
@@ -204,6 +231,7 @@
         m_wake.drain();
         std::lock_guard const lock(m_mutex);
         auto const now = Core::monotonic_now();
+        count_allowances(now);
         if (m_should_reset) {
             for (auto& pair : m_pairs)
                 close_pair(pair, true);
--- a/Tests/Integration/FaultProxy.h
+++ b/Tests/Integration/FaultProxy.h
@@ -38,6 +38,8 @@
     void set_mode(Mode);
     void set_target(Core::Address);
     void set_delay(Core::Milliseconds);
+    /// Hands on so many bytes a second in each direction, over all connections together; 0 for no limit.
+    void set_rate(std::size_t bytes_per_second);
     /// Ends every connection: with a reset, so that what is under way is lost.
     void reset_connections();
     /// Resets a connection as soon as so many bytes came from the target on it; 0 for never.
@@ -51,6 +53,12 @@
         std::string bytes;
     };
 
+    /// What a direction may hand on by now.
+    struct Allowance {
+        Core::MonotonicTime counted;
+        double bytes {0};
+    };
+
     /// One direction of a connection.
     struct Stream {
         int from {-1};
@@ -70,7 +78,8 @@
     void run();
     void accept_connection();
     void read_from(Stream&, Pair&, Core::MonotonicTime now);
-    void write_to(Stream&, Pair&, Core::MonotonicTime now) const;
+    void write_to(Stream&, Pair&, Core::MonotonicTime now);
+    void count_allowances(Core::MonotonicTime now);
     void close_pair(Pair&, bool should_reset) const;
     [[nodiscard]] bool is_frozen(Pair const&, Stream const&) const;
 
@@ -80,6 +89,9 @@
     Core::Address m_target;
     Mode m_mode {Mode::Pass};
     Core::Milliseconds m_delay {0};
+    std::size_t m_rate {0};
+    Allowance m_request_allowance;
+    Allowance m_answer_allowance;
     std::size_t m_reset_after {0};
     bool m_should_reset {false};
     std::list<Pair> m_pairs;
