LibGateway: Do not refuse for good by a table that is known to be old

Cause: 401, 403 and 404 are final for callers, and a gateway gave them by its table while it knew that a newer one is in force elsewhere. Ways weighed: as before; waiting for the newer table, at most as long as a request before the first table does, and then 503 with a time to come back; the same for all requests. The last would hold those that both tables allow. Change: the second. Figures: BehindTest, 404 and 401 before; served, or refused by the newer table, or 503 within 0.5 s after.

--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -24,6 +24,17 @@
 /// An answer that is no stream is expected within so many of its class's targets.
 constexpr int s_targets_for_an_answer = 4;
 
+/// Whether the answer says what the table has. Callers take it as final and do not come back, so that one by a table
+/// that is known to be old is not given: the request waits for the newer one, as one that comes before the first table
+/// does, and is told when to come back where that does not come in time.
+bool speaks_of_table(Entry::ErrorAnswer const& error)
+{
+    constexpr int unknown_key = 401;
+    constexpr int not_allowed = 403;
+    constexpr int unknown_route = 404;
+    return error.status == unknown_key || error.status == not_allowed || error.status == unknown_route;
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
 {
     return {boost::asio::ip::make_address(address.host()), address.port()};
@@ -153,9 +164,20 @@
     if (keep_for_table(caller, head, body, received))
         return;
     std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
+    // Reading takes the request apart; one that may have to be read again is kept.
+    std::optional<EarlyRequest> kept;
+    if (is_behind())
+        kept.emplace(EarlyRequest {caller, head, body, received, waits_until(head, received)});
     auto read = read_call(std::move(head), std::move(body), m_table, m_settings.dialect, received);
-    if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read))
-        return refuse(*caller, id, *error);
+    if (auto const* error = std::get_if<Entry::ErrorAnswer>(&read)) {
+        if (!kept || !speaks_of_table(*error))
+            return refuse(*caller, id, *error);
+        if (keep_for_newer_table(*std::move(kept)))
+            return;
+        return refuse(*caller, id,
+            {503, "table_outdated", "this gateway does not have the newest table", Entry::Outcome::NotRun,
+                m_settings.runs.retry_after});
+    }
     auto& call = std::get<GatewayCall>(read);
     auto const now = Core::monotonic_now();
     if (auto const error = refuse_for_stop(call, now))
@@ -170,11 +192,30 @@
     auto const now = Core::monotonic_now();
     if (m_table || m_drain_begun || m_early_requests.is_full())
         return false;
+    auto const until = waits_until(head, received);
+    if (now >= until)
+        return false;
+    m_early_requests.add({caller, std::move(head), std::move(body), received, until});
+    schedule_tick();
+    return true;
+}
+
+Core::MonotonicTime GatewayServer::waits_until(HTTP::RequestHead const& head, Core::MonotonicTime received) const
+{
     auto const patience = read_patience(head, m_settings.dialect);
-    auto const waits_until = received + EarlyRequests::wait_of(patience.value_or(EarlyRequests::s_longest_wait * 4));
-    if (now >= waits_until)
+    return received + EarlyRequests::wait_of(patience.value_or(EarlyRequests::s_longest_wait * 4));
+}
+
+bool GatewayServer::is_behind() const
+{
+    return m_table != nullptr && m_duty.knowledge(Core::monotonic_now()).table > m_table->version();
+}
+
+bool GatewayServer::keep_for_newer_table(EarlyRequest request)
+{
+    if (m_drain_begun || m_early_requests.is_full() || Core::monotonic_now() >= request.waits_until)
         return false;
-    m_early_requests.add({caller, std::move(head), std::move(body), received, waits_until});
+    m_early_requests.add(std::move(request));
     schedule_tick();
     return true;
 }
@@ -233,7 +274,8 @@
 void GatewayServer::follow()
 {
     auto table = m_shared_table.current();
-    if (table && table != m_table) {
+    bool const has_new_table = table && table != m_table;
+    if (has_new_table) {
         m_table_since = Core::monotonic_now();
         auto const delay = table_delay(table->version());
         m_metrics.note_table(to_string(m_shared_table.source()), delay);
@@ -255,8 +297,8 @@
         m_servers = servers;
         m_fleet.follow(*servers);
     }
-    update_readiness();
-    if (m_is_ready && !m_early_requests.is_empty())
+    bool const has_become_ready = update_readiness() && m_is_ready;
+    if (m_is_ready && (has_new_table || has_become_ready) && !m_early_requests.is_empty())
         begin_early_requests();
 }
 
@@ -267,17 +309,18 @@
     return was_known ? Core::elapsed(*known.table_known_since, m_table_since) : Core::Milliseconds(0);
 }
 
-void GatewayServer::update_readiness()
+bool GatewayServer::update_readiness()
 {
     bool const is_ready = m_table != nullptr && m_fleet.count() > 0 && !m_drain_begun;
     if (is_ready == m_is_ready)
-        return;
+        return false;
     m_is_ready = is_ready;
     m_log.write(Observe::LogEvent("readiness")
                     .add("ready", is_ready)
                     .add("has_table", m_table != nullptr)
                     .add("servers", m_fleet.count())
                     .add("draining", m_drain_begun.has_value()));
+    return true;
 }
 
 void GatewayServer::schedule_tick()
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -82,6 +82,13 @@
     /// Keeps a request that can't be read without a table; says whether it does.
     [[nodiscard]] bool keep_for_table(
         std::shared_ptr<CallerConnection> const&, HTTP::RequestHead&, std::string& body, Core::MonotonicTime received);
+    /// Until when a request waits for a table.
+    [[nodiscard]] Core::MonotonicTime waits_until(HTTP::RequestHead const&, Core::MonotonicTime received) const;
+    /// Keeps a request that the table in force does not allow, if a newer one is known to be somewhere; says whether it
+    /// does.
+    [[nodiscard]] bool keep_for_newer_table(EarlyRequest);
+    /// Whether a newer table is known to be somewhere.
+    [[nodiscard]] bool is_behind() const;
     void begin_early_requests();
     void refuse_early_requests(Core::MonotonicTime now);
     void follow();
@@ -93,7 +100,8 @@
     void refuse(CallerConnection&, std::string const& id, Entry::ErrorAnswer const&);
     /// How long a table that is in force since just now was known to be somewhere before.
     [[nodiscard]] Core::Milliseconds table_delay(Core::TableVersion) const;
-    void update_readiness();
+    /// Says whether it has changed.
+    bool update_readiness();
     [[nodiscard]] std::string make_status() const;
     /// Requests that are held back for crashing servers.
     [[nodiscard]] static nlohmann::json quarantine_status(Policy::CrashLedger const&, Core::MonotonicTime now);
--- a/Tests/LibGateway/BehindTest.cpp
+++ b/Tests/LibGateway/BehindTest.cpp
@@ -1,9 +1,9 @@
 // What a gateway answers that knows that it does not have the newest table.
 //
 // What users saw: 404 and 401 for routes and keys that had been added and confirmed. Callers take these as final and do
-// not come back. Order of events: another gateway tells, with the datagrams about load, that a newer version is in force
-// there; this one goes on refusing by its own for as long as the newer one takes to come. Evidence: the log's line of such
-// a refusal names a newest known version above its own.
+// not come back. Order of events: another gateway tells, with the datagrams about load, that a newer version is in
+// force there; this one goes on refusing by its own for as long as the newer one takes to come. Evidence: the log's
+// line of such a refusal names a newest known version above its own.
 #include "GatewayFixture.h"
 
 #include <LibEntry/WatchElection.h>
@@ -20,9 +20,8 @@
 protected:
     Behind()
     {
-        add_backend("i-1", [](auto& connection, auto const& request, auto) {
-            connection.write(answer_to(request, 200, "fine"));
-        });
+        add_backend("i-1",
+            [](auto& connection, auto const& request, auto) { connection.write(answer_to(request, 200, "fine")); });
         start();
     }
 
