Tests: A change that a watch has hidden, red

A watch that reaches the end of its wait while it hears nothing is answered with a revision beyond the change, and the follower goes on from there. The stand-in of the store could not do that: where its watches heard nothing they did not end either.

--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -169,7 +169,8 @@
             return {410, "text/plain", {}, "the history is gone\n"};
         Json events = Json::array();
         for (auto const& change : m_history) {
-            if (change.kind == kind && change.revision > from && !m_switches.holds_watches)
+            if (change.kind == kind && change.revision > from && !m_switches.holds_watches
+                && !m_switches.has_deaf_watches)
                 events.push_back({{"tombstone", change.is_removal}, {"object", change.object}});
         }
         bool const is_over = Core::monotonic_now() >= limit && !m_switches.holds_watches;
@@ -274,6 +275,7 @@
     m_switches.reads_per_second = json.value("reads-per-second", m_switches.reads_per_second);
     m_switches.page_size = json.value("page-size", m_switches.page_size);
     m_switches.holds_watches = json.value("hold-watches", m_switches.holds_watches);
+    m_switches.has_deaf_watches = json.value("deaf-watches", m_switches.has_deaf_watches);
     if (json.value("forget-history", false)) {
         m_history.clear();
         m_history_begin = ++m_revision;
