LibPlatform: Go on from where a watch has proved to have told all; LibEntry: Take one's own absence for nobody's silence

Cause (follower): a watch that reaches the end of its wait while it hears nothing is answered with a revision beyond changes that it has not told, and the follower went on from there: the change was hidden for good, at all watchers at once, since news let their waits begin together. After one call that failed a watcher gave its place to others. Ruled out: a list each time a watch ends empty (a call more each three seconds and watcher). Change: a claimed revision counts when it is 4 s old; until then the watch goes on from its last event, so that it tells what it hid or that the history is gone. The store is lost after two calls that fail in a row. WatchElection knows turns, with AbsenceWatch, which is in LibCore now. No call more.

--- a/Libraries/LibGateway/AbsenceWatch.h
+++ b/Libraries/LibCore/AbsenceWatch.h
@@ -5,24 +5,31 @@
 #include <optional>
 #include <utility>
 
-namespace GraniteField::Gateway {
+namespace GraniteField::Core {
 
 /// Notices that this process did not run for a while: its host was frozen or suspended. What was silent meanwhile may
 /// have spoken, and is only now to be read. No I/O and no clock.
 class AbsenceWatch {
 public:
     /// Turns come every 25 to 250 ms; a process with a tenth of a core that has spent it waits for up to 100 ms more.
-    static constexpr Core::Milliseconds s_longest_turn {600};
+    static constexpr Milliseconds s_longest_turn {600};
 
     /// A turn begins; says whether the process was away before it.
-    [[nodiscard]] bool note_turn(Core::MonotonicTime now)
+    [[nodiscard]] bool note_turn(MonotonicTime now)
     {
         auto const before = std::exchange(m_last_turn, now);
-        return before && Core::elapsed(*before, now) > s_longest_turn;
+        return before && elapsed(*before, now) > s_longest_turn;
+    }
+
+    /// Whether the next turn is later than any would be, had this process run all the while. Before the first turn
+    /// nothing is.
+    [[nodiscard]] bool is_overdue(MonotonicTime now) const
+    {
+        return m_last_turn && elapsed(*m_last_turn, now) > s_longest_turn;
     }
 
 private:
-    std::optional<Core::MonotonicTime> m_last_turn;
+    std::optional<MonotonicTime> m_last_turn;
 };
 
 }
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -55,6 +55,7 @@
 void WatchDuty::note_word(StoreWord const& word, Core::MonotonicTime now)
 {
     std::lock_guard const lock(m_mutex);
+    m_election.note_turn(now);
     look_at_versions(now);
     m_election.note_word(word, now);
     wake_if_sooner(now);
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -20,6 +20,15 @@
     m_is_elected = value;
 }
 
+void WatchElection::note_turn(Core::MonotonicTime now)
+{
+    if (!m_absence.note_turn(now))
+        return;
+    m_heard_since = now;
+    if (m_behind_since)
+        m_behind_since = now;
+}
+
 void WatchElection::note_word(StoreWord const& word, Core::MonotonicTime now)
 {
     if (word.table > std::max(m_heard.table, m_table))
@@ -113,6 +122,8 @@
 {
     if (m_is_elected)
         return true;
+    if (m_absence.is_overdue(now))
+        note_turn(now);
     auto const behind_ends_at = behind_ends();
     bool const is_behind = behind_ends_at && now >= *behind_ends_at;
     if (m_stepped_in) {
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/AbsenceWatch.h>
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SharedServers.h>
@@ -78,6 +79,9 @@
 
     void set_elected(bool value);
 
+    /// This process hears others now, as it does each 50 to 100 ms. Where it did not for longer, others' silence
+    /// meanwhile was its own: with a host's processes stopped together, all of them stepped in when they went on.
+    void note_turn(Core::MonotonicTime now);
     /// What others told.
     void note_word(StoreWord const&, Core::MonotonicTime now);
     /// What this gateway has.
@@ -119,6 +123,7 @@
     /// Since when nothing was heard, before the first word.
     Core::MonotonicTime m_heard_since;
     StoreWord m_heard;
+    Core::AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_table_known_since;
     Core::TableVersion m_table;
     ListRevision m_servers;
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <LibCore/AbsenceWatch.h>
 #include <LibCore/Address.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
-#include <LibGateway/AbsenceWatch.h>
 #include <LibGateway/EarlyRequests.h>
 #include <LibGateway/GatewayRun.h>
 
@@ -136,7 +136,7 @@
     std::shared_ptr<Entry::ServerList const> m_servers;
     CallerConnection::Limits m_limits;
     std::atomic<bool> m_is_ready {false};
-    AbsenceWatch m_absence;
+    Core::AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_drain_begun;
     std::thread m_thread;
 };
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -106,6 +107,22 @@
     ObjectFollower& operator=(ObjectFollower const&) = delete;
 
 private:
+    /// A revision up to which a watch has told all, as it says.
+    struct Claim {
+        Core::MonotonicTime time;
+        StoreRevision revision;
+    };
+
+    /// A watch may hear nothing for a second while changes are made, and be answered at the end of its wait with a
+    /// revision beyond them. Going on from there hid a change for good, at all watchers at once, since news let their
+    /// waits begin together. So a claim counts only when it is four times as old as that, and until then the watch is
+    /// asked again from before: it tells what it hid, or that the history is gone. That takes no call more.
+    static constexpr Core::Milliseconds s_claim_age {4'000};
+    /// Calls in a row that fail until the store is said to be lost. A watch may be left hanging or be cut by a store
+    /// that answers the next call, and who says that the store is lost gives its place as a watcher to others, who may
+    /// be worse off.
+    static constexpr unsigned s_failures_to_lose = 2;
+
     void run()
     {
         while (true) {
@@ -133,19 +150,44 @@
     /// Others have followed the store since the last turn.
     void resume(FollowerTurn turn)
     {
-        m_revision.reset();
+        forget_revision();
         m_begun_listing.reset();
         m_must_list = false;
         if (turn == FollowerTurn::ResumeInDoubt)
             m_sink.note_unavailable();
     }
 
-    void must_list()
+    void forget_revision()
     {
         m_revision.reset();
+        m_claims.clear();
+    }
+
+    void must_list()
+    {
+        forget_revision();
         m_must_list = true;
     }
 
+    void believe_old_claims(Core::MonotonicTime now)
+    {
+        while (!m_claims.empty() && Core::elapsed(m_claims.front().time, now) >= s_claim_age) {
+            m_revision = std::max(*m_revision, m_claims.front().revision);
+            m_claims.pop_front();
+        }
+    }
+
+    /// Up to where the answer's own events lead; a removal does not say when it was.
+    [[nodiscard]] static StoreRevision proven_by(WatchAnswer const& answer)
+    {
+        StoreRevision proven;
+        for (auto const& event : answer.events) {
+            auto const is_dated = event.kind == EventKind::Changed && event.object.version.value() > 0;
+            proven = std::max(proven, is_dated ? StoreRevision(event.object.version.value()) : answer.revision);
+        }
+        return answer.unreadable.empty() ? proven : answer.revision;
+    }
+
     void follow_once()
     {
         if (!m_revision && !m_must_list)
@@ -156,8 +198,12 @@
         m_watches.add();
         auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
         m_turns.note_call(wait + m_settings.call_timeout);
-        auto const answer = m_client.watch(m_kind, *m_revision, wait);
-        m_revision = std::max(*m_revision, answer.revision);
+        believe_old_claims(Core::monotonic_now());
+        auto answer = m_client.watch(m_kind, *m_revision, wait);
+        m_revision = std::max(*m_revision, proven_by(answer));
+        if (answer.revision > *m_revision)
+            m_claims.push_back({Core::monotonic_now(), answer.revision});
+        answer.revision = *m_revision;
         m_sink.take_events(answer);
         if (!answer.events.empty())
             m_backoff.wait(m_settings.pause_after_news);
@@ -171,6 +217,7 @@
             return;
         auto const listing = *std::exchange(m_begun_listing, std::nullopt);
         m_revision = listing.revision;
+        m_claims.clear();
         m_must_list = false;
         m_sink.take_listing(listing);
     }
@@ -181,7 +228,8 @@
             return;
         m_failures.add();
         m_turns.note_failure();
-        if (!m_lost_since) {
+        ++m_failures_in_row;
+        if (!m_lost_since && m_failures_in_row >= s_failures_to_lose) {
             m_lost_since = Core::monotonic_now();
             m_log.write(Observe::LogEvent("store-lost").add("kind", m_kind).add("reason", error.what()));
             m_settings.on_change(false);
@@ -195,6 +243,7 @@
     void note_answer()
     {
         m_turns.note_answer();
+        m_failures_in_row = 0;
         if (!m_lost_since)
             return;
         m_log.write(Observe::LogEvent("store-regained")
@@ -214,7 +263,10 @@
     Observe::Counter& m_failures;
     ObjectClient m_client;
     Core::Backoff m_backoff;
+    /// From where the next watch goes on, and what later watches have claimed.
     std::optional<StoreRevision> m_revision;
+    std::deque<Claim> m_claims;
+    unsigned m_failures_in_row {0};
     /// What was missed can't be told by a watch, nor by peers who may have missed it as well.
     bool m_must_list {false};
     /// A list of which some pages have come. When the store refuses the next one it goes on from here: where many
--- a/Tests/LibGateway/AbsenceWatchTest.cpp
+++ b/Tests/LibCore/AbsenceWatchTest.cpp
@@ -1,12 +1,12 @@
 // What a process concludes from its own absence: nothing. The clock leaps by the time of a suspension.
+#include <LibCore/AbsenceWatch.h>
 #include <LibCore/Time.h>
-#include <LibGateway/AbsenceWatch.h>
 
 #include <ctime>
 
 #include <gtest/gtest.h>
 
-namespace GraniteField::Gateway {
+namespace GraniteField::Core {
 
 using namespace std::chrono_literals;
 
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -104,6 +104,29 @@
     EXPECT_FALSE(election.is_on_duty(now));
 }
 
+// A host whose processes had all been stopped, or got no processor time, for some seconds: when they went on, every
+// gateway on it took the others' silence for that of the watchers and listed everything from the store.
+TEST(WatchElection, WhoWasAwayItselfConcludesNothingFromTheSilenceOfOthers)
+{
+    auto election = make_election();
+    auto now = s_start;
+    for (; now < s_start + 5s; now += 100ms) {
+        election.note_turn(now);
+        election.note_word(word_of_elected(now), now);
+    }
+    now += 10s;
+    // Whichever of its threads goes on first.
+    EXPECT_FALSE(election.is_on_duty(now));
+    election.note_turn(now);
+    // Others are silent indeed.
+    for (auto const end = now + s_patience; now < end; now += 100ms) {
+        election.note_turn(now);
+        EXPECT_FALSE(election.is_on_duty(now));
+    }
+    election.note_turn(now);
+    EXPECT_TRUE(election.is_on_duty(now));
+}
+
 TEST(WatchElection, VersionsThatKeepComingLeaveNobodyBehind)
 {
     auto election = make_election();
