--- a/Tests/Benchmarks/ConfigurationBenchmark.cpp
+++ b/Tests/Benchmarks/ConfigurationBenchmark.cpp
@@ -56,14 +56,14 @@
 {
     auto const text = configuration_text(static_cast<std::size_t>(state.range(0)), 2);
     state.counters["bytes"] = static_cast<double>(text.size());
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Json::parse(text));
 }
 
 void decode(benchmark::State& state)
 {
     auto const json = Json::parse(configuration_text(static_cast<std::size_t>(state.range(0)), 2));
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Platform::decode_configuration(json));
 }
 
@@ -71,7 +71,7 @@
 {
     auto const before = table_of(static_cast<std::size_t>(state.range(0)), 1);
     auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Table::difference(before, after));
 }
 
@@ -79,7 +79,7 @@
 {
     auto const before = table_of(50, 1);
     auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Table::difference(before, after));
 }
 
@@ -89,7 +89,7 @@
     auto const after = table_of(static_cast<std::size_t>(state.range(0)), 2);
     auto const update = Entry::to_message(before->version(), after.version(), Table::difference(*before, after));
     state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Entry::apply(update, Entry::read_edits(update), before));
 }
 
@@ -100,14 +100,14 @@
     auto const update = Entry::to_message(before->version(), after.version(), Table::difference(*before, after));
     state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
     state.counters["whole_bytes"] = static_cast<double>(Core::decompress(update.compressed_edits(), 1U << 30U).size());
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Entry::apply(update, Entry::read_edits(update), before));
 }
 
 void give_whole(benchmark::State& state)
 {
     auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Entry::to_message({}, table.version(), Table::difference(Table::Table(), table)));
 }
 
@@ -116,7 +116,7 @@
     auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
     auto const update = Entry::to_message({}, table.version(), Table::difference(Table::Table(), table));
     state.counters["bytes"] = static_cast<double>(update.ByteSizeLong());
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Entry::apply(update, Entry::read_edits(update), nullptr));
 }
 
@@ -133,14 +133,14 @@
         list.servers.push_back(std::move(entry));
     }
     state.counters["bytes"] = static_cast<double>(Entry::to_message(list).ByteSizeLong());
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(Entry::to_message(list));
 }
 
 void find_route(benchmark::State& state)
 {
     auto const table = table_of(static_cast<std::size_t>(state.range(0)), 2);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(table.find_route("host1.example", "/path1/item"));
 }
 
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -1,14 +1,14 @@
 // What a follower of the platform's store knows, whatever its watches hear.
 //
-// What users saw: requests refused by a configuration that had been replaced seconds before, at all gateways of a fleet,
-// on days on which some gateways are cut from the store and the store forgets its history. Order of events: watches hear
-// nothing for a second; a configuration is written in that second; the configuration's watches reach the end of their wait
-// in it, are answered without an event and with the store's newest revision, and go on from there, beyond the change. Then
-// the history is dropped: the servers' watches, which come from before, are told so and list; those of the configuration
-// come from after it and are told nothing. They are cut without a word, which shows 3.8 s later, and after this one failure
-// each of the watchers gives its place to the next in order, who are the ones that are cut off. Evidence: a play of that
-// day on the code before: the change at 7.16 s, the servers' watches told at 8.45 to 8.60 s, the configuration's lost at
-// 11.06 to 11.13 s, the configuration listed by the first gateway at 12.60 s.
+// What users saw: requests refused by a configuration that had been replaced seconds before, at all gateways of a
+// fleet, on days on which some gateways are cut from the store and the store forgets its history. Order of events:
+// watches hear nothing for a second; a configuration is written in that second; the configuration's watches reach the
+// end of their wait in it, are answered without an event and with the store's newest revision, and go on from there,
+// beyond the change. Then the history is dropped: the servers' watches, which come from before, are told so and list;
+// those of the configuration come from after it and are told nothing. They are cut without a word, which shows 3.8 s
+// later, and after this one failure each of the watchers gives its place to the next in order, who are the ones that
+// are cut off. Evidence: a play of that day on the code before: the change at 7.16 s, the servers' watches told at 8.45
+// to 8.60 s, the configuration's lost at 11.06 to 11.13 s, the configuration listed by the first gateway at 12.60 s.
 #include <LibHTTP/HttpClient.h>
 #include <LibObserve/EventLog.h>
 #include <LibPlatform/ObjectFollower.h>
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -23,9 +23,9 @@
 /// `POST /control` sets `outage` (`""`, `busy` = 503, `many` = 429, `reset`, `silent`; true stands for `busy`),
 /// `slow-ms`, `lose-answers` (so many writes take effect and get no answer), `late-writes-ms` (those writes are done so
 /// much later), `writes-per-second`, `reads-per-second` (0 for no limit), `page-size`, `forget-history` (watches are
-/// cut and must list again), `hold-watches` (watches hear nothing, nor do they end), `deaf-watches` (they hear nothing, and
-/// end in time with the store's revision), `puts` (objects by kind, name and spec, put after
-/// `lag-ms`) and `removals`. `GET /control/counts`.
+/// cut and must list again), `hold-watches` (watches hear nothing, nor do they end), `deaf-watches` (they hear nothing,
+/// and end in time with the store's revision), `puts` (objects by kind, name and spec, put after `lag-ms`) and
+/// `removals`. `GET /control/counts`.
 class PlatformServer {
 public:
     explicit PlatformServer(Core::Address const&);
