Tests: Let both soaks keep their faults in one series

Cause: FaultSeries was written for the soak of changes, and GatewaySoak kept its own list of active faults with the same loop. Change: GatewaySoak uses FaultSeries; its counts come from there. No check or fault is another one.

--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -120,9 +120,8 @@
 
 void GatewaySoak::begin(std::string const& name, std::function<void()> heal)
 {
-    ++m_report.faults[name];
     auto const length = Core::Milliseconds(100 + m_random() % 1'200);
-    m_active.push_back({Core::monotonic_now() + length, std::move(heal)});
+    m_faults.begin(name, Core::monotonic_now() + length, std::move(heal));
 }
 
 void GatewaySoak::fault_gateway(Slot& slot, std::size_t index)
@@ -226,23 +225,6 @@
     }
 }
 
-void GatewaySoak::heal_due(Core::MonotonicTime now)
-{
-    for (auto fault = m_active.begin(); fault != m_active.end();) {
-        if (fault->end > now) {
-            ++fault;
-            continue;
-        }
-        fault->heal();
-        fault = m_active.erase(fault);
-    }
-}
-
-void GatewaySoak::heal_all()
-{
-    heal_due(Core::MonotonicTime::max());
-}
-
 void GatewaySoak::check_recovery()
 {
     change_configuration();
@@ -328,11 +310,12 @@
         callers.emplace_back([this, caller] { call_until_stopped(caller); });
     auto const end = Core::monotonic_now() + m_options.length;
     while (Core::monotonic_now() < end) {
-        heal_due(Core::monotonic_now());
+        m_faults.heal_due(Core::monotonic_now());
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
     }
-    heal_all();
+    m_faults.heal_all();
+    m_report.faults = m_faults.counts();
     check_recovery();
     m_should_stop = true;
     for (auto& thread : callers)
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "FaultSeries.h"
 #include "GatewayFleet.h"
 #include "SoakBackend.h"
 
 #include <atomic>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -55,12 +55,6 @@
         RawCaller::Answer answer;
     };
 
-    /// A fault that has begun, and what ends it.
-    struct ActiveFault {
-        Core::MonotonicTime end;
-        std::function<void()> heal;
-    };
-
     void start_gateway(std::size_t index);
     void call_until_stopped(unsigned caller);
     void begin_fault();
@@ -69,8 +63,6 @@
     void fault_store();
     void fault_backend(SoakBackend&);
     void change_configuration();
-    void heal_due(Core::MonotonicTime now);
-    void heal_all();
     void check_recovery();
     void check_leaving();
     void check(Record const&);
@@ -86,7 +78,7 @@
     std::mutex m_mutex;
     std::vector<std::uint16_t> m_ports;
     std::vector<Record> m_records;
-    std::list<ActiveFault> m_active;
+    FaultSeries m_faults;
     unsigned m_version {0};
     std::atomic<bool> m_should_stop {false};
     Report m_report;
