--- a/Libraries/LibCore/Hashing.cpp
+++ b/Libraries/LibCore/Hashing.cpp
@@ -3,7 +3,9 @@
 #include <new>
 
 #include <absl/strings/escaping.h>
+#include <cstring>
 #include <openssl/evp.h>
+
 #include <xxhash.h>
 
 namespace GraniteField::Core {
@@ -13,6 +15,14 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+std::uint64_t mix(std::uint64_t first, std::uint64_t second)
+{
+    std::array<std::uint64_t, 2> const both {first, second};
+    std::array<char, sizeof both> bytes {};
+    std::memcpy(bytes.data(), both.data(), bytes.size());
+    return hash_bytes({bytes.data(), bytes.size()});
+}
+
 Sha256::Sha256()
     : m_context(EVP_MD_CTX_new())
 {
--- a/Libraries/LibCore/Hashing.h
+++ b/Libraries/LibCore/Hashing.h
@@ -10,6 +10,9 @@
 /// XXH3 with 64 bits: for placement and checksums, never for secrets.
 [[nodiscard]] std::uint64_t hash_bytes(std::string_view, std::uint64_t seed = 0);
 
+/// One number of two, spread evenly: for rendezvous hashing.
+[[nodiscard]] std::uint64_t mix(std::uint64_t first, std::uint64_t second);
+
 /// SHA-256 over a sequence of texts, as over all of them in one.
 class Sha256 {
 public:
