--- a/Libraries/LibEntry/HostFollower.cpp
+++ b/Libraries/LibEntry/HostFollower.cpp
@@ -9,10 +9,10 @@
 
 namespace GraniteField::Entry {
 
-HostFollower::HostFollower(PlatformSettings const& settings, SharedHosts& hosts, PeerExchange& peers,
+HostFollower::HostFollower(PlatformSettings const& settings, SharedDrains& drains, PeerExchange& peers,
     std::function<void()> on_news, Observe::MetricRegistry& metrics)
     : m_interval(settings.host_interval)
-    , m_hosts(hosts)
+    , m_drains(drains)
     , m_peers(peers)
     , m_on_news(std::move(on_news))
     , m_metrics(metrics)
@@ -47,13 +47,14 @@
 void HostFollower::read_list()
 {
     auto const listing = m_client.list(Platform::servers_kind());
-    LeavingHosts hosts;
-    hosts.version = HostsVersion(listing.revision.value());
+    auto const now = Core::monotonic_now();
+    DrainList drains;
+    drains.version = DrainsVersion(listing.revision.value());
     std::map<std::string, std::size_t> servers_by_host;
     std::vector<Platform::ServerEntry> leaving;
     for (auto const& object : listing.objects) {
         try {
-            auto server = Platform::decode_server(object);
+            auto server = Platform::decode_server(object, now);
             ++servers_by_host[server.address.host()];
             if (server.state == Table::BackendServerState::Leaving)
                 leaving.push_back(std::move(server));
@@ -62,15 +63,15 @@
         }
     }
     for (auto const& server : leaving) {
-        hosts.addresses.insert(server.address.to_string());
+        drains.hosts.insert(server.address.to_string());
         // Where a host has one backend server, its side process leaves with it.
         if (servers_by_host[server.address.host()] == 1)
-            hosts.addresses.insert(server.address.host());
+            drains.hosts.insert(server.address.host());
     }
     // The store's revision rises with every change of anything; only another content is news.
-    if (hosts.addresses == m_hosts.current().addresses)
+    if (drains.hosts == m_drains.current().hosts)
         return;
-    if (m_hosts.offer(std::move(hosts)))
+    if (m_drains.offer(std::move(drains)))
         m_on_news();
 }
 
--- a/Libraries/LibEntry/HostFollower.h
+++ b/Libraries/LibEntry/HostFollower.h
@@ -3,7 +3,7 @@
 #include <LibCore/Backoff.h>
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/PlatformSettings.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibPlatform/ObjectClient.h>
 
 #include <functional>
@@ -18,7 +18,7 @@
 public:
     /// `on_news` is called on this thread when there is a newer list.
     HostFollower(
-        PlatformSettings const&, SharedHosts&, PeerExchange&, std::function<void()> on_news, Observe::MetricRegistry&);
+        PlatformSettings const&, SharedDrains&, PeerExchange&, std::function<void()> on_news, Observe::MetricRegistry&);
     ~HostFollower();
     HostFollower(HostFollower const&) = delete;
     HostFollower& operator=(HostFollower const&) = delete;
@@ -28,7 +28,7 @@
     void read_list();
 
     Core::Milliseconds m_interval;
-    SharedHosts& m_hosts;
+    SharedDrains& m_drains;
     PeerExchange& m_peers;
     std::function<void()> m_on_news;
     Observe::MetricRegistry& m_metrics;
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -55,12 +55,12 @@
 
 }
 
-PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedHosts& hosts,
+PeerExchange::PeerExchange(Settings settings, zmq::context_t& context, SharedTable& table, SharedDrains& drains,
     SharedServers& servers, SharedMembership& membership, Events events, Observe::MetricRegistry& metrics)
     : m_settings(std::move(settings))
     , m_context(context)
     , m_table(table)
-    , m_hosts(hosts)
+    , m_drains(drains)
     , m_servers(servers)
     , m_membership(membership)
     , m_events(std::move(events))
@@ -113,7 +113,7 @@
 
 SpreadVersions PeerExchange::versions() const
 {
-    return {table_version(), m_hosts.version(), m_servers.settled_revision()};
+    return {table_version(), m_drains.version(), m_servers.settled_revision()};
 }
 
 Core::Milliseconds PeerExchange::pull_patience() const
@@ -138,6 +138,7 @@
         m_view.forget_silent(now);
         m_should_watch = m_view.should_watch();
         update_election(now);
+        m_membership.is_acquainted = is_acquainted(now);
         m_membership.other_entries = m_view.count();
         m_known.set(static_cast<std::int64_t>(m_view.count()));
         if (std::exchange(m_told_generation, m_view.generation()) != m_view.generation())
@@ -229,8 +230,8 @@
         return handle_pull(envelope.pull(), origin);
     case Envelope::kTable:
         return handle_table(envelope.table(), frame);
-    case Envelope::kHosts:
-        return handle_hosts(envelope.hosts());
+    case Envelope::kDrains:
+        return handle_drains(envelope.drains());
     case Envelope::kServers:
         return handle_servers(envelope.servers());
     default:
@@ -245,7 +246,7 @@
     for (auto const& record : announce.known())
         m_view.note(from_message(record, now));
     auto const own = versions();
-    SpreadVersions const others {Core::TableVersion(announce.table_version()), HostsVersion(announce.hosts_version()),
+    SpreadVersions const others {Core::TableVersion(announce.table_version()), DrainsVersion(announce.drains_version()),
         ListRevision(announce.servers_revision())};
     bool const is_ahead = others.is_ahead_of(own);
     if (is_ahead)
@@ -270,7 +271,7 @@
         return;
     auto request = make_envelope();
     request.mutable_pull()->set_table_version(own.table.value());
-    request.mutable_pull()->set_hosts_version(own.hosts.value());
+    request.mutable_pull()->set_drains_version(own.drains.value());
     request.mutable_pull()->set_servers_revision(own.servers.value());
     send_to(*origin, to_frame(request));
 }
@@ -278,7 +279,7 @@
 void PeerExchange::handle_pull(Message::Pull const& pull, PeerOrigin const& origin)
 {
     give_table(pull, origin);
-    give_hosts(pull, origin);
+    give_drains(pull, origin);
     give_servers(pull, origin);
 }
 
@@ -306,13 +307,13 @@
     return frame;
 }
 
-void PeerExchange::give_hosts(Message::Pull const& pull, PeerOrigin const& origin)
+void PeerExchange::give_drains(Message::Pull const& pull, PeerOrigin const& origin)
 {
-    auto const hosts = m_hosts.current();
-    if (hosts.version.value() <= pull.hosts_version())
+    auto const drains = m_drains.current();
+    if (drains.version.value() <= pull.drains_version())
         return;
     auto answer = make_envelope();
-    *answer.mutable_hosts() = to_message(hosts);
+    *answer.mutable_drains() = to_message(drains);
     send_to(origin, to_frame(answer));
 }
 
@@ -323,7 +324,7 @@
         return;
     if (m_servers_frame.revision != list->revision) {
         auto answer = make_envelope();
-        *answer.mutable_servers() = to_message(*list);
+        *answer.mutable_servers() = to_message(*list, Core::monotonic_now());
         m_servers_frame = {list->revision, to_frame(answer)};
     }
     zmq::message_t shared;
@@ -356,16 +357,16 @@
     }
 }
 
-void PeerExchange::handle_hosts(Message::HostsUpdate const& update)
+void PeerExchange::handle_drains(Message::DrainsUpdate const& update)
 {
-    if (m_hosts.offer(from_message(update)))
+    if (m_drains.offer(from_message(update)))
         m_events.on_news();
 }
 
 void PeerExchange::handle_servers(Message::ServersUpdate const& update)
 {
     try {
-        auto list = from_message(update);
+        auto list = from_message(update, Core::monotonic_now());
         if (!list)
             m_rejected.add();
         else if (m_servers.offer(*std::move(list)))
@@ -433,7 +434,7 @@
     self.last_heard = now;
     *announce.mutable_sender() = to_message(self, now);
     announce.set_table_version(table_version().value());
-    announce.set_hosts_version(m_hosts.version().value());
+    announce.set_drains_version(m_drains.version().value());
     announce.set_servers_revision(m_servers.settled_revision().value());
     return envelope;
 }
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -5,7 +5,7 @@
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/PeerView.h>
 #include <LibEntry/PullSchedule.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
@@ -30,7 +30,7 @@
 
 namespace GraniteField::Entry {
 
-/// Spreads the table, the host list and the list of backend servers between entries, on a thread of its own. An entry
+/// Spreads the table, the drains and the list of backend servers between entries, on a thread of its own. An entry
 /// announces the versions that it has to its neighbours; whoever has older ones pulls.
 /// docs/design/configuration-spread.md gives the reasons.
 class PeerExchange {
@@ -69,7 +69,7 @@
         std::function<SpreadVersions()> newest_known {[] { return SpreadVersions(); }};
     };
 
-    PeerExchange(Settings, zmq::context_t&, SharedTable&, SharedHosts&, SharedServers&, SharedMembership&, Events,
+    PeerExchange(Settings, zmq::context_t&, SharedTable&, SharedDrains&, SharedServers&, SharedMembership&, Events,
         Observe::MetricRegistry&);
     ~PeerExchange();
     PeerExchange(PeerExchange const&) = delete;
@@ -86,7 +86,8 @@
 private:
     using Envelope = granitefield::protocol::PeerEnvelope;
 
-    /// The list of backend servers as it goes out, kept so that many peers share its bytes.
+    /// The list of backend servers as it goes out, kept so that many peers share its bytes. Servers that are cold when
+    /// it is made are told as cold for as long to whoever gets it later, which errs on the safe side.
     struct ServersFrame {
         ListRevision revision;
         zmq::message_t frame;
@@ -107,13 +108,13 @@
     void handle_announce(granitefield::protocol::Announce const&, PeerOrigin const&);
     void handle_pull(granitefield::protocol::Pull const&, PeerOrigin const&);
     void handle_table(granitefield::protocol::TableUpdate const&, zmq::message_t& frame);
-    void handle_hosts(granitefield::protocol::HostsUpdate const&);
+    void handle_drains(granitefield::protocol::DrainsUpdate const&);
     void handle_servers(granitefield::protocol::ServersUpdate const&);
     void pull_if_due(Core::MonotonicTime now);
     void give_table(granitefield::protocol::Pull const&, PeerOrigin const&);
     /// The message that leads from that version to the table.
     [[nodiscard]] zmq::message_t frame_from(Core::TableVersion, std::shared_ptr<Table::Table const> const&);
-    void give_hosts(granitefield::protocol::Pull const&, PeerOrigin const&);
+    void give_drains(granitefield::protocol::Pull const&, PeerOrigin const&);
     void give_servers(granitefield::protocol::Pull const&, PeerOrigin const&);
     void update_connections();
     void update_election(Core::MonotonicTime now);
@@ -132,7 +133,7 @@
     Settings m_settings;
     zmq::context_t& m_context;
     SharedTable& m_table;
-    SharedHosts& m_hosts;
+    SharedDrains& m_drains;
     SharedServers& m_servers;
     SharedMembership& m_membership;
     Events m_events;
--- a/Libraries/LibEntry/PeerMessages.cpp
+++ b/Libraries/LibEntry/PeerMessages.cpp
@@ -105,24 +105,27 @@
     return table;
 }
 
-Message::HostsUpdate to_message(LeavingHosts const& hosts)
+Message::DrainsUpdate to_message(DrainList const& drains)
 {
-    Message::HostsUpdate update;
-    update.set_version(hosts.version.value());
-    for (auto const& address : hosts.addresses)
-        update.add_leaving(address);
+    Message::DrainsUpdate update;
+    update.set_version(drains.version.value());
+    for (auto const& host : drains.hosts)
+        update.add_hosts(host);
+    for (auto const& domain : drains.failure_domains)
+        update.add_failure_domains(domain);
     return update;
 }
 
-LeavingHosts from_message(Message::HostsUpdate const& update)
+DrainList from_message(Message::DrainsUpdate const& update)
 {
-    LeavingHosts hosts;
-    hosts.version = HostsVersion(update.version());
-    hosts.addresses.insert(update.leaving().begin(), update.leaving().end());
-    return hosts;
+    DrainList drains;
+    drains.version = DrainsVersion(update.version());
+    drains.hosts.insert(update.hosts().begin(), update.hosts().end());
+    drains.failure_domains.insert(update.failure_domains().begin(), update.failure_domains().end());
+    return drains;
 }
 
-Message::ServersUpdate to_message(ServerList const& list)
+Message::ServersUpdate to_message(ServerList const& list, Core::MonotonicTime now)
 {
     Message::ServerRecords records;
     for (auto const& server : list.servers) {
@@ -134,6 +137,8 @@
         record.set_slots(server.slots);
         record.set_is_leaving(server.state == Table::BackendServerState::Leaving);
         record.set_born_ms(static_cast<std::uint64_t>(server.born.time_since_epoch().count()));
+        auto const cold = std::max(Core::Milliseconds(0), Core::elapsed(now, server.cold_until));
+        record.set_cold_ms(static_cast<std::uint32_t>(cold.count()));
     }
     Message::ServersUpdate update;
     update.set_revision(list.revision.value());
@@ -142,7 +147,7 @@
     return update;
 }
 
-std::optional<ServerList> from_message(Message::ServersUpdate const& update)
+std::optional<ServerList> from_message(Message::ServersUpdate const& update, Core::MonotonicTime now)
 {
     Message::ServerRecords records;
     if (!records.ParseFromString(decompress_part(update.compressed_servers())))
@@ -155,8 +160,9 @@
             return std::nullopt;
         auto const state
             = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
-        list.servers.push_back({record.instance(), record.service(), *address, record.failure_domain(), record.slots(),
-            state, Platform::BirthTime(Core::Milliseconds(record.born_ms()))});
+        list.servers.push_back(
+            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state,
+                Platform::BirthTime(Core::Milliseconds(record.born_ms())), now + Core::Milliseconds(record.cold_ms())});
     }
     return list;
 }
--- a/Libraries/LibEntry/PeerMessages.h
+++ b/Libraries/LibEntry/PeerMessages.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibEntry/PeerView.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedServers.h>
 #include <LibTable/Table.h>
 
@@ -28,11 +28,12 @@
 [[nodiscard]] std::optional<Table::Table> apply(granitefield::protocol::TableUpdate const&, Table::Change const& edits,
     std::shared_ptr<Table::Table const> const& current);
 
-[[nodiscard]] granitefield::protocol::HostsUpdate to_message(LeavingHosts const&);
-[[nodiscard]] LeavingHosts from_message(granitefield::protocol::HostsUpdate const&);
+[[nodiscard]] granitefield::protocol::DrainsUpdate to_message(DrainList const&);
+[[nodiscard]] DrainList from_message(granitefield::protocol::DrainsUpdate const&);
 
-[[nodiscard]] granitefield::protocol::ServersUpdate to_message(ServerList const&);
+[[nodiscard]] granitefield::protocol::ServersUpdate to_message(ServerList const&, Core::MonotonicTime now);
 /// Nothing where a server's address can't be read. Throws Core::InvalidInput where the message holds no list.
-[[nodiscard]] std::optional<ServerList> from_message(granitefield::protocol::ServersUpdate const&);
+[[nodiscard]] std::optional<ServerList> from_message(
+    granitefield::protocol::ServersUpdate const&, Core::MonotonicTime now);
 
 }
--- a/Libraries/LibEntry/PlatformSettings.h
+++ b/Libraries/LibEntry/PlatformSettings.h
@@ -18,6 +18,8 @@
     std::optional<Core::Milliseconds> contact_time;
     /// Within which a change that the store has taken is promised to hold everywhere.
     std::optional<Core::Milliseconds> apply_limit;
+    /// Within which a failure domain that is drained is promised to get nothing new; nothing where none can be.
+    std::optional<Core::Milliseconds> drain_limit;
     /// Between tries while the platform does not answer.
     Core::Milliseconds shortest_pause {100};
     Core::Milliseconds longest_pause {5'000};
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -18,11 +18,11 @@
 
 }
 
-Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, SharedHosts const& hosts,
+Router::Router(Settings settings, zmq::context_t& context, SharedTable const& table, SharedDrains const& drains,
     SharedMembership const& membership, Observe::MetricRegistry& metrics, Observe::DecisionRing& decisions,
     Observe::SpanExporter* spans)
     : m_shared_table(table)
-    , m_shared_hosts(hosts)
+    , m_shared_drains(drains)
     , m_membership(membership)
     , m_least_entry_count(settings.least_entry_count)
     , m_metrics(metrics)
@@ -137,10 +137,10 @@
 
 void Router::follow_table()
 {
-    if (m_shared_hosts.version() != m_followed_hosts) {
-        auto hosts = m_shared_hosts.current();
-        m_followed_hosts = hosts.version;
-        m_links.set_leaving_hosts(std::move(hosts.addresses));
+    if (m_shared_drains.version() != m_followed_drains) {
+        auto drains = m_shared_drains.current();
+        m_followed_drains = drains.version;
+        m_links.set_leaving_hosts(std::move(drains.hosts));
     }
     auto const table = m_shared_table.current();
     if (!table || m_followed_version == table->version())
--- a/Libraries/LibEntry/Router.h
+++ b/Libraries/LibEntry/Router.h
@@ -4,7 +4,7 @@
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/LinkSet.h>
 #include <LibEntry/RequestRuns.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedTable.h>
 
@@ -33,7 +33,7 @@
         std::size_t least_entry_count {1};
     };
 
-    Router(Settings, zmq::context_t&, SharedTable const&, SharedHosts const&, SharedMembership const&,
+    Router(Settings, zmq::context_t&, SharedTable const&, SharedDrains const&, SharedMembership const&,
         Observe::MetricRegistry&, Observe::DecisionRing&, Observe::SpanExporter*);
     ~Router();
     Router(Router const&) = delete;
@@ -69,7 +69,7 @@
     void publish_control_bytes();
 
     SharedTable const& m_shared_table;
-    SharedHosts const& m_shared_hosts;
+    SharedDrains const& m_shared_drains;
     SharedMembership const& m_membership;
     std::size_t m_least_entry_count;
     Observe::MetricRegistry& m_metrics;
@@ -78,7 +78,7 @@
     Core::BoundedRing<Submission> m_submissions;
     Core::WakeEvent m_wake;
     std::optional<Core::TableVersion> m_followed_version;
-    HostsVersion m_followed_hosts;
+    DrainsVersion m_followed_drains;
     std::vector<zmq::pollitem_t> m_poll_items;
     std::optional<std::uint64_t> m_poll_generation;
     Core::MonotonicTime m_last_tick;
--- a/Libraries/LibEntry/SharedMembership.h
+++ b/Libraries/LibEntry/SharedMembership.h
@@ -42,6 +42,8 @@
 public:
     /// Entries that are known to be there, without this one.
     std::atomic<std::size_t> other_entries {0};
+    /// Whether this entry has had the time to get to know the others.
+    std::atomic<bool> is_acquainted {false};
 
     /// Null before they are known. Another object whenever they change.
     [[nodiscard]] std::shared_ptr<LoadMembers const> load_members() const
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -23,17 +23,28 @@
     return least + Core::Milliseconds(static_cast<std::int64_t>(order % static_cast<std::uint64_t>(least.count() + 1)));
 }
 
+WatchElection::Settings election_settings(
+    Core::Milliseconds contact_time, Core::Milliseconds apply_limit, std::uint64_t order, SharedDrains const* drains)
+{
+    using DrainsWatch = WatchElection::DrainsWatch;
+    WatchElection::Settings settings;
+    settings.patience = spread_of(contact_time / s_patience_parts, order);
+    settings.behind_limit = spread_of(apply_limit / s_behind_parts, order);
+    settings.drains = drains == nullptr ? DrainsWatch::No : DrainsWatch::Yes;
+    return settings;
+}
+
 }
 
 WatchDuty::WatchDuty(Core::Milliseconds contact_time, std::uint64_t order, SharedTable const& table,
     SharedServers const& servers, Observe::EventLog& log, Observe::MetricRegistry& metrics,
-    Core::Milliseconds apply_limit)
+    Core::Milliseconds apply_limit, SharedDrains const* drains)
     : m_table(table)
     , m_servers(servers)
+    , m_drains(drains)
     , m_log(log)
     , m_watching(metrics.gauge("granitefield_store_watching"))
-    , m_election({spread_of(contact_time / s_patience_parts, order), spread_of(apply_limit / s_behind_parts, order)},
-          Core::monotonic_now())
+    , m_election(election_settings(contact_time, apply_limit, order, drains), Core::monotonic_now())
 {
 }
 
@@ -49,7 +60,9 @@
 void WatchDuty::look_at_versions(Core::MonotonicTime now)
 {
     auto const table = m_table.current();
-    m_election.note_versions(table ? table->version() : Core::TableVersion(), m_servers.settled_revision(), now);
+    SpreadVersions const own {table ? table->version() : Core::TableVersion(),
+        m_drains == nullptr ? DrainsVersion() : m_drains->version(), m_servers.settled_revision()};
+    m_election.note_versions(own, now);
 }
 
 void WatchDuty::note_word(StoreWord const& word, Core::MonotonicTime now)
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/WatchElection.h>
@@ -21,9 +22,10 @@
     static constexpr Core::Milliseconds s_apply_limit {3'000};
 
     /// `order` spreads the patience of the gateways: a number that each has of its own. `apply_limit` is the promised
-    /// time within which a change holds everywhere.
+    /// time within which a change holds everywhere. `drains` is null where no failure domain can be drained.
     WatchDuty(Core::Milliseconds contact_time, std::uint64_t order, SharedTable const&, SharedServers const&,
-        Observe::EventLog&, Observe::MetricRegistry&, Core::Milliseconds apply_limit = s_apply_limit);
+        Observe::EventLog&, Observe::MetricRegistry&, Core::Milliseconds apply_limit = s_apply_limit,
+        SharedDrains const* drains = nullptr);
 
     void set_elected(bool);
     /// What others told; also looks at what this gateway has.
@@ -66,6 +68,7 @@
 
     SharedTable const& m_table;
     SharedServers const& m_servers;
+    SharedDrains const* m_drains;
     Observe::EventLog& m_log;
     Observe::Gauge& m_watching;
     std::mutex m_mutex;
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -9,8 +9,7 @@
     // Nothing is less than any time.
     elected = std::max(elected, other.elected);
     any = std::max({any, other.any, other.elected});
-    table = std::max(table, other.table);
-    servers = std::max(servers, other.servers);
+    versions.merge(other.versions);
 }
 
 void WatchElection::set_elected(bool value)
@@ -31,23 +30,21 @@
 
 void WatchElection::note_word(StoreWord const& word, Core::MonotonicTime now)
 {
-    if (word.table > std::max(m_heard.table, m_table))
+    if (word.versions.table > std::max(m_heard.versions.table, m_own.table))
         m_table_known_since = now;
     m_heard.merge(word);
-    bool const is_behind = m_heard.table > m_table || m_heard.servers > m_servers;
-    if (!is_behind || m_behind_since)
+    if (!m_heard.versions.is_ahead_of(m_own) || m_behind_since)
         return;
     m_behind_since = now;
-    m_wanted = m_heard;
+    m_wanted = m_heard.versions;
 }
 
-void WatchElection::note_versions(Core::TableVersion table, ListRevision servers, Core::MonotonicTime now)
+void WatchElection::note_versions(SpreadVersions const& versions, Core::MonotonicTime now)
 {
-    if (table > std::max(m_heard.table, m_table))
+    if (versions.table > std::max(m_heard.versions.table, m_own.table))
         m_table_known_since = now;
-    m_table = std::max(m_table, table);
-    m_servers = std::max(m_servers, servers);
-    if (!m_behind_since || m_wanted.table > m_table || m_wanted.servers > m_servers)
+    m_own.merge(versions);
+    if (!m_behind_since || m_wanted.is_ahead_of(m_own))
         return;
     m_behind_since.reset();
     note_word({}, now);
@@ -79,22 +76,34 @@
     m_next_retry = std::min(m_next_retry * 2, m_settings.patience);
 }
 
+bool WatchElection::is_watched(Watch watch) const
+{
+    return watch != Watch::Drains || m_settings.drains == DrainsWatch::Yes;
+}
+
 bool WatchElection::is_sound(Core::MonotonicTime now) const
 {
-    return std::ranges::all_of(
-        m_contacts, [now](auto const& contact) { return contact.is_answered && now <= contact.overdue_at; });
+    for (std::size_t number = 0; number < s_watch_count; ++number) {
+        auto const& contact = m_contacts.at(number);
+        bool const is_in_time = contact.is_answered && now <= contact.overdue_at;
+        if (!is_in_time && is_watched(static_cast<Watch>(number)))
+            return false;
+    }
+    return true;
 }
 
 StoreKnowledge WatchElection::knowledge(Core::MonotonicTime now) const
 {
     auto const heard = is_sound(now) ? std::optional(now) : m_heard.any;
-    return {std::max(m_heard.table, m_table), std::max(m_heard.servers, m_servers), m_table_known_since, heard};
+    auto versions = m_own;
+    versions.merge(m_heard.versions);
+    return {versions, m_table_known_since, heard};
 }
 
 StoreWord WatchElection::word(Core::MonotonicTime now) const
 {
     StoreWord word = m_heard;
-    word.merge({std::nullopt, std::nullopt, m_table, m_servers});
+    word.versions.merge(m_own);
     if (!is_sound(now))
         return word;
     word.any = now;
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <LibCore/AbsenceWatch.h>
-#include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
-#include <LibEntry/SharedServers.h>
+#include <LibEntry/SpreadVersions.h>
 
 #include <array>
 #include <cstddef>
@@ -17,9 +16,8 @@
     std::optional<Core::MonotonicTime> elected;
     /// The same for any gateway with a sound watch.
     std::optional<Core::MonotonicTime> any;
-    /// The newest that is known to be somewhere.
-    Core::TableVersion table;
-    ListRevision servers;
+    /// The newest that are known to be somewhere.
+    SpreadVersions versions;
 
     /// Takes over what the other word knows better.
     void merge(StoreWord const& other);
@@ -27,9 +25,8 @@
 
 /// What a gateway knows of how current it is.
 struct StoreKnowledge {
-    /// The newest that is known to be somewhere, here included.
-    Core::TableVersion table;
-    ListRevision servers;
+    /// The newest that are known to be somewhere, here included.
+    SpreadVersions versions;
     /// Since when the table is known to be somewhere.
     std::optional<Core::MonotonicTime> table_known_since;
     /// When somebody with a sound watch spoke last, this gateway included.
@@ -50,8 +47,15 @@
     enum class Watch : std::size_t {
         Table,
         Servers,
+        /// Only where the operators can drain failure domains.
+        Drains,
+    };
+    static constexpr std::size_t s_watch_count = 3;
+
+    enum class DrainsWatch {
+        No,
+        Yes,
     };
-    static constexpr std::size_t s_watch_count = 2;
 
     struct Settings {
         /// So long nobody's sound watch is heard of before this gateway asks the store itself.
@@ -64,6 +68,8 @@
         /// After a call that failed, one that knows that it is behind tries again after this long, and each time after
         /// twice as long, up to the patience: the store is there for somebody.
         Core::Milliseconds shortest_retry {100};
+        /// Whether drains are watched.
+        DrainsWatch drains {DrainsWatch::No};
     };
 
     /// A gateway that has stepped in goes on for at least this long, so that it does not come and go.
@@ -85,7 +91,7 @@
     /// What others told.
     void note_word(StoreWord const&, Core::MonotonicTime now);
     /// What this gateway has.
-    void note_versions(Core::TableVersion, ListRevision, Core::MonotonicTime now);
+    void note_versions(SpreadVersions const&, Core::MonotonicTime now);
 
     /// A call is made that has an answer by `overdue_at`, or none.
     void note_call(Watch, Core::MonotonicTime overdue_at);
@@ -113,6 +119,7 @@
         Core::MonotonicTime overdue_at;
     };
 
+    [[nodiscard]] bool is_watched(Watch) const;
     [[nodiscard]] Core::MonotonicTime doubt_begins() const;
     [[nodiscard]] std::optional<Core::MonotonicTime> behind_ends() const;
     /// Watches nothing yet: a call of an earlier duty says nothing of this one.
@@ -125,11 +132,11 @@
     StoreWord m_heard;
     Core::AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_table_known_since;
-    Core::TableVersion m_table;
-    ListRevision m_servers;
+    /// What this gateway has.
+    SpreadVersions m_own;
     /// Since when somebody has something newer; and what that is.
     std::optional<Core::MonotonicTime> m_behind_since;
-    StoreWord m_wanted;
+    SpreadVersions m_wanted;
     std::array<Contact, s_watch_count> m_contacts;
     /// Since when this gateway stands in for the elected ones.
     std::optional<Core::MonotonicTime> m_stepped_in;
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -3,6 +3,9 @@
 #include <LibCore/Hashing.h>
 
 #include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_join.h>
 
 namespace GraniteField::Gateway {
 
@@ -10,6 +13,7 @@
     : m_policy(settings)
     , m_seed(settings.seed)
     , m_log(log)
+    , m_regions(settings.regions)
 {
 }
 
@@ -31,8 +35,9 @@
     return static_cast<double>(Core::hash_bytes(instance, m_seed) % steps) / steps;
 }
 
-void BackendFleet::follow(Entry::ServerList const& list)
+void BackendFleet::follow(Entry::ServerList const& list, Core::MonotonicTime now)
 {
+    bool const is_first = !std::exchange(m_has_list, true);
     std::set<std::string> listed;
     for (auto const& record : list.servers) {
         listed.insert(record.instance);
@@ -46,16 +51,23 @@
             view->set_listed(false);
         if (view == nullptr || is_reborn) {
             view = std::make_shared<BackendView>(record, spread_of(record.instance));
-            view->prefixes().set_capacity(m_memory_tokens[record.service]);
+            view->prefixes().set_capacity(m_services[record.service].memory_tokens);
+            view->set_drained(m_drains.failure_domains.contains(record.failure_domain));
+            // Of those that were there before this gateway, what they say themselves is all that is known.
+            if (!is_first)
+                expect_cold(*view, now);
             m_servers_by_id[view->id()] = view;
             log_change(record, is_reborn ? "reborn" : "added", list.revision);
             continue;
         }
-        if (!view->is_listed())
+        if (!view->is_listed()) {
+            expect_cold(*view, now);
             log_change(record, "back", list.revision);
-        else if (view->record().state != record.state)
+        } else if (view->record().state != record.state)
             log_change(
                 record, record.state == Table::BackendServerState::Leaving ? "leaving" : "serving", list.revision);
+        else if (!view->is_cold(now) && record.cold_until > now)
+            log_change(record, "cold", list.revision);
         view->set_listed(true);
         view->set_record(record);
     }
@@ -80,12 +92,82 @@
 void BackendFleet::follow(Table::Table const& table)
 {
     for (auto const& [name, service] : table.services())
-        m_memory_tokens[name] = service.memory_tokens;
+        m_services[name] = service;
     for (auto& [instance, view] : m_servers)
-        view->prefixes().set_capacity(m_memory_tokens[view->record().service]);
+        view->prefixes().set_capacity(m_services[view->record().service].memory_tokens);
+    m_regions.follow(table);
     m_policy.follow(table);
 }
 
+void BackendFleet::follow(Entry::DrainList const& drains, Core::MonotonicTime now)
+{
+    for (auto& [instance, view] : m_servers) {
+        bool const is_drained = drains.failure_domains.contains(view->record().failure_domain);
+        // Servers may be started anew while nothing is sent to them, and the list may tell that later.
+        if (view->is_drained() && !is_drained)
+            expect_cold(*view, now);
+        view->set_drained(is_drained);
+    }
+    m_log.write(Observe::LogEvent("drained-domains")
+                    .add("domains", absl::StrJoin(drains.failure_domains, ","))
+                    .add("before", absl::StrJoin(m_drains.failure_domains, ","))
+                    .add("version", drains.version.value()));
+    m_drains = drains;
+}
+
+void BackendFleet::follow(Entry::LoadMembers const* members)
+{
+    if (members == nullptr)
+        return m_cold_shares.forget_gateways();
+    std::vector<std::uint64_t> others;
+    for (auto const& other : members->others)
+        others.push_back(other.order);
+    m_cold_shares.set_gateways(members->self.order, std::move(others));
+}
+
+void BackendFleet::expect_cold(BackendView& view, Core::MonotonicTime now) const
+{
+    auto const service = m_services.find(view.record().service);
+    if (service != m_services.end())
+        view.expect_cold_until(now + service->second.cold_time);
+}
+
+bool BackendFleet::has_cold_share(BackendView const& view, Core::MonotonicTime now) const
+{
+    auto const service = m_services.find(view.record().service);
+    if (service == m_services.end() || service->second.cold_rate == 0)
+        return true;
+    constexpr double seconds_per_minute = 60;
+    return m_cold_shares.may_send(view.id(), service->second.cold_rate / seconds_per_minute, now);
+}
+
+void BackendFleet::note_sent(BackendView const& view, Core::MonotonicTime now)
+{
+    if (view.is_cold(now))
+        m_cold_shares.note_sent(view.id(), now);
+}
+
+Unavailability BackendFleet::unavailability(GatewayCall const& call) const
+{
+    bool is_anywhere = false;
+    bool is_allowed = false;
+    for (auto const& [instance, view] : m_servers) {
+        bool const is_there = view->record().service == call.service && view->is_listed()
+            && view->record().state == Table::BackendServerState::Serving;
+        if (!is_there)
+            continue;
+        is_anywhere = true;
+        if (!m_regions.allows(call, view->record().failure_domain))
+            continue;
+        is_allowed = true;
+        if (!view->is_drained())
+            return Unavailability::Servers;
+    }
+    if (is_allowed)
+        return Unavailability::Drains;
+    return is_anywhere ? Unavailability::Regions : Unavailability::Servers;
+}
+
 void BackendFleet::add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const
 {
     if (places.empty())
@@ -121,12 +203,18 @@
     GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
 {
     std::vector<Candidate> candidates;
+    bool const is_bound = m_regions.binds(call);
     for (auto const& [instance, view] : m_servers) {
-        if (view->record().service == call.service && view->takes_new_requests())
+        if (view->record().service != call.service || !view->takes_new_requests())
+            continue;
+        if (!is_bound || m_regions.allows(call, view->record().failure_domain))
             candidates.push_back({view, 0});
     }
     rank_by_prompt(candidates, call);
-    std::erase_if(candidates, [&](auto const& item) { return excluded.contains(item.server->record().instance); });
+    std::erase_if(candidates, [&](auto const& item) {
+        auto const& server = *item.server;
+        return excluded.contains(server.record().instance) || (server.is_cold(now) && !has_cold_share(server, now));
+    });
     bool const is_one_sound
         = std::ranges::any_of(candidates, [now](auto const& item) { return !item.server->is_avoided(now); });
     if (is_one_sound)
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <LibEntry/SharedDrains.h>
+#include <LibEntry/SharedMembership.h>
 #include <LibGateway/BackendView.h>
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/PlacementPolicy.h>
+#include <LibGateway/RegionRules.h>
 #include <LibObserve/EventLog.h>
+#include <LibPolicy/ColdShares.h>
 
 #include <map>
 #include <memory>
@@ -16,6 +20,16 @@
 
 namespace GraniteField::Gateway {
 
+/// Why no server of a service can be chosen for a request.
+enum class Unavailability {
+    /// None is there, or those that are there were tried or fail.
+    Servers,
+    /// Those that are there stand in regions where the request may not be served.
+    Regions,
+    /// Those that it may be served by stand in failure domains that are drained.
+    Drains,
+};
+
 /// The backend servers of all services, and the choice among them. On the gateway's thread only.
 class BackendFleet {
 public:
@@ -29,14 +43,24 @@
     void set_settings(Settings settings) { m_policy.set_settings(std::move(settings)); }
 
     /// Takes the list; servers that it lacks get nothing new.
-    void follow(Entry::ServerList const&);
-    /// Memory sizes by service.
+    void follow(Entry::ServerList const&, Core::MonotonicTime now);
+    /// Servers in drained failure domains get nothing new.
+    void follow(Entry::DrainList const&, Core::MonotonicTime now);
+    /// What the table says of services and of regions.
     void follow(Table::Table const&);
+    /// The gateways that share what cold servers bear; null before this one knows them.
+    void follow(Entry::LoadMembers const*);
 
     /// The best backend server that is not among `excluded`; no server when there is none.
     [[nodiscard]] Choice choose(
         GatewayCall const&, std::set<std::string> const& excluded, Core::MonotonicTime now) const;
 
+    /// Why choose() has no server for the request.
+    [[nodiscard]] Unavailability unavailability(GatewayCall const&) const;
+    /// A request goes to the server.
+    void note_sent(BackendView const&, Core::MonotonicTime now);
+    [[nodiscard]] Entry::DrainList const& drains() const { return m_drains; }
+
     /// Adds the instances that live at one of the places (hashes of addresses).
     void add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const;
 
@@ -60,6 +84,10 @@
     void rank_by_prompt(std::vector<Candidate>&, GatewayCall const&) const;
     void log_change(Entry::ServerEntry const&, std::string_view change, Entry::ListRevision) const;
 
+    /// Whether a cold server may get another request from this gateway now.
+    [[nodiscard]] bool has_cold_share(BackendView const&, Core::MonotonicTime now) const;
+    /// It may be cold now without having said so.
+    void expect_cold(BackendView&, Core::MonotonicTime now) const;
     [[nodiscard]] double spread_of(std::string const& instance) const;
 
     PlacementPolicy m_policy;
@@ -67,7 +95,11 @@
     Observe::EventLog& m_log;
     std::map<std::string, std::shared_ptr<BackendView>> m_servers;
     absl::flat_hash_map<std::uint64_t, std::weak_ptr<BackendView>> m_servers_by_id;
-    std::map<std::string, std::uint64_t> m_memory_tokens;
+    std::map<std::string, Table::Service> m_services;
+    Entry::DrainList m_drains;
+    RegionRules m_regions;
+    Policy::ColdShares m_cold_shares;
+    bool m_has_list {false};
     Core::MonotonicTime m_observed;
 };
 
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -103,11 +103,23 @@
     [[nodiscard]] Entry::ServerEntry const& record() const { return m_record; }
     void set_record(Entry::ServerEntry record) { m_record = std::move(record); }
 
-    /// Whether it is in the newest list and not leaving.
+    /// Whether it is in the newest list, not leaving, and its failure domain is not drained.
     [[nodiscard]] bool takes_new_requests() const
     {
-        return m_is_listed && m_record.state == Table::BackendServerState::Serving;
+        return m_is_listed && !m_is_drained && m_record.state == Table::BackendServerState::Serving;
     }
+    /// Whether the operators drain its failure domain.
+    [[nodiscard]] bool is_drained() const { return m_is_drained; }
+    void set_drained(bool value) { m_is_drained = value; }
+
+    /// Whether it bears few requests yet, by its own word or by what happened to it.
+    [[nodiscard]] bool is_cold(Core::MonotonicTime now) const
+    {
+        return now < std::max(m_record.cold_until, m_cold_until);
+    }
+    /// It has begun, or comes back from where nothing was sent to it: it may be cold without having said so yet.
+    void expect_cold_until(Core::MonotonicTime time) { m_cold_until = std::max(m_cold_until, time); }
+
     [[nodiscard]] bool is_listed() const { return m_is_listed; }
     void set_listed(bool value) { m_is_listed = value; }
 
@@ -236,6 +248,8 @@
     std::uint64_t m_id;
     double m_spread;
     bool m_is_listed {true};
+    bool m_is_drained {false};
+    Core::MonotonicTime m_cold_until;
     ServerLoad m_own;
     ServerLoad m_others;
     PrefixMemory m_prefixes;
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -141,6 +141,15 @@
 
 void GatewayRun::hold(Core::MonotonicTime now)
 {
+    // What does not change by itself is not waited for.
+    switch (m_context.fleet.unavailability(m_call)) {
+    case Unavailability::Regions:
+        return fail(Status::s_bad_gateway, "region", "it is allowed in no region that has servers");
+    case Unavailability::Drains:
+        return fail(Status::s_bad_gateway, "drained", "the failure domains that could serve it are drained");
+    case Unavailability::Servers:
+        break;
+    }
     // One that was sent already has had its try: another server is not waited for.
     bool const has_tried = !m_tried.empty();
     // Those that took no connection may do so by now.
@@ -164,6 +173,7 @@
     m_attempt = std::make_shared<BackendAttempt>(m_context.loop, m_choice.server, rule, *this);
     m_attempt->load() = {1, m_choice.unread_tokens, m_choice.is_pause_sensitive ? 1U : 0U};
     m_choice.server->begin_attempt(m_attempt->load());
+    m_context.fleet.note_sent(*m_choice.server, now);
     m_choice.server->prefixes().note_read(m_call.prompt);
     m_context.load.note_placement(*m_choice.server, shared_parts(m_call), own_tokens(m_call));
     m_attempt->begin(request_for(*m_choice.server, now), now);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -103,10 +103,12 @@
 
 GatewayServer::GatewayServer(Settings settings, Entry::SharedTable const& table, Entry::SharedServers const& servers,
     Entry::SharedMembership const& membership, Entry::WatchDuty& duty, Observe::EventLog& log,
-    Observe::MetricRegistry& registry, Cluster::SharedDuty* usage, Cluster::SharedQuarantine* quarantine)
+    Observe::MetricRegistry& registry, Cluster::SharedDuty* usage, Cluster::SharedQuarantine* quarantine,
+    Entry::SharedDrains const* drains)
     : m_settings(std::move(settings))
     , m_shared_table(table)
     , m_shared_servers(servers)
+    , m_shared_drains(drains)
     , m_membership(membership)
     , m_duty(duty)
     , m_log(log)
@@ -208,7 +210,7 @@
 
 bool GatewayServer::is_behind() const
 {
-    return m_table != nullptr && m_duty.knowledge(Core::monotonic_now()).table > m_table->version();
+    return m_table != nullptr && m_duty.knowledge(Core::monotonic_now()).versions.table > m_table->version();
 }
 
 bool GatewayServer::keep_for_newer_table(EarlyRequest request)
@@ -243,7 +245,7 @@
                     .add("reason", error.code)
                     .add("table", m_table ? m_table->version().value() : 0)
                     .add("table_age_ms", Core::elapsed(m_table_since, now))
-                    .add("newest_known", known.table.value())
+                    .add("newest_known", known.versions.table.value())
                     .add("store_heard_ms", known.heard ? Core::elapsed(*known.heard, now).count() : -1));
     give_own_answer(caller, error, id, m_settings.dialect);
 }
@@ -295,8 +297,10 @@
     auto const servers = m_shared_servers.current();
     if (servers && servers != m_servers) {
         m_servers = servers;
-        m_fleet.follow(*servers);
+        m_fleet.follow(*servers, Core::monotonic_now());
     }
+    if (m_shared_drains != nullptr && m_shared_drains->version() != m_fleet.drains().version)
+        m_fleet.follow(m_shared_drains->current(), Core::monotonic_now());
     bool const has_become_ready = update_readiness() && m_is_ready;
     if (m_is_ready && (has_new_table || has_become_ready) && !m_early_requests.is_empty())
         begin_early_requests();
@@ -305,10 +309,19 @@
 Core::Milliseconds GatewayServer::table_delay(Core::TableVersion version) const
 {
     auto const known = m_duty.knowledge(m_table_since);
-    bool const was_known = known.table_known_since && known.table <= version;
+    bool const was_known = known.table_known_since && known.versions.table <= version;
     return was_known ? Core::elapsed(*known.table_known_since, m_table_since) : Core::Milliseconds(0);
 }
 
+void GatewayServer::follow_members()
+{
+    auto const members = m_membership.is_acquainted ? m_membership.load_members() : nullptr;
+    if (members == m_members)
+        return;
+    m_members = members;
+    m_fleet.follow(m_members.get());
+}
+
 bool GatewayServer::update_readiness()
 {
     bool const is_ready = m_table != nullptr && m_fleet.count() > 0 && !m_drain_begun;
@@ -344,6 +357,7 @@
             run->note_absence(now);
     }
     m_context.entry_count = m_membership.other_entries + 1;
+    follow_members();
     m_fleet.observe(now);
     m_crashes.turn(now);
     // A run may only be dropped here, outside its own calls.
@@ -434,11 +448,13 @@
         servers.push_back({{"backend-server", instance}, {"service", view->record().service},
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
             {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
-            {"failure-rate", view->failure_rate(now)}});
+            {"failure-rate", view->failure_rate(now)}, {"drained", view->is_drained()}, {"cold", view->is_cold(now)}});
     }
     nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
         {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
         {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}};
+    status["drained-domains"] = m_fleet.drains().failure_domains;
+    status["drains-version"] = m_fleet.drains().version.value();
     status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
     if (m_context.usage != nullptr)
         status["usage"] = usage_status(*m_context.usage, now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/AbsenceWatch.h>
 #include <LibCore/Address.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
@@ -42,10 +43,11 @@
     };
 
     /// `usage` counts the requests that begin to run; null where nobody reports them. `quarantine` is what is kept
-    /// beyond the gateways; null for nothing.
+    /// beyond the gateways; null for nothing. `drains` are the failure domains that get nothing new; null where none
+    /// can be drained.
     GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
         Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&, Cluster::SharedDuty* usage = nullptr,
-        Cluster::SharedQuarantine* quarantine = nullptr);
+        Cluster::SharedQuarantine* quarantine = nullptr, Entry::SharedDrains const* drains = nullptr);
     ~GatewayServer();
     GatewayServer(GatewayServer const&) = delete;
     GatewayServer& operator=(GatewayServer const&) = delete;
@@ -92,6 +94,7 @@
     void begin_early_requests();
     void refuse_early_requests(Core::MonotonicTime now);
     void follow();
+    void follow_members();
     void schedule_tick();
     void tick();
     void tick_drain(Core::MonotonicTime now);
@@ -111,6 +114,7 @@
     Settings m_settings;
     Entry::SharedTable const& m_shared_table;
     Entry::SharedServers const& m_shared_servers;
+    Entry::SharedDrains const* m_shared_drains;
     Entry::SharedMembership const& m_membership;
     Entry::WatchDuty& m_duty;
     Observe::EventLog& m_log;
@@ -134,6 +138,8 @@
     /// Since when the table is in force here; the process's start before the first one.
     Core::MonotonicTime m_table_since {Core::monotonic_now()};
     std::shared_ptr<Entry::ServerList const> m_servers;
+    /// The members that the fleet was told of; null for none.
+    std::shared_ptr<Entry::LoadMembers const> m_members;
     CallerConnection::Limits m_limits;
     std::atomic<bool> m_is_ready {false};
     Core::AbsenceWatch m_absence;
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -62,8 +62,9 @@
         message.set_elected_age_ms(*age);
     if (auto const age = age_of(word.any, now))
         message.set_any_age_ms(*age);
-    message.set_table_version(word.table.value());
-    message.set_servers_revision(word.servers.value());
+    message.set_table_version(word.versions.table.value());
+    message.set_servers_revision(word.versions.servers.value());
+    message.set_drains_version(word.versions.drains.value());
 }
 
 Entry::StoreWord read_word(granitefield::protocol::StoreWord const& message, Core::MonotonicTime now)
@@ -73,8 +74,8 @@
         word.elected = now - Core::Milliseconds(message.elected_age_ms());
     if (message.has_any_age_ms())
         word.any = now - Core::Milliseconds(message.any_age_ms());
-    word.table = Core::TableVersion(message.table_version());
-    word.servers = Entry::ListRevision(message.servers_revision());
+    word.versions = {Core::TableVersion(message.table_version()), Entry::DrainsVersion(message.drains_version()),
+        Entry::ListRevision(message.servers_revision())};
     return word;
 }
 
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -54,6 +54,8 @@
     struct Settings {
         /// Where this gateway stands; servers there are preferred among equals.
         std::string failure_domain;
+        /// The region of each failure domain.
+        std::map<std::string, std::string> regions;
         /// Of this gateway alone; spreads when gateways try a suspected server again.
         std::uint64_t seed {0};
         /// How engines are taken to behave until their answers tell better.
--- a/Libraries/LibPlatform/ObjectCodec.h
+++ b/Libraries/LibPlatform/ObjectCodec.h
@@ -16,6 +16,8 @@
 [[nodiscard]] std::string_view configuration_name();
 /// The kind of objects that backend servers enter themselves as.
 [[nodiscard]] std::string_view servers_kind();
+/// The kind of objects by which operators drain failure domains; each has the name of one.
+[[nodiscard]] std::string_view drains_kind();
 
 [[nodiscard]] std::string object_path(std::string_view kind, std::string_view name);
 /// The path of a list's page behind the name, or of its first page.
@@ -36,7 +38,7 @@
 [[nodiscard]] ListPage decode_list(Json const&);
 [[nodiscard]] WatchAnswer decode_watch(Json const&);
 
-/// Throws Core::InvalidInput as well, when the entry names no address.
-[[nodiscard]] ServerEntry decode_server(Object const&);
+/// An entry that was read just now. Throws Core::InvalidInput as well, when it names no address.
+[[nodiscard]] ServerEntry decode_server(Object const&, Core::MonotonicTime now);
 
 }
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -74,6 +74,8 @@
     Table::BackendServerState state {Table::BackendServerState::Serving};
     /// The start of 1970 where it does not say.
     BirthTime born {};
+    /// Until then it bears few requests, by this process's clock; in the past where it is warm.
+    Core::MonotonicTime cold_until {};
 
     /// Whether this is what an earlier life of that server said.
     [[nodiscard]] bool is_of_earlier_life_than(ServerEntry const& other) const { return born < other.born; }
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -74,6 +74,8 @@
         reader.read("contact-time", platform.contact_time.emplace(), 100ms, 10min);
     if (reader.member("apply-limit") != nullptr)
         reader.read("apply-limit", platform.apply_limit.emplace(), 100ms, 10min);
+    if (reader.member("domain-drain-limit") != nullptr)
+        reader.read("domain-drain-limit", platform.drain_limit.emplace(), 100ms, 10min);
     reader.read("longest-pause", platform.longest_pause, 100ms, 10min);
     reader.read("host-interval", platform.host_interval, 50ms, 10min);
     reader.finish();
@@ -171,6 +173,8 @@
     if (server.load_address)
         gateway.peers.load_address = server.load_address->to_string();
     server.fleet.failure_domain = settings.common.failure_domain;
+    reader.read_texts("regions", server.fleet.regions);
+    server.fleet.regions.try_emplace(settings.common.failure_domain, settings.common.region);
     server.fleet.seed = Core::hash_bytes(settings.common.name);
     server.drain_notice = settings.common.drain_notice;
     server.drain_limit = settings.common.drain_limit;
--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -115,6 +115,23 @@
         m_findings.add(place_of(key), Core::concat("must be a number from ", least, " to ", most));
 }
 
+void ObjectReader::read_texts(std::string const& key, std::map<std::string, std::string>& target)
+{
+    auto const* object = member(key);
+    if (object == nullptr)
+        return;
+    if (!object->is_object()) {
+        m_findings.add(place_of(key), "must be an object whose members are texts");
+        return;
+    }
+    for (auto const& [name, value] : object->items()) {
+        if (value.is_string())
+            target[name] = value.get<std::string>();
+        else
+            m_findings.add(place_of(key) + "/" + name, "must be a text");
+    }
+}
+
 void ObjectReader::read_addresses(std::string const& key, std::vector<Core::Address>& target)
 {
     auto const* list = member(key);
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,8 @@
     void read(std::string const& key, Core::Address& target, Presence = Presence::Optional);
     void read(std::string const& key, bool& target);
     void read(std::string const& key, double& target, double least, double most);
+    /// An object whose members are all texts.
+    void read_texts(std::string const& key, std::map<std::string, std::string>& target);
     void read_addresses(std::string const& key, std::vector<Core::Address>& target);
 
     template <typename Integer>
--- a/Libraries/LibTable/Column.cpp
+++ b/Libraries/LibTable/Column.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_join.h>
 
 namespace GraniteField::Table {
 
@@ -102,6 +103,7 @@
 
 constexpr std::size_t s_most_keys = 64;
 constexpr std::size_t s_most_targets = 32;
+constexpr std::size_t s_most_regions = 64;
 
 std::vector<std::string_view> split_list(std::string_view text)
 {
@@ -171,6 +173,21 @@
     return std::nullopt;
 }
 
+/// Names joined by commas.
+template <typename Row>
+Column<Row> list_column(std::string_view name, std::string_view help, std::vector<std::string> Row::*member)
+{
+    auto read = [member](Row const& row) { return absl::StrJoin(row.*member, ","); };
+    auto write = [member](Row& row, std::string_view text) -> Problem {
+        auto const parts = split_list(text);
+        if (parts.size() > s_most_regions)
+            return Core::concat("names more than ", s_most_regions);
+        (row.*member).assign(parts.begin(), parts.end());
+        return std::nullopt;
+    };
+    return {name, help, read, write};
+}
+
 Problem write_path_prefix(Route& row, std::string_view text)
 {
     if (!text.starts_with('/') || !text.ends_with('/') || text.size() > s_longest_text)
@@ -226,6 +243,8 @@
             s_largest_rate),
         number_column(
             "concurrency", "open requests at one entry, 0 for no limit", &Workspace::concurrency, 0, s_largest_rate),
+        list_column(
+            "regions", "where its requests may be served, joined by commas; empty for anywhere", &Workspace::regions),
     };
     return s_columns;
 }
@@ -233,12 +252,17 @@
 template <>
 std::span<Column<Service> const> columns<Service>()
 {
+    using namespace std::chrono_literals;
     static std::vector<Column<Service>> const s_columns {
         choice_column<Service, ServiceKind, 2>(
             "kind", "model or plain", &Service::kind, {{{"model", ServiceKind::Model}, {"plain", ServiceKind::Plain}}}),
         text_column("model", "the model name that callers ask for", &Service::model),
         number_column("memory-tokens", "tokens that one engine's memory holds, 0 if not known", &Service::memory_tokens,
             0, s_largest_rate),
+        duration_column<Service>(
+            "cold-time", "a server is cold for so long after a start", &Service::cold_time, 0ms, 1h),
+        number_column("cold-rate", "requests a minute that a cold server bears, 0 for any number", &Service::cold_rate,
+            0, s_largest_rate),
     };
     return s_columns;
 }
@@ -277,6 +301,8 @@
             {{{"required", KeyNeed::Required}, {"open", KeyNeed::Open}}}),
         number_column("tries", "backend servers that a request may be sent to", &Route::tries, 1, 16),
         duration_column<Route>("time-limit", "a request has its final answer by then", &Route::time_limit, 1ms, 24h),
+        list_column(
+            "regions", "where its requests may be served, joined by commas; empty for anywhere", &Route::regions),
     };
     return s_columns;
 }
--- a/Libraries/LibTable/Rows.h
+++ b/Libraries/LibTable/Rows.h
@@ -55,6 +55,8 @@
     unsigned tokens_per_second {0};
     /// Requests that may be open at once at one entry; 0 sets no limit.
     unsigned concurrency {0};
+    /// Regions in which its requests may be served; anywhere when empty.
+    std::vector<std::string> regions;
 
     bool operator==(Workspace const&) const = default;
 };
@@ -74,6 +76,10 @@
     std::string model;
     /// Tokens that the memory of one of its engines holds; 0 where it is not known.
     unsigned memory_tokens {0};
+    /// How long one of its servers is cold after a start.
+    Core::Milliseconds cold_time {0};
+    /// Requests a minute that a cold one bears, from all gateways together; 0 for any number.
+    unsigned cold_rate {0};
 
     bool operator==(Service const&) const = default;
 };
@@ -148,6 +154,8 @@
     unsigned tries {1};
     /// A request has its final answer after this long.
     Core::Milliseconds time_limit {30'000};
+    /// Regions in which its requests may be served; anywhere when empty.
+    std::vector<std::string> regions;
 
     bool operator==(Route const&) const = default;
 };
--- a/Services/GraniteFieldD/EntryDaemon.cpp
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -47,20 +47,20 @@
 
     zmq::context_t context(s_io_threads);
     Entry::SharedTable table;
-    Entry::SharedHosts hosts;
+    Entry::SharedDrains drains;
     Entry::SharedServers servers;
     Entry::SharedMembership membership;
     auto router_settings = settings.entry.router;
     router_settings.links.link.own = incarnation;
-    Entry::Router router(router_settings, context, table, hosts, membership, metrics, decisions, spans.get());
+    Entry::Router router(router_settings, context, table, drains, membership, metrics, decisions, spans.get());
     Entry::PeerExchange peers(
-        settings.entry.peers, context, table, hosts, servers, membership, {[&router] { router.wake(); }}, metrics);
+        settings.entry.peers, context, table, drains, servers, membership, {[&router] { router.wake(); }}, metrics);
     auto const tell_all = [&router, &peers] {
         router.wake();
         peers.wake();
     };
     Entry::TableFollower const table_follower(settings.entry.platform, table, peers, tell_all, metrics);
-    Entry::HostFollower const host_follower(settings.entry.platform, hosts, peers, tell_all, metrics);
+    Entry::HostFollower const host_follower(settings.entry.platform, drains, peers, tell_all, metrics);
     Entry::CallerServer callers(settings.entry.callers, incarnation, router, table, metrics);
 
     std::atomic<bool> is_stopping {false};
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -8,7 +8,7 @@
 #include <LibCluster/UsageReporter.h>
 #include <LibCore/Hashing.h>
 #include <LibEntry/PeerExchange.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/WatchDuty.h>
 #include <LibGateway/GatewayServer.h>
 #include <LibObserve/EventLog.h>
@@ -178,31 +178,31 @@
 
     zmq::context_t context(s_io_threads);
     Entry::SharedTable table;
-    Entry::SharedHosts hosts;
+    Entry::SharedDrains drains;
     Entry::SharedServers servers;
     Entry::SharedMembership membership;
     auto server_settings = settings.gateway.server;
     server_settings.dialect = Platform::platform_dialect();
     auto const contact_time = settings.gateway.platform.contact_time.value_or(s_contact_time);
+    auto const& drain_limit = settings.gateway.platform.drain_limit;
+    auto const apply_limit = settings.gateway.platform.apply_limit.value_or(Entry::WatchDuty::s_apply_limit);
+    auto const* const watched_drains = drain_limit ? &drains : nullptr;
     Entry::WatchDuty duty(contact_time, Core::hash_bytes(common.name), table, servers, log, metrics,
-        settings.gateway.platform.apply_limit.value_or(Entry::WatchDuty::s_apply_limit));
+        std::min(apply_limit, drain_limit.value_or(apply_limit)), watched_drains);
     auto const incarnation = Core::draw_incarnation().value();
     auto const& duties = settings.gateway.duties;
     std::optional<Cluster::SharedDuty> usage;
     if (duties)
         usage.emplace(duties->usage, incarnation, Core::monotonic_now());
     Cluster::SharedQuarantine quarantine;
-    Gateway::GatewayServer server(
-        server_settings, table, servers, membership, duty, log, metrics, usage ? &*usage : nullptr, &quarantine);
+    Gateway::GatewayServer server(server_settings, table, servers, membership, duty, log, metrics,
+        usage ? &*usage : nullptr, &quarantine, watched_drains);
     auto peer_settings = settings.gateway.peers;
     peer_settings.load_address = server.load_address();
-    Entry::PeerExchange peers(peer_settings, context, table, hosts, servers, membership,
+    Entry::PeerExchange peers(peer_settings, context, table, drains, servers, membership,
         {[&server] { server.wake(); }, [&duty](bool is_elected) { duty.set_elected(is_elected); },
             [&duty] { return duty.follows_store(); },
-            [&duty] {
-                auto const known = duty.knowledge(Core::monotonic_now());
-                return Entry::SpreadVersions {known.table, {}, known.servers};
-            }},
+            [&duty] { return duty.knowledge(Core::monotonic_now()).versions; }},
         metrics);
     auto const tell_all = [&server, &peers] {
         server.wake();
@@ -226,7 +226,7 @@
     Platform::ConfigurationSink configuration_sink(table, tell_all, log);
     Platform::ServersSink servers_sink(servers, tell_all, log);
     auto store = follower_settings(settings.gateway.platform);
-    // Both followers count, each with a connection of its own.
+    // All followers count, each with a connection of its own.
     std::atomic<int> lost_count {0};
     store.on_change = [&peers, &lost_count](bool is_reachable) {
         lost_count += is_reachable ? -1 : 1;
@@ -236,6 +236,11 @@
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Table), log, metrics);
     Platform::ObjectFollower const backend_servers(store, std::string(Platform::servers_kind()), servers_sink,
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Servers), log, metrics);
+    Platform::DrainsSink drains_sink(drains, tell_all, log);
+    std::optional<Platform::ObjectFollower<Platform::DrainsSink, Entry::WatchDuty::Follower>> drains_follower;
+    if (drain_limit)
+        drains_follower.emplace(store, std::string(Platform::drains_kind()), drains_sink,
+            Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Drains), log, metrics);
     std::optional<QuarantineDuty> quarantine_duty(std::in_place, settings.gateway.platform, quarantine, duty, log);
     std::optional<UsageDuty> usage_duty;
     if (duties)
--- a/Tests/Benchmarks/ConfigurationBenchmark.cpp
+++ b/Tests/Benchmarks/ConfigurationBenchmark.cpp
@@ -132,9 +132,9 @@
         entry.slots = 64;
         list.servers.push_back(std::move(entry));
     }
-    state.counters["bytes"] = static_cast<double>(Entry::to_message(list).ByteSizeLong());
+    state.counters["bytes"] = static_cast<double>(Entry::to_message(list, Core::monotonic_now()).ByteSizeLong());
     while (state.KeepRunning())
-        benchmark::DoNotOptimize(Entry::to_message(list));
+        benchmark::DoNotOptimize(Entry::to_message(list, Core::monotonic_now()));
 }
 
 void find_route(benchmark::State& state)
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -34,6 +34,8 @@
         {"peers", {{"address", "127.0.0.1:0"}, {"announce-interval", "500ms"}, {"seeds", peer_addresses}}}};
     if (!m_duties.is_null())
         settings["duties"] = m_duties;
+    if (m_drain_limit)
+        settings["platform"]["domain-drain-limit"] = Core::format_duration(*m_drain_limit);
     return start_with(settings);
 }
 
@@ -88,9 +90,9 @@
             {"state", state}});
 }
 
-void GatewayFleet::remove_server(std::string const& instance) const
+void GatewayFleet::remove(std::string const& kind, std::string const& name) const
 {
-    control({{"removals", Json::array({{{"kind", "servers"}, {"name", instance}}})}});
+    control({{"removals", Json::array({{{"kind", kind}, {"name", name}}})}});
 }
 
 int GatewayFleet::ask(Gateway const& gateway, std::string const& path)
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace GraniteField::Testing {
@@ -36,6 +37,9 @@
     /// Gateways that start from now on report usage; these are their settings for it.
     void set_duties(Json duties) { m_duties = std::move(duties); }
 
+    /// Gateways that start from now on follow drains of failure domains, which hold within that time.
+    void set_domain_drains(Core::Milliseconds limit) { m_drain_limit = limit; }
+
     [[nodiscard]] std::filesystem::path const& directory() const { return m_directory; }
     [[nodiscard]] Json const& settings_of(std::string const& name) const { return m_settings.at(name); }
     [[nodiscard]] std::uint16_t platform_port() const { return m_platform_port; }
@@ -50,7 +54,8 @@
     {
         put_server(backend.entry(), state);
     }
-    void remove_server(std::string const& instance) const;
+    void remove(std::string const& kind, std::string const& name) const;
+    void remove_server(std::string const& instance) const { remove("servers", instance); }
 
     /// A route as the operators write it.
     [[nodiscard]] static Json route(std::string const& name, std::string const& prefix, std::string const& kind);
@@ -70,6 +75,7 @@
     std::filesystem::path m_directory;
     std::map<std::string, Json> m_settings;
     Json m_duties;
+    std::optional<Core::Milliseconds> m_drain_limit;
 };
 
 }
--- a/Tests/LibEntry/PeerExchangeTest.cpp
+++ b/Tests/LibEntry/PeerExchangeTest.cpp
@@ -77,7 +77,7 @@
         settings.address = *Core::Address::from_string("127.0.0.1:0");
         settings.seeds = std::move(seeds);
         settings.announce_interval = Core::Milliseconds(3'000);
-        exchange = std::make_unique<PeerExchange>(settings, context, table, hosts, servers, membership,
+        exchange = std::make_unique<PeerExchange>(settings, context, table, drains, servers, membership,
             PeerExchange::Events {[] {}, [](bool) {}, [] { return false; }}, metrics);
     }
 
@@ -98,7 +98,7 @@
     }
 
     SharedTable table;
-    SharedHosts hosts;
+    SharedDrains drains;
     SharedServers servers;
     SharedMembership membership;
     Observe::MetricRegistry metrics;
--- a/Tests/LibEntry/PeersTest.cpp
+++ b/Tests/LibEntry/PeersTest.cpp
@@ -1,7 +1,7 @@
 // What PeerExchange rests on: who knows whom, who watches the platform, and the steps of the table.
 #include <LibCore/Text.h>
 #include <LibEntry/PeerView.h>
-#include <LibEntry/SharedHosts.h>
+#include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/TableHistory.h>
 
--- a/Tests/LibEntry/WatchDutyTest.cpp
+++ b/Tests/LibEntry/WatchDutyTest.cpp
@@ -31,7 +31,7 @@
 
 StoreWord word_of(unsigned version, Core::MonotonicTime now)
 {
-    return {now, now, Core::TableVersion(version), ListRevision()};
+    return {now, now, {Core::TableVersion(version), {}, {}}};
 }
 
 }
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -40,7 +40,7 @@
 
 StoreWord word_of_elected(Core::MonotonicTime time)
 {
-    return {time, time, Core::TableVersion(), ListRevision()};
+    return {time, time, {}};
 }
 
 }
@@ -77,7 +77,7 @@
     ASSERT_TRUE(election.is_on_duty(now));
     // The word of others who stepped in as well, its own among them, relieves nobody.
     now += WatchElection::s_shortest_duty;
-    election.note_word({std::nullopt, now, Core::TableVersion(), ListRevision()}, now);
+    election.note_word({std::nullopt, now, {}}, now);
     EXPECT_TRUE(election.is_on_duty(now));
     election.note_word(word_of_elected(now), now);
     EXPECT_FALSE(election.is_on_duty(now));
@@ -88,7 +88,7 @@
     auto election = make_election();
     auto now = s_start;
     auto word = word_of_elected(now);
-    word.table = Core::TableVersion(5);
+    word.versions.table = Core::TableVersion(5);
     election.note_word(word, now);
     for (; now < s_start + WatchElection::Settings().behind_limit; now += 50ms) {
         election.note_word(word_of_elected(now), now);
@@ -100,7 +100,7 @@
     now += WatchElection::s_shortest_duty;
     election.note_word(word_of_elected(now), now);
     EXPECT_TRUE(election.is_on_duty(now));
-    election.note_versions(Core::TableVersion(5), ListRevision(), now);
+    election.note_versions({Core::TableVersion(5), {}, {}}, now);
     EXPECT_FALSE(election.is_on_duty(now));
 }
 
@@ -133,12 +133,12 @@
     auto now = s_start;
     for (std::uint64_t version = 1; version < 100; ++version) {
         auto word = word_of_elected(now);
-        word.servers = ListRevision(version);
+        word.versions.servers = ListRevision(version);
         election.note_word(word, now);
         EXPECT_FALSE(election.is_on_duty(now));
         now += 300ms;
         // Each comes after a while, when the next one is known already.
-        election.note_versions(Core::TableVersion(), ListRevision(version), now);
+        election.note_versions({{}, {}, ListRevision(version)}, now);
     }
 }
 
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -22,7 +22,7 @@
         Entry::ServerList list;
         list.servers.push_back({"i-1", "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 8,
             Table::BackendServerState::Serving, Platform::BirthTime(Core::Milliseconds(born))});
-        m_fleet.follow(list);
+        m_fleet.follow(list, s_start);
     }
 
     [[nodiscard]] std::shared_ptr<BackendView> view() const { return m_fleet.all().at("i-1"); }
--- a/Tests/LibGateway/LoadFleet.h
+++ b/Tests/LibGateway/LoadFleet.h
@@ -80,7 +80,7 @@
             list.servers.push_back({Core::concat("i-", engine), "svc", *Core::Address::from_string("127.0.0.1:9"),
                 "here", 64, Table::BackendServerState::Serving});
         auto node = std::make_unique<Node>(number, m_made++ / s_count, m_now);
-        node->fleet.follow(list);
+        node->fleet.follow(list, s_start);
         return node;
     }
 
--- a/Tests/LibGateway/OverloadTest.cpp
+++ b/Tests/LibGateway/OverloadTest.cpp
@@ -77,7 +77,7 @@
         for (std::size_t number = 0; number < s_engines; ++number)
             list.servers.push_back({Core::concat("i-", number), "svc", *Core::Address::from_string("127.0.0.1:9"),
                 "here", EngineSimulation::s_slots, Table::BackendServerState::Serving});
-        m_fleet.follow(list);
+        m_fleet.follow(list, s_start);
         m_fleet.follow(*m_table);
         for (std::size_t kind = 0; kind < s_kinds.size(); ++kind)
             draw_next(kind);
--- a/Tests/LibGateway/PauseRulesTest.cpp
+++ b/Tests/LibGateway/PauseRulesTest.cpp
@@ -48,7 +48,7 @@
         for (auto const* instance : {"i-1", "i-2", "i-3"})
             list.servers.push_back({instance, "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64,
                 Table::BackendServerState::Serving});
-        m_fleet.follow(list);
+        m_fleet.follow(list, s_now);
         m_fleet.follow(*m_table);
     }
 
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -27,6 +27,8 @@
         "tenants": [{"name": "t-1", "api_keys": ["k-1", "k-2"], "prio": 1}, {"name": "t-2", "api_keys": []}]})");
 }
 
+Core::MonotonicTime const s_now {std::chrono::hours(1)};
+
 Json server_spec()
 {
     return {{"service", "s-a"}, {"addr", "10.128.0.9:8080"}, {"zone", "z"}, {"slots", 64}, {"state", "ready"}};
@@ -95,22 +97,52 @@
 {
     Object const object {"i-1", ObjectVersion(3),
         Json::parse(R"({"service": "s-a", "addr": "10.128.0.9:8080", "zone": "z", "slots": 64, "state": "draining"})")};
-    auto const server = decode_server(object);
+    auto const server = decode_server(object, s_now);
     EXPECT_EQ(server.instance, "i-1");
     EXPECT_EQ(server.address.to_string(), "10.128.0.9:8080");
     EXPECT_EQ(server.slots, 64U);
     EXPECT_EQ(server.state, Table::BackendServerState::Leaving);
     EXPECT_EQ(server.born, BirthTime());
-    EXPECT_THROW(static_cast<void>(decode_server({"i-2", {}, Json {{"addr", "nowhere"}}})), Core::InvalidInput);
+    EXPECT_THROW(static_cast<void>(decode_server({"i-2", {}, Json {{"addr", "nowhere"}}}, s_now)), Core::InvalidInput);
+}
+
+TEST(DecodeServer, KnowsHowLongItIsCold)
+{
+    auto spec = server_spec();
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).cold_until, s_now);
+    spec["cold_left_ms"] = 2'500;
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).cold_until, s_now + Core::Milliseconds(2'500));
+    for (auto const& odd : {Json("soon"), Json(-1), Json::array()}) {
+        spec["cold_left_ms"] = odd;
+        EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).cold_until, s_now);
+    }
+}
+
+TEST(DecodeConfiguration, KnowsRegionsAndWhatColdServersBear)
+{
+    auto json = configuration();
+    json["routes"][0]["allowed_regions"] = {"north", "south"};
+    json["routes"][1]["allowed_regions"] = Json::array();
+    json["tenants"][0]["allowed_regions"] = {"north"};
+    json["services"][0]["cold_s"] = 3.5;
+    json["services"][0]["cold_per_s"] = 5.9;
+    auto const table = decode_configuration(json);
+    EXPECT_EQ(table.routes().at("r-1").regions, (std::vector<std::string> {"north", "south"}));
+    // Allowed nowhere is not allowed anywhere.
+    EXPECT_FALSE(table.routes().at("r-2").regions.empty());
+    EXPECT_EQ(table.workspaces().at("t-1").regions, std::vector<std::string> {"north"});
+    EXPECT_EQ(table.find_service("s-a")->cold_time, Core::Milliseconds(3'500));
+    EXPECT_EQ(table.find_service("s-a")->cold_rate, 354U);
+    EXPECT_EQ(table.find_service("s-b")->cold_rate, 0U);
 }
 
 TEST(DecodeServer, KnowsTheLivesOfOneNameByTheirBirth)
 {
     auto spec = server_spec();
     spec["born"] = 1'781'704'505'269;
-    auto const first = decode_server({"i-1", {}, spec});
+    auto const first = decode_server({"i-1", {}, spec}, s_now);
     spec["born"] = 1'781'704'509'000;
-    auto const second = decode_server({"i-1", {}, spec});
+    auto const second = decode_server({"i-1", {}, spec}, s_now);
     EXPECT_TRUE(first.is_of_earlier_life_than(second));
     EXPECT_FALSE(second.is_of_earlier_life_than(first));
 }
@@ -121,18 +153,18 @@
     for (auto const* field : {"service", "addr", "zone", "slots", "state"}) {
         auto spec = server_spec();
         spec.erase(field);
-        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}, s_now))) << field;
         spec[field] = Json::array({1, 2});
-        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}, s_now))) << field;
     }
     for (auto const& [field, value] : std::map<std::string, Json> {{"state", "asleep"}, {"service", ""}, {"slots", 1.5},
              {"slots", "64"}, {"born", 1.5}, {"born", "yesterday"}, {"addr", "10.128.0.9"}}) {
         auto spec = server_spec();
         spec[field] = value;
-        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}))) << field;
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}, s_now))) << field;
     }
     for (auto const& spec : {Json(), Json(3), Json("text"), Json::array()})
-        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec})));
+        EXPECT_ANY_THROW(static_cast<void>(decode_server({"i-1", {}, spec}, s_now)));
 }
 
 TEST(DecodeList, WhatCanNotBeReadSpoilsNoOther)
@@ -168,7 +200,7 @@
     std::size_t servers = 0;
     for (auto const& object : page.listing.objects) {
         try {
-            servers += decode_server(object).instance == "sound" ? 1 : 0;
+            servers += decode_server(object, s_now).instance == "sound" ? 1 : 0;
         } catch (std::exception const&) {
             RC_ASSERT(object.name != "sound");
         }
