LibEntry: Tell peers the changes of the list of servers

Cause: at each change of one backend server every gateway pulled the whole list from a peer, so that bytes and the time to read them grew as gateways times servers times changes, which all grow with the fleet. Ruled out: longer pauses between announcements (a larger constant); lists by failure domain (a placement needs all of them). Change: gateways keep the latest steps of the list, give a peer what has changed since its revision, and hand changes on as they came. A digest of the list that they lead to tells where two gateways know different lists under one revision (a removal has none of its own); the whole list is pulled then. Entries that say the same are equal: a warm server's clock reading is left out.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -134,6 +134,8 @@
             m_pulls.note_news();
         if (auto table = m_table.current())
             m_history.note(std::move(table));
+        if (auto servers = m_servers.settled())
+            m_servers_history.note(std::move(servers));
         m_view.set_platform_reachable(m_is_platform_reachable);
         m_view.forget_silent(now);
         m_should_watch = m_view.should_watch();
@@ -233,7 +235,7 @@
     case Envelope::kDrains:
         return handle_drains(envelope.drains());
     case Envelope::kServers:
-        return handle_servers(envelope.servers());
+        return handle_servers(envelope.servers(), frame);
     default:
         m_rejected.add();
     }
@@ -272,7 +274,7 @@
     auto request = make_envelope();
     request.mutable_pull()->set_table_version(own.table.value());
     request.mutable_pull()->set_drains_version(own.drains.value());
-    request.mutable_pull()->set_servers_revision(own.servers.value());
+    request.mutable_pull()->set_servers_revision(m_needs_whole_servers ? 0 : own.servers.value());
     send_to(*origin, to_frame(request));
 }
 
@@ -322,14 +324,23 @@
     auto const list = m_servers.settled();
     if (!list || list->revision.value() <= pull.servers_revision())
         return;
-    if (m_servers_frame.revision != list->revision) {
-        auto answer = make_envelope();
-        *answer.mutable_servers() = to_message(*list, Core::monotonic_now());
-        m_servers_frame = {list->revision, to_frame(answer)};
-    }
-    zmq::message_t shared;
-    shared.copy(m_servers_frame.frame);
-    send_to(origin, std::move(shared));
+    send_to(origin, frame_from(ListRevision(pull.servers_revision()), list));
+}
+
+zmq::message_t PeerExchange::frame_from(ListRevision from, std::shared_ptr<ServerList const> const& list)
+{
+    m_servers_history.note(list);
+    auto changes = m_servers_history.changes_since(from);
+    auto const known_from = changes ? from : ListRevision();
+    if (auto kept = m_servers_frames.find(known_from, list->revision))
+        return *std::move(kept);
+    if (!changes)
+        changes = difference(ServerList(), *list);
+    auto answer = make_envelope();
+    *answer.mutable_servers() = to_message(*changes, Core::monotonic_now());
+    auto frame = to_frame(answer);
+    m_servers_frames.keep(known_from, list->revision, frame);
+    return frame;
 }
 
 void PeerExchange::handle_table(Message::TableUpdate const& update, zmq::message_t& frame)
@@ -363,14 +374,29 @@
         m_events.on_news();
 }
 
-void PeerExchange::handle_servers(Message::ServersUpdate const& update)
+void PeerExchange::handle_servers(Message::ServersUpdate const& update, zmq::message_t& frame)
 {
+    if (m_servers.settled_revision().value() >= update.revision())
+        return;
     try {
-        auto list = from_message(update, Core::monotonic_now());
-        if (!list)
-            m_rejected.add();
-        else if (m_servers.offer(*std::move(list)))
-            m_events.on_news();
+        auto changes = from_message(update, Core::monotonic_now());
+        if (!changes)
+            return m_rejected.add();
+        auto list = apply_changes(*changes, m_servers.settled());
+        if (!list) {
+            // Another list than the sender's under the same revision, or one that has come meanwhile.
+            m_needs_whole_servers = true;
+            return;
+        }
+        m_needs_whole_servers = false;
+        if (!m_servers.offer(*std::move(list)))
+            return;
+        // What has come goes on to others as it is.
+        m_servers_frames.keep(changes->from, changes->to, frame);
+        auto const taken = m_servers.settled();
+        if (taken && taken->revision == changes->to)
+            m_servers_history.note_step(taken, *std::move(changes));
+        m_events.on_news();
     } catch (Core::InvalidInput const& error) {
         m_rejected.add();
         LOG(ERROR) << "peers: a peer's list of servers can't be taken: " << error.what();
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -5,12 +5,13 @@
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/PeerView.h>
 #include <LibEntry/PullSchedule.h>
+#include <LibEntry/ServerChanges.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
+#include <LibEntry/SpreadFrames.h>
 #include <LibEntry/SpreadVersions.h>
-#include <LibEntry/TableFrames.h>
 #include <LibEntry/TableHistory.h>
 #include <LibObserve/Metrics.h>
 
@@ -86,13 +87,6 @@
 private:
     using Envelope = granitefield::protocol::PeerEnvelope;
 
-    /// The list of backend servers as it goes out, kept so that many peers share its bytes. Servers that are cold when
-    /// it is made are told as cold for as long to whoever gets it later, which errs on the safe side.
-    struct ServersFrame {
-        ListRevision revision;
-        zmq::message_t frame;
-    };
-
     /// A connection to a neighbour or a seed.
     struct Connection {
         std::unique_ptr<zmq::socket_t> socket;
@@ -109,13 +103,16 @@
     void handle_pull(granitefield::protocol::Pull const&, PeerOrigin const&);
     void handle_table(granitefield::protocol::TableUpdate const&, zmq::message_t& frame);
     void handle_drains(granitefield::protocol::DrainsUpdate const&);
-    void handle_servers(granitefield::protocol::ServersUpdate const&);
+    void handle_servers(granitefield::protocol::ServersUpdate const&, zmq::message_t& frame);
     void pull_if_due(Core::MonotonicTime now);
     void give_table(granitefield::protocol::Pull const&, PeerOrigin const&);
     /// The message that leads from that version to the table.
     [[nodiscard]] zmq::message_t frame_from(Core::TableVersion, std::shared_ptr<Table::Table const> const&);
     void give_drains(granitefield::protocol::Pull const&, PeerOrigin const&);
     void give_servers(granitefield::protocol::Pull const&, PeerOrigin const&);
+    /// The message that leads from that revision to the list. Servers that are cold when it is made are told as cold
+    /// for as long to whoever gets it later, which errs on the safe side.
+    [[nodiscard]] zmq::message_t frame_from(ListRevision, std::shared_ptr<ServerList const> const&);
     void update_connections();
     void update_election(Core::MonotonicTime now);
     [[nodiscard]] bool is_acquainted(Core::MonotonicTime now) const;
@@ -145,12 +142,15 @@
     std::uint16_t m_port {0};
     PeerView m_view;
     TableHistory m_history;
-    TableFrames m_table_frames;
+    SpreadFrames<Core::TableVersion> m_table_frames;
+    ServerHistory m_servers_history;
+    SpreadFrames<ListRevision> m_servers_frames;
+    /// Changes have come that lead from another list than the one here.
+    bool m_needs_whole_servers {false};
     std::map<std::string, Connection> m_connections;
     PullSchedule m_pulls;
     /// The view's generation of which the membership was told.
     std::uint64_t m_told_generation {0};
-    ServersFrame m_servers_frame;
     /// What this entry had when it last looked, and when it last announced.
     SpreadVersions m_seen;
     SpreadVersions m_announced;
--- a/Libraries/LibEntry/PeerMessages.cpp
+++ b/Libraries/LibEntry/PeerMessages.cpp
@@ -125,10 +125,10 @@
     return drains;
 }
 
-Message::ServersUpdate to_message(ServerList const& list, Core::MonotonicTime now)
+Message::ServersUpdate to_message(ServerChanges const& changes, Core::MonotonicTime now)
 {
     Message::ServerRecords records;
-    for (auto const& server : list.servers) {
+    for (auto const& server : changes.changed) {
         auto& record = *records.add_servers();
         record.set_instance(server.instance);
         record.set_service(server.service);
@@ -140,31 +140,38 @@
         auto const cold = std::max(Core::Milliseconds(0), Core::elapsed(now, server.cold_until));
         record.set_cold_ms(static_cast<std::uint32_t>(cold.count()));
     }
+    for (auto const& instance : changes.gone)
+        records.add_gone(instance);
     Message::ServersUpdate update;
-    update.set_revision(list.revision.value());
-    // Peers pull the whole list at each change; 3,000 servers are 48 KB in this form (configuration-benchmark).
+    update.set_from_revision(changes.from.value());
+    update.set_revision(changes.to.value());
+    update.set_digest(changes.digest);
     update.set_compressed_servers(Core::compress(records.SerializeAsString()));
     return update;
 }
 
-std::optional<ServerList> from_message(Message::ServersUpdate const& update, Core::MonotonicTime now)
+std::optional<ServerChanges> from_message(Message::ServersUpdate const& update, Core::MonotonicTime now)
 {
     Message::ServerRecords records;
     if (!records.ParseFromString(decompress_part(update.compressed_servers())))
         reject("servers", "they can't be read");
-    ServerList list;
-    list.revision = ListRevision(update.revision());
+    ServerChanges changes;
+    changes.from = ListRevision(update.from_revision());
+    changes.to = ListRevision(update.revision());
+    changes.digest = update.digest();
+    changes.gone.assign(records.gone().begin(), records.gone().end());
     for (auto const& record : records.servers()) {
         auto const address = Core::Address::from_string(record.address());
         if (!address)
             return std::nullopt;
+        auto const cold_until
+            = record.cold_ms() > 0 ? now + Core::Milliseconds(record.cold_ms()) : Core::MonotonicTime();
         auto const state
             = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
-        list.servers.push_back(
-            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state,
-                Platform::BirthTime(Core::Milliseconds(record.born_ms())), now + Core::Milliseconds(record.cold_ms())});
+        changes.changed.push_back({record.instance(), record.service(), *address, record.failure_domain(),
+            record.slots(), state, Platform::BirthTime(Core::Milliseconds(record.born_ms())), cold_until});
     }
-    return list;
+    return changes;
 }
 
 }
--- a/Libraries/LibEntry/PeerMessages.h
+++ b/Libraries/LibEntry/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibEntry/PeerView.h>
+#include <LibEntry/ServerChanges.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedServers.h>
 #include <LibTable/Table.h>
@@ -31,9 +32,9 @@
 [[nodiscard]] granitefield::protocol::DrainsUpdate to_message(DrainList const&);
 [[nodiscard]] DrainList from_message(granitefield::protocol::DrainsUpdate const&);
 
-[[nodiscard]] granitefield::protocol::ServersUpdate to_message(ServerList const&, Core::MonotonicTime now);
+[[nodiscard]] granitefield::protocol::ServersUpdate to_message(ServerChanges const&, Core::MonotonicTime now);
 /// Nothing where a server's address can't be read. Throws Core::InvalidInput where the message holds no list.
-[[nodiscard]] std::optional<ServerList> from_message(
+[[nodiscard]] std::optional<ServerChanges> from_message(
     granitefield::protocol::ServersUpdate const&, Core::MonotonicTime now);
 
 }
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -69,7 +69,8 @@
         else if (!view->is_cold(now) && record.cold_until > now)
             log_change(record, "cold", list.revision);
         view->set_listed(true);
-        view->set_record(record);
+        if (view->record() != record)
+            view->set_record(record);
     }
     for (auto& [instance, view] : m_servers) {
         if (listed.contains(instance) || !view->is_listed())
--- a/Tests/Benchmarks/ConfigurationBenchmark.cpp
+++ b/Tests/Benchmarks/ConfigurationBenchmark.cpp
@@ -120,7 +120,7 @@
         benchmark::DoNotOptimize(Entry::apply(update, Entry::read_edits(update), nullptr));
 }
 
-void give_servers(benchmark::State& state)
+void take_changed_server(benchmark::State& state)
 {
     Entry::ServerList list;
     for (std::int64_t number = 0; number < state.range(0); ++number) {
@@ -132,9 +132,21 @@
         entry.slots = 64;
         list.servers.push_back(std::move(entry));
     }
-    state.counters["bytes"] = static_cast<double>(Entry::to_message(list, Core::monotonic_now()).ByteSizeLong());
+    auto const now = Core::monotonic_now();
+    auto const bytes_of = [&](Entry::ServerChanges const& changes) {
+        return static_cast<double>(Entry::to_message(changes, now).ByteSizeLong());
+    };
+    list.revision = Entry::ListRevision(1);
+    auto const before = std::make_shared<Entry::ServerList const>(list);
+    auto after = list;
+    after.revision = after.revision.next();
+    after.servers.front().state = Table::BackendServerState::Leaving;
+    auto const changes = Entry::difference(*before, after);
+    // What one change cost each gateway before, and costs now.
+    state.counters["whole_bytes"] = bytes_of(Entry::difference(Entry::ServerList(), list));
+    state.counters["changed_bytes"] = bytes_of(changes);
     while (state.KeepRunning())
-        benchmark::DoNotOptimize(Entry::to_message(list, Core::monotonic_now()));
+        benchmark::DoNotOptimize(Entry::apply_changes(changes, before));
 }
 
 void find_route(benchmark::State& state)
@@ -159,7 +171,7 @@
 BENCHMARK(take_many_new)->Apply(sizes);
 BENCHMARK(give_whole)->Apply(sizes);
 BENCHMARK(take_whole)->Apply(sizes);
-BENCHMARK(give_servers)->Arg(60)->Arg(3'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(take_changed_server)->Arg(60)->Arg(3'000)->Unit(benchmark::kMillisecond);
 BENCHMARK(find_route)->Apply(sizes);
 
 }
