--- a/Libraries/LibCluster/FleetClock.h
+++ b/Libraries/LibCluster/FleetClock.h
@@ -14,10 +14,8 @@
 
 /// The time of day that gateways agree on, whatever the clocks of single hosts say. Hosts' clocks may be off, and may
 /// jump by seconds and back; the monotonic clock does not. So each gateway keeps one offset between the two, and takes
-/// it from the median of what all hosts' clocks say. No I/O and no clock of its own; for one thread.
-///
-/// With each gateway's own clock in its place, two of ten hosts whose clocks are two seconds off put 8 of 100 requests
-/// into another window of five seconds; with the median none are (Tests/LibCluster/FleetClockTest.cpp, simulated).
+/// it from the median of what all hosts' clocks say: a few clocks that are off put no request into another window. No
+/// I/O and no clock of its own; for one thread.
 class FleetClock {
 public:
     /// What is heard in the first seconds of a process is believed at once: it may have begun beside a clock that is
--- a/Libraries/LibEntry/PeerView.cpp
+++ b/Libraries/LibEntry/PeerView.cpp
@@ -98,8 +98,8 @@
 bool PeerView::should_watch() const
 {
     // An entry that can't reach the platform leaves its place to the next, and keeps trying. Hosts with more processor
-    // come first: who watches decodes whole configurations, 52 ms of processor time for 4,000 routes, which are 0.6 s
-    // on 0.09 of a core and come before everybody else's time.
+    // come first: who watches decodes whole configurations, which takes a small host long and comes before everybody
+    // else's time.
     auto const rank = [](Peer const& peer) {
         return std::tuple(peer.is_platform_reachable ? 0 : 1,
             std::numeric_limits<unsigned>::max() - peer.processor_permille, Core::hash_bytes(peer.name));
--- a/Libraries/LibEntry/PullSchedule.h
+++ b/Libraries/LibEntry/PullSchedule.h
@@ -25,9 +25,8 @@
 /// that some time, since a pull then only brings the same twice. No I/O.
 ///
 /// Everyone who has announced something newer is remembered until it is here: a peer may be killed, cut or too busy
-/// between its word and its answer. The others announce again only 2.25 to 3 s later, since the news has set the timers
-/// of all of them anew; with one mute peer a change took as long, and now it takes the answer's limit, 0.5 s, longer
-/// (PeerExchangeTest).
+/// between its word and its answer. The others announce again only seconds later, since the news has set the timers of
+/// all of them anew; so a mute peer delays a change by no more than the limit of its answer.
 class PullSchedule {
 public:
     /// A pull without an answer for this long is given up; peers answer within a round trip.
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -38,9 +38,6 @@
 /// come with each datagram about load: that somebody's watch is sound, and that nobody has anything newer than they
 /// have. Where a sign is missing for too long, a gateway asks the store itself, whatever the reason is: dead, hung or
 /// parted watchers, or connections between gateways that have fallen silent. No I/O and no clock.
-///
-/// Among 103 gateways in five failure domains, of which every one had watched: 3,800 calls to the store on a quiet day
-/// became 390, and the mean worth of five days with faults rose from 0.724 to 0.794 (one play of each day).
 class WatchElection {
 public:
     /// What is watched, each by a call of its own.
@@ -62,8 +59,7 @@
         Core::Milliseconds patience {1'000};
         /// A version that somebody has and that has not come is asked of the store after this long. Peers hand it on
         /// within some 100 ms; a large one within some 500 ms. Where all gateways asked the store at the same moment,
-        /// each would decode the whole configuration on the processor that is to take a peer's word: 15 of 24 small
-        /// hosts did with 1,400 new routes, and the last had them 2.4 s after the first.
+        /// each would decode the whole configuration on the processor that is to take a peer's word.
         Core::Milliseconds behind_limit {700};
         /// After a call that failed, one that knows that it is behind tries again after this long, and each time after
         /// twice as long, up to the patience: the store is there for somebody.
--- a/Libraries/LibGateway/EarlyRequests.h
+++ b/Libraries/LibGateway/EarlyRequests.h
@@ -24,9 +24,9 @@
     Core::MonotonicTime waits_until;
 };
 
-/// Requests that came before the gateway had its first table. A gateway that begins has it after some 300 ms from its
-/// peers or the store; after all gateways of a fleet of 103 had lost power, 980 requests were refused in that time, of
-/// callers who come back once only. For one thread.
+/// Requests that came before the gateway had its first table. A gateway that begins has it some hundred milliseconds
+/// later, from its peers or the store; refusing meanwhile would turn away callers who come back once only. For one
+/// thread.
 class EarlyRequests {
 public:
     /// Longer than a start takes; a gateway without a table by then may be without one for long.
--- a/Libraries/LibGateway/EngineModel.h
+++ b/Libraries/LibGateway/EngineModel.h
@@ -23,8 +23,8 @@
     struct Prior {
         /// Prompt tokens that an engine reads in a millisecond.
         double prefill_rate {30};
-        /// The pause of streams beside a long reading. A gateway that has just begun knows nothing, and of a hundred
-        /// streams twenty were late in the first seconds after all gateways had been killed.
+        /// The pause of streams beside a long reading. Guards the streams of a gateway that has just begun and has seen
+        /// no pause yet.
         Core::Milliseconds longest_pause {250};
     };
 
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -43,10 +43,6 @@
 public:
     using Datagram = granitefield::protocol::LoadDatagram;
 
-    // Before 180 engines and 103 gateways, of which each had told the others in turn and was known a second late: mean
-    // worth of five days with faults 0.663 without relays, 0.724 with them; questions in time on a quiet day 0.908 and
-    // 0.972 of their worth; 0.0105 and 0.0091 of a core a gateway (one play of each day).
-
     /// How often there is something to say while requests are open. What one gateway does is known at all others after
     /// three such times at most: its own, its relay's and the relay's of the other failure domain.
     static constexpr Core::Milliseconds s_interval {50};
--- a/Libraries/LibGateway/PlacementPolicy.cpp
+++ b/Libraries/LibGateway/PlacementPolicy.cpp
@@ -7,24 +7,16 @@
 
 namespace {
 
-// Figures below are mean worths of five days with faults, replayed in two runs or more (1 would be every request in
-// time at no price), on a deployment A with many streams and short pause targets and a deployment B with long prompts.
-// They differ by 0.006 from run to run.
-
 /// How much of a prompt's shared parts its home is believed to keep where this gateway has not sent it there itself:
-/// other gateways use the same order. Without it A 0.726, B 0.808; with it 0.717, 0.830.
+/// other gateways use the same order.
 constexpr double s_assumed_at_home = 0.5;
-/// Moving a token between engines takes and costs about a tenth of reading it. Without moves A 0.697, B 0.818; with
-/// them 0.717, 0.830.
+/// Moving a token between engines, as a part of reading it.
 constexpr double s_move_share = 0.1;
 /// Less is read again more quickly than it is asked for elsewhere.
 constexpr double s_least_moved_tokens = 500;
 /// A new copy of a prompt's shared parts puts out what other prompts will ask for, which is then read again. So much of
 /// its reading counts as lost, the more the further down the engine stands in the prompt's order: that order is the
-/// same at all gateways, so that a prompt whose home is busy has copies at two or three engines and not at all. Without
-/// it and with it, one play each: the bursts alone 0.748, 0.796, 2.6 and 1.2 million tokens read again, 904 and 629
-/// moves; days of high load 0.522, 0.573 and 0.606, 0.665; a quiet day 0.891, 0.890. The same for any prompt, however
-/// small: the quiet day 0.872.
+/// same at all gateways, so that a prompt whose home is busy has copies at two or three engines and not at all.
 constexpr double s_copy_share = 0.15;
 /// Engines further down count alike.
 constexpr std::size_t s_last_counted_rank = 4;
@@ -34,21 +26,16 @@
 constexpr Policy::FineTime s_least_latency {1};
 /// Callers give up a stream that has been silent for so many of its targets.
 constexpr int s_patience_in_targets = 4;
-/// Long readings that a stream meets in its life at an engine that is always reading. A 0.714 with 3, 0.703 with 6 and
-/// no more than one counted.
+/// Long readings that a stream meets in its life at an engine that is always reading.
 constexpr double s_readings_per_stream = 3;
 /// However many streams a reading makes late, it counts for no more than these: streams of other engines are late too
-/// where prompts have nowhere to go. Without a limit, with 2 and with 3: A 0.717, 0.723, 0.725; B 0.830 throughout.
-/// Without any harm counted: A 0.689, B 0.811.
+/// where prompts have nowhere to go.
 constexpr double s_most_harm = 3;
 /// Added where the caller will have left before its first piece, so that such a wait is never chosen while an engine
-/// could answer in time. Guards against sending all long prompts to the one engine without streams: 160 of the 216
-/// callers who left in vain on a day of high load had been sent there by their gateways' logs. Once harm has its limit,
-/// it makes no difference to A and B.
+/// could answer in time. Guards against sending all long prompts to the one engine without streams.
 constexpr double s_hopeless_wait = 10;
 /// What a gateway knows of an engine's open requests is a few tenths of a second old, so that an engine counts as full
-/// before it is. Guards against streams that gather until the slots are taken: 281 requests were put back in a day of
-/// high load before 55 engines of 32 slots without it, 13 with it (one run each).
+/// before it is. Guards against streams that gather until the slots are taken, and put each other back.
 constexpr double s_slot_steepness = 8;
 /// What a stream loses that is late by a pause.
 constexpr double s_late_stream_loss = 1 - Policy::LatenessLoss::s_late_worth;
@@ -170,8 +157,8 @@
     if (load.pause_sensitive == 0)
         return 0;
     // A reading meets new streams all the while it lasts, so that each of a row of readings counts as if it were the
-    // first. Counted by what they add, the later ones cost nothing: engines with streams then drew all readings as soon
-    // as they had one (B 0.804 in place of 0.830, its day of highest load 0.67 in place of 0.78).
+    // first. Counted by what they add, the later ones would cost nothing, and engines with streams draw all readings as
+    // soon as they have one.
     auto const& model = *task.model;
     auto const part = std::min(1.0, static_cast<double>(unread_tokens) / static_cast<double>(model.long_reading()));
     return part * load.pause_sensitive
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -63,9 +63,7 @@
         /// What each request that runs at an engine adds to the next one's first token.
         Core::Milliseconds cost_per_running {4};
         /// Loss to others of keeping an engine reading for as long as the request's target for its first piece. It
-        /// keeps prompts where their shared parts are. With 0, 1, 4, 8 and 16: A 0.697, 0.715, 0.714, 0.719, 0.716; B
-        /// 0.783, 0.795, 0.815, 0.804, 0.816 (deployments and measure as in PlacementPolicy.cpp; at 0 on the final
-        /// choice).
+        /// keeps prompts where their shared parts are.
         double reading_weight {8};
         /// Loss of sending a megabyte of body to another failure domain; small, so that it decides among equals only.
         double domain_change_weight {0.3};
--- a/Libraries/LibGateway/PrefixMemory.h
+++ b/Libraries/LibGateway/PrefixMemory.h
@@ -37,10 +37,8 @@
         return tokens;
     }
 
-    /// The engine reads this prompt, and tokens behind it that no other prompt shares: they take memory as well. Where
-    /// other gateways' were left out, 12.7 of 40.9 million tokens were read that no gateway expected, and 10.0 million
-    /// of shared parts were read again in a burst; counted, 5.8 million, and questions in time rose from 0.648 to 0.738
-    /// (one play each).
+    /// The engine reads this prompt, and tokens behind it that no other prompt shares: they take memory as well, and
+    /// put out shared parts that would else be believed to be there.
     void note_read(std::span<PromptPart const> prompt, std::uint32_t own_tokens = 0)
     {
         if (own_tokens > 0)
--- a/Libraries/LibGateway/UnseenRuns.h
+++ b/Libraries/LibGateway/UnseenRuns.h
@@ -13,10 +13,8 @@
 
 /// Streams whose connection broke before their first event. Where the engine lives it has lost only the answer and runs
 /// them; where it has died it runs none. Which of the two it was is known a moment later, when gateways have tried to
-/// reach it again: only then they are counted. On the gateway's thread.
-///
-/// Where engines lost the answers of 168 streams within five seconds, and none was counted, the window's report was 12
-/// of 100 requests short of the truth (one day, played four times).
+/// reach it again: only then they are counted. Guards against reports that fall short where engines lose answers. On
+/// the gateway's thread.
 class UnseenRuns {
 public:
     /// What one gateway meets at a server is known to all within 150 ms; a busy engine is tried at once.
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -45,8 +45,7 @@
     static constexpr unsigned s_floor {8};
 
     /// A shortage is one when waits that two of ten requests would not survive have lasted for this part of the target;
-    /// a shorter peak passes by itself. On the quiet day, which has short peaks, a fixed limit of this height cost
-    /// 0.043 of worth (means of one and two plays).
+    /// a shorter peak passes by itself, and refusing in it turns away what would have begun in time.
     static constexpr double s_patience_part = 0.2;
     /// Callers honour a time to come back up to this part of the time that they still wait.
     static constexpr double s_longest_return_part = 0.32;
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -84,12 +84,10 @@
     static constexpr std::size_t s_most_words = 4'096;
 
     /// News are told again and again for this long after they came, with each datagram: whoever tells them may be
-    /// killed in the next moment. With a pause of 100 ms a crash was lost with its only witness, killed 300 ms later,
-    /// in 1 of 6,600 played troubles with up to three datagrams in ten lost.
+    /// killed in the next moment, and datagrams are lost.
     static constexpr Core::Milliseconds s_telling_time {1'000};
     static constexpr Core::Milliseconds s_telling_pause {50};
     /// Quarantined requests are told for good with this pause, so that whoever begins or was cut off hears of them.
-    /// With 1 s one gateway of a dozen did not know of it 3 s after its start in 3 of 2,850 played troubles.
     static constexpr Core::Milliseconds s_refresh {300};
     /// What one datagram holds of each kind: some 11 KB together at the most, of the 64 that it can have.
     static constexpr std::size_t s_most_told = 100;
@@ -99,8 +97,8 @@
     /// Whether the request may reach no server. Counts as being asked for.
     [[nodiscard]] bool is_quarantined(Core::RequestDigest const&, Core::MonotonicTime now);
     /// Whether the request would be quarantined for what is known so far, while others may still know more: it should
-    /// wait for that moment, at most s_lone_moment_time. In played minutes with one such request before nine servers
-    /// (20 seeds) 979 of 1,000 other requests were served with the wait, 943 without it.
+    /// wait for that moment, at most s_lone_moment_time. Spares the servers that it would crash meanwhile, and what runs
+    /// there.
     [[nodiscard]] bool is_in_doubt(Core::RequestDigest const&, Core::MonotonicTime now) const;
     /// Places where servers crashed under the request, and where it should not be sent while there are others.
     [[nodiscard]] std::vector<std::uint64_t> places_crashed(Core::RequestDigest const&) const;
--- a/Libraries/LibPolicy/FleetRetryBudget.h
+++ b/Libraries/LibPolicy/FleetRetryBudget.h
@@ -22,9 +22,7 @@
 /// window, all of which may be spent at once, and takes an equal part of the slack among the entries known; so the sum
 /// over the fleet stays inside the allowance without any exchange. For one thread.
 ///
-/// A fault asks for everything at one moment: when a quarter of 180 engines crashed before 103 entries, 480 requests
-/// that might have gone on elsewhere were cut or failed, since each entry could save up no more than one repeated send,
-/// though the fleet's allowance stood at 1,100.
+/// A fault asks for everything at one moment, so that an entry may save up what its requests have earned.
 class FleetRetryBudget {
 public:
     /// Part of the allowance that is used, so that late arrivals and entries not yet known stay inside it.
--- a/Libraries/LibPolicy/WaitCorrection.h
+++ b/Libraries/LibPolicy/WaitCorrection.h
@@ -12,8 +12,7 @@
 /// middle, and that of eight in ten.
 class WaitCorrection {
 public:
-    /// Where nothing is known yet: of requests predicted at 1 to 1.25 s the middle began after 1.45 s and nine of ten
-    /// within 3.0, at 1.5 to 1.75 s after 2.5 and within 5.0 (one day of high load before 55 engines).
+    /// Where nothing is known yet.
     static constexpr double s_first_middle = 1.5;
     static constexpr double s_first_most = 2.6;
 
--- a/Libraries/LibTable/Table.h
+++ b/Libraries/LibTable/Table.h
@@ -123,8 +123,7 @@
 [[nodiscard]] std::optional<std::string> default_cell(SheetName, std::string_view column);
 
 /// The edits that turn one table into the other; cells of new rows that are as in every new row are left out. Rows are
-/// compared before any text is made of them: at 1,450 routes of which one changed this takes 0.8 ms of processor time,
-/// and 7.9 ms cell by cell (configuration-benchmark).
+/// compared before any text is made of them, since most are alike.
 [[nodiscard]] Change difference(Table const& from, Table const& to);
 
 }
