--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -118,7 +118,8 @@
 void ObjectReader::read_texts(std::string const& key, std::map<std::string, std::string>& target)
 {
     auto const* object = member(key);
-    if (object == nullptr)
+    // A template writes null where the platform gives nothing.
+    if (object == nullptr || object->is_null())
         return;
     if (!object->is_object()) {
         m_findings.add(place_of(key), "must be an object whose members are texts");
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -34,7 +34,7 @@
     void read(std::string const& key, Core::Address& target, Presence = Presence::Optional);
     void read(std::string const& key, bool& target);
     void read(std::string const& key, double& target, double least, double most);
-    /// An object whose members are all texts.
+    /// An object whose members are all texts; null for none.
     void read_texts(std::string const& key, std::map<std::string, std::string>& target);
     void read_addresses(std::string const& key, std::vector<Core::Address>& target);
 
--- a/Tests/LibSettings/DaemonSettingsTest.cpp
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -1,6 +1,7 @@
 #include <LibSettings/DaemonSettings.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -57,6 +58,24 @@
     EXPECT_EQ(settings.gateway.peers.load_address, "127.0.0.1:4");
 }
 
+TEST(DaemonSettings, ReadsRegionsAndWhatMayBeHeldForCallers)
+{
+    auto const read = [](std::string const& more) {
+        return parse_settings(R"({"role": "gateway", "name": "g", "failure-domain": "a", "region": "north",
+            "operator-address": "127.0.0.1:1", "callers-address": "127.0.0.1:2", "readiness-address": "127.0.0.1:3",
+            "platform": {"address": "127.0.0.1:5", "domain-drain-limit": "5s"}, "peers": {"address": "127.0.0.1:6"})"
+            + more + "}");
+    };
+    auto const settings = read(R"(, "regions": {"a": "north", "b": "south"}, "memory-megabytes": 120)");
+    std::map<std::string, std::string> const regions {{"a", "north"}, {"b", "south"}};
+    EXPECT_EQ(settings.gateway.server.fleet.regions, regions);
+    EXPECT_EQ(settings.gateway.server.runs.held_limit, 30U << 20U);
+    EXPECT_EQ(settings.gateway.platform.drain_limit, 5s);
+    // A template gives null where the platform has no such field; the own domain's region is known all the same.
+    std::map<std::string, std::string> const own {{"a", "north"}};
+    EXPECT_EQ(read(R"(, "regions": null)").gateway.server.fleet.regions, own);
+}
+
 TEST(Duration, IsADecimalNumberWithAUnit)
 {
     EXPECT_EQ(Core::parse_duration("9.6s"), 9'600ms);
