--- a/Tests/Integration/UsageDutyTest.cpp
+++ b/Tests/Integration/UsageDutyTest.cpp
@@ -86,6 +86,9 @@
     HTTP::HttpServer m_server;
 };
 
+/// Within which the word of a holder is with all gateways.
+constexpr Core::Milliseconds s_word_limit {1'000};
+
 class UsageDuty : public ::testing::Test, protected GatewayFleet {
 protected:
     UsageDuty()
@@ -167,9 +170,13 @@
     for (auto const& call : m_recipient.calls())
         holders.insert(call.holder);
     EXPECT_EQ(holders.size(), 1U);
-    // Every gateway knows of the holder and of the windows.
+    // Every gateway knows of the holder and of the windows. The first report may be accepted before the word of its
+    // holder has come to all: it comes with the datagrams about load, and right after a start there may be two relays.
+    auto const usage_at
+        = [](auto const& gateway) { return send_request(gateway.operators, "GET", "/status", "").json().at("usage"); };
     for (auto const& gateway : m_gateways) {
-        auto const usage = send_request(gateway.operators, "GET", "/status", "").json().at("usage");
+        ASSERT_TRUE(wait_until([&] { return usage_at(gateway).at("lease-version") > 0; }, s_word_limit));
+        auto const usage = usage_at(gateway);
         EXPECT_GT(usage.at("lease-version"), 0);
         EXPECT_LT(usage.at("holder-heard-ms-ago"), 1'000);
         EXPECT_FALSE(usage.at("windows").empty());
