Tests: Drain failure domains in the soak

Cause: the soak drew no drains. Without it seeds draw what they drew before. Ruled out: changing the draws of kept seeds.

--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -23,6 +23,8 @@
 constexpr Core::Milliseconds s_pause_after_failure {20};
 constexpr Core::Milliseconds s_recovery_limit {8'000};
 constexpr Core::Milliseconds s_leaving_limit {2'000};
+constexpr Core::Milliseconds s_drain_limit {5'000};
+constexpr char const* s_drains_kind = "evacuations";
 
 bool promises_not_run(int status)
 {
@@ -42,9 +44,11 @@
     , m_ports(options.gateways)
 {
     change_configuration();
+    if (has_drains())
+        m_fleet.set_domain_drains(s_drain_limit);
     for (unsigned number = 0; number < options.backends; ++number) {
         m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs));
-        m_fleet.put_server(m_backends.back()->entry());
+        enter(number);
     }
     m_slots.resize(options.gateways);
     for (std::size_t index = 0; index < m_slots.size(); ++index) {
@@ -56,6 +60,25 @@
 
 GatewaySoak::~GatewaySoak() = default;
 
+void GatewaySoak::enter(std::size_t index, std::string const& state)
+{
+    auto const entry = m_backends[index]->entry();
+    auto const* const domain = has_drains() && index % 2 == 1 ? s_drained : s_other;
+    m_fleet.put("servers", entry.instance,
+        {{"service", entry.service}, {"addr", entry.address.to_string()}, {"zone", domain}, {"slots", 8},
+            {"state", state}});
+}
+
+void GatewaySoak::drain()
+{
+    m_fleet.put(s_drains_kind, s_drained, Json::object());
+}
+
+void GatewaySoak::take_back()
+{
+    m_fleet.remove(s_drains_kind, s_drained);
+}
+
 void GatewaySoak::start_gateway(std::size_t index)
 {
     Json seeds = Json::array();
@@ -203,7 +226,11 @@
 
 void GatewaySoak::begin_fault()
 {
-    switch (m_random() % 8) {
+    constexpr unsigned kinds = 8;
+    switch (m_random() % (has_drains() ? kinds + 1 : kinds)) {
+    case kinds:
+        drain();
+        return begin("domain drained", [this] { take_back(); });
     case 0:
     case 1: {
         auto const index = m_random() % m_slots.size();
@@ -216,9 +243,9 @@
         change_configuration();
         return begin("configuration", [] {});
     case 5: {
-        auto& backend = *m_backends[m_random() % m_backends.size()];
-        m_fleet.put_server(backend.entry(), "draining");
-        return begin("backend server leaves", [this, &backend] { m_fleet.put_server(backend.entry()); });
+        auto const index = m_random() % m_backends.size();
+        enter(index, "draining");
+        return begin("backend server leaves", [this, index] { enter(index); });
     }
     default:
         return fault_backend(*m_backends[m_random() % m_backends.size()]);
@@ -247,7 +274,7 @@
 void GatewaySoak::check_leaving()
 {
     auto& leaving = *m_backends.front();
-    m_fleet.put_server(leaving.entry(), "draining");
+    enter(0, "draining");
     auto const begun = Core::monotonic_now();
     for (std::size_t index = 0; index < m_slots.size(); ++index) {
         bool const is_known = wait_until(
@@ -275,6 +302,39 @@
         note_problem("a server that leaves got new requests");
 }
 
+void GatewaySoak::check_draining()
+{
+    drain();
+    auto const begun = Core::monotonic_now();
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        bool const is_known = wait_until(
+            [&] {
+                auto const status = send_request(m_slots[index].gateway.operators, "GET", "/status", "").json();
+                return status["drained-domains"] == Json::array({s_drained});
+            },
+            s_drain_limit);
+        if (!is_known)
+            note_problem(Core::concat("gateway ", index, " does not know of a drained domain after ",
+                Core::elapsed(begun, Core::monotonic_now()).count(), " ms"));
+    }
+    auto const arrivals = [this] {
+        std::size_t sum = 0;
+        for (std::size_t index = 1; index < m_backends.size(); index += 2)
+            sum += m_backends[index]->arrivals();
+        return sum;
+    };
+    auto const before = arrivals();
+    for (unsigned number = 0; number < 20; ++number) {
+        RawCaller caller(port_of(number % m_slots.size()));
+        caller.write(
+            Core::concat("GET /safe/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: drained-", number, "\r\n\r\n"));
+        static_cast<void>(caller.read_answer());
+    }
+    if (arrivals() != before)
+        note_problem("a drained domain got new requests");
+    take_back();
+}
+
 void GatewaySoak::note_problem(std::string problem)
 {
     m_report.problems.push_back(std::move(problem));
@@ -320,6 +380,8 @@
     m_should_stop = true;
     for (auto& thread : callers)
         thread.join();
+    if (has_drains())
+        check_draining();
     check_leaving();
     for (auto const& record : m_records)
         check(record);
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -20,12 +20,19 @@
 /// what callers and backend servers see. Faults come in series and overlap.
 class GatewaySoak {
 public:
+    enum class Drains {
+        No,
+        Yes,
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {5'000};
         unsigned gateways {3};
         unsigned backends {4};
         unsigned callers {8};
+        /// Whether failure domains are drained as well. Seeds from before draw the same without it.
+        Drains drains {Drains::No};
     };
 
     struct Report {
@@ -65,6 +72,15 @@
     void change_configuration();
     void check_recovery();
     void check_leaving();
+    /// The domain that is drained, and the other one.
+    static constexpr char const* s_drained = "there";
+    static constexpr char const* s_other = "here";
+    [[nodiscard]] bool has_drains() const { return m_options.drains == Drains::Yes; }
+    /// Enters the server in the store. With drains every second one stands in the domain that is drained.
+    void enter(std::size_t index, std::string const& state = "ready");
+    void drain();
+    void take_back();
+    void check_draining();
     void check(Record const&);
     void note_problem(std::string);
     [[nodiscard]] std::uint16_t port_of(std::size_t index);
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -7,6 +7,19 @@
 
 namespace GraniteField::Testing {
 
+TEST(SoakOfDrains, KeepsEveryPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    GatewaySoak::Options options;
+    options.seed = 11;
+    options.length = Core::Milliseconds(5'000);
+    options.drains = GatewaySoak::Drains::Yes;
+    auto const report = GatewaySoak(options).run();
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_GT(report.answers.size(), 4U);
+}
+
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
 
 TEST_P(SoakSeeds, KeepEveryPromise)
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -22,6 +22,7 @@
     TCLAP::ValueArg<unsigned> gateways("", "gateways", "Gateways.", false, 3, "N", command_line);
     TCLAP::ValueArg<unsigned> backends("", "backends", "Backend servers.", false, 4, "N", command_line);
     TCLAP::ValueArg<unsigned> callers("", "callers", "Callers.", false, 8, "N", command_line);
+    TCLAP::SwitchArg drains("", "drains", "Drain failure domains as well.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -30,8 +31,9 @@
     }
     bool has_failed = false;
     for (unsigned number = 0; number < count.getValue(); ++number) {
-        Testing::GatewaySoak::Options const options {
-            seed.getValue() + number, *duration, gateways.getValue(), backends.getValue(), callers.getValue()};
+        using Drains = Testing::GatewaySoak::Drains;
+        Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
+            backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
