--- a/Libraries/LibEntry/TableHistory.h
+++ b/Libraries/LibEntry/TableHistory.h
@@ -24,8 +24,8 @@
         m_current = std::move(table);
     }
 
-    /// The same for a table that came as these edits to that version. Spares each gateway on a change's way working them
-    /// out once more.
+    /// The same for a table that came as these edits to that version. Spares each gateway on a change's way working
+    /// them out once more.
     void note_step(std::shared_ptr<Table::Table const> table, Core::TableVersion from, Table::Change edits)
     {
         if (m_current == nullptr || m_current->version() != from)
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -74,8 +74,8 @@
     Table::BackendServerState state {Table::BackendServerState::Serving};
     /// The start of 1970 where it does not say.
     BirthTime born {};
-    /// Until then it bears few requests, by this process's clock; the clock's beginning where it says that it is warm, so
-    /// that entries that say the same are equal.
+    /// Until then it bears few requests, by this process's clock; the clock's beginning where it says that it is warm,
+    /// so that entries that say the same are equal.
     Core::MonotonicTime cold_until {};
 
     /// Whether this is what an earlier life of that server said.
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -97,8 +97,8 @@
     /// Whether the request may reach no server. Counts as being asked for.
     [[nodiscard]] bool is_quarantined(Core::RequestDigest const&, Core::MonotonicTime now);
     /// Whether the request would be quarantined for what is known so far, while others may still know more: it should
-    /// wait for that moment, at most s_lone_moment_time. Spares the servers that it would crash meanwhile, and what runs
-    /// there.
+    /// wait for that moment, at most s_lone_moment_time. Spares the servers that it would crash meanwhile, and what
+    /// runs there.
     [[nodiscard]] bool is_in_doubt(Core::RequestDigest const&, Core::MonotonicTime now) const;
     /// Places where servers crashed under the request, and where it should not be sent while there are others.
     [[nodiscard]] std::vector<std::uint64_t> places_crashed(Core::RequestDigest const&) const;
--- a/Tests/LibGateway/SlowReadersTest.cpp
+++ b/Tests/LibGateway/SlowReadersTest.cpp
@@ -67,7 +67,8 @@
         EXPECT_LT(Core::elapsed(begun, Core::monotonic_now()), Core::Milliseconds(1'000));
         most_held = std::max(most_held, held_bytes());
     }
-    // Beyond the limit each may have a small window, half of it as one reading, an event that is not whole yet, and a string's room to grow.
+    // Beyond the limit each may have a small window, half of it as one reading, an event that is not whole yet, and a
+    // string's room to grow.
     EXPECT_LE(most_held, s_held_limit + s_count * 2 * ((16U + 8U + 8U) << 10U));
 }
 
