--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -1,7 +1,5 @@
 #include "Process.h"
 
-#include "ProcessorWaits.h"
-
 #include <LibCore/Text.h>
 
 #include <array>
@@ -118,13 +116,8 @@
     char character = 0;
     while (true) {
         pollfd descriptor {m_output, POLLIN, 0};
-        auto const waited = ProcessorWaits::waited(m_id);
-        if (::poll(&descriptor, 1, s_announcement_limit_milliseconds) <= 0) {
-            // It had no processor to say anything with.
-            if (ProcessorWaits::waited(m_id) - waited > ProcessorWaits::s_longest_wait)
-                continue;
+        if (::poll(&descriptor, 1, s_announcement_limit_milliseconds) <= 0)
             throw std::runtime_error("the program says nothing");
-        }
         auto const got = ::read(m_output, &character, 1);
         if (got < 0 && errno == EINTR)
             continue;
--- a/Tests/Integration/WatchersTest.cpp
+++ b/Tests/Integration/WatchersTest.cpp
@@ -3,7 +3,6 @@
 #include "FaultProxy.h"
 #include "Fleet.h"
 #include "GatewayFleet.h"
-#include "ProcessorWaits.h"
 
 #include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
@@ -14,8 +13,6 @@
 #include <string>
 #include <vector>
 
-#include <unistd.h>
-
 #include <gtest/gtest.h>
 
 namespace GraniteField::Testing {
@@ -25,10 +22,6 @@
 constexpr std::size_t s_count = 12;
 /// A version in force everywhere: the time within which a gateway that reaches the store counts on being in step.
 constexpr Core::Milliseconds s_in_force_limit {3'000};
-/// A start among a dozen that start together.
-constexpr Core::Milliseconds s_start_limit {20'000};
-/// Limits in a row within which a process was away, before the test gives up.
-constexpr int s_most_absences = 20;
 constexpr char const* s_watching = "granitefield_store_watching";
 constexpr char const* s_server_lists = R"(granitefield_store_calls_total{call="list",kind="servers"})";
 
@@ -42,55 +35,20 @@
         std::ranges::sort(m_names, {}, [](auto const& name) { return Core::hash_bytes(name); });
         put_configuration(1, "/v1/");
         put_server(m_backend);
-        m_waits.watch(::getpid());
     }
 
     /// Starts all; the way of the first ones to the store leads through a proxy, if there are any.
     void start_all(std::vector<std::unique_ptr<FaultProxy>> const& ways = {})
     {
         // The seed is none of those that are elected.
-        start_one(m_names.back(), Json::array(), 0);
+        m_gateways.push_back(start(m_names.back()));
         m_seeds = Json::array({Core::concat("127.0.0.1:", m_gateways.front().peers)});
         for (std::size_t number = 0; number + 1 < s_count; ++number)
-            start_one(m_names[number], m_seeds, number < ways.size() ? ways[number]->port() : 0);
-        ASSERT_TRUE(holds_in_time([&] { return std::ranges::all_of(m_gateways, is_ready); }, s_start_limit));
-        ASSERT_TRUE(holds_in_time([&] { return are_two_watching(); }, s_start_limit));
-        for (auto const& gateway : m_gateways) {
-            ASSERT_TRUE(
-                holds_in_time([&] { return metric(gateway, "granitefield_peers") + 1 == s_count; }, s_start_limit));
-        }
-    }
-
-    void start_one(std::string const& name, Json const& seeds, std::uint16_t store)
-    {
-        m_gateways.push_back(start(name, seeds, store));
-        m_waits.watch(m_gateways.back().process->id());
-    }
-
-    /// Whether the condition comes to hold within the limit at processes that run. A promise in time holds for hosts
-    /// that are in touch; where one of them had no processor, its time begins anew.
-    template <typename Condition>
-    [[nodiscard]] bool holds_in_time(Condition const& condition, Core::Milliseconds limit = s_in_force_limit)
-    {
-        for (auto tries = s_most_absences; tries > 0; --tries) {
-            static_cast<void>(m_waits.was_any_away());
-            if (wait_until(condition, limit))
-                return true;
-            if (!m_waits.was_any_away())
-                return false;
-            m_was_away = true;
-        }
-        return false;
-    }
-
-    [[nodiscard]] bool are_two_watching() const { return watching().size() == Entry::PeerView::s_watchers_per_group; }
-
-    /// Whether two watch now. Where processes were away a moment ago, those who ran have heard nothing of the watchers
-    /// and have stepped in for them; then there are two again in time.
-    [[nodiscard]] bool are_still_two_watching()
-    {
-        bool const is_calm = !m_waits.was_any_away() && !m_was_away;
-        return is_calm ? are_two_watching() : holds_in_time([&] { return are_two_watching(); });
+            m_gateways.push_back(start(m_names[number], m_seeds, number < ways.size() ? ways[number]->port() : 0));
+        ASSERT_TRUE(wait_until([&] { return std::ranges::all_of(m_gateways, is_ready); }));
+        ASSERT_TRUE(wait_until([&] { return watching().size() == Entry::PeerView::s_watchers_per_group; }));
+        for (auto const& gateway : m_gateways)
+            ASSERT_TRUE(wait_until([&] { return metric(gateway, "granitefield_peers") + 1 == s_count; }));
     }
 
     /// The gateways that watch, by their place.
@@ -114,8 +72,6 @@
     std::vector<std::string> m_names;
     std::vector<Gateway> m_gateways;
     Json m_seeds;
-    ProcessorWaits m_waits;
-    bool m_was_away {false};
 };
 
 }
@@ -124,15 +80,17 @@
 {
     start_all();
     put_configuration(2, "/v2/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v2/"); }));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v2/"); }, s_in_force_limit));
     FakeBackend const second("i-2", good());
     put_server(second);
     put_server(m_backend, "draining");
-    EXPECT_TRUE(holds_in_time([&] {
-        auto const before = second.count();
-        return all_serve("/v2/") && second.count() == before + s_count;
-    }));
-    EXPECT_TRUE(are_still_two_watching());
+    EXPECT_TRUE(wait_until(
+        [&] {
+            auto const before = second.count();
+            return all_serve("/v2/") && second.count() == before + s_count;
+        },
+        s_in_force_limit));
+    EXPECT_EQ(watching().size(), Entry::PeerView::s_watchers_per_group);
 }
 
 TEST_F(Watchers, AreReplacedWhenAllOfThemDie)
@@ -141,12 +99,12 @@
     for (auto const place : watching())
         m_gateways[place].process->kill();
     put_configuration(2, "/v2/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v2/"); }));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v2/"); }, s_in_force_limit));
     // Again, at those who stepped in.
     for (auto const place : watching())
         m_gateways[place].process->kill();
     put_configuration(3, "/v3/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v3/"); }));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v3/"); }, s_in_force_limit));
 }
 
 TEST_F(Watchers, AreReplacedWhenTheStoreIsSilentToThemAlone)
@@ -159,20 +117,20 @@
     for (auto const& way : ways)
         way->set_mode(FaultProxy::Mode::Freeze);
     put_configuration(2, "/v2/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v2/"); }));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v2/"); }, s_in_force_limit));
     // They are back at their place when the store speaks to them again, and nobody else is needed.
     for (auto const& way : ways)
         way->set_mode(FaultProxy::Mode::Pass);
-    EXPECT_TRUE(holds_in_time([&] { return are_two_watching(); }, s_start_limit));
+    EXPECT_TRUE(wait_until([&] { return watching().size() == Entry::PeerView::s_watchers_per_group; }));
     put_configuration(3, "/v3/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v3/"); }));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v3/"); }, s_in_force_limit));
 }
 
 TEST_F(Watchers, AGatewayThatBeginsTakesWhatItsPeersHave)
 {
     start_all();
     auto const newcomer = start("newcomer", m_seeds);
-    ASSERT_TRUE(holds_in_time([&] { return is_ready(newcomer); }, s_start_limit));
+    ASSERT_TRUE(wait_until([&] { return is_ready(newcomer); }));
     EXPECT_EQ(ask(newcomer, "/v1/"), 200);
     EXPECT_EQ(metric(newcomer, s_server_lists), 0U);
 }
@@ -181,15 +139,16 @@
 {
     start_all();
     control({{"outage", "busy"}});
-    auto const has_failed = [](auto const& gateway) {
-        return metric(gateway, R"(granitefield_store_failures_total{kind="servers"})") > 0;
-    };
-    ASSERT_TRUE(holds_in_time([&] { return std::ranges::all_of(m_gateways, has_failed); }, s_start_limit));
+    ASSERT_TRUE(wait_until([&] {
+        return std::ranges::all_of(m_gateways, [](auto const& gateway) {
+            return metric(gateway, R"(granitefield_store_failures_total{kind="servers"})") > 0;
+        });
+    }));
     EXPECT_TRUE(all_serve("/v1/"));
     control({{"outage", ""}});
     put_configuration(2, "/v2/");
-    EXPECT_TRUE(holds_in_time([&] { return all_serve("/v2/"); }));
-    EXPECT_TRUE(holds_in_time([&] { return are_two_watching(); }, s_start_limit));
+    EXPECT_TRUE(wait_until([&] { return all_serve("/v2/"); }, s_in_force_limit));
+    EXPECT_TRUE(wait_until([&] { return watching().size() == Entry::PeerView::s_watchers_per_group; }));
 }
 
 }
