LibEntry: Notice a stall before the first turn

What callers saw: nothing directly. Right after a stall of a whole host that had just begun, up to seven of twelve gateways watched the store where two are to, and a newcomer listed all servers for itself; each call has its price, and a store of the fleet bears few of them. Cause: WatchElection learned of this process's absence by the gap between two turns of the exchange of loads. A stall within the first 100 ms lay before the first turn, so that others' silence during it counted: the patience had run out when the process went on. Change: the beginning counts as a turn (AbsenceWatch, WatchElection), and the peer exchange notes turns too, as a gateway without an address for loads has no others. A turn that a thread notes late, with a time read before the stall, does not count the same absence again. The other tests of the class let the process run (note_turn) where they had let time leap; their expectations are as they were. Test: WatchElection.WhoWasAwayRightAfterItsStart... fails on the code before (lines 150 and 152). Why it works: whoever was away has the whole patience after it, and the word of sound watchers comes within 300 ms.

--- a/Libraries/LibCore/AbsenceWatch.h
+++ b/Libraries/LibCore/AbsenceWatch.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Time.h>
 
+#include <algorithm>
 #include <optional>
-#include <utility>
 
 namespace GraniteField::Core {
 
@@ -14,11 +14,21 @@
     /// Turns come every 25 to 250 ms; a process with a tenth of a core that has spent it waits for up to 100 ms more.
     static constexpr Milliseconds s_longest_turn {600};
 
-    /// A turn begins; says whether the process was away before it.
-    [[nodiscard]] bool note_turn(MonotonicTime now)
+    AbsenceWatch() = default;
+    /// An absence before the first turn counts as well, from this time on.
+    explicit AbsenceWatch(MonotonicTime begun)
+        : m_last_turn(begun)
     {
-        auto const before = std::exchange(m_last_turn, now);
-        return before && elapsed(*before, now) > s_longest_turn;
+    }
+
+    /// A turn begins; says how long the process was away before it, if it was.
+    std::optional<Milliseconds> note_turn(MonotonicTime now)
+    {
+        auto const before = m_last_turn.value_or(now);
+        // Another thread may have noted a later one.
+        m_last_turn = std::max(before, now);
+        auto const passed = elapsed(before, now);
+        return passed > s_longest_turn ? std::optional(passed) : std::nullopt;
     }
 
     /// Whether the next turn is later than any would be, had this process run all the while. Before the first turn
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -51,6 +51,7 @@
 void WatchDuty::set_elected(bool value)
 {
     std::lock_guard const lock(m_mutex);
+    m_election.note_turn(Core::monotonic_now());
     if (std::exchange(m_is_elected, value) == value)
         return;
     m_election.set_elected(value);
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -27,6 +27,7 @@
         Observe::EventLog&, Observe::MetricRegistry&, Core::Milliseconds apply_limit = s_apply_limit,
         SharedDrains const* drains = nullptr);
 
+    /// Called with each turn of the peer exchange, so that a stall of this process is noticed.
     void set_elected(bool);
     /// What others told; also looks at what this gateway has.
     void note_word(StoreWord const&, Core::MonotonicTime now);
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -23,7 +23,7 @@
 {
     if (!m_absence.note_turn(now))
         return;
-    m_heard_since = now;
+    m_silent_since = now;
     if (m_behind_since)
         m_behind_since = now;
 }
@@ -114,7 +114,7 @@
 
 Core::MonotonicTime WatchElection::doubt_begins() const
 {
-    return std::max(m_heard.any.value_or(m_heard_since), m_heard_since) + m_settings.patience;
+    return std::max(m_heard.any.value_or(m_silent_since), m_silent_since) + m_settings.patience;
 }
 
 bool WatchElection::is_store_in_doubt(Core::MonotonicTime now) const
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -75,14 +75,15 @@
 
     WatchElection(Settings settings, Core::MonotonicTime begun)
         : m_settings(settings)
-        , m_heard_since(begun)
+        , m_silent_since(begun)
+        , m_absence(begun)
     {
     }
 
     void set_elected(bool value);
 
-    /// This process hears others now, as it does each 50 to 100 ms. Where it did not for longer, others' silence
-    /// meanwhile was its own: with a host's processes stopped together, all of them stepped in when they went on.
+    /// This process runs, as it does each 50 to 100 ms. Where it did not for longer, others' silence meanwhile was its
+    /// own, and does not count: with a host's processes stopped together, all of them stepped in when they went on.
     void note_turn(Core::MonotonicTime now);
     /// What others told.
     void note_word(StoreWord const&, Core::MonotonicTime now);
@@ -123,8 +124,8 @@
 
     Settings m_settings;
     bool m_is_elected {false};
-    /// Since when nothing was heard, before the first word.
-    Core::MonotonicTime m_heard_since;
+    /// Since when nothing was heard, before the first word and after an absence.
+    Core::MonotonicTime m_silent_since;
     StoreWord m_heard;
     Core::AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_table_known_since;
--- a/Tests/LibCore/AbsenceWatchTest.cpp
+++ b/Tests/LibCore/AbsenceWatchTest.cpp
@@ -25,6 +25,26 @@
     EXPECT_FALSE(watch.note_turn(now));
 }
 
+TEST(AbsenceWatch, NoticesAnAbsenceBeforeTheFirstTurn)
+{
+    auto const begun = Core::MonotonicTime(1h);
+    AbsenceWatch watch(begun);
+    EXPECT_FALSE(watch.is_overdue(begun + 100ms));
+    EXPECT_TRUE(watch.is_overdue(begun + 4s));
+    EXPECT_EQ(watch.note_turn(begun + 4s), 4s);
+}
+
+// Two threads may note turns; the one that was stopped between its look at the clock and its note counted the same
+// absence a second time.
+TEST(AbsenceWatch, AnEarlierTurnThatIsNotedLateIsNoAbsence)
+{
+    auto const begun = Core::MonotonicTime(1h);
+    AbsenceWatch watch(begun);
+    EXPECT_TRUE(watch.note_turn(begun + 4s));
+    EXPECT_FALSE(watch.note_turn(begun + 50ms));
+    EXPECT_FALSE(watch.note_turn(begun + 4s + 100ms));
+}
+
 // By the steady clock, which stands still while the host is suspended, this difference grows with each suspension.
 TEST(BootClock, GoesOnWhileTheHostIsSuspended)
 {
--- a/Tests/LibEntry/WatchDutyTest.cpp
+++ b/Tests/LibEntry/WatchDutyTest.cpp
@@ -75,11 +75,13 @@
     auto const advance_until_on_duty = [&] {
         do {
             now += 10ms;
+            election.note_turn(now);
             election.note_word(word_of(1, now), now);
         } while (!election.is_on_duty(now) && Core::elapsed(start, now) < 2 * s_promise);
     };
     advance_until_on_duty();
-    now += call_timeout;
+    for (auto const end = now + call_timeout; now < end; now += 10ms)
+        election.note_turn(now);
     election.note_failure(WatchElection::Watch::Table, now);
     advance_until_on_duty();
     // The second call is under way with the time left that an answer takes.
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -29,6 +29,14 @@
     return WatchElection({s_patience}, s_start);
 }
 
+/// The process runs until then and hears nothing.
+void run_until(WatchElection& election, Core::MonotonicTime& now, Core::MonotonicTime end)
+{
+    for (; now < end; now += std::min<Core::MonotonicTime::duration>(100ms, end - now))
+        election.note_turn(now);
+    election.note_turn(now);
+}
+
 /// Both watches are answered and under way.
 void watch_soundly(WatchElection& election, Core::MonotonicTime now)
 {
@@ -49,6 +57,7 @@
 {
     auto election = make_election();
     for (auto now = s_start; now < s_start + 1min; now += 100ms) {
+        election.note_turn(now);
         election.note_word(word_of_elected(now), now);
         EXPECT_FALSE(election.is_on_duty(now));
         EXPECT_GT(election.next_look(now), now);
@@ -59,8 +68,10 @@
 {
     auto election = make_election();
     election.note_word(word_of_elected(s_start), s_start);
-    EXPECT_FALSE(election.is_on_duty(s_start + s_patience - 1ms));
     EXPECT_EQ(election.next_look(s_start), s_start + s_patience);
+    auto now = s_start;
+    run_until(election, now, s_start + s_patience - 1ms);
+    EXPECT_FALSE(election.is_on_duty(now));
     EXPECT_TRUE(election.is_store_in_doubt(s_start + s_patience));
     EXPECT_TRUE(election.is_on_duty(s_start + s_patience));
     // Its own word tells the others not to.
@@ -73,10 +84,11 @@
 TEST(WatchElection, WhoSteppedInLeavesWhenAnElectedOneIsBack)
 {
     auto election = make_election();
-    auto now = s_start + s_patience;
+    auto now = s_start;
+    run_until(election, now, s_start + s_patience);
     ASSERT_TRUE(election.is_on_duty(now));
     // The word of others who stepped in as well, its own among them, relieves nobody.
-    now += WatchElection::s_shortest_duty;
+    run_until(election, now, now + WatchElection::s_shortest_duty);
     election.note_word({std::nullopt, now, {}}, now);
     EXPECT_TRUE(election.is_on_duty(now));
     election.note_word(word_of_elected(now), now);
@@ -91,13 +103,14 @@
     word.versions.table = Core::TableVersion(5);
     election.note_word(word, now);
     for (; now < s_start + WatchElection::Settings().behind_limit; now += 50ms) {
+        election.note_turn(now);
         election.note_word(word_of_elected(now), now);
         EXPECT_FALSE(election.is_on_duty(now));
     }
     election.note_word(word_of_elected(now), now);
     EXPECT_TRUE(election.is_on_duty(now));
     // Once it has it, the elected ones suffice again.
-    now += WatchElection::s_shortest_duty;
+    run_until(election, now, now + WatchElection::s_shortest_duty);
     election.note_word(word_of_elected(now), now);
     EXPECT_TRUE(election.is_on_duty(now));
     election.note_versions({Core::TableVersion(5), {}, {}}, now);
@@ -127,6 +140,21 @@
     EXPECT_TRUE(election.is_on_duty(now));
 }
 
+// A host that stalled within its first 100 ms: its gateways had heard nobody yet, and all of them listed everything
+// from the store when they went on, seven watchers in place of two.
+TEST(WatchElection, WhoWasAwayRightAfterItsStartConcludesNothingFromTheSilenceOfOthers)
+{
+    auto election = make_election();
+    auto now = s_start + 2'200ms;
+    // Whichever of its threads goes on first.
+    EXPECT_FALSE(election.is_on_duty(now));
+    run_until(election, now, now + s_patience - 100ms);
+    EXPECT_FALSE(election.is_on_duty(now));
+    election.note_word(word_of_elected(now), now);
+    run_until(election, now, now + 200ms);
+    EXPECT_FALSE(election.is_on_duty(now));
+}
+
 TEST(WatchElection, VersionsThatKeepComingLeaveNobodyBehind)
 {
     auto election = make_election();
@@ -134,6 +162,7 @@
     for (std::uint64_t version = 1; version < 100; ++version) {
         auto word = word_of_elected(now);
         word.versions.servers = ListRevision(version);
+        election.note_turn(now);
         election.note_word(word, now);
         EXPECT_FALSE(election.is_on_duty(now));
         now += 300ms;
@@ -157,9 +186,11 @@
 TEST(WatchElection, AFailedTryIsRepeatedAfterThePatienceOnly)
 {
     auto election = make_election();
-    auto now = s_start + s_patience;
+    auto now = s_start;
+    run_until(election, now, s_start + s_patience);
     unsigned tries = 0;
     for (; now < s_start + s_patience * 10; now += 10ms) {
+        election.note_turn(now);
         if (!election.is_on_duty(now))
             continue;
         ++tries;
@@ -193,6 +224,7 @@
     void turn(Core::MonotonicTime now)
     {
         for (auto& node : nodes) {
+            node.election.note_turn(now);
             if (node.is_alive)
                 call(node, now);
         }
