LibEntry: Let the patience go on after a stall instead of beginning it anew

What callers saw: where a host stalls again and again, a change of the configuration that no watcher brings stays unknown: after all watchers had died nobody asked the store for 6 s. Cause: after each absence WatchElection began its patience (0.75 to 1.5 s) anew, and the wait for a version that somebody has. A host that runs for less than that between two stalls never got to the end of it. Change: an absence is taken out of the silence, so that the time that the process ran before counts on; after it, others' words are waited for 400 ms in any case, since they come within three intervals of the exchange of loads. Test: WatchElection.AHostThatStallsAgainAndAgain... fails on the code before: nobody steps in within 20 stretches of 500 ms. Why it works: the time to notice a silence is bounded by the time that the process runs, whatever the stalls.

--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -21,11 +21,14 @@
 
 void WatchElection::note_turn(Core::MonotonicTime now)
 {
-    if (!m_absence.note_turn(now))
+    auto const away = m_absence.note_turn(now);
+    if (!away)
         return;
-    m_silent_since = now;
+    // The time that it ran before counts on. Begun anew, it never ended at a host that stalls again and again.
+    m_silent_since = silent_since() + *away;
+    m_hears_until = now + s_shortest_hearing;
     if (m_behind_since)
-        m_behind_since = now;
+        *m_behind_since += *away;
 }
 
 void WatchElection::note_word(StoreWord const& word, Core::MonotonicTime now)
@@ -112,9 +115,14 @@
     return word;
 }
 
+Core::MonotonicTime WatchElection::silent_since() const
+{
+    return std::max(m_heard.any.value_or(m_silent_since), m_silent_since);
+}
+
 Core::MonotonicTime WatchElection::doubt_begins() const
 {
-    return std::max(m_heard.any.value_or(m_silent_since), m_silent_since) + m_settings.patience;
+    return std::max(silent_since() + m_settings.patience, m_hears_until);
 }
 
 bool WatchElection::is_store_in_doubt(Core::MonotonicTime now) const
@@ -124,7 +132,9 @@
 
 std::optional<Core::MonotonicTime> WatchElection::behind_ends() const
 {
-    return m_behind_since ? std::optional(*m_behind_since + m_settings.behind_limit) : std::nullopt;
+    if (!m_behind_since)
+        return std::nullopt;
+    return std::max(*m_behind_since + m_settings.behind_limit, m_hears_until);
 }
 
 bool WatchElection::is_on_duty(Core::MonotonicTime now)
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -72,6 +72,9 @@
     static constexpr Core::Milliseconds s_shortest_duty {1'000};
     /// An elected watcher that was heard of this recently is there again.
     static constexpr Core::Milliseconds s_fresh {400};
+    /// After an absence others' words are waited for so long, whatever silence there was before it: they come within
+    /// three intervals of the exchange of loads.
+    static constexpr Core::Milliseconds s_shortest_hearing {400};
 
     WatchElection(Settings settings, Core::MonotonicTime begun)
         : m_settings(settings)
@@ -117,6 +120,8 @@
     };
 
     [[nodiscard]] bool is_watched(Watch) const;
+    /// Since when nobody's sound watch was heard of, as if this process had not been away meanwhile.
+    [[nodiscard]] Core::MonotonicTime silent_since() const;
     [[nodiscard]] Core::MonotonicTime doubt_begins() const;
     [[nodiscard]] std::optional<Core::MonotonicTime> behind_ends() const;
     /// Watches nothing yet: a call of an earlier duty says nothing of this one.
@@ -124,8 +129,10 @@
 
     Settings m_settings;
     bool m_is_elected {false};
-    /// Since when nothing was heard, before the first word and after an absence.
+    /// The same before the first word, and after an absence before the next one.
     Core::MonotonicTime m_silent_since;
+    /// Until when others' words are waited for after an absence.
+    Core::MonotonicTime m_hears_until;
     StoreWord m_heard;
     Core::AbsenceWatch m_absence;
     std::optional<Core::MonotonicTime> m_table_known_since;
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -155,6 +155,23 @@
     EXPECT_FALSE(election.is_on_duty(now));
 }
 
+// A host that stalls for 800 ms in each 1,300: with the patience begun anew after each stall nobody ever stepped in for
+// watchers that had died.
+TEST(WatchElection, AHostThatStallsAgainAndAgainNoticesAllTheSameThatNobodyWatches)
+{
+    auto election = make_election();
+    election.note_word(word_of_elected(s_start), s_start);
+    auto now = s_start;
+    unsigned stretches = 0;
+    for (; stretches < 20 && !election.is_on_duty(now); ++stretches) {
+        run_until(election, now, now + 500ms);
+        if (!election.is_on_duty(now))
+            now += 800ms;
+    }
+    // The patience, in stretches of running.
+    EXPECT_LE(stretches, s_patience / 500ms + 1);
+}
+
 TEST(WatchElection, VersionsThatKeepComingLeaveNobodyBehind)
 {
     auto election = make_election();
