LibEntry, LibGateway: Count the time to get acquainted while the process runs

What callers saw: nothing directly. After a stall during their start, eight of nine gateways watched the store, each with a list of its own. Cause: 1.5 s after its start a gateway counts on knowing the members of its failure domain (PeerExchange for who watches, RelayElection for who relays loads). A stall of 2.2 s let that time pass without anybody having been heard; knowing fewer than eight others, each elected itself, and took itself for the relay. Change: RunningTime leaves absences out; both count by it, and so do the two requests for members after a start. Test: RelayElection.WhoWasAwayRightAfterItsStart... fails on the code before; RunningTime.LeavesAbsencesOut. The election of watchers uses the same class, and is shown with real processes only. Why it works: nobody is elected before it has run as long as the seeds need to tell of the members.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -88,7 +88,7 @@
     m_is_seed = std::ranges::all_of(m_settings.seeds, [&](auto const& seed) { return seed == advertised; })
         || std::ranges::find(m_settings.seeds, advertised) != m_settings.seeds.end();
     if (!m_is_seed)
-        m_next_member_request = m_begun + s_first_member_request;
+        m_next_member_request = s_first_member_request;
     m_thread = std::thread([this] { run(); });
 }
 
@@ -129,6 +129,7 @@
     while (!m_should_stop) {
         wait_for_messages();
         auto const now = Core::monotonic_now();
+        m_running.note_turn(now);
         auto const own = versions();
         if (own != std::exchange(m_seen, own))
             m_pulls.note_news();
@@ -155,7 +156,12 @@
 
 bool PeerExchange::is_acquainted(Core::MonotonicTime now) const
 {
-    return Core::elapsed(m_begun, now) >= s_acquaintance;
+    return m_running.at(now) >= s_acquaintance;
+}
+
+bool PeerExchange::is_member_request_due(Core::MonotonicTime now) const
+{
+    return m_next_member_request && m_running.at(now) >= *m_next_member_request;
 }
 
 void PeerExchange::update_election(Core::MonotonicTime now)
@@ -439,7 +445,7 @@
 {
     bool const has_news = versions() != m_announced || m_is_platform_reachable != m_announced_reachable
         || m_pulls.should_ask(versions(), now, pull_patience())
-        || (m_next_member_request && now >= *m_next_member_request);
+        || is_member_request_due(now);
     if (!has_news && now < m_next_announcement)
         return;
     announce();
@@ -476,11 +482,10 @@
         for (auto const& peer : m_view.sample(s_known_per_announcement))
             *envelope.mutable_announce()->add_known() = to_message(peer, now);
     }
-    if (m_next_member_request && now >= *m_next_member_request) {
+    if (is_member_request_due(now)) {
         envelope.mutable_announce()->set_wants_members(true);
-        m_next_member_request = *m_next_member_request == m_begun + s_first_member_request
-            ? std::optional(m_begun + s_last_member_request)
-            : std::nullopt;
+        m_next_member_request
+            = *m_next_member_request == s_first_member_request ? std::optional(s_last_member_request) : std::nullopt;
     }
     for (auto const& [address, connection] : m_connections)
         send(*connection.socket, to_frame(envelope));
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibCore/WakeEvent.h>
 #include <LibEntry/PeerView.h>
@@ -116,6 +117,7 @@
     void update_connections();
     void update_election(Core::MonotonicTime now);
     [[nodiscard]] bool is_acquainted(Core::MonotonicTime now) const;
+    [[nodiscard]] bool is_member_request_due(Core::MonotonicTime now) const;
     void announce_if_due(Core::MonotonicTime now);
     void announce();
     [[nodiscard]] Envelope make_announcement();
@@ -156,9 +158,10 @@
     SpreadVersions m_announced;
     bool m_announced_reachable {true};
     Core::MonotonicTime m_next_announcement;
-    Core::MonotonicTime m_begun {Core::monotonic_now()};
-    /// When a gateway that has just begun asks for members next.
-    std::optional<Core::MonotonicTime> m_next_member_request;
+    /// What an entry learns after its start it learns while it runs.
+    Core::RunningTime m_running {Core::monotonic_now()};
+    /// How long a gateway has run when it asks for members next.
+    std::optional<Core::Milliseconds> m_next_member_request;
     bool m_is_seed {false};
     std::atomic<bool> m_is_platform_reachable {true};
     std::atomic<bool> m_should_watch {true};
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -39,7 +39,7 @@
 
 bool RelayElection::may_relay(Core::MonotonicTime now) const
 {
-    return Core::elapsed(m_begun, now) >= s_acquaintance;
+    return m_running.at(now) >= s_acquaintance;
 }
 
 bool RelayElection::has_paused(Core::MonotonicTime& last, Core::MonotonicTime now)
@@ -74,6 +74,7 @@
 
 std::optional<std::string> RelayElection::choose(Core::MonotonicTime now)
 {
+    m_running.note_turn(now);
     if (m_self.address.empty())
         return std::nullopt;
     if (has_paused(m_last_choice, now))
--- a/Libraries/LibGateway/RelayElection.h
+++ b/Libraries/LibGateway/RelayElection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SharedMembership.h>
 
@@ -32,7 +33,7 @@
     static constexpr std::size_t s_most_seniors = 2;
 
     explicit RelayElection(Core::MonotonicTime begun)
-        : m_begun(begun)
+        : m_running(begun)
     {
     }
 
@@ -69,7 +70,8 @@
     /// Nobody was asked for a while: silence since then says nothing.
     static bool has_paused(Core::MonotonicTime& last, Core::MonotonicTime now);
 
-    Core::MonotonicTime m_begun;
+    /// Members are learned while this process runs.
+    Core::RunningTime m_running;
     Entry::LoadMember m_self;
     /// By group, each in the order in which they relay; the own group holds this gateway.
     std::map<std::string, Members> m_groups;
--- a/Tests/LibCore/AbsenceWatchTest.cpp
+++ b/Tests/LibCore/AbsenceWatchTest.cpp
@@ -1,5 +1,6 @@
 // What a process concludes from its own absence: nothing. The clock leaps by the time of a suspension.
 #include <LibCore/AbsenceWatch.h>
+#include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 
 #include <ctime>
@@ -45,6 +46,23 @@
     EXPECT_FALSE(watch.note_turn(begun + 4s + 100ms));
 }
 
+TEST(RunningTime, LeavesAbsencesOut)
+{
+    auto now = Core::MonotonicTime(1h);
+    RunningTime running(now);
+    now += 2'200ms;
+    running.note_turn(now);
+    EXPECT_EQ(running.at(now), 0ms);
+    for (int turn = 0; turn < 10; ++turn) {
+        now += 100ms;
+        running.note_turn(now);
+    }
+    EXPECT_EQ(running.at(now), 1s);
+    now += 800ms;
+    running.note_turn(now);
+    EXPECT_EQ(running.at(now), 1s);
+}
+
 // By the steady clock, which stands still while the host is suspended, this difference grows with each suspension.
 TEST(BootClock, GoesOnWhileTheHostIsSuspended)
 {
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -14,6 +14,19 @@
         EXPECT_TRUE(node(number).sharing.is_relay());
 }
 
+// A host that stalled while its gateways began: they counted on knowing the members of their failure domain when they
+// went on, knew none, and each took itself for the relay.
+TEST(RelayElection, WhoWasAwayRightAfterItsStartDoesNotTakeItselfForTheRelay)
+{
+    auto const begun = Core::MonotonicTime(1h);
+    RelayElection election(begun);
+    election.set_members({{"10.0.0.1:1", "here", 90, 1}, {}});
+    auto now = begun + 2'200ms;
+    for (auto const end = now + RelayElection::s_acquaintance; now < end; now += 100ms)
+        EXPECT_FALSE(election.choose(now));
+    EXPECT_EQ(election.choose(now), "10.0.0.1:1");
+}
+
 TEST_F(LoadFleet, KnowsWhatAnyGatewayDoesWithinThreeIntervals)
 {
     for (std::size_t number = 0; number < s_count; ++number) {
