LibPolicy, LibGateway: Say why a prompt is not taken

Change: Admission names its reason with the time to come back (Rejection), and the gateway writes "not-admitted" with the prediction, what was learned of it, and the engine's load. The decisions are as they were; the tests read the time from the new type, with the same bounds.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -58,9 +58,11 @@
     if (!choice.server)
         return hold(now);
     m_held_since.reset();
-    if (auto const retry_after = refuse_now(choice, now)) {
+    if (auto const rejection = refuse_now(choice, now)) {
         m_choice = choice;
-        return fail(Status::s_bad_gateway, "engines_full", "no engine is expected to begin in time", retry_after);
+        tell_rejection(*rejection);
+        return fail(
+            Status::s_bad_gateway, "engines_full", "no engine is expected to begin in time", rejection->retry_after);
     }
     send_to(choice, now);
 }
@@ -119,7 +121,7 @@
     return m_context.fleet.choose(m_call, without, now);
 }
 
-std::optional<Core::Milliseconds> GatewayRun::refuse_now(Choice const& choice, Core::MonotonicTime now)
+std::optional<Policy::Rejection> GatewayRun::refuse_now(Choice const& choice, Core::MonotonicTime now)
 {
     // What was taken once goes on: a fault is no reason to refuse it.
     bool const has_just_come = m_sends == 0 && m_unsent == 0;
@@ -132,6 +134,24 @@
     return m_context.admission.refuse(question, draw, now);
 }
 
+void GatewayRun::tell_rejection(Policy::Rejection const& rejection) const
+{
+    auto const whole = [](Policy::FineTime time) { return std::chrono::duration_cast<Core::Milliseconds>(time); };
+    m_context.log.write(Observe::LogEvent("not-admitted")
+                            .add("request", m_call.id)
+                            .add("service", m_call.service)
+                            .add("class", m_call.request_class->name)
+                            .add("priority", m_call.priority)
+                            .add("reason", to_string(rejection.reason))
+                            .add("predicted_wait_ms", m_choice.predicted_wait)
+                            .add("probable_wait_ms", whole(rejection.probable_wait))
+                            .add("target_ms", m_call.request_class->first_token_target)
+                            .add("retry_after_ms", rejection.retry_after)
+                            .add("unread_tokens", m_choice.unread_tokens)
+                            .add("unread_before", m_choice.server->load().unread_tokens)
+                            .add("open", m_choice.server->load().open));
+}
+
 std::set<std::string> GatewayRun::excluded() const
 {
     auto servers = m_tried;
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -120,8 +120,9 @@
     void dispatch(Core::MonotonicTime now);
     void hold(Core::MonotonicTime now);
     void send_to(Choice const&, Core::MonotonicTime now);
-    /// When a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
-    [[nodiscard]] std::optional<Core::Milliseconds> refuse_now(Choice const&, Core::MonotonicTime now);
+    /// Why a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
+    [[nodiscard]] std::optional<Policy::Rejection> refuse_now(Choice const&, Core::MonotonicTime now);
+    void tell_rejection(Policy::Rejection const&) const;
     [[nodiscard]] std::string request_for(BackendView const&, Core::MonotonicTime now) const;
 
     /// Whom not to ask.
--- a/Libraries/LibPolicy/Admission.cpp
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -26,8 +26,20 @@
         [now](auto const& item) { return item.second.taken && Core::elapsed(*item.second.taken, now) < s_closure; });
 }
 
-std::optional<Core::Milliseconds> Admission::refuse(
-    AdmissionQuestion const& question, double draw, Core::MonotonicTime now)
+char const* to_string(RejectionReason reason)
+{
+    switch (reason) {
+    case RejectionReason::Late:
+        return "late";
+    case RejectionReason::Shortage:
+        return "shortage";
+    case RejectionReason::HigherRank:
+        return "higher-rank";
+    }
+    return "unknown";
+}
+
+std::optional<Rejection> Admission::refuse(AdmissionQuestion const& question, double draw, Core::MonotonicTime now)
 {
     auto& service = m_services[question.service];
     auto const& correction = service.classes[question.request_class];
@@ -53,7 +65,10 @@
     auto const shortest_middle = s_shortest_return / (1 - s_return_spread);
     auto const longest_middle = std::max(shortest_middle, longest / (1 + s_return_spread));
     auto const middle = std::clamp(std::max(probable_wait - left, lasted), shortest_middle, longest_middle);
-    return whole(middle * (1 + s_return_spread * (2 * draw - 1)));
+    auto const reason = is_middle_late ? RejectionReason::Late
+        : is_late                      ? RejectionReason::Shortage
+                                       : RejectionReason::HigherRank;
+    return Rejection {whole(middle * (1 + s_return_spread * (2 * draw - 1))), reason, probable_wait};
 }
 
 }
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -26,6 +26,26 @@
     FineTime patience {0};
 };
 
+enum class RejectionReason {
+    /// It would probably begin too late.
+    Late,
+    /// Most requests of its rank would have begun too late for a while.
+    Shortage,
+    /// A request of a higher rank was found to come too late a moment ago.
+    HigherRank,
+};
+
+[[nodiscard]] char const* to_string(RejectionReason);
+
+/// A request is not taken.
+struct Rejection {
+    /// When its caller is to come back.
+    Core::Milliseconds retry_after {0};
+    RejectionReason reason {RejectionReason::Late};
+    /// What eight of ten requests with its prediction wait at most, by what was learned.
+    FineTime probable_wait {0};
+};
+
 /// The load that it answers: more work than the engines can do, for seconds. If everybody is taken then, everybody is
 /// late: streams hold slots and memory for ten seconds, kept parts are put out and read again, which is more reading,
 /// and callers leave within their answers. So a request is refused, at once and with the time to come back, when it is
@@ -54,9 +74,8 @@
     /// come back together.
     static constexpr double s_return_spread = 0.4;
 
-    /// Whether to take it; if not, when to come back. `draw`, from 0 to 1, spreads that.
-    [[nodiscard]] std::optional<Core::Milliseconds> refuse(
-        AdmissionQuestion const&, double draw, Core::MonotonicTime now);
+    /// Whether to take it; if not, why, and when to come back. `draw`, from 0 to 1, spreads that.
+    [[nodiscard]] std::optional<Rejection> refuse(AdmissionQuestion const&, double draw, Core::MonotonicTime now);
 
     /// A request that was taken began.
     void note_wait(std::string const& service, std::string const& request_class, FineTime predicted, FineTime actual)
--- a/Tests/LibPolicy/AdmissionTest.cpp
+++ b/Tests/LibPolicy/AdmissionTest.cpp
@@ -112,7 +112,7 @@
     Admission admission;
     std::set<std::int64_t> times;
     for (int draw = 0; draw < 10; ++draw)
-        times.insert(admission.refuse(patient(s_hopeless_wait), draw / 10.0, s_start)->count());
+        times.insert(admission.refuse(patient(s_hopeless_wait), draw / 10.0, s_start)->retry_after.count());
     EXPECT_EQ(times.size(), 10U);
     EXPECT_GE(*times.rbegin() - *times.begin(), 500);
 }
@@ -121,8 +121,8 @@
 {
     Admission admission;
     static_cast<void>(admission.refuse(patient(s_long_wait), 0.5, s_start));
-    auto const first = *admission.refuse(patient(s_long_wait), 0.5, s_start + 500ms);
-    auto const later = *admission.refuse(patient(s_long_wait), 0.5, s_start + 2s);
+    auto const first = admission.refuse(patient(s_long_wait), 0.5, s_start + 500ms)->retry_after;
+    auto const later = admission.refuse(patient(s_long_wait), 0.5, s_start + 2s)->retry_after;
     EXPECT_GT(later, first);
 }
 
@@ -132,10 +132,10 @@
     auto const patience = FineTime(*rc::gen::inRange(1'000, 20'000));
     auto const wait = FineTime(*rc::gen::inRange(4'000, 60'000));
     AdmissionQuestion const question {s_service, s_patient, 2, FineTime(0), wait, s_target, patience};
-    auto const time = admission.refuse(question, *rc::gen::inRange(0, 1'000) / 1'000.0, s_start);
-    RC_ASSERT(time.has_value());
-    RC_ASSERT(*time >= 250ms);
-    RC_ASSERT(*time <= std::max(FineTime(600), patience / 3));
+    auto const refusal = admission.refuse(question, *rc::gen::inRange(0, 1'000) / 1'000.0, s_start);
+    RC_ASSERT(refusal.has_value());
+    RC_ASSERT(refusal->retry_after >= 250ms);
+    RC_ASSERT(refusal->retry_after <= std::max(FineTime(600), patience / 3));
 }
 
 }
