LibEntry, LibGateway: Say why a gateway watches the store, and whom it reports its load to

What callers saw: nothing. Change: "store-watch" has the reason and the silence, "load-relay" the relay. The decisions are as they were.

--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -112,12 +112,16 @@
     m_signal.notify_all();
 }
 
-void WatchDuty::tell_change(bool is_on_duty)
+void WatchDuty::tell_change(bool is_on_duty, Core::MonotonicTime now)
 {
     if (std::exchange(m_was_on_duty, is_on_duty) == is_on_duty)
         return;
     m_watching.set(is_on_duty ? 1 : 0);
-    m_log.write(Observe::LogEvent("store-watch").add("watches", is_on_duty).add("elected", m_is_elected));
+    m_log.write(Observe::LogEvent("store-watch")
+                    .add("watches", is_on_duty)
+                    .add("elected", m_is_elected)
+                    .add("reason", to_string(m_election.duty_reason()))
+                    .add("silence_ms", m_election.silence(now)));
 }
 
 FollowerTurn WatchDuty::Follower::wait_for_turn()
@@ -129,7 +133,7 @@
         auto const now = Core::monotonic_now();
         duty.look_at_versions(now);
         bool const is_on_duty = duty.m_election.is_on_duty(now);
-        duty.tell_change(is_on_duty);
+        duty.tell_change(is_on_duty, now);
         if (is_on_duty && !has_waited)
             return FollowerTurn::GoOn;
         if (is_on_duty)
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -65,7 +65,7 @@
     /// Wakes the followers where what was noted lets them look sooner than they would.
     void wake_if_sooner(Core::MonotonicTime now);
     void look_at_versions(Core::MonotonicTime now);
-    void tell_change(bool is_on_duty);
+    void tell_change(bool is_on_duty, Core::MonotonicTime now);
 
     SharedTable const& m_table;
     SharedServers const& m_servers;
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -155,10 +155,34 @@
     if (now < m_next_try || (!is_behind && !is_store_in_doubt(now)))
         return false;
     m_stepped_in = now;
+    m_stepped_in_for = is_behind ? DutyReason::Behind : DutyReason::Silence;
     begin_duty();
     return true;
 }
 
+WatchElection::DutyReason WatchElection::duty_reason() const
+{
+    if (m_is_elected)
+        return DutyReason::Elected;
+    return m_stepped_in ? m_stepped_in_for : DutyReason::None;
+}
+
+char const* to_string(WatchElection::DutyReason reason)
+{
+    using enum WatchElection::DutyReason;
+    switch (reason) {
+    case None:
+        return "none";
+    case Elected:
+        return "elected";
+    case Silence:
+        return "silence";
+    case Behind:
+        return "behind";
+    }
+    return "unknown";
+}
+
 Core::MonotonicTime WatchElection::next_look(Core::MonotonicTime now) const
 {
     auto next = doubt_begins();
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -49,6 +49,16 @@
     };
     static constexpr std::size_t s_watch_count = 3;
 
+    /// Why this gateway watches.
+    enum class DutyReason {
+        None,
+        Elected,
+        /// Nobody's sound watch was heard of.
+        Silence,
+        /// Something newer is known to be somewhere and has not come.
+        Behind,
+    };
+
     enum class DrainsWatch {
         No,
         Yes,
@@ -108,6 +118,12 @@
 
     /// Whether to ask the store now.
     [[nodiscard]] bool is_on_duty(Core::MonotonicTime now);
+    [[nodiscard]] DutyReason duty_reason() const;
+    /// How long nobody's sound watch was heard of.
+    [[nodiscard]] Core::Milliseconds silence(Core::MonotonicTime now) const
+    {
+        return Core::elapsed(silent_since(), now);
+    }
     /// Whether nobody's sound watch was heard of for the patience: the store itself may be away.
     [[nodiscard]] bool is_store_in_doubt(Core::MonotonicTime now) const;
     /// When is_on_duty() may say otherwise without anything having been noted.
@@ -144,9 +160,12 @@
     std::array<Contact, s_watch_count> m_contacts;
     /// Since when this gateway stands in for the elected ones.
     std::optional<Core::MonotonicTime> m_stepped_in;
+    DutyReason m_stepped_in_for {DutyReason::None};
     /// After a call that failed, one who is not elected waits.
     Core::MonotonicTime m_next_try;
     Core::Milliseconds m_next_retry {m_settings.shortest_retry};
 };
 
+[[nodiscard]] char const* to_string(WatchElection::DutyReason);
+
 }
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -74,11 +74,17 @@
     auto const own_clock = std::chrono::floor<Core::Milliseconds>(std::chrono::system_clock::now());
     for (auto const& outgoing : m_sharing.turn(own_clock, now))
         send(outgoing);
-    if (m_sharing.is_relay() == m_was_relay)
+    tell_relay();
+}
+
+void LoadExchange::tell_relay()
+{
+    if (m_sharing.is_relay() == m_was_relay && m_sharing.relay() == m_told_relay)
         return;
     m_was_relay = m_sharing.is_relay();
+    m_told_relay = m_sharing.relay();
     m_relaying.set(m_was_relay ? 1 : 0);
-    m_log.write(Observe::LogEvent("load-relay").add("relays", m_was_relay));
+    m_log.write(Observe::LogEvent("load-relay").add("relays", m_was_relay).add("reports_to", m_told_relay));
 }
 
 void LoadExchange::send(OutgoingLoad const& outgoing)
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -63,6 +63,8 @@
     }
     void schedule();
     void turn(Core::MonotonicTime now);
+    /// Logs whom this gateway reports to, and whether it relays, when that changes.
+    void tell_relay();
     void send(OutgoingLoad const&);
     [[nodiscard]] Udp::endpoint const& endpoint_of(std::string const& address);
     void receive();
@@ -77,6 +79,7 @@
     LoadSharing m_sharing;
     std::shared_ptr<Entry::LoadMembers const> m_members;
     bool m_was_relay {false};
+    std::string m_told_relay;
     Udp::socket m_socket;
     Udp::endpoint m_sender;
     /// By their text, which is how members are named.
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -321,6 +321,7 @@
         m_reporters.forget(gateway);
     std::vector<OutgoingLoad> outgoing;
     auto const relay = m_election.choose(now);
+    m_relay = relay.value_or(std::string());
     bool const relays_itself = relay && !m_election.is_member(*relay);
     if (relays_itself)
         count_own(now);
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -88,6 +88,8 @@
 
     /// Whether something is open here or at those who report.
     [[nodiscard]] bool is_busy() const { return m_is_busy; }
+    /// The relay that this gateway reports to, its own address if it relays; empty while there is none.
+    [[nodiscard]] std::string const& relay() const { return m_relay; }
     /// Whether other gateways report here, or this one reports to nobody else.
     [[nodiscard]] bool is_relay() const { return m_is_relay; }
 
@@ -147,6 +149,7 @@
     LoadSources m_relays;
     bool m_is_busy {false};
     bool m_is_relay {false};
+    std::string m_relay;
     Entry::StoreWord m_store_word;
     Entry::StoreWord m_heard_store_word;
 
