LibPlatform: Ask for the turn before the pause after news

What callers saw: nothing; three gateways watched the store where two are to, each watch a call that has its price. Cause: the seed watches until the elected ones have begun. A follower whose watch had been answered with news slept for the pause after them (500 ms) before it asked whether it still is its turn, and kept its place meanwhile. Change: the turn is asked for right after each answer, and once more after the pause. Test: Follower.WhoIsRelievedLearnsItBeforeThePauseAfterNews fails on the code before (not asked within 3 s of a pause of 30 s). Why it works: who is relieved stops with the answer that is under way, and makes no call more.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -131,6 +131,11 @@
                 return;
             if (turn != FollowerTurn::GoOn)
                 resume(turn);
+            if (std::exchange(m_has_news, false)) {
+                // The turn is asked for on both sides of the pause: who is relieved meanwhile makes no call more.
+                m_backoff.wait(m_settings.pause_after_news);
+                continue;
+            }
             try {
                 follow_once();
                 m_backoff.reset();
@@ -153,6 +158,7 @@
         forget_revision();
         m_begun_listing.reset();
         m_must_list = false;
+        m_has_news = false;
         if (turn == FollowerTurn::ResumeInDoubt)
             m_sink.note_unavailable();
     }
@@ -205,8 +211,7 @@
             m_claims.push_back({Core::monotonic_now(), answer.revision});
         answer.revision = *m_revision;
         m_sink.take_events(answer);
-        if (!answer.events.empty())
-            m_backoff.wait(m_settings.pause_after_news);
+        m_has_news = !answer.events.empty();
     }
 
     void list_next_page()
@@ -266,6 +271,8 @@
     /// From where the next watch goes on, and what later watches have claimed.
     std::optional<StoreRevision> m_revision;
     std::deque<Claim> m_claims;
+    /// The last watch was answered with events.
+    bool m_has_news {false};
     unsigned m_failures_in_row {0};
     /// What was missed can't be told by a watch, nor by peers who may have missed it as well.
     bool m_must_list {false};
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -87,8 +87,13 @@
 /// It is always this follower's turn.
 struct EveryTurn {
     std::shared_ptr<std::atomic<bool>> is_stopped = std::make_shared<std::atomic<bool>>(false);
+    std::shared_ptr<std::atomic<int>> times_asked = std::make_shared<std::atomic<int>>(0);
 
-    [[nodiscard]] FollowerTurn wait_for_turn() const { return *is_stopped ? FollowerTurn::Stop : FollowerTurn::GoOn; }
+    [[nodiscard]] FollowerTurn wait_for_turn() const
+    {
+        ++*times_asked;
+        return *is_stopped ? FollowerTurn::Stop : FollowerTurn::GoOn;
+    }
     void note_call(Core::Milliseconds) const { }
     void note_answer() const { }
     void note_failure() const { }
@@ -110,7 +115,7 @@
 
     void start()
     {
-        m_follower.emplace(m_settings, "config", m_sink, EveryTurn(), m_log, m_metrics);
+        m_follower.emplace(m_settings, "config", m_sink, m_turns, m_log, m_metrics);
         ASSERT_TRUE(wait_until([&] { return m_sink.has(1); }));
     }
 
@@ -138,6 +143,7 @@
     Observe::EventLog m_log {m_nowhere, "gateway-1", Core::Incarnation(1), m_metrics};
     FollowerSettings m_settings;
     FakeSink m_sink;
+    EveryTurn m_turns;
     std::atomic<int> m_times_lost {0};
     std::optional<ObjectFollower<FakeSink, EveryTurn>> m_follower;
 };
@@ -189,4 +195,18 @@
     EXPECT_EQ(m_times_lost, 1);
 }
 
+// A gateway that watched until the elected ones had begun went on for the pause behind the news that had ended its call,
+// so that three watched where two are to.
+TEST_F(Follower, WhoIsRelievedLearnsItBeforeThePauseAfterNews)
+{
+    m_settings.pause_after_news = 10 * s_promise;
+    start();
+    ASSERT_TRUE(wait_until([this] { return watches() == 1; }));
+    auto const asked = m_turns.times_asked->load();
+    put(2);
+    ASSERT_TRUE(wait_until([this] { return m_sink.has(2); }));
+    EXPECT_TRUE(wait_until([&] { return *m_turns.times_asked > asked; }));
+    EXPECT_EQ(watches(), 1U);
+}
+
 }
