LibPlatform: Begin a turn with a short watch, so that its soundness is known at once

What callers saw: nothing directly. After a stall, or when the watchers are replaced, gateways with the shortest patience watch the store beside two sound watchers, each for a second at least; with the deployed settings a watch waits for up to 3 s and the patience is 1 to 2 s. Cause: a gateway that begins to watch goes on from a peer's revision, so that its first call is a watch, answered at the end of its wait. Its watch counts as sound with the first answer only; until then nobody's sound watch is heard of, and others step in. Change: the first watch of a turn waits for 50 ms; one call more for each change of watchers. Test: Follower.WhoBeginsFromAPeersRevision... fails on the code before (no answer within 3 s of a wait of 30 s). Why it works: the word of the new watchers is out before the shortest patience ends.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -118,6 +118,9 @@
     /// waits begin together. So a claim counts only when it is four times as old as that, and until then the watch is
     /// asked again from before: it tells what it hid, or that the history is gone. That takes no call more.
     static constexpr Core::Milliseconds s_claim_age {4'000};
+    /// The wait of a watch before any answer in this turn. Others watch as well until somebody's watch is known to be
+    /// sound, and only an answer shows that.
+    static constexpr Core::Milliseconds s_first_watch_wait {50};
     /// Calls in a row that fail until the store is said to be lost. A watch may be left hanging or be cut by a store
     /// that answers the next call, and who says that the store is lost gives its place as a watcher to others, who may
     /// be worse off.
@@ -159,6 +162,7 @@
         m_begun_listing.reset();
         m_must_list = false;
         m_has_news = false;
+        m_is_answered = false;
         if (turn == FollowerTurn::ResumeInDoubt)
             m_sink.note_unavailable();
     }
@@ -202,7 +206,7 @@
             return list_next_page();
         m_begun_listing.reset();
         m_watches.add();
-        auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
+        auto const wait = next_wait();
         m_turns.note_call(wait + m_settings.call_timeout);
         believe_old_claims(Core::monotonic_now());
         auto answer = m_client.watch(m_kind, *m_revision, wait);
@@ -214,6 +218,12 @@
         m_has_news = !answer.events.empty();
     }
 
+    [[nodiscard]] Core::Milliseconds next_wait() const
+    {
+        auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
+        return m_is_answered ? wait : std::min(wait, s_first_watch_wait);
+    }
+
     void list_next_page()
     {
         m_lists.add();
@@ -248,6 +258,7 @@
     void note_answer()
     {
         m_turns.note_answer();
+        m_is_answered = true;
         m_failures_in_row = 0;
         if (!m_lost_since)
             return;
@@ -271,6 +282,8 @@
     /// From where the next watch goes on, and what later watches have claimed.
     std::optional<StoreRevision> m_revision;
     std::deque<Claim> m_claims;
+    /// The store has answered in this turn.
+    bool m_is_answered {false};
     /// The last watch was answered with events.
     bool m_has_news {false};
     unsigned m_failures_in_row {0};
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -62,7 +62,7 @@
             take(event.object);
     }
     void note_unavailable() { ++m_times_unavailable; }
-    [[nodiscard]] std::optional<StoreRevision> revision_from_peers() const { return std::nullopt; }
+    [[nodiscard]] std::optional<StoreRevision> revision_from_peers() const { return m_from_peers; }
     [[nodiscard]] std::optional<Core::Milliseconds> wanted_wait() const { return std::nullopt; }
 
     [[nodiscard]] bool has(int version) const
@@ -71,6 +71,7 @@
         return m_versions.contains(version);
     }
     [[nodiscard]] int times_unavailable() const { return m_times_unavailable; }
+    void set_revision_from_peers(StoreRevision revision) { m_from_peers = revision; }
 
 private:
     void take(Object const& object)
@@ -82,12 +83,14 @@
     mutable std::mutex m_mutex;
     std::set<int> m_versions;
     std::atomic<int> m_times_unavailable {0};
+    std::optional<StoreRevision> m_from_peers;
 };
 
 /// It is always this follower's turn.
 struct EveryTurn {
     std::shared_ptr<std::atomic<bool>> is_stopped = std::make_shared<std::atomic<bool>>(false);
     std::shared_ptr<std::atomic<int>> times_asked = std::make_shared<std::atomic<int>>(0);
+    std::shared_ptr<std::atomic<int>> answers = std::make_shared<std::atomic<int>>(0);
 
     [[nodiscard]] FollowerTurn wait_for_turn() const
     {
@@ -95,7 +98,7 @@
         return *is_stopped ? FollowerTurn::Stop : FollowerTurn::GoOn;
     }
     void note_call(Core::Milliseconds) const { }
-    void note_answer() const { }
+    void note_answer() const { ++*answers; }
     void note_failure() const { }
     void stop() const { *is_stopped = true; }
 };
@@ -209,4 +212,14 @@
     EXPECT_EQ(watches(), 1U);
 }
 
+// A gateway that had just been elected began with a watch from a peer's revision, whose answer came at the end of its
+// wait. Until then nobody's watch was known to be sound, and others stepped in beside it.
+TEST_F(Follower, WhoBeginsFromAPeersRevisionKnowsSoonThatTheStoreAnswers)
+{
+    m_settings.watch_wait = 10 * s_promise;
+    m_sink.set_revision_from_peers(ObjectClient(m_settings.store, m_settings.call_timeout).list("config").revision);
+    m_follower.emplace(m_settings, "config", m_sink, m_turns, m_log, m_metrics);
+    EXPECT_TRUE(wait_until([this] { return *m_turns.answers > 0; }));
+}
+
 }
