Tests: Build a question of the soak step by step, so that a Release build passes

What developers saw: cmake -DCMAKE_BUILD_TYPE=Release stops at Tests/Soak/SpreadSoak.cpp with -Werror=maybe-uninitialized. Cause: at -O3 the compiler does not follow the empty strings of a nested aggregate through the copy into the list. Evidence: the file compiled with the default preset's command and -O3: two errors before, none after. A whole Release build was not run for this commit. Change: the question is made field by field and moved into the list.

--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -480,9 +480,22 @@
 {
     std::vector<Question> questions;
     auto const ask = [&](Sighting::Kind kind, std::string const& name) {
-        bool const is_key = kind == Sighting::Kind::Key;
-        auto const path = kind == Sighting::Kind::Path ? name : is_key ? "/keyed/" : "/moving/";
-        questions.push_back({{kind, name, true, {}, {}}, path, is_key ? name : ""});
+        Question question;
+        question.sighting.kind = kind;
+        question.sighting.name = name;
+        switch (kind) {
+        case Sighting::Kind::Path:
+            question.path = name;
+            break;
+        case Sighting::Kind::Key:
+            question.path = "/keyed/";
+            question.key = name;
+            break;
+        case Sighting::Kind::Service:
+            question.path = "/moving/";
+            break;
+        }
+        questions.push_back(std::move(question));
     };
     std::lock_guard const lock(m_mutex);
     auto const one_of = [&](auto const& names) { return names[random() % names.size()]; };
