LibPolicy: Close a rank only when the ranks below it have been closed

Cause: a request that is expected to come too late closes all ranks below its own for 500 ms at once. So a rank in the middle was refused although the lowest one had been taken a moment before, which the rule "only while none of a lower rank is taken" forbids; one gateway's closing so met reports that began elsewhere after 0.2 s of a target of 0.8. Change: a press closes the lowest rank first; the next one closes when those below it were not taken for 500 ms but by their floor. Test: Admission.ARankClosesOnlyWhenTheRanksBelowItHaveBeenClosed fails without it (drafts refused at once). Why it works: what is refused is the least urgent work first, at each gateway, and most presses end within the 500 ms that this takes.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -444,8 +444,7 @@
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
     bool const has_news = versions() != m_announced || m_is_platform_reachable != m_announced_reachable
-        || m_pulls.should_ask(versions(), now, pull_patience())
-        || is_member_request_due(now);
+        || m_pulls.should_ask(versions(), now, pull_patience()) || is_member_request_due(now);
     if (!has_news && now < m_next_announcement)
         return;
     announce();
--- a/Libraries/LibPolicy/Admission.cpp
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -13,17 +13,26 @@
 
 }
 
+bool Admission::is_recent(std::optional<Core::MonotonicTime> time, Core::MonotonicTime now)
+{
+    return time && Core::elapsed(*time, now) < s_closure;
+}
+
 bool Admission::is_closed(Service const& service, unsigned rank, Core::MonotonicTime now)
 {
-    return std::any_of(service.ranks.begin(), service.ranks.lower_bound(rank), [now](auto const& item) {
-        return item.second.pressed && Core::elapsed(*item.second.pressed, now) < s_closure;
-    });
+    bool const is_pressed = std::any_of(service.ranks.begin(), service.ranks.lower_bound(rank),
+        [now](auto const& item) { return is_recent(item.second.pressed, now); });
+    if (!is_pressed)
+        return false;
+    // The ranks below make room first.
+    return std::none_of(service.ranks.upper_bound(rank), service.ranks.end(),
+        [now](auto const& item) { return is_recent(item.second.taken_openly, now); });
 }
 
 bool Admission::is_lower_rank_open(Service const& service, unsigned rank, Core::MonotonicTime now)
 {
     return std::any_of(service.ranks.upper_bound(rank), service.ranks.end(),
-        [now](auto const& item) { return item.second.taken && Core::elapsed(*item.second.taken, now) < s_closure; });
+        [now](auto const& item) { return is_recent(item.second.taken, now); });
 }
 
 char const* to_string(RejectionReason reason)
@@ -53,6 +62,7 @@
     if (seems_late && is_unproven && !is_closed_to_it) {
         ++request_class.trials;
         rank.taken = now;
+        rank.taken_openly = now;
         return std::nullopt;
     }
     if (!seems_late)
@@ -67,6 +77,8 @@
     bool const is_in_place = is_closed_to_it && (is_late || ++rank.closed_count % s_floor != 0);
     if (!is_in_place && (!is_late || is_lower_rank_open(service, question.rank, now))) {
         rank.taken = now;
+        if (!is_closed_to_it)
+            rank.taken_openly = now;
         return std::nullopt;
     }
     // A shortage that has lasted for a while lasts about as long again, and what waits must be worked off in any case.
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -60,8 +60,9 @@
 /// No I/O and no clock; for one thread.
 class Admission {
 public:
-    /// A rank is closed for so long after a request of a higher one was found to come too late. A rank is open for so
-    /// long after one of its requests was taken.
+    /// A rank is closed for so long after a request of a higher one was found to come too late, the lowest one at once,
+    /// each other one when those below it have been closed for as long. A rank is open for so long after one of its
+    /// requests was taken.
     static constexpr Core::Milliseconds s_closure {500};
     /// One in so many of a closed rank is taken all the same where it could begin in time, so that no class starves.
     static constexpr unsigned s_floor {8};
@@ -99,9 +100,10 @@
     struct Rank {
         /// Since when waits have been too long for most without a break.
         std::optional<Core::MonotonicTime> short_since;
-        /// When one was last found to come too late, and when one was last taken.
+        /// When one was last found to come too late, when one was last taken, and when while the rank was not closed.
         std::optional<Core::MonotonicTime> pressed;
         std::optional<Core::MonotonicTime> taken;
+        std::optional<Core::MonotonicTime> taken_openly;
         unsigned closed_count {0};
     };
 
@@ -110,6 +112,7 @@
         std::map<unsigned, Rank> ranks;
     };
 
+    [[nodiscard]] static bool is_recent(std::optional<Core::MonotonicTime>, Core::MonotonicTime now);
     [[nodiscard]] static bool is_closed(Service const&, unsigned rank, Core::MonotonicTime now);
     [[nodiscard]] static bool is_lower_rank_open(Service const&, unsigned rank, Core::MonotonicTime now);
 
--- a/Libraries/LibPolicy/FirstSamples.h
+++ b/Libraries/LibPolicy/FirstSamples.h
@@ -6,8 +6,8 @@
 
 namespace GraniteField::Policy {
 
-/// The first few samples of a quantity, and their quantiles: an estimate that begins with a guess takes it from them, and
-/// a single odd sample among them moves it little.
+/// The first few samples of a quantity, and their quantiles: an estimate that begins with a guess takes it from them,
+/// and a single odd sample among them moves it little.
 template <std::size_t Capacity>
 class FirstSamples {
 public:
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -198,8 +198,8 @@
     EXPECT_EQ(m_times_lost, 1);
 }
 
-// A gateway that watched until the elected ones had begun went on for the pause behind the news that had ended its call,
-// so that three watched where two are to.
+// A gateway that watched until the elected ones had begun went on for the pause behind the news that had ended its
+// call, so that three watched where two are to.
 TEST_F(Follower, WhoIsRelievedLearnsItBeforeThePauseAfterNews)
 {
     m_settings.pause_after_news = 10 * s_promise;
--- a/Tests/LibPolicy/AdmissionTest.cpp
+++ b/Tests/LibPolicy/AdmissionTest.cpp
@@ -90,6 +90,24 @@
     EXPECT_TRUE(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + 20ms + Admission::s_closure));
 }
 
+// While the lowest rank was still taken, a third of the rank above it was refused for what a still higher one was
+// expected to wait: all ranks below that one closed at the same moment.
+TEST(Admission, ARankClosesOnlyWhenTheRanksBelowItHaveBeenClosed)
+{
+    auto admission = make_taught();
+    AdmissionQuestion const draft {s_service, s_patient, 1, FineTime(0), FineTime(100), s_target, s_patience};
+    EXPECT_FALSE(admission.refuse(patient(FineTime(100)), 0.5, s_start));
+    static_cast<void>(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + 10ms));
+    EXPECT_TRUE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 20ms));
+    for (auto now = s_start + 20ms; now < s_start + Admission::s_closure; now += 40ms) {
+        static_cast<void>(admission.refuse(urgent(s_hopeless_wait), 0.5, now));
+        EXPECT_FALSE(admission.refuse(draft, 0.5, now));
+    }
+    // Closing the lowest one did not suffice.
+    static_cast<void>(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + Admission::s_closure));
+    EXPECT_TRUE(admission.refuse(draft, 0.5, s_start + Admission::s_closure));
+}
+
 TEST(Admission, ALowerRankIsNeverShutOutForLong)
 {
     auto admission = make_taught();
@@ -103,8 +121,8 @@
     EXPECT_GE(taken, asked / Admission::s_floor - 1);
 }
 
-// A gateway that had just begun took engines for five times slower than they were, refused what they would have begun in
-// time, and closed the ranks below for it; who is refused teaches nothing, so that this lasted for four seconds.
+// A gateway that had just begun took engines for five times slower than they were, refused what they would have begun
+// in time, and closed the ranks below for it; who is refused teaches nothing, so that this lasted for four seconds.
 TEST(Admission, AGuessRefusesNobodyUntilAFewWereTakenOnIt)
 {
     Admission admission;
@@ -117,8 +135,8 @@
     EXPECT_TRUE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 210ms));
 }
 
-// The first answers show that engines are five times as quick: the factor that decides of a shortage came down by one in
-// a hundred with each answer.
+// The first answers show that engines are five times as quick: the factor that decides of a shortage came down by one
+// in a hundred with each answer.
 TEST(Admission, TheFirstAnswersAreBelievedAtOnce)
 {
     Admission admission;
