Tests: Say of the new tests what was seen

Cause: the comments of four tests said more than the logs show: engines were taken for 1.4 times slower in the middle, not five times, and the lowest rank did meet a shortage. Comments only.

--- a/Tests/LibGateway/OverloadTest.cpp
+++ b/Tests/LibGateway/OverloadTest.cpp
@@ -311,8 +311,8 @@
     }
 }
 
-// Gateways of a fleet that has just begun refused two thirds of the prompts for four seconds before engines that had
-// hardly anything to do: they took the engines for slower than they were, and who is refused teaches nothing.
+// Gateways that had just begun refused large prompts before idle engines: they took the engines for slower than they
+// were, and who is refused teaches nothing.
 TEST(Overload, GatewaysThatHaveJustBegunRefuseNobodyBeforeQuickIdleEngines)
 {
     constexpr std::uint64_t gateways = 20;
--- a/Tests/LibPolicy/AdmissionTest.cpp
+++ b/Tests/LibPolicy/AdmissionTest.cpp
@@ -90,8 +90,8 @@
     EXPECT_TRUE(admission.refuse(urgent(s_hopeless_wait), 0.5, s_start + 20ms + Admission::s_closure));
 }
 
-// While the lowest rank was still taken, a third of the rank above it was refused for what a still higher one was
-// expected to wait: all ranks below that one closed at the same moment.
+// All ranks below one that was expected to be late closed at the same moment, so that reports were refused although
+// cases of a lower rank had been taken a moment before.
 TEST(Admission, ARankClosesOnlyWhenTheRanksBelowItHaveBeenClosed)
 {
     auto admission = make_taught();
@@ -121,8 +121,8 @@
     EXPECT_GE(taken, asked / Admission::s_floor - 1);
 }
 
-// A gateway that had just begun took engines for five times slower than they were, refused what they would have begun
-// in time, and closed the ranks below for it; who is refused teaches nothing, so that this lasted for four seconds.
+// A gateway that had just begun refused by a guess what engines would have begun in time, and closed the ranks below
+// for it; who is refused teaches nothing.
 TEST(Admission, AGuessRefusesNobodyUntilAFewWereTakenOnIt)
 {
     Admission admission;
@@ -135,8 +135,8 @@
     EXPECT_TRUE(admission.refuse(patient(FineTime(100)), 0.5, s_start + 210ms));
 }
 
-// The first answers show that engines are five times as quick: the factor that decides of a shortage came down by one
-// in a hundred with each answer.
+// The factor that decides of a shortage came down by one in a hundred with each answer, also where all answers came in
+// a fifth of the time that was guessed.
 TEST(Admission, TheFirstAnswersAreBelievedAtOnce)
 {
     Admission admission;
