LibGateway: Log the rate limit that a backend server states

What users saw: gateways sent a server several times the rate that its answers had named (LIMIT). The log of a request holds no field of its answer, so that a gateway that does not read the limit, one that keeps it alone, and one that hears of it late look alike. Change: the fields of an answer's head are read once (ServerSignals), and a changed limit is logged as server-limit with the server, the rate and the one before. 421 and answers that name another request are left out: they are another server's. Nothing decides by it yet.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -157,8 +157,10 @@
     m_input.erase(0, m_parser.add(m_input));
     if (m_parser.is_broken())
         return fail(Failure::Broken, "what came is no HTTP answer");
-    if (m_parser.has_head() && !m_head_came)
+    if (m_parser.has_head() && !m_head_came) {
         m_head_came = m_last_input;
+        m_listener->handle_head(*this);
+    }
     if (m_parser.has_head())
         m_listener->handle_answer(*this);
     if (!m_is_over)
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -29,6 +29,8 @@
     class Listener {
     public:
         virtual ~Listener() = default;
+        /// The answer's head has come; once, before handle_answer().
+        virtual void handle_head(BackendAttempt&) = 0;
         /// The answer's head, or more of its body, has come.
         virtual void handle_answer(BackendAttempt&) = 0;
         virtual void handle_failure(BackendAttempt&, Failure, std::string const& reason) = 0;
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -142,6 +142,20 @@
     return m_cold_shares.may_send(view.id(), service->second.cold_rate / seconds_per_minute, now);
 }
 
+void BackendFleet::note_signals(BackendView& view, ServerSignals const& signals)
+{
+    auto const before = view.signals();
+    if (signals == before)
+        return;
+    view.set_signals(signals);
+    constexpr double no_limit = -1;
+    m_log.write(Observe::LogEvent("server-limit")
+                    .add("server", view.record().instance)
+                    .add("service", view.record().service)
+                    .add("rate", signals.rate_limit.value_or(no_limit))
+                    .add("before", before.rate_limit.value_or(no_limit)));
+}
+
 void BackendFleet::note_sent(BackendView const& view, Core::MonotonicTime now)
 {
     if (view.is_cold(now))
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -57,6 +57,8 @@
 
     /// Why choose() has no server for the request.
     [[nodiscard]] Unavailability unavailability(GatewayCall const&) const;
+    /// The server has stated this in an answer.
+    void note_signals(BackendView&, ServerSignals const&);
     /// A request goes to the server.
     void note_sent(BackendView const&, Core::MonotonicTime now);
     [[nodiscard]] Entry::DrainList const& drains() const { return m_drains; }
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -25,6 +25,8 @@
     std::string workspace {"Granitefield-Workspace"};
     /// Says that a backend server did not run the request.
     std::string not_run {"Granitefield-Not-Run"};
+    /// Requests per second that a backend server accepts from all gateways together; in its answers, while it needs to.
+    std::string rate_limit {"Granitefield-Rate-Limit"};
     /// Proves that an answer is a backend server's own.
     std::string answer_signature {"Granitefield-Answer"};
     /// 0 to 9, the most urgent first.
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -114,6 +114,7 @@
     [[nodiscard]] GatewayCall const& call() const { return m_call; }
 
 private:
+    void handle_head(BackendAttempt&) override;
     void handle_answer(BackendAttempt&) override;
     void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
 
@@ -146,6 +147,8 @@
     [[nodiscard]] bool may_try_again(Core::MonotonicTime now);
     void try_again(std::string_view why, Core::MonotonicTime now);
 
+    /// Whether the answer names no other request than this one.
+    [[nodiscard]] bool is_answer_to_this(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool is_answer_sound(HTTP::AnswerHead const&, std::string& problem) const;
     void take_stream(BackendAttempt&);
     void take_whole(BackendAttempt&);
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -10,10 +10,23 @@
 using Entry::Outcome;
 namespace Status = HTTP::Status;
 
+bool GatewayRun::is_answer_to_this(HTTP::AnswerHead const& head) const
+{
+    return head.fields.value_or(m_context.dialect.request_id, m_call.id) == m_call.id;
+}
+
+void GatewayRun::handle_head(BackendAttempt& attempt)
+{
+    auto const& head = attempt.parser().head();
+    // 421 comes from another server that has taken over the address; what it states holds for itself only.
+    if (head.status == Status::s_misdirected || !is_answer_to_this(head))
+        return;
+    m_context.fleet.note_signals(attempt.server(), read_signals(head.fields, m_context.dialect));
+}
+
 bool GatewayRun::is_answer_sound(HTTP::AnswerHead const& head, std::string& problem) const
 {
-    auto const echoed = head.fields.value_or(m_context.dialect.request_id, m_call.id);
-    if (echoed != m_call.id) {
+    if (!is_answer_to_this(head)) {
         problem = "the answer names another request";
         return false;
     }
--- /dev/null
+++ b/Libraries/LibGateway/ServerSignals.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibGateway/Dialect.h>
+#include <LibHTTP/FieldList.h>
+
+#include <optional>
+
+namespace GraniteField::Gateway {
+
+/// What a backend server states about itself in the header fields of an answer.
+struct ServerSignals {
+    /// Requests per second that it accepts from all gateways together.
+    std::optional<double> rate_limit;
+
+    bool operator==(ServerSignals const&) const = default;
+};
+
+/// Fields that are malformed are ignored: a server that sends nonsense is treated as one that sends nothing.
+[[nodiscard]] ServerSignals read_signals(HTTP::FieldList const&, Dialect const&);
+
+}
