LibPolicy, LibGateway: Keep together the rate limit that a backend server states

Cause: nothing read the limit. The class of fault: a statement of a server about itself that no part of the choice asks for. Evidence: no code names the field; each gateway's rate at the two engines was the same or higher after its first answer from them; one gateway alone sent eight requests in 2.1 s. Change: a limit is a fact of the server's life that merges in any order (RateLimitFact) and goes to all gateways with the datagrams about load (ServerFacts, RateLimitSharing). LimitShares divides it among a few gateways at a time, named alike everywhere by rendezvous hashing and changing with each term, so that a server is found able again although its senders have no requests. A limited server of which nobody has had an answer for 1 s gets the next request that does not suffer by it. Where no server accepts a request in time it is rejected at once as not run, with the time after which some gateway has a share again. GatewayRanks is the order that ColdShares had for itself. New: LimitSharesTest (1 to 300 gateways, limits of 0.3 to 12.5 a second, a tenth of the others unknown), RateLimitFactTest, RateLimitSharingTest (300 gateways with the exchange by simulated time, datagrams lost), RateLimitRulesTest. Why it works: the sum is bounded by what each gateway knows of itself, n senders send at most 4 r + max(n, r / 2) requests in 4 s, where 6 r + 5 are allowed; no view of others' sends, which is always late, has a part in it.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -82,6 +82,7 @@
     std::erase_if(
         m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
+    m_rate_limits.forget_unlisted([this](std::uint64_t id) { return m_servers_by_id.contains(id); }, now);
 }
 
 std::shared_ptr<BackendView> BackendFleet::find(std::uint64_t id) const
@@ -118,12 +119,16 @@
 
 void BackendFleet::follow(Entry::LoadMembers const* members)
 {
-    if (members == nullptr)
-        return m_cold_shares.forget_gateways();
+    if (members == nullptr) {
+        m_cold_shares.forget_gateways();
+        m_limit_shares.forget_gateways();
+        return;
+    }
     std::vector<std::uint64_t> others;
     for (auto const& other : members->others)
         others.push_back(other.order);
-    m_cold_shares.set_gateways(members->self.order, std::move(others));
+    m_cold_shares.set_gateways(members->self.order, others);
+    m_limit_shares.set_gateways(members->self.order, std::move(others));
 }
 
 void BackendFleet::expect_cold(BackendView& view, Core::MonotonicTime now) const
@@ -142,24 +147,67 @@
     return m_cold_shares.may_send(view.id(), service->second.cold_rate / seconds_per_minute, now);
 }
 
-void BackendFleet::note_signals(BackendView& view, ServerSignals const& signals)
+std::optional<Policy::SharedRateLimit> BackendFleet::limit_of(BackendView const& view) const
+{
+    auto const* fact = m_rate_limits.find(view.id());
+    return fact == nullptr ? std::nullopt : fact->limit();
+}
+
+std::optional<double> BackendFleet::rate_limit_of(BackendView const& view) const
+{
+    auto const limit = limit_of(view);
+    return limit ? std::optional(limit->rate) : std::nullopt;
+}
+
+Core::MonotonicTime BackendFleet::next_send(BackendView const& view, Core::MonotonicTime now) const
+{
+    auto const limit = limit_of(view);
+    return limit ? m_limit_shares.next_send(view.id(), *limit, now) : now;
+}
+
+void BackendFleet::log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const
 {
-    auto const before = view.signals();
-    if (signals == before)
+    auto const view = find(server);
+    if (view == nullptr)
         return;
-    view.set_signals(signals);
     constexpr double no_limit = -1;
     m_log.write(Observe::LogEvent("server-limit")
-                    .add("server", view.record().instance)
-                    .add("service", view.record().service)
-                    .add("rate", signals.rate_limit.value_or(no_limit))
-                    .add("before", before.rate_limit.value_or(no_limit)));
+                    .add("server", view->record().instance)
+                    .add("service", view->record().service)
+                    .add("rate", rate_limit_of(*view).value_or(no_limit))
+                    .add("before", before.value_or(no_limit))
+                    .add("source", source));
+}
+
+void BackendFleet::note_signals(
+    BackendView const& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
+{
+    auto const before = rate_limit_of(view);
+    if (!signals.rate_limit && !before)
+        return;
+    auto const fact = signals.rate_limit ? Policy::RateLimitFact::limited(*signals.rate_limit, received)
+                                         : Policy::RateLimitFact::unlimited(sent);
+    if (m_rate_limits.note(view.id(), fact, received) == Policy::FactChange::Changed)
+        log_limit(view.id(), before, "answer");
+}
+
+void BackendFleet::take_rate_limits(std::vector<Policy::RateLimitFacts::Report> const& reports,
+    Policy::RateLimitFacts::Relaying relaying, Core::MonotonicTime now)
+{
+    for (auto const& report : reports) {
+        auto const* known = m_rate_limits.find(report.server);
+        auto const before = known == nullptr ? std::nullopt : known->rate;
+        if (m_rate_limits.take(report, relaying, now) == Policy::FactChange::Changed)
+            log_limit(report.server, before, "gateway");
+    }
 }
 
 void BackendFleet::note_sent(BackendView const& view, Core::MonotonicTime now)
 {
     if (view.is_cold(now))
         m_cold_shares.note_sent(view.id(), now);
+    if (auto const limit = limit_of(view))
+        m_limit_shares.note_sent(view.id(), *limit, now);
 }
 
 Unavailability BackendFleet::unavailability(GatewayCall const& call) const
@@ -214,21 +262,76 @@
     }
 }
 
-std::vector<Candidate> BackendFleet::candidates_for(
-    GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
+std::vector<std::shared_ptr<BackendView>> BackendFleet::servers_for(GatewayCall const& call) const
 {
-    std::vector<Candidate> candidates;
+    std::vector<std::shared_ptr<BackendView>> servers;
     bool const is_bound = m_regions.binds(call);
     for (auto const& [instance, view] : m_servers) {
         if (view->record().service != call.service || !view->takes_new_requests())
             continue;
         if (!is_bound || m_regions.allows(call, view->record().failure_domain))
-            candidates.push_back({view, 0});
+            servers.push_back(view);
+    }
+    return servers;
+}
+
+std::optional<Opening> BackendFleet::next_opening(GatewayCall const& call, Core::MonotonicTime now) const
+{
+    std::optional<Opening> next;
+    for (auto const& view : servers_for(call)) {
+        auto const opening = opening_of(*view, now);
+        // Something else keeps the request from this server, for a time that nobody knows.
+        if (opening.here <= now)
+            return std::nullopt;
+        next
+            = next ? Opening {std::min(next->here, opening.here), std::min(next->anywhere, opening.anywhere)} : opening;
     }
+    return next;
+}
+
+Opening BackendFleet::opening_of(BackendView const& view, Core::MonotonicTime now) const
+{
+    auto const limit = limit_of(view);
+    if (!limit)
+        return {now, now};
+    auto const here = m_limit_shares.next_send(view.id(), *limit, now);
+    std::chrono::duration<double> const between_requests(1 / std::max(limit->rate, 1e-3));
+    auto const anywhere = now + std::chrono::duration_cast<Core::MonotonicTime::duration>(between_requests);
+    return {here, std::min(here, anywhere)};
+}
+
+bool BackendFleet::is_recheck_due(BackendView const& view, Core::MonotonicTime now) const
+{
+    auto const* fact = m_rate_limits.find(view.id());
+    return fact != nullptr && fact->rate && view.own_load().open == 0
+        && Core::elapsed(fact->observed, now) >= s_recheck_interval;
+}
+
+std::optional<Choice> BackendFleet::choose_for_recheck(
+    std::vector<Candidate> const& candidates, GatewayCall const& call, Core::MonotonicTime now) const
+{
+    auto const due = std::ranges::find_if(
+        candidates, [&](auto const& candidate) { return is_recheck_due(*candidate.server, now); });
+    if (due == candidates.end())
+        return std::nullopt;
+    auto choice = m_policy.choose({*due}, call, now);
+    if (choice.predicted_wait > call.request_class->first_token_target / 2)
+        return std::nullopt;
+    choice.candidates = candidates.size();
+    return choice;
+}
+
+std::vector<Candidate> BackendFleet::candidates_for(
+    GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
+{
+    std::vector<Candidate> candidates;
+    for (auto& server : servers_for(call))
+        candidates.push_back({std::move(server), 0});
     rank_by_prompt(candidates, call);
     std::erase_if(candidates, [&](auto const& item) {
         auto const& server = *item.server;
-        return excluded.contains(server.record().instance) || (server.is_cold(now) && !has_cold_share(server, now));
+        return excluded.contains(server.record().instance) || (server.is_cold(now) && !has_cold_share(server, now))
+            || next_send(server, now) > now;
     });
     bool const is_one_sound
         = std::ranges::any_of(candidates, [now](auto const& item) { return !item.server->is_avoided(now); });
@@ -253,7 +356,12 @@
 Choice BackendFleet::choose(
     GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
 {
-    return m_policy.choose(candidates_for(call, excluded, now), call, now);
+    auto const candidates = candidates_for(call, excluded, now);
+    if (excluded.empty()) {
+        if (auto const choice = choose_for_recheck(candidates, call, now))
+            return *choice;
+    }
+    return m_policy.choose(candidates, call, now);
 }
 
 }
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -6,8 +6,11 @@
 #include <LibGateway/GatewayCall.h>
 #include <LibGateway/PlacementPolicy.h>
 #include <LibGateway/RegionRules.h>
+#include <LibGateway/ServerSignals.h>
 #include <LibObserve/EventLog.h>
 #include <LibPolicy/ColdShares.h>
+#include <LibPolicy/LimitShares.h>
+#include <LibPolicy/RateLimitFact.h>
 
 #include <map>
 #include <memory>
@@ -30,11 +33,22 @@
     Drains,
 };
 
+/// When a request for which no server can be chosen now may be sent to one.
+struct Opening {
+    Core::MonotonicTime here;
+    /// The same at any gateway, for a caller that returns to another one.
+    Core::MonotonicTime anywhere;
+};
+
 /// The backend servers of all services, and the choice among them. On the gateway's thread only.
 class BackendFleet {
 public:
     using Settings = PlacementPolicy::Settings;
 
+    /// A server with a rate limit of which no answer was seen for this long gets a request before others do, since only
+    /// an answer can tell that the limit is over.
+    static constexpr Core::Milliseconds s_recheck_interval {1'000};
+
     /// How often the engines' readings are looked at.
     static constexpr Core::Milliseconds s_observation_interval {100};
 
@@ -57,8 +71,16 @@
 
     /// Why choose() has no server for the request.
     [[nodiscard]] Unavailability unavailability(GatewayCall const&) const;
-    /// The server has stated this in an answer.
-    void note_signals(BackendView&, ServerSignals const&);
+    /// When the request that choose() finds no server for may be sent to one; nullopt where that is not known.
+    [[nodiscard]] std::optional<Opening> next_opening(GatewayCall const&, Core::MonotonicTime now) const;
+    /// The server stated this in the answer to a request that was sent at that time.
+    void note_signals(BackendView const&, ServerSignals const&, Core::MonotonicTime sent, Core::MonotonicTime received);
+    /// Other gateways report this of rate limits.
+    void take_rate_limits(
+        std::vector<Policy::RateLimitFacts::Report> const&, Policy::RateLimitFacts::Relaying, Core::MonotonicTime now);
+    [[nodiscard]] Policy::RateLimitFacts& rate_limits() { return m_rate_limits; }
+    /// Requests per second that the server accepts from all gateways; nullopt for no limit.
+    [[nodiscard]] std::optional<double> rate_limit_of(BackendView const&) const;
     /// A request goes to the server.
     void note_sent(BackendView const&, Core::MonotonicTime now);
     [[nodiscard]] Entry::DrainList const& drains() const { return m_drains; }
@@ -88,6 +110,18 @@
 
     /// Whether a cold server may get another request from this gateway now.
     [[nodiscard]] bool has_cold_share(BackendView const&, Core::MonotonicTime now) const;
+    [[nodiscard]] std::optional<Policy::SharedRateLimit> limit_of(BackendView const&) const;
+    /// When the server's rate limit lets this gateway send it a request; `now` without a limit.
+    [[nodiscard]] Core::MonotonicTime next_send(BackendView const&, Core::MonotonicTime now) const;
+    [[nodiscard]] Opening opening_of(BackendView const&, Core::MonotonicTime now) const;
+    [[nodiscard]] bool is_recheck_due(BackendView const&, Core::MonotonicTime now) const;
+    /// A server whose rate limit is due to be checked again, if the request does not suffer by going there.
+    [[nodiscard]] std::optional<Choice> choose_for_recheck(
+        std::vector<Candidate> const&, GatewayCall const&, Core::MonotonicTime now) const;
+    /// The servers that are listed and allowed for the request, whatever their state of the moment.
+    [[nodiscard]] std::vector<std::shared_ptr<BackendView>> servers_for(GatewayCall const&) const;
+    void log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const;
+
     /// It may be cold now without having said so.
     void expect_cold(BackendView&, Core::MonotonicTime now) const;
     [[nodiscard]] double spread_of(std::string const& instance) const;
@@ -101,6 +135,8 @@
     Entry::DrainList m_drains;
     RegionRules m_regions;
     Policy::ColdShares m_cold_shares;
+    Policy::RateLimitFacts m_rate_limits;
+    Policy::LimitShares m_limit_shares;
     bool m_has_list {false};
     Core::MonotonicTime m_observed;
 };
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -4,7 +4,6 @@
 #include <LibCore/Time.h>
 #include <LibEntry/SharedServers.h>
 #include <LibGateway/PrefixMemory.h>
-#include <LibGateway/ServerSignals.h>
 #include <LibPolicy/CrashFacts.h>
 
 #include <algorithm>
@@ -212,10 +211,6 @@
         note_suspected(gateways, now);
     }
 
-    /// What its newest answer to this gateway stated.
-    [[nodiscard]] ServerSignals const& signals() const { return m_signals; }
-    void set_signals(ServerSignals const& signals) { m_signals = signals; }
-
     [[nodiscard]] std::chrono::duration<double, std::milli> mean_latency() const { return m_mean_latency; }
     void note_latency(std::chrono::duration<double, std::milli> latency)
     {
@@ -255,7 +250,6 @@
     bool m_is_listed {true};
     bool m_is_drained {false};
     Core::MonotonicTime m_cold_until;
-    ServerSignals m_signals;
     ServerLoad m_own;
     ServerLoad m_others;
     PrefixMemory m_prefixes;
--- a/Libraries/LibGateway/CrashSharing.cpp
+++ b/Libraries/LibGateway/CrashSharing.cpp
@@ -1,8 +1,9 @@
 #include <LibGateway/CrashSharing.h>
 
+#include <LibGateway/MessageAge.h>
+
 #include <algorithm>
 #include <cstdint>
-#include <limits>
 
 namespace GraniteField::Gateway {
 
@@ -12,12 +13,6 @@
 
 constexpr auto s_most_told = static_cast<int>(Policy::CrashLedger::s_most_told);
 
-std::uint32_t age_of(Core::MonotonicTime time, Core::MonotonicTime now)
-{
-    constexpr std::int64_t oldest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Core::elapsed(time, now).count(), 0, oldest));
-}
-
 std::string to_bytes(Core::RequestDigest const& digest)
 {
     return std::string(digest.bytes());
@@ -44,7 +39,7 @@
     std::vector<Policy::DigestWord> words;
     for (auto const& message : messages) {
         if (auto const digest = Core::RequestDigest::from_bytes(message.digest()))
-            words.push_back({*digest, now - Core::Milliseconds(message.age_ms())});
+            words.push_back({*digest, time_of(message.age_ms(), now)});
     }
     return words;
 }
@@ -89,7 +84,7 @@
         if (!digest)
             continue;
         news.witnesses.push_back({*digest, {witness.life(), witness.place(), witness.service()},
-            read_exposure(witness.exposure()), now - Core::Milliseconds(witness.age_ms())});
+            read_exposure(witness.exposure()), time_of(witness.age_ms(), now)});
     }
     news.cleared = read_words(message.cleared(), now);
     news.quarantined = read_words(message.quarantined(), now);
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -5,6 +5,7 @@
 #include <LibEntry/CallInterpreter.h>
 #include <LibGateway/OwnAnswer.h>
 #include <LibHTTP/Status.h>
+#include <LibPolicy/ReturnDelay.h>
 
 #include <algorithm>
 #include <array>
@@ -129,9 +130,13 @@
         return std::nullopt;
     Policy::AdmissionQuestion const question {m_call.service, m_call.request_class->name, m_call.priority,
         now - m_call.received, choice.predicted_wait, m_call.request_class->first_token_target, m_call.deadline - now};
+    return m_context.admission.refuse(question, own_draw(), now);
+}
+
+double GatewayRun::own_draw() const
+{
     constexpr std::uint64_t steps = 1'000;
-    auto const draw = static_cast<double>(Core::hash_bytes(m_call.id) % steps) / steps;
-    return m_context.admission.refuse(question, draw, now);
+    return static_cast<double>(Core::hash_bytes(m_call.id) % steps) / steps;
 }
 
 void GatewayRun::tell_rejection(Policy::Rejection const& rejection) const
@@ -178,8 +183,14 @@
         m_held_since = now;
     auto const target = m_call.request_class->first_token_target;
     auto const limit = std::min(m_context.settings.hold_limit, target / 4);
-    if (!has_tried && Core::elapsed(*m_held_since, now) < limit)
+    auto const opening = m_context.fleet.next_opening(m_call, now);
+    bool const opens_too_late = opening && Core::elapsed(*m_held_since, opening->here) > limit;
+    if (!has_tried && !opens_too_late && Core::elapsed(*m_held_since, now) < limit)
         return;
+    if (opening) {
+        auto const delay = Policy::return_delay(Core::elapsed(now, opening->anywhere), m_call.priority, own_draw());
+        return fail(Status::s_bad_gateway, "servers_limited", "no backend server accepts it before that time", delay);
+    }
     fail(Status::s_bad_gateway, "no_backend_server", "no backend server of the service can be reached");
 }
 
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -123,6 +123,8 @@
     void send_to(Choice const&, Core::MonotonicTime now);
     /// Why a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
     [[nodiscard]] std::optional<Policy::Rejection> refuse_now(Choice const&, Core::MonotonicTime now);
+    /// A number from 0 to 1 that each request has of its own.
+    [[nodiscard]] double own_draw() const;
     void tell_rejection(Policy::Rejection const&) const;
     [[nodiscard]] std::string request_for(BackendView const&, Core::MonotonicTime now) const;
 
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -21,7 +21,8 @@
     // 421 comes from another server that has taken over the address; what it states holds for itself only.
     if (head.status == Status::s_misdirected || !is_answer_to_this(head))
         return;
-    m_context.fleet.note_signals(attempt.server(), read_signals(head.fields, m_context.dialect));
+    m_context.fleet.note_signals(
+        attempt.server(), read_signals(head.fields, m_context.dialect), attempt.begun(), Core::monotonic_now());
 }
 
 bool GatewayRun::is_answer_sound(HTTP::AnswerHead const& head, std::string& problem) const
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -448,16 +448,19 @@
     auto const now = Core::monotonic_now();
     nlohmann::json servers = nlohmann::json::array();
     for (auto const& [instance, view] : m_fleet.all()) {
+        auto const limit = m_fleet.rate_limit_of(*view);
         servers.push_back({{"backend-server", instance}, {"service", view->record().service},
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
             {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
-            {"failure-rate", view->failure_rate(now)}, {"drained", view->is_drained()}, {"cold", view->is_cold(now)}});
+            {"failure-rate", view->failure_rate(now)}, {"drained", view->is_drained()}, {"cold", view->is_cold(now)},
+            {"rate-limit", limit ? nlohmann::json(*limit) : nlohmann::json()}});
     }
     nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
         {"connections", m_connections.size()}, {"table-version", m_table ? m_table->version().value() : 0},
         {"servers-revision", m_servers ? m_servers->revision.value() : 0}, {"backend-servers", servers}};
     status["drained-domains"] = m_fleet.drains().failure_domains;
     status["drains-version"] = m_fleet.drains().version.value();
+    status["known-gateways"] = m_members ? nlohmann::json(m_members->others.size()) : nlohmann::json();
     status["held-bytes"] = m_context.held_bytes;
     status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
     if (m_context.usage != nullptr)
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/LoadSharing.h>
 
+#include <LibGateway/RateLimitSharing.h>
 #include <LibProtocol/ProtocolVersion.h>
 
 #include <algorithm>
@@ -134,9 +135,10 @@
     bool const are_reported_sound = report.unreachable_size() <= most_suspected
         && report.broken_size() <= most_suspected && report.answering_size() <= most_suspected;
     bool const are_counts_sound = DutySharing::is_within_bounds(report)
-        && CrashSharing::is_within_bounds(report.crashes())
+        && CrashSharing::is_within_bounds(report.crashes()) && RateLimitSharing::is_within_bounds(report.rate_limits())
         && std::ranges::all_of(datagram.relayed(), [](auto const& part) {
-               return DutySharing::is_within_bounds(part) && CrashSharing::is_within_bounds(part.crashes());
+               return DutySharing::is_within_bounds(part) && CrashSharing::is_within_bounds(part.crashes())
+                   && RateLimitSharing::is_within_bounds(part.rate_limits());
            });
     return is_report_sound && are_reported_sound && are_counts_sound
         && datagram.relayed_size() <= static_cast<int>(s_most_forwarded) + 1
@@ -170,6 +172,8 @@
     if (m_duties != nullptr)
         m_duties->take_report(report, now);
     m_crashes.take(report.crashes(), Policy::CrashLedger::Relaying::Yes, now);
+    m_fleet.take_rate_limits(
+        RateLimitSharing::read(report.rate_limits(), now), Policy::RateLimitFacts::Relaying::Yes, now);
     m_has_newcomer = m_has_newcomer || m_ledger.sequence_of(report.sender()) == 0;
     bool const has_missed_one = m_ledger.sequence_of(report.sender()) + 1 < report.sequence();
     auto loads = loads_of(report.servers());
@@ -213,6 +217,8 @@
     if (m_duties != nullptr)
         m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
     m_crashes.take(part.crashes(), Policy::CrashLedger::Relaying::No, now);
+    m_fleet.take_rate_limits(
+        RateLimitSharing::read(part.rate_limits(), now), Policy::RateLimitFacts::Relaying::No, now);
     auto loads = loads_of(part.servers());
     subtract_own(part, loads);
     if (!m_relays.take(part.relay(), part.sequence(), LoadSources::Extent::Changes, loads, now))
@@ -353,6 +359,7 @@
     if (m_duties != nullptr)
         m_duties->fill_report(report, own_clock, now);
     m_crashes.fill(*report.mutable_crashes(), now);
+    RateLimitSharing::write(*report.mutable_rate_limits(), m_fleet.rate_limits().take_news(now), now);
     for (auto const& [server, load] : loads) {
         if (report.servers_size() < static_cast<int>(s_most_servers))
             add_load(*report.add_servers(), server, load);
@@ -414,6 +421,7 @@
     if (m_duties != nullptr)
         m_duties->fill_part(part, now);
     m_crashes.fill(*part.mutable_crashes(), now);
+    RateLimitSharing::write(*part.mutable_rate_limits(), m_fleet.rate_limits().take_news(now), now);
     for (auto const& [server, load] : loads) {
         if (part.servers_size() < static_cast<int>(s_most_servers))
             add_load(*part.add_servers(), server, load);
@@ -444,8 +452,11 @@
     for (auto& address : m_election.fellow_relays(now))
         outgoing.push_back({std::move(address), bytes});
 
-    if (std::exchange(m_has_newcomer, false) && m_duties != nullptr)
-        m_duties->fill_everything(part);
+    if (std::exchange(m_has_newcomer, false)) {
+        if (m_duties != nullptr)
+            m_duties->fill_everything(part);
+        RateLimitSharing::write(*part.mutable_rate_limits(), m_fleet.rate_limits().everything(), now);
+    }
     Datagram to_reporters;
     for (auto const& [gateway, report] : m_ledger.reports()) {
         auto& counted = *part.add_counted();
--- /dev/null
+++ b/Libraries/LibGateway/MessageAge.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace GraniteField::Gateway {
+
+/// A time as datagrams carry it: milliseconds before their sending, since clocks of hosts differ. Bounded by what the
+/// field holds; a time that is still to come has the age 0.
+[[nodiscard]] inline std::uint32_t age_of(Core::MonotonicTime time, Core::MonotonicTime now)
+{
+    constexpr std::int64_t oldest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Core::elapsed(time, now).count(), 0, oldest));
+}
+
+[[nodiscard]] inline Core::MonotonicTime time_of(std::uint32_t age_ms, Core::MonotonicTime now)
+{
+    return now - Core::Milliseconds(age_ms);
+}
+
+}
--- a/Libraries/LibPolicy/ColdShares.cpp
+++ b/Libraries/LibPolicy/ColdShares.cpp
@@ -1,7 +1,5 @@
 #include <LibPolicy/ColdShares.h>
 
-#include <LibCore/Hashing.h>
-
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -18,10 +16,7 @@
 
 void ColdShares::set_gateways(std::uint64_t self, std::vector<std::uint64_t> others)
 {
-    m_self = self;
-    m_others = std::move(others);
-    m_ranks.clear();
-    m_is_acquainted = true;
+    m_ranks.set(self, std::move(others));
 }
 
 std::size_t ColdShares::senders_for(Rate rate)
@@ -34,25 +29,14 @@
     return std::chrono::duration<double>(1 / std::min(1.0, rate));
 }
 
-std::size_t ColdShares::rank_for(std::uint64_t server) const
-{
-    if (auto const known = m_ranks.find(server); known != m_ranks.end())
-        return known->second;
-    if (m_ranks.size() >= s_most_remembered)
-        m_ranks.clear();
-    auto const own = Core::mix(m_self, server);
-    auto const before = std::ranges::count_if(m_others, [&](auto other) { return Core::mix(other, server) > own; });
-    return m_ranks[server] = static_cast<std::size_t>(before);
-}
-
 bool ColdShares::may_send(std::uint64_t server, Rate rate, Core::MonotonicTime now) const
 {
-    if (!m_is_acquainted || rate <= 0)
+    if (!m_ranks.is_known() || rate <= 0)
         return false;
     auto const last = m_last_sent.find(server);
     if (last != m_last_sent.end() && now - last->second < interval(rate))
         return false;
-    return rank_for(server) < senders_for(rate);
+    return m_ranks.rank_for(server) < senders_for(rate);
 }
 
 void ColdShares::note_sent(std::uint64_t server, Core::MonotonicTime now)
--- a/Libraries/LibPolicy/ColdShares.h
+++ b/Libraries/LibPolicy/ColdShares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibPolicy/GatewayRanks.h>
 
 #include <chrono>
 #include <cstddef>
@@ -27,7 +28,7 @@
 
     /// The gateways that are known, by numbers that all know them by; nobody sends before they are known.
     void set_gateways(std::uint64_t self, std::vector<std::uint64_t> others);
-    void forget_gateways() { m_is_acquainted = false; }
+    void forget_gateways() { m_ranks.forget(); }
 
     /// Whether this gateway may send the cold server a request now.
     [[nodiscard]] bool may_send(std::uint64_t server, Rate, Core::MonotonicTime now) const;
@@ -41,14 +42,8 @@
 private:
     /// The least time between two requests of one sender.
     [[nodiscard]] static std::chrono::duration<double> interval(Rate);
-    /// How many gateways come before this one in the server's own order.
-    [[nodiscard]] std::size_t rank_for(std::uint64_t server) const;
-
-    bool m_is_acquainted {false};
-    std::uint64_t m_self {0};
-    std::vector<std::uint64_t> m_others;
-    /// Worked out when it is first asked for, since it takes a look at every gateway.
-    mutable absl::flat_hash_map<std::uint64_t, std::size_t> m_ranks;
+
+    GatewayRanks m_ranks;
     absl::flat_hash_map<std::uint64_t, Core::MonotonicTime> m_last_sent;
 };
 
--- /dev/null
+++ b/Libraries/LibPolicy/GatewayRanks.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace GraniteField::Policy {
+
+/// Orders the known gateways by rendezvous hashing, with another order for each key. Gateways that know the same others
+/// agree on the order without a word, and one that comes or goes leaves the order of the rest as it is.
+class GatewayRanks {
+public:
+    /// Gateways are named by numbers that all of them use.
+    void set(std::uint64_t self, std::vector<std::uint64_t> others);
+    /// Until set() is called again, nothing is known of other gateways.
+    void forget() { m_is_known = false; }
+    [[nodiscard]] bool is_known() const { return m_is_known; }
+
+    /// Number of gateways, this one included.
+    [[nodiscard]] std::size_t count() const { return m_others.size() + 1; }
+    /// Number of gateways that come before this one in the key's order.
+    [[nodiscard]] std::size_t rank_for(std::uint64_t key) const;
+
+private:
+    bool m_is_known {false};
+    std::uint64_t m_self {0};
+    std::vector<std::uint64_t> m_others;
+    mutable absl::flat_hash_map<std::uint64_t, std::size_t> m_ranks;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/LimitShares.cpp
@@ -0,0 +1,109 @@
+#include <LibPolicy/LimitShares.h>
+
+#include <LibCore/Hashing.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace GraniteField::Policy {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Senders beyond one for each request a second. They keep a limit in use when some senders have no requests, and small
+/// fleets without gateways that have no share at all.
+constexpr std::size_t s_extra_senders = 3;
+/// A server that states less is asked this often nevertheless, in requests per second: only an answer can tell that the
+/// limit is over.
+constexpr double s_least_rate = 0.1;
+/// Requests that arrive within this time of each other may use up a sender's share at once.
+constexpr Seconds s_burst_time {0.5};
+/// Gateways are senders for at least this long.
+constexpr Seconds s_least_term {5};
+/// How far ahead a gateway looks for a term in which it is a sender.
+constexpr std::int64_t s_most_terms_ahead = 32;
+constexpr std::size_t s_most_remembered = 16'384;
+
+Core::MonotonicTime::duration to_ticks(Seconds seconds)
+{
+    return std::chrono::duration_cast<Core::MonotonicTime::duration>(seconds);
+}
+
+}
+
+void LimitShares::set_gateways(std::uint64_t self, std::vector<std::uint64_t> others)
+{
+    m_ranks.set(self, std::move(others));
+}
+
+std::size_t LimitShares::senders_for(double rate, std::size_t gateways)
+{
+    auto const wanted = std::floor(rate) + s_extra_senders;
+    return wanted < static_cast<double>(gateways) ? static_cast<std::size_t>(wanted) : gateways;
+}
+
+LimitShares::Division LimitShares::divide(double rate) const
+{
+    auto const bounded_rate = std::max(rate, s_least_rate);
+    Division division;
+    division.senders = senders_for(bounded_rate, m_ranks.count());
+    division.interval = Seconds(static_cast<double>(division.senders) / bounded_rate);
+    division.tolerance = std::max(Seconds(0), s_burst_time - division.interval);
+    division.term = division.interval * std::ceil(s_least_term / division.interval);
+    return division;
+}
+
+std::size_t LimitShares::rank_in(std::uint64_t server, Division const& division, std::int64_t term) const
+{
+    // Where all are senders nobody's share ends with a term.
+    bool const are_all_senders = division.senders == m_ranks.count();
+    return m_ranks.rank_for(are_all_senders ? server : Core::mix(server, static_cast<std::uint64_t>(term)));
+}
+
+Core::MonotonicTime LimitShares::begin_of(SharedRateLimit const& limit, Division const& division, std::int64_t term)
+{
+    return limit.since + to_ticks(division.term * static_cast<double>(term));
+}
+
+Core::MonotonicTime LimitShares::first_send_in(
+    std::uint64_t server, SharedRateLimit const& limit, Division const& division, std::int64_t term) const
+{
+    auto const rank = rank_in(server, division, term);
+    auto const end = begin_of(limit, division, term + 1);
+    if (rank >= division.senders)
+        return end;
+    auto time = begin_of(limit, division, term);
+    // Those that become senders together begin one after the other.
+    bool const is_new_sender = term == 0 || rank_in(server, division, term - 1) >= division.senders;
+    if (is_new_sender)
+        time += to_ticks(division.interval * static_cast<double>(rank) / static_cast<double>(division.senders));
+    if (auto const due = m_next_due.find(server); due != m_next_due.end())
+        time = std::max(time, due->second - to_ticks(division.tolerance));
+    return std::min(time, end);
+}
+
+Core::MonotonicTime LimitShares::next_send(
+    std::uint64_t server, SharedRateLimit const& limit, Core::MonotonicTime now) const
+{
+    auto const division = divide(limit.rate);
+    Seconds const passed = now - limit.since;
+    auto const current = std::max<std::int64_t>(0, static_cast<std::int64_t>(std::floor(passed / division.term)));
+    for (auto term = current; term <= current + s_most_terms_ahead; ++term) {
+        auto const time = std::max(now, first_send_in(server, limit, division, term));
+        if (time < begin_of(limit, division, term + 1))
+            return time;
+    }
+    return begin_of(limit, division, current + s_most_terms_ahead);
+}
+
+void LimitShares::note_sent(std::uint64_t server, SharedRateLimit const& limit, Core::MonotonicTime now)
+{
+    if (m_next_due.size() >= s_most_remembered)
+        absl::erase_if(m_next_due, [now](auto const& item) { return item.second < now; });
+    auto& due = m_next_due[server];
+    due = std::max(due, now) + to_ticks(divide(limit.rate).interval);
+}
+
+}
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -77,12 +77,16 @@
     '64|Libraries/LibGateway/GatewayServer.cpp|s/    if (is_behind())/    if (is_behind() \&\& false)/|BehindTest|*NotRefusedByTheOldOne*'
     '65|Libraries/LibEntry/WatchElection.cpp|s/    m_heard_since = now;/    static_cast<void>(now);/|WatchElectionTest|*WhoWasAwayItself*'
     '66|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& !m_is_drained \&\&/return m_is_listed \&\&/|DrainRulesTest|*ADrainedDomain*'
-    '67|Libraries/LibPolicy/ColdShares.cpp|s/return rank_for(server) < senders_for(rate);/return rank_for(server) < 10 * senders_for(rate);/|ColdSharesTest|*NoSecondHasMore*'
+    '67|Libraries/LibPolicy/ColdShares.cpp|s/return m_ranks.rank_for(server) < senders_for(rate);/return m_ranks.rank_for(server) < 10 * senders_for(rate);/|ColdSharesTest|*NoSecondHasMore*'
     '68|Libraries/LibGateway/RegionRules.cpp|s/return is_open(find(m_by_route, call.route->name)) \&\&/return/|DrainRulesTest|*ARouteIsServed*'
     '69|Libraries/LibEntry/ServerChanges.cpp|s/if (digest_of(list) != changes.digest)/if (false)/|ServerChangesTest|*AnotherList*'
     '71|Libraries/LibGateway/GatewayRun.h|s/return held_bytes > settings.held_limit;/return false;/|SlowReadersTest|*HundredsThatReadNothing*'
     '72|Libraries/LibGateway/CallerConnection.cpp|s/> limits.idle_time)$/> 1000 * limits.idle_time)/|SlowReadersTest|*NobodyReads*'
     '73|Libraries/LibGateway/BackendFleet.cpp|s/if (view->is_drained() \&\& !is_drained)/if (false)/|DrainRulesTest|*TakenForCold*'
+    '74|Libraries/LibGateway/BackendFleet.cpp|s/|| next_send(server, now) > now;/|| (next_send(server, now) > now \&\& false);/|RateLimitSharingTest|*KeepALimit*'
+    '75|Libraries/LibPolicy/LimitShares.cpp|s/return wanted < static_cast<double>(gateways) ?.*/return gateways;/|LimitSharesTest|*HoweverMany*'
+    '76|Libraries/LibPolicy/LimitShares.cpp|s/are_all_senders ? server : Core::mix(server, static_cast<std::uint64_t>(term))/are_all_senders || term >= 0 ? server : 0/|LimitSharesTest|*FewGatewaysWithRequests*'
+    '77|Libraries/LibGateway/BackendFleet.cpp|s/Policy::RateLimitFact::unlimited(sent)/Policy::RateLimitFact::unlimited(sent - std::chrono::hours(1))/|RateLimitRulesTest|*UsedAgain*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
--- a/Tests/LibGateway/LoadFleet.h
+++ b/Tests/LibGateway/LoadFleet.h
@@ -65,9 +65,10 @@
 protected:
     static constexpr std::size_t s_count = 12;
 
-    LoadFleet()
+    explicit LoadFleet(std::size_t count = s_count)
+        : m_count(count)
     {
-        for (std::size_t number = 0; number < s_count; ++number)
+        for (std::size_t number = 0; number < m_count; ++number)
             m_nodes.push_back(make_node(number));
         introduce();
         play(3s);
@@ -79,7 +80,7 @@
         for (int engine = 0; engine < 6; ++engine)
             list.servers.push_back({Core::concat("i-", engine), "svc", *Core::Address::from_string("127.0.0.1:9"),
                 "here", 64, Table::BackendServerState::Serving});
-        auto node = std::make_unique<Node>(number, m_made++ / s_count, m_now);
+        auto node = std::make_unique<Node>(number, m_made++ / m_count, m_now);
         node->fleet.follow(list, s_start);
         return node;
     }
@@ -94,6 +95,7 @@
                     members.others.push_back(other->member);
             }
             node->sharing.set_members(members);
+            node->fleet.follow(&members);
         }
     }
 
@@ -172,6 +174,7 @@
         OutgoingLoad outgoing;
     };
 
+    std::size_t m_count;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<UnderWay> m_under_way;
     Core::MonotonicTime m_now {s_start};
--- /dev/null
+++ b/Tests/LibGateway/RateLimitSharingTest.cpp
@@ -0,0 +1,184 @@
+// A rate limit that one gateway reads in an answer holds at all of them: 300 gateways by simulated time, with the
+// exchange of reports as it is between processes.
+#include "LoadFleet.h"
+#include "RateLimitJudge.h"
+
+#include <LibGateway/RateLimitSharing.h>
+
+#include <cmath>
+#include <limits>
+#include <optional>
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+constexpr char const* s_limited = "i-0";
+constexpr Core::Milliseconds s_answer_time {40};
+
+class RateLimitFleet : public LoadFleet {
+protected:
+    static constexpr std::size_t s_gateways = 300;
+
+    RateLimitFleet()
+        : LoadFleet(s_gateways)
+    {
+        m_table.set_version(Core::TableVersion(1));
+        m_call.route = &m_route;
+        m_call.request_class = &m_class;
+        m_call.service = "svc";
+        m_class.first_token_target = 500ms;
+    }
+
+    /// Callers send so many requests a second in all, each to any gateway.
+    void play_requests(Core::Milliseconds duration, double per_second)
+    {
+        std::uniform_int_distribution<std::size_t> any_gateway(0, s_gateways - 1);
+        std::poisson_distribution<int> requests(per_second * std::chrono::duration<double>(s_step).count());
+        for (auto const end = m_now + duration; m_now < end;) {
+            for (int count = requests(m_generator); count > 0; --count)
+                send(any_gateway(m_generator));
+            answer();
+            play(s_step);
+        }
+    }
+
+    void state(std::optional<double> rate)
+    {
+        m_rate = rate;
+        m_judge.note_stated(s_limited, rate, m_now);
+    }
+
+    /// Gateways that believe in a limit of the server.
+    [[nodiscard]] std::size_t believers()
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            m_nodes, [&](auto const& node) { return node->fleet.rate_limit_of(view(*node, s_limited)).has_value(); }));
+    }
+
+    Testing::RateLimitJudge m_judge;
+    std::size_t m_refused {0};
+
+private:
+    struct Answer {
+        Core::MonotonicTime time;
+        Core::MonotonicTime sent;
+        Node* node;
+        std::shared_ptr<BackendView> server;
+        ServerLoad load;
+        ServerSignals signals;
+    };
+
+    void send(std::size_t number)
+    {
+        auto& node = *m_nodes[number];
+        if (!node.is_alive)
+            return;
+        m_call.received = m_now;
+        m_call.deadline = m_now + 2s;
+        auto const choice = node.fleet.choose(m_call, {}, m_now);
+        if (!choice.server) {
+            ++m_refused;
+            return;
+        }
+        node.fleet.note_sent(*choice.server, m_now);
+        Answer answer {m_now + s_answer_time, m_now, &node, choice.server, {1, 0, 0}, {}};
+        choice.server->begin_attempt(answer.load);
+        if (choice.server->record().instance == s_limited) {
+            answer.signals.rate_limit = m_rate;
+            m_judge.note_arrival(s_limited, node.address, m_now);
+        }
+        m_answers.push_back(std::move(answer));
+    }
+
+    void answer()
+    {
+        auto const due = std::ranges::partition(m_answers, [&](auto const& answer) { return answer.time > m_now; });
+        for (auto& answer : due) {
+            answer.server->end_attempt(answer.load);
+            answer.server->note_latency(s_answer_time);
+            if (!answer.node->is_alive)
+                continue;
+            answer.node->fleet.note_signals(*answer.server, answer.signals, answer.sent, m_now);
+            if (answer.signals.rate_limit)
+                m_judge.note_passed_on(s_limited, answer.node->address, m_now);
+        }
+        m_answers.erase(due.begin(), due.end());
+    }
+
+    Table::Table m_table;
+    Table::Route m_route;
+    Table::RequestClass m_class;
+    GatewayCall m_call;
+    std::optional<double> m_rate;
+    std::vector<Answer> m_answers;
+};
+
+}
+
+TEST_F(RateLimitFleet, ThreeHundredGatewaysKeepALimitThatOneWasTold)
+{
+    m_loss = 0.02;
+    play_requests(1s, 600);
+    state(0.5);
+    play_requests(15s, 600);
+    for (auto const& finding : m_judge.findings())
+        ADD_FAILURE() << finding;
+    EXPECT_GT(m_judge.counted(), 0U);
+    EXPECT_EQ(m_refused, 0U);
+    EXPECT_EQ(believers(), s_gateways);
+}
+
+TEST_F(RateLimitFleet, ThreeHundredGatewaysFindTheEndOfALimit)
+{
+    play_requests(1s, 600);
+    state(1);
+    play_requests(5s, 600);
+    ASSERT_EQ(believers(), s_gateways);
+    state(std::nullopt);
+    // Two rechecks at most, and the way of a report.
+    play_requests(BackendFleet::s_recheck_interval * 2 + s_knowledge_limit + 1s, 600);
+    EXPECT_EQ(believers(), 0U);
+}
+
+// The same relay has to tell what was known before the other one began.
+TEST_F(RateLimitFleet, AGatewayThatStartsLaterIsToldOfALimit)
+{
+    play_requests(1s, 600);
+    state(1);
+    play_requests(2s, 600);
+    auto& restarted = m_nodes[7];
+    restarted->is_alive = false;
+    play_requests(1s, 600);
+    restarted = make_node(7);
+    introduce();
+    play_requests(3s, 600);
+    EXPECT_TRUE(node(7).fleet.rate_limit_of(view(node(7), s_limited)));
+}
+
+TEST(RateLimitSharing, RejectsReportsThatNoServerCouldHaveCaused)
+{
+    RateLimitSharing::Messages messages;
+    messages.Add()->set_rate(1);
+    EXPECT_TRUE(RateLimitSharing::is_within_bounds(messages));
+    messages.Add()->set_rate(-1);
+    EXPECT_FALSE(RateLimitSharing::is_within_bounds(messages));
+    messages.Mutable(1)->set_rate(std::numeric_limits<double>::quiet_NaN());
+    EXPECT_FALSE(RateLimitSharing::is_within_bounds(messages));
+}
+
+TEST(RateLimitSharing, CarriesAFactUnchanged)
+{
+    auto fact = Policy::RateLimitFact::limited(0.5, s_start - 300ms);
+    fact.merge(Policy::RateLimitFact::unlimited(s_start - 900ms));
+    RateLimitSharing::Messages messages;
+    RateLimitSharing::write(messages, {{7, fact}}, s_start);
+    auto const reports = RateLimitSharing::read(messages, s_start);
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports.front().server, 7U);
+    EXPECT_EQ(reports.front().fact, fact);
+}
+
+}
--- /dev/null
+++ b/Tests/LibPolicy/LimitSharesTest.cpp
@@ -0,0 +1,131 @@
+// A server stated a limit of one request per second, and four gateways sent it 22 in 4 s: each sent as before.
+#include "LimitWorld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Policy {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t s_server = 5;
+Core::MonotonicTime const s_start {1h};
+
+/// Every gateway always has a request for the server.
+LimitSettings flood(std::size_t gateways, double rate)
+{
+    LimitSettings settings;
+    settings.gateways = gateways;
+    settings.rate = rate;
+    settings.load = static_cast<double>(gateways) * std::max(10.0, rate);
+    settings.limited = settings.length = 20s;
+    return settings;
+}
+
+void expect_kept(LimitSettings const& settings)
+{
+    auto const outcome = LimitWorld(settings).play(LimitWay::ChangingSenders);
+    for (auto const& finding : outcome.findings)
+        ADD_FAILURE() << settings.gateways << " gateways, seed " << settings.seed << ": " << finding;
+    // It accepts so much, and callers want it.
+    EXPECT_GT(outcome.used, 0.7) << settings.gateways << " gateways, " << settings.rate << " a second";
+}
+
+}
+
+TEST(LimitShares, KeepsALimitHoweverManyGatewaysSend)
+{
+    for (std::size_t const gateways : {1U, 2U, 4U, 7U, 30U, 300U}) {
+        for (double const rate : {0.5, 1.0, 1.4, 3.7, 12.5})
+            expect_kept(flood(gateways, rate));
+    }
+}
+
+RC_GTEST_PROP(LimitShares, KeepsALimitWhereATenthOfTheOthersIsUnknown, ())
+{
+    auto settings = flood(*rc::gen::element<std::size_t>(4, 30, 100), *rc::gen::element(0.3, 0.5, 1.0, 2.5, 8.0));
+    settings.unknown = 0.1;
+    settings.seed = *rc::gen::inRange<std::uint32_t>(0, 100'000);
+    settings.limited = settings.length = 12s;
+    RC_ASSERT(LimitWorld(settings).play(LimitWay::ChangingSenders).findings.empty());
+}
+
+TEST(LimitShares, FindsTheEndOfALimitThroughFewGatewaysWithRequests)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        LimitSettings settings;
+        settings.active = 0.1;
+        settings.limited = 10s;
+        settings.length = 180s;
+        settings.seed = seed;
+        auto const outcome = LimitWorld(settings).play(LimitWay::ChangingSenders);
+        EXPECT_TRUE(outcome.found_after) << "seed " << seed;
+    }
+}
+
+TEST(LimitShares, GivesNoShareToAGatewayThatDoesNotKnowTheOthers)
+{
+    LimitShares shares;
+    SharedRateLimit const limit {5, s_start};
+    EXPECT_FALSE(shares.may_send(s_server, limit, s_start));
+    shares.set_gateways(1, {});
+    EXPECT_TRUE(shares.may_send(s_server, limit, s_start));
+    shares.forget_gateways();
+    EXPECT_FALSE(shares.may_send(s_server, limit, s_start));
+}
+
+TEST(LimitShares, TellsWhenTheNextRequestMayBeSent)
+{
+    LimitShares shares;
+    shares.set_gateways(1, {});
+    SharedRateLimit const limit {0.5, s_start};
+    shares.note_sent(s_server, limit, s_start);
+    EXPECT_EQ(shares.next_send(s_server, limit, s_start + 500ms), s_start + 2s);
+    EXPECT_FALSE(shares.may_send(s_server, limit, s_start + 1'999ms));
+    EXPECT_TRUE(shares.may_send(s_server, limit, s_start + 2s));
+}
+
+// Callers are told this time.
+TEST(LimitShares, KeepsTheTimeThatItTold)
+{
+    for (std::uint64_t self = 0; self < 30; ++self) {
+        LimitShares shares;
+        std::vector<std::uint64_t> others;
+        for (std::uint64_t other = 0; other < 30; ++other) {
+            if (other != self)
+                others.push_back(other);
+        }
+        shares.set_gateways(self, std::move(others));
+        SharedRateLimit const limit {0.7, s_start};
+        auto const next = shares.next_send(s_server, limit, s_start + 1s);
+        EXPECT_TRUE(shares.may_send(s_server, limit, next)) << self;
+    }
+}
+
+// A limit of 0 is asked for as well.
+TEST(LimitShares, AsksAServerThatAcceptsNothingOnceInAWhile)
+{
+    LimitShares shares;
+    shares.set_gateways(1, {});
+    SharedRateLimit const limit {0, s_start};
+    EXPECT_TRUE(shares.may_send(s_server, limit, s_start));
+    shares.note_sent(s_server, limit, s_start);
+    EXPECT_FALSE(shares.may_send(s_server, limit, s_start + 5s));
+    EXPECT_TRUE(shares.may_send(s_server, limit, s_start + 11s));
+}
+
+TEST(LimitShares, SendsRequestsThatArriveTogetherWhereTheLimitIsHigh)
+{
+    LimitShares shares;
+    shares.set_gateways(1, {2, 3, 4});
+    SharedRateLimit const limit {200, s_start};
+    auto const now = s_start + 1s;
+    for (int number = 0; number < 20; ++number) {
+        EXPECT_TRUE(shares.may_send(s_server, limit, now)) << number;
+        shares.note_sent(s_server, limit, now);
+    }
+}
+
+}
