Tests: Judge rate limits in both soaks

RateLimitJudge counts as the users do. What a seed draws otherwise stays as it was: statements are drawn from a generator of their own.

--- a/Tests/Integration/RateLimitTest.cpp
+++ b/Tests/Integration/RateLimitTest.cpp
@@ -24,7 +24,7 @@
         start_gateways(gateways);
         start_callers(pause);
         let_pass(1s);
-        limited.state_limit(rate);
+        limited.signals().state_limit(rate);
         let_pass(12s);
         stop_callers();
         expect_limits_kept();
--- a/Tests/Integration/SignalFleet.h
+++ b/Tests/Integration/SignalFleet.h
@@ -90,9 +90,7 @@
             "GET /v1/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ", id, "\r\nX-Deadline-Ms: 2000\r\n\r\n"));
         auto const answer = caller.read_answer();
         ++(answer.status == 200 ? m_served : m_refused);
-        auto const server = field_of(answer.head, "X-Response-Stamp");
-        if (server && field_of(answer.head, "Server-Limit"))
-            m_limits.note_passed_on(*server, gateway_of(id), Core::monotonic_now());
+        note_passed_on(m_limits, answer.head, gateway_of(id));
     }
 
     std::vector<std::thread> m_callers;
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -25,6 +25,14 @@
 constexpr Core::Milliseconds s_leaving_limit {2'000};
 constexpr Core::Milliseconds s_drain_limit {5'000};
 constexpr char const* s_drains_kind = "evacuations";
+constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
+constexpr Core::Milliseconds s_shortest_signal {5'000};
+constexpr Core::Milliseconds s_signal_pause {2'500};
+
+std::string gateway_name(std::size_t index)
+{
+    return Core::concat("g", index);
+}
 
 bool promises_not_run(int status)
 {
@@ -41,13 +49,14 @@
 GatewaySoak::GatewaySoak(Options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_signal_random(options.seed + 1)
     , m_ports(options.gateways)
 {
     change_configuration();
     if (has_drains())
         m_fleet.set_domain_drains(s_drain_limit);
     for (unsigned number = 0; number < options.backends; ++number) {
-        m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs));
+        m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs, m_limits));
         enter(number);
     }
     m_slots.resize(options.gateways);
@@ -89,6 +98,7 @@
     auto& slot = m_slots[index];
     slot.gateway = m_fleet.start("g-" + std::to_string(index), seeds, slot.store->port());
     slot.is_frozen = false;
+    m_limits.note_restart(gateway_name(index), Core::monotonic_now());
     std::lock_guard const lock(m_mutex);
     m_ports[index] = slot.gateway.callers;
 }
@@ -118,14 +128,16 @@
     std::mt19937 random(m_options.seed * 1'000 + caller);
     for (unsigned number = 0; !m_should_stop;) {
         try {
-            RawCaller connection(port_of(random() % m_options.gateways));
+            auto const index = random() % m_options.gateways;
+            RawCaller connection(port_of(index));
             // Connections are used on until the process is gone or closes them.
             for (unsigned used = 0; used < s_requests_per_connection && !m_should_stop; ++used) {
                 auto const& kind = s_kinds.at(random() % s_kinds.size());
-                Record record {Core::concat("c", caller, "n", number++), kind.path, {}};
+                Record record {Core::concat(gateway_name(index), "-c", caller, "n", number++), kind.path, {}};
                 connection.write(Core::concat("POST ", kind.path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ",
                     record.id, "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"));
                 record.answer = connection.read_answer();
+                note_passed_on(m_limits, record.answer.head, gateway_name(index));
                 bool const is_kept = record.answer.is_whole && field_of(record.answer.head, "Connection") != "close";
                 {
                     std::lock_guard const lock(m_mutex);
@@ -155,9 +167,10 @@
     case 0:
         slot.gateway.process->freeze();
         slot.is_frozen = true;
-        return begin("freeze", [&slot] {
+        return begin("freeze", [this, &slot, index, frozen = Core::monotonic_now()] {
             slot.gateway.process->thaw();
             slot.is_frozen = false;
+            excuse(index, frozen, Core::monotonic_now());
         });
     case 1:
         slot.gateway.process->kill();
@@ -201,6 +214,20 @@
     }
 }
 
+void GatewaySoak::excuse(std::size_t index, Core::MonotonicTime begin, Core::MonotonicTime end)
+{
+    m_limits.note_disturbance(gateway_name(index), begin, end);
+}
+
+void GatewaySoak::begin_signal()
+{
+    // Long enough that it is judged, and that the next one overlaps with it.
+    auto const end = Core::monotonic_now() + s_shortest_signal + Core::Milliseconds(m_signal_random() % 5'000);
+    auto& signals = m_backends[m_signal_random() % m_backends.size()]->signals();
+    signals.state_limit(s_rates.at(m_signal_random() % s_rates.size()));
+    m_faults.begin("rate limit", end, [&signals] { signals.state_limit(std::nullopt); });
+}
+
 void GatewaySoak::fault_backend(SoakBackend& backend)
 {
     using Mood = SoakBackend::Mood;
@@ -369,8 +396,13 @@
     for (unsigned caller = 0; caller < m_options.callers; ++caller)
         callers.emplace_back([this, caller] { call_until_stopped(caller); });
     auto const end = Core::monotonic_now() + m_options.length;
+    auto next_signal = Core::monotonic_now();
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
+        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_signal) {
+            begin_signal();
+            next_signal = Core::monotonic_now() + s_signal_pause;
+        }
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
     }
@@ -385,6 +417,9 @@
     check_leaving();
     for (auto const& record : m_records)
         check(record);
+    for (auto& finding : m_limits.findings())
+        note_problem(std::move(finding));
+    m_report.limited_arrivals = m_limits.counted();
     return m_report;
 }
 
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -2,6 +2,8 @@
 
 #include "FaultSeries.h"
 #include "GatewayFleet.h"
+#include "RateLimitJudge.h"
+#include "SignalBackend.h"
 #include "SoakBackend.h"
 
 #include <atomic>
@@ -25,6 +27,11 @@
         Yes,
     };
 
+    enum class Signals {
+        No,
+        Yes,
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {5'000};
@@ -33,6 +40,8 @@
         unsigned callers {8};
         /// Whether failure domains are drained as well. Seeds from before draw the same without it.
         Drains drains {Drains::No};
+        /// Whether backend servers also state things about themselves.
+        Signals signals {Signals::No};
     };
 
     struct Report {
@@ -40,6 +49,8 @@
         std::vector<std::string> problems;
         std::map<std::string, unsigned> answers;
         std::map<std::string, unsigned> faults;
+        /// Requests that were judged against a stated rate limit.
+        std::size_t limited_arrivals {0};
     };
 
     explicit GatewaySoak(Options);
@@ -69,6 +80,10 @@
     void fault_gateway(Slot&, std::size_t index);
     void fault_store();
     void fault_backend(SoakBackend&);
+    /// A server states something about itself for a while. Drawn apart, so that the faults of a seed stay the same.
+    void begin_signal();
+    /// The gateway was frozen or cut off for that time.
+    void excuse(std::size_t index, Core::MonotonicTime begin, Core::MonotonicTime end);
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -87,7 +102,9 @@
 
     Options m_options;
     std::mt19937 m_random;
+    std::mt19937 m_signal_random;
     RunLog m_runs;
+    RateLimitJudge m_limits;
     GatewayFleet m_fleet;
     std::vector<std::unique_ptr<SoakBackend>> m_backends;
     std::vector<Slot> m_slots;
--- a/Tests/Soak/RotatingBackend.h
+++ b/Tests/Soak/RotatingBackend.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "StatedSignals.h"
+
 #include <LibCore/Address.h>
 #include <LibCore/Text.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SharedServers.h>
 #include <LibHTTP/HttpServer.h>
 
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -24,9 +27,11 @@
         Core::MonotonicTime time;
     };
 
-    RotatingBackend(std::string service, std::string name)
+    RotatingBackend(std::string service, std::string name, RateLimitJudge& limits)
         : m_service(std::move(service))
         , m_name(std::move(name))
+        , m_limits(limits)
+        , m_signals(make_signals())
         , m_server(*Core::Address::from_string("127.0.0.1:0"), [this](auto const& request) { return serve(request); })
     {
     }
@@ -45,6 +50,14 @@
         std::lock_guard const lock(m_mutex);
         ++m_life;
         m_watched = false;
+        m_signals = make_signals();
+    }
+
+    /// What the present instance states about itself.
+    [[nodiscard]] std::shared_ptr<StatedSignals> signals() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_signals;
     }
 
     /// From now on what arrives is noted.
@@ -72,6 +85,11 @@
 private:
     [[nodiscard]] std::string instance_locked() const { return Core::concat(m_name, "-", m_life); }
 
+    [[nodiscard]] std::shared_ptr<StatedSignals> make_signals() const
+    {
+        return std::make_shared<StatedSignals>(instance_locked(), m_limits);
+    }
+
     [[nodiscard]] HTTP::ServerResponse serve(HTTP::ServerRequest const& request)
     {
         auto const value_of = [&](char const* name) {
@@ -84,13 +102,19 @@
             return {421, "text/plain", {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, ""};
         if (m_watched)
             m_arrivals.push_back({instance_locked(), id, Core::monotonic_now()});
-        return {200, "text/plain", {{"X-Request-Id", id}, {"X-Response-Stamp", instance_locked()}}, m_service};
+        m_signals->note_arrival(id);
+        auto fields = m_signals->fields();
+        fields["X-Request-Id"] = id;
+        fields["X-Response-Stamp"] = instance_locked();
+        return {200, "text/plain", std::move(fields), m_service};
     }
 
     std::string m_service;
     std::string m_name;
     mutable std::mutex m_mutex;
     unsigned m_life {0};
+    RateLimitJudge& m_limits;
+    std::shared_ptr<StatedSignals> m_signals;
     bool m_watched {false};
     std::vector<Arrival> m_arrivals;
     HTTP::HttpServer m_server;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -2,6 +2,7 @@
 
 #include "FakeBackend.h"
 #include "FaultProxy.h"
+#include "StatedSignals.h"
 
 #include <LibCore/Address.h>
 #include <LibCore/Text.h>
@@ -67,8 +68,9 @@
         Garbles,
     };
 
-    SoakBackend(std::string const& instance, RunLog& runs)
+    SoakBackend(std::string const& instance, RunLog& runs, RateLimitJudge& limits)
         : m_runs(runs)
+        , m_signals(instance, limits)
         , m_backend(instance,
               [this, instance](auto& connection, auto const& request, auto) { serve(connection, request, instance); })
         , m_proxy(m_backend.entry().address)
@@ -76,6 +78,7 @@
     }
 
     void set_mood(Mood mood) { m_mood = mood; }
+    [[nodiscard]] StatedSignals& signals() { return m_signals; }
     [[nodiscard]] FaultProxy& proxy() { return m_proxy; }
     [[nodiscard]] std::size_t arrivals() const { return m_backend.count(); }
     /// Its entry in the store, with the proxy's address.
@@ -93,9 +96,11 @@
     void serve(FakeConnection& connection, std::string const& request, std::string const& instance)
     {
         auto const id = field_of(request, "X-Request-Id").value_or("");
-        auto const head = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n");
+        auto const head
+            = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n", m_signals.lines());
         Mood const mood = m_mood;
         bool const is_for_another = field_of(request, "X-Expect-Instance") != instance;
+        m_signals.note_arrival(id);
         if (is_for_another || mood == Mood::Full) {
             auto const* status = is_for_another ? "421 Misdirected Request" : "503 Service Unavailable";
             return connection.write(
@@ -128,6 +133,7 @@
     }
 
     RunLog& m_runs;
+    StatedSignals m_signals;
     std::atomic<Mood> m_mood {Mood::Well};
     FakeBackend m_backend;
     FaultProxy m_proxy;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -20,6 +20,20 @@
     EXPECT_GT(report.answers.size(), 4U);
 }
 
+TEST(SoakOfSignals, KeepsEveryPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    GatewaySoak::Options options;
+    options.seed = 21;
+    options.length = Core::Milliseconds(15'000);
+    options.gateways = 4;
+    options.signals = GatewaySoak::Signals::Yes;
+    auto const report = GatewaySoak(options).run();
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_GT(report.limited_arrivals, 0U);
+}
+
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
 
 TEST_P(SoakSeeds, KeepEveryPromise)
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -28,10 +28,14 @@
 constexpr double s_large_share = 0.5;
 constexpr double s_slow_share = 0.02;
 
+constexpr char const* s_freeze = "freeze";
+constexpr char const* s_cut_off = "cut off";
+
 /// The users' bounds, as the template wants them; those of the run take the place of the first two.
+constexpr Core::Milliseconds s_contact_time {4'000};
 Json bounds()
 {
-    return {{"contact_ms", 4'000}, {"grace_s", 8}, {"budget_ratio", 0.2}, {"budget_slack", 100},
+    return {{"contact_ms", s_contact_time.count()}, {"grace_s", 8}, {"budget_ratio", 0.2}, {"budget_slack", 100},
         {"budget_window_s", 10}, {"max_stretch_ms", 6'000}};
 }
 /// What a request may still show of an older version after one has shown a newer one.
@@ -46,6 +50,10 @@
 constexpr Core::Milliseconds s_pause_after_failure {30};
 constexpr Core::Milliseconds s_turn {20};
 constexpr Core::Milliseconds s_stop_limit {20'000};
+constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
+constexpr unsigned s_shortest_signal_ms = 6'000;
+constexpr unsigned s_longest_signal_ms = 12'000;
+constexpr Core::Milliseconds s_signal_pause {3'000};
 /// How long a server that leaves goes on serving after it was to be left alone.
 constexpr Core::Milliseconds s_served_on {2'500};
 
@@ -72,6 +80,11 @@
     return *Core::Address::from_string(local(port));
 }
 
+std::string gateway_name(std::size_t index)
+{
+    return Core::concat("g", index);
+}
+
 Json route(std::string const& name, std::string const& path, std::string const& service, bool needs_key)
 {
     auto route = GatewayFleet::route(name, path, "safe");
@@ -85,14 +98,16 @@
 SpreadSoak::SpreadSoak(Options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_signal_random(options.seed + 1)
     , m_contact({}, options.gateways)
+    , m_limits(s_contact_time)
     , m_seen(options.gateways)
 {
     change_configuration();
     for (auto const* service : s_services) {
         for (std::size_t number = 0; number < s_backends_per_service; ++number) {
             auto& backend = m_backends.emplace_back(
-                std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number)));
+                std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number), m_limits));
             m_fleet.put_server(backend->entry());
         }
     }
@@ -148,6 +163,7 @@
     slot.callers = slot.gateway.callers;
     slot.life = ++m_next_life;
     slot.begun = Core::monotonic_now();
+    m_limits.note_restart(gateway_name(index), slot.begun);
     m_shares.set(slot.gateway.process->id(), slot.share);
     // Until it has been in touch for long enough nothing is promised.
     m_contact.end_gateway(index, m_contact.begin_gateway(index, "start", slot.begun), slot.begun);
@@ -283,10 +299,12 @@
         numbers.push_back(m_contact.begin_gateway(index, what, now));
         begin(m_slots[index]);
     }
-    m_faults.begin(what, now + length, [this, indices, numbers, end] {
+    m_faults.begin(what, now + length, [this, what, now, indices, numbers, end] {
         for (std::size_t place = 0; place < indices.size(); ++place) {
             end(m_slots[indices[place]]);
             m_contact.end_gateway(indices[place], numbers[place], Core::monotonic_now());
+            if (what == s_freeze || what == s_cut_off)
+                m_limits.note_disturbance(gateway_name(indices[place]), now, Core::monotonic_now());
         }
     });
 }
@@ -338,7 +356,7 @@
         if (m_slots[index].is_busy)
             continue;
         disturb(
-            "freeze", {index}, draw_time(100, 5'000),
+            s_freeze, {index}, draw_time(100, 5'000),
             [this](Slot& slot) {
                 slot.is_busy = true;
                 m_shares.forget(slot.gateway.process->id());
@@ -388,7 +406,7 @@
     using Mode = FaultProxy::Mode;
     bool const ends_with_reset = m_random() % 2 == 0;
     disturb(
-        "cut off", indices, draw_time(500, 12'000),
+        s_cut_off, indices, draw_time(500, 12'000),
         [](Slot& slot) {
             slot.store->set_mode(Mode::Freeze);
             slot.peers->set_mode(Mode::Freeze);
@@ -444,6 +462,15 @@
     }
 }
 
+void SpreadSoak::begin_signal()
+{
+    auto const signals = m_backends[m_signal_random() % m_backends.size()]->signals();
+    signals->state_limit(s_rates.at(m_signal_random() % s_rates.size()));
+    auto const length
+        = Core::Milliseconds(s_shortest_signal_ms + m_signal_random() % (s_longest_signal_ms - s_shortest_signal_ms));
+    m_faults.begin("rate limit", Core::monotonic_now() + length, [signals] { signals->state_limit(std::nullopt); });
+}
+
 void SpreadSoak::begin_fault()
 {
     switch (m_random() % 12) {
@@ -523,6 +550,7 @@
         caller.write(Core::concat("GET ", question.path, " HTTP/1.1\r\nHost: ", s_host, "\r\nX-Request-Id: ", id,
             "\r\nX-Deadline-Ms: 2000\r\n", key, "\r\n"));
         auto const answer = caller.read_answer();
+        note_passed_on(m_limits, answer.head, gateway_name(index));
         sighting.answered = Core::monotonic_now();
         {
             std::lock_guard const lock(m_mutex);
@@ -611,6 +639,7 @@
     auto next_change = Core::monotonic_now();
     auto next_rotation = next_change;
     auto next_fault = next_change + draw_time(0, 3'000);
+    auto next_signal = next_change;
     while (Core::monotonic_now() < end) {
         auto const now = Core::monotonic_now();
         m_faults.heal_due(now);
@@ -624,6 +653,10 @@
             rotate_backends(now);
             next_rotation = now + m_options.leave_bound + s_served_on + draw_time(100, 1'500);
         }
+        if (m_options.has_signals && now >= next_signal) {
+            begin_signal();
+            next_signal = now + s_signal_pause;
+        }
         if (m_options.has_faults && now >= next_fault) {
             begin_fault();
             next_fault = now + draw_time(300, 4'000);
@@ -636,6 +669,9 @@
     judge_arrivals();
     m_faults.heal_all();
     m_report.faults = m_faults.counts();
+    for (auto& finding : m_limits.findings())
+        note_problem(std::move(finding));
+    m_report.limited_arrivals = m_limits.counted();
     std::ranges::sort(m_report.delays);
     return m_report;
 }
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -7,7 +7,9 @@
 #include "FaultSeries.h"
 #include "GatewayFleet.h"
 #include "ProcessorShares.h"
+#include "RateLimitJudge.h"
 #include "RotatingBackend.h"
+#include "SignalBackend.h"
 
 #include <atomic>
 #include <deque>
@@ -45,6 +47,8 @@
         std::size_t link_rate {0};
         /// Without faults only changes come.
         bool has_faults {true};
+        /// Whether backend servers state things about themselves.
+        bool has_signals {false};
         /// The promise: how long after the store's answer a change holds, and a leaving server is left alone.
         Core::Milliseconds apply_bound {3'000};
         Core::Milliseconds leave_bound {3'000};
@@ -56,6 +60,8 @@
         /// Answers by status, and how many of them were judged.
         std::map<std::string, unsigned> answers;
         unsigned changes {0};
+        /// Requests that were judged against a stated rate limit.
+        std::size_t limited_arrivals {0};
         /// How long after the store's answer each gateway in touch was first seen to have each version, sorted.
         std::vector<Core::Milliseconds> delays;
     };
@@ -98,6 +104,8 @@
     void change_configuration();
     void rotate_backends(Core::MonotonicTime now);
     void judge_arrivals();
+    /// A server states something about itself for a while. Drawn apart, so that the faults of a seed stay the same.
+    void begin_signal();
 
     void begin_fault();
     void kill(Indices const&);
@@ -131,8 +139,10 @@
 
     Options m_options;
     std::mt19937 m_random;
+    std::mt19937 m_signal_random;
     Core::MonotonicTime m_begun {Core::monotonic_now()};
     ContactBook m_contact;
+    RateLimitJudge m_limits;
     ConfigurationTrail m_trail;
     GatewayFleet m_fleet;
     ProcessorShares m_shares;
--- a/Tests/Soak/SpreadTest.cpp
+++ b/Tests/Soak/SpreadTest.cpp
@@ -62,6 +62,16 @@
     expect_kept(options);
 }
 
+TEST(Spread, RateLimitsAreKeptWhileGatewaysAndTheStoreFail)
+{
+    SpreadSoak::Options options;
+    options.seed = 201;
+    options.length = 20s;
+    options.gateways = 12;
+    options.has_signals = true;
+    expect_kept(options);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fixed, SpreadSeeds, ::testing::Values(102U, 105U));
 
 }
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -23,6 +23,7 @@
     TCLAP::ValueArg<unsigned> backends("", "backends", "Backend servers.", false, 4, "N", command_line);
     TCLAP::ValueArg<unsigned> callers("", "callers", "Callers.", false, 8, "N", command_line);
     TCLAP::SwitchArg drains("", "drains", "Drain failure domains as well.", command_line);
+    TCLAP::SwitchArg signals("", "signals", "Let backend servers state things about themselves as well.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -32,12 +33,16 @@
     bool has_failed = false;
     for (unsigned number = 0; number < count.getValue(); ++number) {
         using Drains = Testing::GatewaySoak::Drains;
+        using Signals = Testing::GatewaySoak::Signals;
         Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
-            backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No};
+            backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No,
+            signals.getValue() ? Signals::Yes : Signals::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
             std::cout << ' ' << answer << '=' << times;
+        if (signals.getValue())
+            std::cout << " limited=" << report.limited_arrivals;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
--- a/Tests/Soak/spread_soak.cpp
+++ b/Tests/Soak/spread_soak.cpp
@@ -34,7 +34,7 @@
     std::cout << ';';
     for (auto const& [fault, count] : report.faults)
         std::cout << ' ' << fault << '=' << count;
-    std::cout << '\n';
+    std::cout << "; limited=" << report.limited_arrivals << '\n';
     for (std::size_t index = 0; index < std::min(report.problems.size(), s_most_problems_shown); ++index)
         std::cout << "  " << report.problems[index] << '\n';
     if (report.problems.size() > s_most_problems_shown)
@@ -58,6 +58,7 @@
     TCLAP::ValueArg<double> link("", "link", "Link of a small host, Mbit/s.", false, 0, "RATE", command_line);
     TCLAP::ValueArg<unsigned> growth("", "growth", "Routes that each change adds.", false, 0, "N", command_line);
     TCLAP::SwitchArg calm("", "calm", "No faults, changes only.", command_line);
+    TCLAP::SwitchArg signals("", "signals", "Let backend servers state things about themselves as well.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -75,6 +76,7 @@
         options.link_rate = static_cast<std::size_t>(link.getValue() * s_bytes_per_megabit);
         options.growth = growth.getValue();
         options.has_faults = !calm.getValue();
+        options.has_signals = signals.getValue();
         auto const report = Testing::SpreadSoak(options).run();
         print(options.seed, report);
         has_failed = has_failed || !report.problems.empty();
