--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -200,7 +200,9 @@
             return;
         }
         m_open.push_back(descriptor);
-        m_threads.emplace_back([this, descriptor, index] {
+        join_finished_threads();
+        auto const thread = m_threads.emplace(m_threads.end());
+        *thread = std::thread([this, descriptor, index, thread] {
             {
                 FakeConnection connection(descriptor);
                 if (auto const request = connection.read_request()) {
@@ -214,10 +216,20 @@
             std::lock_guard const close_lock(m_mutex);
             m_open.remove(descriptor);
             ::close(descriptor);
+            m_finished.push_back(thread);
         });
     }
 }
 
+void FakeBackend::join_finished_threads()
+{
+    for (auto const thread : m_finished) {
+        thread->join();
+        m_threads.erase(thread);
+    }
+    m_finished.clear();
+}
+
 Entry::ServerEntry FakeBackend::entry(std::string service) const
 {
     return entry_at(m_instance, std::move(service), m_port);
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -66,6 +66,8 @@
 private:
     void start_accepting(std::uint16_t port);
     void accept_connections();
+    /// Called with the lock held; a thread that is finished does not take it any more.
+    void join_finished_threads();
 
     std::string m_instance;
     Script m_script;
@@ -77,6 +79,7 @@
     bool m_should_stop {false};
     std::optional<Core::MonotonicTime> m_crashed;
     std::list<std::thread> m_threads;
+    std::vector<std::list<std::thread>::iterator> m_finished;
     std::thread m_acceptor;
 };
 
