LibPolicy: Give no share of a rate limit to a gateway that does not know the others

Cause: LimitShares promised that a gateway without knowledge of the others has no share, but only may_send() kept to it, and the choice asks next_send(): each took itself for the only gateway. Change: one way to ask; next_send() gives the clock's last time while the others are not known. Tests: RateLimitRules.AGatewayThatDoesNotKnowTheOthers… and LimitShares.GivesNoShare… fail without it.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -176,6 +176,7 @@
                     .add("service", view->record().service)
                     .add("rate", rate_limit_of(*view).value_or(no_limit))
                     .add("before", before.value_or(no_limit))
+                    .add("gateways", m_limit_shares.known_gateways())
                     .add("source", source));
 }
 
--- a/Libraries/LibPolicy/LimitShares.cpp
+++ b/Libraries/LibPolicy/LimitShares.cpp
@@ -87,6 +87,8 @@
 Core::MonotonicTime LimitShares::next_send(
     std::uint64_t server, SharedRateLimit const& limit, Core::MonotonicTime now) const
 {
+    if (!m_ranks.is_known())
+        return Core::MonotonicTime::max();
     auto const division = divide(limit.rate);
     Seconds const passed = now - limit.since;
     auto const current = std::max<std::int64_t>(0, static_cast<std::int64_t>(std::floor(passed / division.term)));
--- a/Libraries/LibPolicy/LimitShares.h
+++ b/Libraries/LibPolicy/LimitShares.h
@@ -29,12 +29,16 @@
     void set_gateways(std::uint64_t self, std::vector<std::uint64_t> others);
     void forget_gateways() { m_ranks.forget(); }
 
-    /// The earliest time from `now` on at which this gateway may send the server a request.
+    /// Number of gateways among which limits are divided, this one included; 0 before the others are known.
+    [[nodiscard]] std::size_t known_gateways() const { return m_ranks.is_known() ? m_ranks.count() : 0; }
+
+    /// The earliest time from `now` on at which this gateway may send the server a request; never, by the clock's last
+    /// time, while it does not know the others.
     [[nodiscard]] Core::MonotonicTime next_send(
         std::uint64_t server, SharedRateLimit const&, Core::MonotonicTime now) const;
     [[nodiscard]] bool may_send(std::uint64_t server, SharedRateLimit const& limit, Core::MonotonicTime now) const
     {
-        return m_ranks.is_known() && next_send(server, limit, now) <= now;
+        return next_send(server, limit, now) <= now;
     }
     /// It has sent one.
     void note_sent(std::uint64_t server, SharedRateLimit const&, Core::MonotonicTime now);
--- a/Tests/LibGateway/RateLimitRulesTest.cpp
+++ b/Tests/LibGateway/RateLimitRulesTest.cpp
@@ -76,6 +76,19 @@
     EXPECT_GE(other.count(), before + 29);
 }
 
+TEST_F(RateLimitRules, AGatewayThatDoesNotKnowTheOthersSendsNothingToALimitedServer)
+{
+    auto const& limited = add_limited_backend("i-1");
+    start();
+    m_rate = 50;
+    ASSERT_EQ(ask(), 200);
+    auto const answer = answer_of(request("GET", "/safe/"));
+    EXPECT_EQ(answer.status, 503);
+    // Another gateway may know them.
+    EXPECT_LE(std::stod(field_of(answer.head, "Retry-After").value_or("9")), 2);
+    EXPECT_EQ(limited.count(), 1U);
+}
+
 TEST_F(RateLimitRules, TheLimitReachesTheCaller)
 {
     add_limited_backend("i-1");
--- a/Tests/LibPolicy/LimitSharesTest.cpp
+++ b/Tests/LibPolicy/LimitSharesTest.cpp
@@ -69,11 +69,11 @@
 {
     LimitShares shares;
     SharedRateLimit const limit {5, s_start};
-    EXPECT_FALSE(shares.may_send(s_server, limit, s_start));
+    EXPECT_EQ(shares.next_send(s_server, limit, s_start), Core::MonotonicTime::max());
     shares.set_gateways(1, {});
-    EXPECT_TRUE(shares.may_send(s_server, limit, s_start));
+    EXPECT_EQ(shares.next_send(s_server, limit, s_start), s_start);
     shares.forget_gateways();
-    EXPECT_FALSE(shares.may_send(s_server, limit, s_start));
+    EXPECT_EQ(shares.next_send(s_server, limit, s_start), Core::MonotonicTime::max());
 }
 
 TEST(LimitShares, TellsWhenTheNextRequestMayBeSent)
