Tests: A server that states that it leaves, red

What users saw: requests reached an engine 7.2 and 9.5 s after an answer had told the gateway that sent them that it leaves; 2 s are allowed.

--- a/Tests/Integration/RateLimitTest.cpp
+++ b/Tests/Integration/RateLimitTest.cpp
@@ -27,8 +27,8 @@
         limited.signals().state_limit(rate);
         let_pass(12s);
         stop_callers();
-        expect_limits_kept();
-        EXPECT_GT(m_limits.counted(), 0U);
+        expect_promises_kept();
+        EXPECT_GT(m_judges.limits.counted(), 0U);
         EXPECT_EQ(m_refused, 0U);
     }
 };
--- a/Tests/Integration/SignalBackend.h
+++ b/Tests/Integration/SignalBackend.h
@@ -10,20 +10,25 @@
 
 namespace GraniteField::Testing {
 
-/// Tells the judge what a gateway has passed on of a server's statements with this answer.
-inline void note_passed_on(RateLimitJudge& limits, std::string const& answer_head, std::string const& gateway)
+/// Tells the judges what a gateway has passed on of a server's statements with this answer.
+inline void note_passed_on(SignalJudges& judges, std::string const& answer_head, std::string const& gateway)
 {
     auto const server = field_of(answer_head, "X-Response-Stamp");
-    if (server && field_of(answer_head, StatedSignals::s_limit_field))
-        limits.note_passed_on(*server, gateway, Core::monotonic_now());
+    if (!server)
+        return;
+    auto const now = Core::monotonic_now();
+    if (field_of(answer_head, StatedSignals::s_limit_field))
+        judges.limits.note_passed_on(*server, gateway, now);
+    if (field_of(answer_head, StatedSignals::s_leaving_field))
+        judges.leaving.note_passed_on(*server, gateway, now);
 }
 
 /// A backend server that answers every request after a fixed time, and states things about itself.
 class SignalBackend {
 public:
-    SignalBackend(std::string const& instance, Core::Milliseconds work_time, RateLimitJudge& limits)
+    SignalBackend(std::string const& instance, Core::Milliseconds work_time, SignalJudges& judges)
         : m_work_time(work_time)
-        , m_signals(instance, limits)
+        , m_signals(instance, judges)
         , m_backend(instance,
               [this, instance](auto& connection, auto const& request, auto) { serve(connection, request, instance); })
     {
--- a/Tests/Integration/SignalFleet.h
+++ b/Tests/Integration/SignalFleet.h
@@ -22,7 +22,7 @@
 
     SignalBackend& add_backend(std::string const& instance, Core::Milliseconds work_time)
     {
-        m_backends.push_back(std::make_unique<SignalBackend>(instance, work_time, m_limits));
+        m_backends.push_back(std::make_unique<SignalBackend>(instance, work_time, m_judges));
         put_server(m_backends.back()->entry());
         return *m_backends.back();
     }
@@ -60,13 +60,13 @@
 
     static void let_pass(Core::Milliseconds time) { std::this_thread::sleep_for(time); }
 
-    void expect_limits_kept() const
+    void expect_promises_kept() const
     {
-        for (auto const& finding : m_limits.findings())
+        for (auto const& finding : m_judges.findings())
             ADD_FAILURE() << finding;
     }
 
-    RateLimitJudge m_limits;
+    SignalJudges m_judges;
     std::vector<std::unique_ptr<SignalBackend>> m_backends;
     std::vector<Gateway> m_gateways;
     std::atomic<unsigned> m_served {0};
@@ -86,11 +86,12 @@
     void call(std::size_t number, std::string const& id)
     {
         RawCaller caller(m_gateways[number].callers);
+        m_judges.leaving.note_sent(id, Core::monotonic_now());
         caller.write(Core::concat(
             "GET /v1/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ", id, "\r\nX-Deadline-Ms: 2000\r\n\r\n"));
         auto const answer = caller.read_answer();
         ++(answer.status == 200 ? m_served : m_refused);
-        note_passed_on(m_limits, answer.head, gateway_of(id));
+        note_passed_on(m_judges, answer.head, gateway_of(id));
     }
 
     std::vector<std::thread> m_callers;
--- a/Tests/Judges/StatedSignals.h
+++ b/Tests/Judges/StatedSignals.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "RateLimitJudge.h"
+#include "SignalJudges.h"
 
 #include <LibCore/Text.h>
 #include <LibCore/Time.h>
@@ -24,10 +24,11 @@
 class StatedSignals {
 public:
     static constexpr char const* s_limit_field = "Server-Limit";
+    static constexpr char const* s_leaving_field = "Server-Leaving";
 
-    StatedSignals(std::string instance, RateLimitJudge& limits)
+    StatedSignals(std::string instance, SignalJudges& judges)
         : m_instance(std::move(instance))
-        , m_limits(limits)
+        , m_judges(judges)
     {
     }
 
@@ -36,12 +37,21 @@
     {
         std::lock_guard const lock(m_mutex);
         m_rate = rate;
-        m_limits.note_stated(m_instance, rate, Core::monotonic_now());
+        m_judges.limits.note_stated(m_instance, rate, Core::monotonic_now());
+    }
+
+    /// The server states from now on that it leaves.
+    void state_leaving()
+    {
+        std::lock_guard const lock(m_mutex);
+        m_is_leaving = true;
     }
 
     void note_arrival(std::string const& request_id)
     {
-        m_limits.note_arrival(m_instance, gateway_of(request_id), Core::monotonic_now());
+        auto const gateway = gateway_of(request_id);
+        m_judges.limits.note_arrival(m_instance, gateway, Core::monotonic_now());
+        m_judges.leaving.note_arrival(m_instance, gateway, request_id);
     }
 
     /// The header fields of an answer.
@@ -51,6 +61,8 @@
         std::map<std::string, std::string> fields;
         if (m_rate)
             fields[s_limit_field] = Core::concat(*m_rate);
+        if (m_is_leaving)
+            fields[s_leaving_field] = "1";
         return fields;
     }
     /// The same as lines of an answer's head.
@@ -64,9 +76,10 @@
 
 private:
     std::string m_instance;
-    RateLimitJudge& m_limits;
+    SignalJudges& m_judges;
     mutable std::mutex m_mutex;
     std::optional<double> m_rate;
+    bool m_is_leaving {false};
 };
 
 }
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -56,7 +56,7 @@
     if (has_drains())
         m_fleet.set_domain_drains(s_drain_limit);
     for (unsigned number = 0; number < options.backends; ++number) {
-        m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs, m_limits));
+        m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs, m_judges));
         enter(number);
     }
     m_slots.resize(options.gateways);
@@ -98,7 +98,7 @@
     auto& slot = m_slots[index];
     slot.gateway = m_fleet.start("g-" + std::to_string(index), seeds, slot.store->port());
     slot.is_frozen = false;
-    m_limits.note_restart(gateway_name(index), Core::monotonic_now());
+    m_judges.note_restart(gateway_name(index), Core::monotonic_now());
     std::lock_guard const lock(m_mutex);
     m_ports[index] = slot.gateway.callers;
 }
@@ -134,10 +134,11 @@
             for (unsigned used = 0; used < s_requests_per_connection && !m_should_stop; ++used) {
                 auto const& kind = s_kinds.at(random() % s_kinds.size());
                 Record record {Core::concat(gateway_name(index), "-c", caller, "n", number++), kind.path, {}};
+                m_judges.leaving.note_sent(record.id, Core::monotonic_now());
                 connection.write(Core::concat("POST ", kind.path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ",
                     record.id, "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"));
                 record.answer = connection.read_answer();
-                note_passed_on(m_limits, record.answer.head, gateway_name(index));
+                note_passed_on(m_judges, record.answer.head, gateway_name(index));
                 bool const is_kept = record.answer.is_whole && field_of(record.answer.head, "Connection") != "close";
                 {
                     std::lock_guard const lock(m_mutex);
@@ -170,7 +171,7 @@
         return begin("freeze", [this, &slot, index, frozen = Core::monotonic_now()] {
             slot.gateway.process->thaw();
             slot.is_frozen = false;
-            excuse(index, frozen, Core::monotonic_now());
+            m_judges.note_freeze(gateway_name(index), frozen, Core::monotonic_now());
         });
     case 1:
         slot.gateway.process->kill();
@@ -214,11 +215,6 @@
     }
 }
 
-void GatewaySoak::excuse(std::size_t index, Core::MonotonicTime begin, Core::MonotonicTime end)
-{
-    m_limits.note_disturbance(gateway_name(index), begin, end);
-}
-
 void GatewaySoak::begin_signal()
 {
     // Long enough that it is judged, and that the next one overlaps with it.
@@ -417,9 +413,9 @@
     check_leaving();
     for (auto const& record : m_records)
         check(record);
-    for (auto& finding : m_limits.findings())
+    for (auto& finding : m_judges.findings())
         note_problem(std::move(finding));
-    m_report.limited_arrivals = m_limits.counted();
+    m_report.limited_arrivals = m_judges.limits.counted();
     return m_report;
 }
 
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -2,8 +2,8 @@
 
 #include "FaultSeries.h"
 #include "GatewayFleet.h"
-#include "RateLimitJudge.h"
 #include "SignalBackend.h"
+#include "SignalJudges.h"
 #include "SoakBackend.h"
 
 #include <atomic>
@@ -82,8 +82,6 @@
     void fault_backend(SoakBackend&);
     /// A server states something about itself for a while. Drawn apart, so that the faults of a seed stay the same.
     void begin_signal();
-    /// The gateway was frozen or cut off for that time.
-    void excuse(std::size_t index, Core::MonotonicTime begin, Core::MonotonicTime end);
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -104,7 +102,7 @@
     std::mt19937 m_random;
     std::mt19937 m_signal_random;
     RunLog m_runs;
-    RateLimitJudge m_limits;
+    SignalJudges m_judges;
     GatewayFleet m_fleet;
     std::vector<std::unique_ptr<SoakBackend>> m_backends;
     std::vector<Slot> m_slots;
--- a/Tests/Soak/RotatingBackend.h
+++ b/Tests/Soak/RotatingBackend.h
@@ -27,10 +27,10 @@
         Core::MonotonicTime time;
     };
 
-    RotatingBackend(std::string service, std::string name, RateLimitJudge& limits)
+    RotatingBackend(std::string service, std::string name, SignalJudges& judges)
         : m_service(std::move(service))
         , m_name(std::move(name))
-        , m_limits(limits)
+        , m_judges(judges)
         , m_signals(make_signals())
         , m_server(*Core::Address::from_string("127.0.0.1:0"), [this](auto const& request) { return serve(request); })
     {
@@ -87,7 +87,7 @@
 
     [[nodiscard]] std::shared_ptr<StatedSignals> make_signals() const
     {
-        return std::make_shared<StatedSignals>(instance_locked(), m_limits);
+        return std::make_shared<StatedSignals>(instance_locked(), m_judges);
     }
 
     [[nodiscard]] HTTP::ServerResponse serve(HTTP::ServerRequest const& request)
@@ -113,7 +113,7 @@
     std::string m_name;
     mutable std::mutex m_mutex;
     unsigned m_life {0};
-    RateLimitJudge& m_limits;
+    SignalJudges& m_judges;
     std::shared_ptr<StatedSignals> m_signals;
     bool m_watched {false};
     std::vector<Arrival> m_arrivals;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -68,9 +68,9 @@
         Garbles,
     };
 
-    SoakBackend(std::string const& instance, RunLog& runs, RateLimitJudge& limits)
+    SoakBackend(std::string const& instance, RunLog& runs, SignalJudges& judges)
         : m_runs(runs)
-        , m_signals(instance, limits)
+        , m_signals(instance, judges)
         , m_backend(instance,
               [this, instance](auto& connection, auto const& request, auto) { serve(connection, request, instance); })
         , m_proxy(m_backend.entry().address)
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -100,14 +100,14 @@
     , m_random(options.seed)
     , m_signal_random(options.seed + 1)
     , m_contact({}, options.gateways)
-    , m_limits(s_contact_time)
+    , m_judges(s_contact_time, options.leave_bound)
     , m_seen(options.gateways)
 {
     change_configuration();
     for (auto const* service : s_services) {
         for (std::size_t number = 0; number < s_backends_per_service; ++number) {
             auto& backend = m_backends.emplace_back(
-                std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number), m_limits));
+                std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number), m_judges));
             m_fleet.put_server(backend->entry());
         }
     }
@@ -163,7 +163,7 @@
     slot.callers = slot.gateway.callers;
     slot.life = ++m_next_life;
     slot.begun = Core::monotonic_now();
-    m_limits.note_restart(gateway_name(index), slot.begun);
+    m_judges.note_restart(gateway_name(index), slot.begun);
     m_shares.set(slot.gateway.process->id(), slot.share);
     // Until it has been in touch for long enough nothing is promised.
     m_contact.end_gateway(index, m_contact.begin_gateway(index, "start", slot.begun), slot.begun);
@@ -303,8 +303,10 @@
         for (std::size_t place = 0; place < indices.size(); ++place) {
             end(m_slots[indices[place]]);
             m_contact.end_gateway(indices[place], numbers[place], Core::monotonic_now());
-            if (what == s_freeze || what == s_cut_off)
-                m_limits.note_disturbance(gateway_name(indices[place]), now, Core::monotonic_now());
+            if (what == s_freeze)
+                m_judges.note_freeze(gateway_name(indices[place]), now, Core::monotonic_now());
+            if (what == s_cut_off)
+                m_judges.note_cut(gateway_name(indices[place]), now, Core::monotonic_now());
         }
     });
 }
@@ -547,10 +549,11 @@
         auto const key = question.key.empty() ? "" : Core::concat("Authorization: Bearer ", question.key, "\r\n");
         auto& sighting = question.sighting;
         sighting.sent = Core::monotonic_now();
+        m_judges.leaving.note_sent(id, sighting.sent);
         caller.write(Core::concat("GET ", question.path, " HTTP/1.1\r\nHost: ", s_host, "\r\nX-Request-Id: ", id,
             "\r\nX-Deadline-Ms: 2000\r\n", key, "\r\n"));
         auto const answer = caller.read_answer();
-        note_passed_on(m_limits, answer.head, gateway_name(index));
+        note_passed_on(m_judges, answer.head, gateway_name(index));
         sighting.answered = Core::monotonic_now();
         {
             std::lock_guard const lock(m_mutex);
@@ -669,9 +672,9 @@
     judge_arrivals();
     m_faults.heal_all();
     m_report.faults = m_faults.counts();
-    for (auto& finding : m_limits.findings())
+    for (auto& finding : m_judges.findings())
         note_problem(std::move(finding));
-    m_report.limited_arrivals = m_limits.counted();
+    m_report.limited_arrivals = m_judges.limits.counted();
     std::ranges::sort(m_report.delays);
     return m_report;
 }
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -7,9 +7,9 @@
 #include "FaultSeries.h"
 #include "GatewayFleet.h"
 #include "ProcessorShares.h"
-#include "RateLimitJudge.h"
 #include "RotatingBackend.h"
 #include "SignalBackend.h"
+#include "SignalJudges.h"
 
 #include <atomic>
 #include <deque>
@@ -142,7 +142,7 @@
     std::mt19937 m_signal_random;
     Core::MonotonicTime m_begun {Core::monotonic_now()};
     ContactBook m_contact;
-    RateLimitJudge m_limits;
+    SignalJudges m_judges;
     ConfigurationTrail m_trail;
     GatewayFleet m_fleet;
     ProcessorShares m_shares;
