LibGateway: Log that a backend server states that it leaves

What users saw: requests reached an engine for up to 9.5 s after its answers had said that it leaves (DRAIN). Change: the statement is read and logged as server-leaving, with what the store says. Nothing decides by it yet.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -183,6 +183,11 @@
 void BackendFleet::note_signals(
     BackendView const& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
 {
+    if (signals.is_leaving)
+        m_log.write(Observe::LogEvent("server-leaving")
+                        .add("server", view.record().instance)
+                        .add("service", view.record().service)
+                        .add("listed_as_leaving", view.record().state == Table::BackendServerState::Leaving));
     auto const before = rate_limit_of(view);
     if (!signals.rate_limit && !before)
         return;
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -27,6 +27,8 @@
     std::string not_run {"Granitefield-Not-Run"};
     /// Requests per second that a backend server accepts from all gateways together; in its answers, while it needs to.
     std::string rate_limit {"Granitefield-Rate-Limit"};
+    /// States with the value 1 that a backend server leaves: it wants no further requests.
+    std::string leaving {"Granitefield-Leaving"};
     /// Proves that an answer is a backend server's own.
     std::string answer_signature {"Granitefield-Answer"};
     /// 0 to 9, the most urgent first.
--- a/Libraries/LibGateway/ServerSignals.cpp
+++ b/Libraries/LibGateway/ServerSignals.cpp
@@ -24,6 +24,7 @@
 {
     ServerSignals signals;
     signals.rate_limit = read_number(fields, dialect.rate_limit);
+    signals.is_leaving = fields.value_or(dialect.leaving, "") == "1";
     return signals;
 }
 
--- a/Libraries/LibGateway/ServerSignals.h
+++ b/Libraries/LibGateway/ServerSignals.h
@@ -11,6 +11,8 @@
 struct ServerSignals {
     /// Requests per second that it accepts from all gateways together.
     std::optional<double> rate_limit;
+    /// It wants no further requests and will end.
+    bool is_leaving {false};
 
     bool operator==(ServerSignals const&) const = default;
 };
