LibPolicy, LibGateway: Send nothing more to a server that states that it leaves

The store was 200 times slower than usual, and its list still said ready. Cause: a server was taken for leaving by the store's list alone; its own statement was not read. Change: the statement is a fact of the server's life (LeavingFact), held in the view until its end, whatever a list says, also where the server was not listed for a while; another run at its address has another life. It goes to all gateways with the reports of rate limits (SignalSharing, before RateLimitSharing), so that one answer suffices. What runs there is finished. Facts are kept for ten minutes after a server has left the list, before one, since an outage of the store may last as long. Why it works: every way to a server goes by takes_new_requests(), and the statement needs neither the store nor a second answer.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -53,6 +53,8 @@
             view = std::make_shared<BackendView>(record, spread_of(record.instance));
             view->prefixes().set_capacity(m_services[record.service].memory_tokens);
             view->set_drained(m_drains.failure_domains.contains(record.failure_domain));
+            if (m_leavings.find(view->id()) != nullptr)
+                view->set_states_leaving();
             // Of those that were there before this gateway, what they say themselves is all that is known.
             if (!is_first)
                 expect_cold(*view, now);
@@ -82,7 +84,9 @@
     std::erase_if(
         m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
-    m_rate_limits.forget_unlisted([this](std::uint64_t id) { return m_servers_by_id.contains(id); }, now);
+    auto const is_listed = [this](std::uint64_t id) { return m_servers_by_id.contains(id); };
+    m_rate_limits.forget_unlisted(is_listed, now);
+    m_leavings.forget_unlisted(is_listed, now);
 }
 
 std::shared_ptr<BackendView> BackendFleet::find(std::uint64_t id) const
@@ -183,11 +187,8 @@
 void BackendFleet::note_signals(
     BackendView const& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
 {
-    if (signals.is_leaving)
-        m_log.write(Observe::LogEvent("server-leaving")
-                        .add("server", view.record().instance)
-                        .add("service", view.record().service)
-                        .add("listed_as_leaving", view.record().state == Table::BackendServerState::Leaving));
+    if (signals.is_leaving && m_leavings.note(view.id(), {received}, received) == Policy::FactChange::Changed)
+        begin_leaving(view.id(), "answer");
     auto const before = rate_limit_of(view);
     if (!signals.rate_limit && !before)
         return;
@@ -197,15 +198,33 @@
         log_limit(view.id(), before, "answer");
 }
 
-void BackendFleet::take_rate_limits(std::vector<Policy::RateLimitFacts::Report> const& reports,
-    Policy::RateLimitFacts::Relaying relaying, Core::MonotonicTime now)
+void BackendFleet::take_report(
+    Policy::RateLimitFacts::Report const& report, Policy::Relaying relaying, Core::MonotonicTime now)
 {
-    for (auto const& report : reports) {
-        auto const* known = m_rate_limits.find(report.server);
-        auto const before = known == nullptr ? std::nullopt : known->rate;
-        if (m_rate_limits.take(report, relaying, now) == Policy::FactChange::Changed)
-            log_limit(report.server, before, "gateway");
-    }
+    auto const* known = m_rate_limits.find(report.server);
+    auto const before = known == nullptr ? std::nullopt : known->rate;
+    if (m_rate_limits.take(report, relaying, now) == Policy::FactChange::Changed)
+        log_limit(report.server, before, "gateway");
+}
+
+void BackendFleet::take_report(
+    Policy::LeavingFacts::Report const& report, Policy::Relaying relaying, Core::MonotonicTime now)
+{
+    if (m_leavings.take(report, relaying, now) == Policy::FactChange::Changed)
+        begin_leaving(report.server, "gateway");
+}
+
+void BackendFleet::begin_leaving(std::uint64_t server, std::string_view source) const
+{
+    auto const view = find(server);
+    if (view == nullptr)
+        return;
+    view->set_states_leaving();
+    m_log.write(Observe::LogEvent("server-leaving")
+                    .add("server", view->record().instance)
+                    .add("service", view->record().service)
+                    .add("listed_as_leaving", view->record().state == Table::BackendServerState::Leaving)
+                    .add("source", source));
 }
 
 void BackendFleet::note_sent(BackendView const& view, Core::MonotonicTime now)
@@ -221,8 +240,7 @@
     bool is_anywhere = false;
     bool is_allowed = false;
     for (auto const& [instance, view] : m_servers) {
-        bool const is_there = view->record().service == call.service && view->is_listed()
-            && view->record().state == Table::BackendServerState::Serving;
+        bool const is_there = view->record().service == call.service && view->is_serving();
         if (!is_there)
             continue;
         is_anywhere = true;
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -9,6 +9,7 @@
 #include <LibGateway/ServerSignals.h>
 #include <LibObserve/EventLog.h>
 #include <LibPolicy/ColdShares.h>
+#include <LibPolicy/LeavingFact.h>
 #include <LibPolicy/LimitShares.h>
 #include <LibPolicy/RateLimitFact.h>
 
@@ -75,10 +76,11 @@
     [[nodiscard]] std::optional<Opening> next_opening(GatewayCall const&, Core::MonotonicTime now) const;
     /// The server stated this in the answer to a request that was sent at that time.
     void note_signals(BackendView const&, ServerSignals const&, Core::MonotonicTime sent, Core::MonotonicTime received);
-    /// Other gateways report this of rate limits.
-    void take_rate_limits(
-        std::vector<Policy::RateLimitFacts::Report> const&, Policy::RateLimitFacts::Relaying, Core::MonotonicTime now);
+    /// Another gateway reports it.
+    void take_report(Policy::RateLimitFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
+    void take_report(Policy::LeavingFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
     [[nodiscard]] Policy::RateLimitFacts& rate_limits() { return m_rate_limits; }
+    [[nodiscard]] Policy::LeavingFacts& leavings() { return m_leavings; }
     /// Requests per second that the server accepts from all gateways; nullopt for no limit.
     [[nodiscard]] std::optional<double> rate_limit_of(BackendView const&) const;
     /// A request goes to the server.
@@ -120,6 +122,8 @@
         std::vector<Candidate> const&, GatewayCall const&, Core::MonotonicTime now) const;
     /// The servers that are listed and allowed for the request, whatever their state of the moment.
     [[nodiscard]] std::vector<std::shared_ptr<BackendView>> servers_for(GatewayCall const&) const;
+    /// The server gets nothing new for the rest of its life.
+    void begin_leaving(std::uint64_t server, std::string_view source) const;
     void log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const;
 
     /// It may be cold now without having said so.
@@ -136,6 +140,7 @@
     RegionRules m_regions;
     Policy::ColdShares m_cold_shares;
     Policy::RateLimitFacts m_rate_limits;
+    Policy::LeavingFacts m_leavings;
     Policy::LimitShares m_limit_shares;
     bool m_has_list {false};
     Core::MonotonicTime m_observed;
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -103,11 +103,16 @@
     [[nodiscard]] Entry::ServerEntry const& record() const { return m_record; }
     void set_record(Entry::ServerEntry record) { m_record = std::move(record); }
 
-    /// Whether it is in the newest list, not leaving, and its failure domain is not drained.
-    [[nodiscard]] bool takes_new_requests() const
+    /// Whether it is in the newest list and not leaving, by the list or by its own statement.
+    [[nodiscard]] bool is_serving() const
     {
-        return m_is_listed && !m_is_drained && m_record.state == Table::BackendServerState::Serving;
+        return m_is_listed && !m_states_leaving && m_record.state == Table::BackendServerState::Serving;
     }
+    /// An answer stated that it leaves. It holds until its end, also where a later list has it as serving.
+    void set_states_leaving() { m_states_leaving = true; }
+
+    /// Whether it is serving and its failure domain is not drained.
+    [[nodiscard]] bool takes_new_requests() const { return is_serving() && !m_is_drained; }
     /// Whether the operators drain its failure domain.
     [[nodiscard]] bool is_drained() const { return m_is_drained; }
     void set_drained(bool value) { m_is_drained = value; }
@@ -249,6 +254,7 @@
     double m_spread;
     bool m_is_listed {true};
     bool m_is_drained {false};
+    bool m_states_leaving {false};
     Core::MonotonicTime m_cold_until;
     ServerLoad m_own;
     ServerLoad m_others;
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -1,6 +1,5 @@
 #include <LibGateway/LoadSharing.h>
 
-#include <LibGateway/RateLimitSharing.h>
 #include <LibProtocol/ProtocolVersion.h>
 
 #include <algorithm>
@@ -93,6 +92,7 @@
     : m_self(self)
     , m_fleet(fleet)
     , m_crashes(crashes)
+    , m_signals(fleet)
     , m_duties(duties)
     , m_election(begun)
     , m_reporters(fleet)
@@ -135,10 +135,10 @@
     bool const are_reported_sound = report.unreachable_size() <= most_suspected
         && report.broken_size() <= most_suspected && report.answering_size() <= most_suspected;
     bool const are_counts_sound = DutySharing::is_within_bounds(report)
-        && CrashSharing::is_within_bounds(report.crashes()) && RateLimitSharing::is_within_bounds(report.rate_limits())
+        && CrashSharing::is_within_bounds(report.crashes()) && SignalSharing::is_within_bounds(report.signals())
         && std::ranges::all_of(datagram.relayed(), [](auto const& part) {
                return DutySharing::is_within_bounds(part) && CrashSharing::is_within_bounds(part.crashes())
-                   && RateLimitSharing::is_within_bounds(part.rate_limits());
+                   && SignalSharing::is_within_bounds(part.signals());
            });
     return is_report_sound && are_reported_sound && are_counts_sound
         && datagram.relayed_size() <= static_cast<int>(s_most_forwarded) + 1
@@ -172,8 +172,7 @@
     if (m_duties != nullptr)
         m_duties->take_report(report, now);
     m_crashes.take(report.crashes(), Policy::CrashLedger::Relaying::Yes, now);
-    m_fleet.take_rate_limits(
-        RateLimitSharing::read(report.rate_limits(), now), Policy::RateLimitFacts::Relaying::Yes, now);
+    m_signals.take(report.signals(), Policy::Relaying::Yes, now);
     m_has_newcomer = m_has_newcomer || m_ledger.sequence_of(report.sender()) == 0;
     bool const has_missed_one = m_ledger.sequence_of(report.sender()) + 1 < report.sequence();
     auto loads = loads_of(report.servers());
@@ -217,8 +216,7 @@
     if (m_duties != nullptr)
         m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
     m_crashes.take(part.crashes(), Policy::CrashLedger::Relaying::No, now);
-    m_fleet.take_rate_limits(
-        RateLimitSharing::read(part.rate_limits(), now), Policy::RateLimitFacts::Relaying::No, now);
+    m_signals.take(part.signals(), Policy::Relaying::No, now);
     auto loads = loads_of(part.servers());
     subtract_own(part, loads);
     if (!m_relays.take(part.relay(), part.sequence(), LoadSources::Extent::Changes, loads, now))
@@ -359,7 +357,7 @@
     if (m_duties != nullptr)
         m_duties->fill_report(report, own_clock, now);
     m_crashes.fill(*report.mutable_crashes(), now);
-    RateLimitSharing::write(*report.mutable_rate_limits(), m_fleet.rate_limits().take_news(now), now);
+    m_signals.fill(*report.mutable_signals(), now);
     for (auto const& [server, load] : loads) {
         if (report.servers_size() < static_cast<int>(s_most_servers))
             add_load(*report.add_servers(), server, load);
@@ -421,7 +419,7 @@
     if (m_duties != nullptr)
         m_duties->fill_part(part, now);
     m_crashes.fill(*part.mutable_crashes(), now);
-    RateLimitSharing::write(*part.mutable_rate_limits(), m_fleet.rate_limits().take_news(now), now);
+    m_signals.fill(*part.mutable_signals(), now);
     for (auto const& [server, load] : loads) {
         if (part.servers_size() < static_cast<int>(s_most_servers))
             add_load(*part.add_servers(), server, load);
@@ -455,7 +453,7 @@
     if (std::exchange(m_has_newcomer, false)) {
         if (m_duties != nullptr)
             m_duties->fill_everything(part);
-        RateLimitSharing::write(*part.mutable_rate_limits(), m_fleet.rate_limits().everything(), now);
+        m_signals.fill_everything(*part.mutable_signals(), now);
     }
     Datagram to_reporters;
     for (auto const& [gateway, report] : m_ledger.reports()) {
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -10,6 +10,7 @@
 #include <LibGateway/LoadLedger.h>
 #include <LibGateway/LoadSources.h>
 #include <LibGateway/RelayElection.h>
+#include <LibGateway/SignalSharing.h>
 #include <LibGateway/SuspicionLedger.h>
 
 #include <Peers.pb.h>
@@ -127,7 +128,7 @@
     /// What goes with the next datagram and can't wait.
     [[nodiscard]] bool has_shared_news(Core::MonotonicTime now) const
     {
-        return has_news_of_duties() || m_crashes.has_news(now) || m_fleet.rate_limits().has_news(now);
+        return has_news_of_duties() || m_crashes.has_news(now) || m_signals.has_news(now);
     }
     [[nodiscard]] bool has_news_of_duties() const { return m_duties != nullptr && m_duties->has_changes(); }
     void report_to(
@@ -140,6 +141,7 @@
     std::uint64_t m_self;
     BackendFleet& m_fleet;
     CrashSharing m_crashes;
+    SignalSharing m_signals;
     DutySharing* m_duties;
     /// A gateway that was not known reports here.
     bool m_has_newcomer {false};
--- /dev/null
+++ b/Libraries/LibGateway/SignalSharing.cpp
@@ -0,0 +1,94 @@
+#include <LibGateway/SignalSharing.h>
+
+#include <LibGateway/MessageAge.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+using Policy::LeavingFacts;
+using Policy::RateLimitFacts;
+
+bool is_sound(granitefield::protocol::RateLimitReport const& message)
+{
+    return !message.has_rate() || (std::isfinite(message.rate()) && message.rate() >= 0);
+}
+
+void write(SignalSharing::Message& target, std::vector<RateLimitFacts::Report> const& reports, Core::MonotonicTime now)
+{
+    for (auto const& [server, fact] : reports) {
+        auto& message = *target.add_rate_limits();
+        message.set_server(server);
+        message.set_observed_age_ms(age_of(fact.observed, now));
+        if (fact.rate)
+            message.set_rate(*fact.rate);
+        if (fact.first_limited != Core::MonotonicTime::max())
+            message.set_first_limited_age_ms(age_of(fact.first_limited, now));
+        if (fact.last_unlimited != Core::MonotonicTime::min())
+            message.set_last_unlimited_age_ms(age_of(fact.last_unlimited, now));
+    }
+}
+
+void write(SignalSharing::Message& target, std::vector<LeavingFacts::Report> const& reports, Core::MonotonicTime now)
+{
+    for (auto const& [server, fact] : reports) {
+        auto& message = *target.add_leaving();
+        message.set_server(server);
+        message.set_observed_age_ms(age_of(fact.observed, now));
+    }
+}
+
+RateLimitFacts::Report read(granitefield::protocol::RateLimitReport const& message, Core::MonotonicTime now)
+{
+    Policy::RateLimitFact fact;
+    fact.observed = time_of(message.observed_age_ms(), now);
+    if (message.has_rate())
+        fact.rate = message.rate();
+    if (message.has_first_limited_age_ms())
+        fact.first_limited = time_of(message.first_limited_age_ms(), now);
+    if (message.has_last_unlimited_age_ms())
+        fact.last_unlimited = time_of(message.last_unlimited_age_ms(), now);
+    return {message.server(), fact};
+}
+
+}
+
+bool SignalSharing::has_news(Core::MonotonicTime now) const
+{
+    return m_fleet.rate_limits().has_news(now) || m_fleet.leavings().has_news(now);
+}
+
+bool SignalSharing::is_within_bounds(Message const& message)
+{
+    // To a newcomer all that is known goes with the news.
+    constexpr auto most = static_cast<int>(2 * Policy::s_most_reports_told);
+    return message.rate_limits_size() <= most && message.leaving_size() <= most
+        && std::ranges::all_of(message.rate_limits(), is_sound);
+}
+
+void SignalSharing::fill(Message& message, Core::MonotonicTime now)
+{
+    write(message, m_fleet.rate_limits().take_news(now), now);
+    write(message, m_fleet.leavings().take_news(now), now);
+}
+
+void SignalSharing::fill_everything(Message& message, Core::MonotonicTime now) const
+{
+    write(message, m_fleet.rate_limits().everything(), now);
+    write(message, m_fleet.leavings().everything(), now);
+}
+
+void SignalSharing::take(Message const& message, Policy::Relaying relaying, Core::MonotonicTime now)
+{
+    for (auto const& report : message.rate_limits())
+        m_fleet.take_report(read(report, now), relaying, now);
+    for (auto const& report : message.leaving())
+        m_fleet.take_report(
+            LeavingFacts::Report {report.server(), {time_of(report.observed_age_ms(), now)}}, relaying, now);
+}
+
+}
--- a/Libraries/LibPolicy/ServerFacts.h
+++ b/Libraries/LibPolicy/ServerFacts.h
@@ -22,6 +22,15 @@
     Changed,
 };
 
+/// Whether a report of another gateway is to be passed on.
+enum class Relaying {
+    No,
+    Yes,
+};
+
+/// Most reports of one kind in one datagram.
+inline constexpr std::size_t s_most_reports_told = 200;
+
 /// Something that a backend server stated in an answer. Merging must give the same result in any order, since reports
 /// of different gateways overtake each other.
 template <typename Fact>
@@ -46,22 +55,14 @@
         Fact fact;
     };
 
-    /// Whether a report of another gateway is to be passed on.
-    enum class Relaying {
-        No,
-        Yes,
-    };
-
     /// Reports of a change are repeated, since datagrams are lost.
     static constexpr unsigned s_times_told = 3;
     static constexpr Core::Milliseconds s_telling_pause {100};
     /// A confirmed fact is told again after this time, for gateways that have just started.
     static constexpr Core::Milliseconds s_refresh {4'000};
-    /// Most reports in one datagram.
-    static constexpr std::size_t s_most_told = 200;
     static constexpr std::size_t s_most_remembered = 16'384;
-    /// How long a fact is kept after its server has left the list.
-    static constexpr Core::Milliseconds s_memory {60'000};
+    /// How long a fact is kept of a server that is not listed: the store may list it again after an outage.
+    static constexpr Core::Milliseconds s_memory {600'000};
 
     /// What is known of the server, or null.
     [[nodiscard]] Fact const* find(std::uint64_t server) const
@@ -95,7 +96,7 @@
         if (m_telling == 0)
             return news;
         for (auto& [server, entry] : m_entries) {
-            if (!is_due(entry, now) || news.size() >= s_most_told)
+            if (!is_due(entry, now) || news.size() >= s_most_reports_told)
                 continue;
             news.push_back({server, entry.fact});
             entry.next_telling = now + s_telling_pause;
@@ -111,7 +112,7 @@
     {
         std::vector<Report> reports;
         for (auto const& [server, entry] : m_entries) {
-            if (reports.size() < s_most_told)
+            if (reports.size() < s_most_reports_told)
                 reports.push_back({server, entry.fact});
         }
         return reports;
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -30,7 +30,7 @@
     "16|Libraries/LibGateway/GatewayRunAnswers.cpp|s/if (echoed != m_call.id)/if (echoed != m_call.id \&\& false)/|AttemptRulesTest|*AnotherRequests*"
     "17|Libraries/LibGateway/GatewayRunAnswers.cpp|s/return Status::promises_not_run(head.status) \&\& .*/return head.status < 0;/|AttemptRulesTest|*ARefusalWithoutItsMark*"
     "18|Libraries/LibHTTP/EventFramer.cpp|s/bool const was_given = .*/bool const was_given = false;/|AttemptRulesTest|*AStreamGoesOnElsewhere*"
-    "19|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& m_record.state == .*/return m_is_listed;/|AttemptRulesTest|*ALeavingServer*"
+    "19|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& !m_states_leaving \&\& m_record.state == .*/return m_is_listed;/|AttemptRulesTest|*ALeavingServer*"
     "20|Libraries/LibGateway/ServerRoster.cpp|s/if (is_settling(now) \&\& !is_leaving)/if (is_settling(now) \&\& is_leaving)/|ServerRosterTest|*WaitsForWhat*"
     "21|Libraries/LibEntry/SharedServers.h|s/if (!m_list->is_provisional)/if (m_list)/|ServerRosterTest|*Provisional*"
     "22|Libraries/LibGateway/CallerConnection.cpp|s/if (m_state == State::Answering \&\& m_on_gone)/if (m_state == State::Closing \&\& m_on_gone)/|AttemptRulesTest|*WhenTheCallerLeaves*"
@@ -83,10 +83,12 @@
     '71|Libraries/LibGateway/GatewayRun.h|s/return held_bytes > settings.held_limit;/return false;/|SlowReadersTest|*HundredsThatReadNothing*'
     '72|Libraries/LibGateway/CallerConnection.cpp|s/> limits.idle_time)$/> 1000 * limits.idle_time)/|SlowReadersTest|*NobodyReads*'
     '73|Libraries/LibGateway/BackendFleet.cpp|s/if (view->is_drained() \&\& !is_drained)/if (false)/|DrainRulesTest|*TakenForCold*'
-    '74|Libraries/LibGateway/BackendFleet.cpp|s/|| next_send(server, now) > now;/|| (next_send(server, now) > now \&\& false);/|RateLimitSharingTest|*KeepALimit*'
+    '74|Libraries/LibGateway/BackendFleet.cpp|s/|| next_send(server, now) > now;/|| (next_send(server, now) > now \&\& false);/|SignalSharingTest|*KeepALimit*'
     '75|Libraries/LibPolicy/LimitShares.cpp|s/return wanted < static_cast<double>(gateways) ?.*/return gateways;/|LimitSharesTest|*HoweverMany*'
     '76|Libraries/LibPolicy/LimitShares.cpp|s/are_all_senders ? server : Core::mix(server, static_cast<std::uint64_t>(term))/are_all_senders || term >= 0 ? server : 0/|LimitSharesTest|*FewGatewaysWithRequests*'
     '77|Libraries/LibGateway/BackendFleet.cpp|s/Policy::RateLimitFact::unlimited(sent)/Policy::RateLimitFact::unlimited(sent - std::chrono::hours(1))/|RateLimitRulesTest|*UsedAgain*'
+    '78|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& !m_states_leaving \&\&/return m_is_listed \&\&/|LeavingRulesTest|*GetsNothingAfter*'
+    '79|Libraries/LibGateway/BackendFleet.cpp|s/if (m_leavings.find(view->id()) != nullptr)/if (false)/|LeavingRulesTest|*ListLacksTheServer*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
--- /dev/null
+++ b/Tests/LibGateway/LeavingRulesTest.cpp
@@ -0,0 +1,110 @@
+// A server stated in its answers that it leaves, and its gateways went on by the store's list, which did not say so.
+#include "GatewayFixture.h"
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+constexpr int s_many = 10;
+
+std::string leaving(std::string message)
+{
+    message.insert(message.find("\r\n") + 2, "Granitefield-Leaving: 1\r\n");
+    return message;
+}
+
+class LeavingRules : public GatewayFixture {
+protected:
+    FakeBackend& add_leaving_backend(std::string const& instance)
+    {
+        return add_backend(instance,
+            [](auto& connection, auto const& text, auto) { connection.write(leaving(answer_to(text, 200, "fine"))); });
+    }
+
+    [[nodiscard]] int ask() const { return answer_of(request("GET", "/safe/")).status; }
+};
+
+}
+
+TEST_F(LeavingRules, AServerGetsNothingAfterItHasStatedThatItLeaves)
+{
+    auto const& last = add_leaving_backend("i-1");
+    start();
+    EXPECT_EQ(ask(), 200);
+    for (int number = 0; number < s_many; ++number)
+        EXPECT_EQ(ask(), 503);
+    EXPECT_EQ(last.count(), 1U);
+}
+
+TEST_F(LeavingRules, TheStatementHoldsWhenTheListLacksTheServerForAWhile)
+{
+    auto const& last = add_leaving_backend("i-1");
+    auto const& other = add_backend(
+        "i-2", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "")); });
+    start();
+    while (last.count() == 0)
+        ASSERT_EQ(ask(), 200);
+    auto const with_both = m_servers_list;
+    std::erase_if(m_servers_list.servers, [](auto const& entry) { return entry.instance == "i-1"; });
+    publish_servers();
+    ASSERT_EQ(ask(), 200);
+    m_servers_list.servers = with_both.servers;
+    publish_servers();
+    auto const before = other.count();
+    for (int number = 0; number < s_many; ++number)
+        EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(last.count(), 1U);
+    EXPECT_EQ(other.count(), before + s_many);
+}
+
+TEST_F(LeavingRules, TheNextRunAtTheAddressIsUsed)
+{
+    add_leaving_backend("i-1");
+    start();
+    EXPECT_EQ(ask(), 200);
+    EXPECT_EQ(ask(), 503);
+    m_servers_list.servers.front().instance = "i-1-next";
+    publish_servers();
+    EXPECT_EQ(ask(), 200);
+}
+
+TEST_F(LeavingRules, AStreamOfALeavingServerIsFinished)
+{
+    add_backend("i-1", [](auto& connection, auto const& text, auto) {
+        connection.write(leaving(stream_head_to(text)));
+        connection.write(chunk(event(1)));
+        connection.write(chunk(event(2)));
+        connection.write("0\r\n\r\n");
+    });
+    start();
+    auto const answer = answer_of(request("POST", "/stream/", "", "x"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1) + event(2));
+}
+
+TEST_F(LeavingRules, ARequestThatALeavingServerRejectsGoesElsewhere)
+{
+    auto const& last = add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(leaving(refusal_to(text, 503))); });
+    add_backend(
+        "i-2", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    start();
+    for (int number = 0; number < s_many; ++number)
+        EXPECT_EQ(ask(), 200);
+    EXPECT_LE(last.count(), 1U);
+}
+
+TEST_F(LeavingRules, AnotherServerAtTheAddressSpeaksForItself)
+{
+    auto const& misdirected = add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(leaving(refusal_to(text, 421))); });
+    start();
+    EXPECT_EQ(ask(), 503);
+    EXPECT_EQ(ask(), 503);
+    EXPECT_EQ(misdirected.count(), 2U);
+}
+
+}
--- a/Tests/LibGateway/RateLimitSharingTest.cpp
+++ b/Tests/LibGateway/SignalSharingTest.cpp
@@ -3,7 +3,7 @@
 #include "LoadFleet.h"
 #include "RateLimitJudge.h"
 
-#include <LibGateway/RateLimitSharing.h>
+#include <LibGateway/SignalSharing.h>
 
 #include <cmath>
 #include <limits>
@@ -158,27 +158,39 @@
     EXPECT_TRUE(node(7).fleet.rate_limit_of(view(node(7), s_limited)));
 }
 
-TEST(RateLimitSharing, RejectsReportsThatNoServerCouldHaveCaused)
+TEST(SignalSharing, RejectsReportsThatNoServerCouldHaveCaused)
 {
-    RateLimitSharing::Messages messages;
-    messages.Add()->set_rate(1);
-    EXPECT_TRUE(RateLimitSharing::is_within_bounds(messages));
-    messages.Add()->set_rate(-1);
-    EXPECT_FALSE(RateLimitSharing::is_within_bounds(messages));
-    messages.Mutable(1)->set_rate(std::numeric_limits<double>::quiet_NaN());
-    EXPECT_FALSE(RateLimitSharing::is_within_bounds(messages));
+    SignalSharing::Message message;
+    message.add_rate_limits()->set_rate(1);
+    EXPECT_TRUE(SignalSharing::is_within_bounds(message));
+    message.add_rate_limits()->set_rate(-1);
+    EXPECT_FALSE(SignalSharing::is_within_bounds(message));
+    message.mutable_rate_limits(1)->set_rate(std::numeric_limits<double>::quiet_NaN());
+    EXPECT_FALSE(SignalSharing::is_within_bounds(message));
 }
 
-TEST(RateLimitSharing, CarriesAFactUnchanged)
+TEST_F(LoadFleet, CarriesARateLimitUnchanged)
 {
-    auto fact = Policy::RateLimitFact::limited(0.5, s_start - 300ms);
-    fact.merge(Policy::RateLimitFact::unlimited(s_start - 900ms));
-    RateLimitSharing::Messages messages;
-    RateLimitSharing::write(messages, {{7, fact}}, s_start);
-    auto const reports = RateLimitSharing::read(messages, s_start);
-    ASSERT_EQ(reports.size(), 1U);
-    EXPECT_EQ(reports.front().server, 7U);
-    EXPECT_EQ(reports.front().fact, fact);
+    auto fact = Policy::RateLimitFact::limited(0.5, m_now - 300ms);
+    fact.merge(Policy::RateLimitFact::unlimited(m_now - 900ms));
+    auto const server = view(node(0), "i-3").id();
+    node(0).fleet.rate_limits().note(server, fact, m_now);
+    SignalSharing::Message message;
+    SignalSharing(node(0).fleet).fill(message, m_now);
+    SignalSharing(node(1).fleet).take(message, Policy::Relaying::No, m_now);
+    ASSERT_NE(node(1).fleet.rate_limits().find(server), nullptr);
+    EXPECT_EQ(*node(1).fleet.rate_limits().find(server), fact);
+}
+
+// A store that is away cannot say so.
+TEST_F(LoadFleet, AllGatewaysLeaveAServerAloneThatOneWasToldLeaves)
+{
+    m_loss = 0.02;
+    auto& told = node(5);
+    told.fleet.note_signals(view(told, "i-3"), {std::nullopt, true}, m_now, m_now);
+    play(s_knowledge_limit + Policy::LeavingFacts::s_telling_pause * 2);
+    for (auto const& node : m_nodes)
+        EXPECT_FALSE(view(*node, "i-3").takes_new_requests()) << node->address;
 }
 
 }
--- a/Tests/LibPolicy/RateLimitFactTest.cpp
+++ b/Tests/LibPolicy/RateLimitFactTest.cpp
@@ -12,7 +12,6 @@
 
 Core::MonotonicTime const s_start {1h};
 constexpr std::uint64_t s_server = 5;
-using Relaying = RateLimitFacts::Relaying;
 
 RateLimitFact any_fact()
 {
