Tests: Judge servers that state that they leave in both soaks

What a seed drew before stays as it was. A first run of spread-soak seed 201 found 63 requests to a server that leaves: the soak's own fault, whose two ways to replace a server met at one address so that the watch for one instance was set for the next; a server is now replaced only as the instance that was meant.

--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -27,7 +27,8 @@
 constexpr char const* s_drains_kind = "evacuations";
 constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
 constexpr Core::Milliseconds s_shortest_signal {5'000};
-constexpr Core::Milliseconds s_signal_pause {2'500};
+constexpr Core::Milliseconds s_limit_pause {2'500};
+constexpr Core::Milliseconds s_leaving_pause {4'000};
 
 std::string gateway_name(std::size_t index)
 {
@@ -49,7 +50,8 @@
 GatewaySoak::GatewaySoak(Options options)
     : m_options(options)
     , m_random(options.seed)
-    , m_signal_random(options.seed + 1)
+    , m_limit_random(options.seed + 1)
+    , m_leaving_random(options.seed + 2)
     , m_ports(options.gateways)
 {
     change_configuration();
@@ -215,13 +217,29 @@
     }
 }
 
-void GatewaySoak::begin_signal()
+void GatewaySoak::begin_rate_limit()
 {
     // Long enough that it is judged, and that the next one overlaps with it.
-    auto const end = Core::monotonic_now() + s_shortest_signal + Core::Milliseconds(m_signal_random() % 5'000);
-    auto& signals = m_backends[m_signal_random() % m_backends.size()]->signals();
-    signals.state_limit(s_rates.at(m_signal_random() % s_rates.size()));
-    m_faults.begin("rate limit", end, [&signals] { signals.state_limit(std::nullopt); });
+    auto const end = Core::monotonic_now() + s_shortest_signal + Core::Milliseconds(m_limit_random() % 5'000);
+    auto const signals = m_backends[m_limit_random() % m_backends.size()]->signals();
+    signals->state_limit(s_rates.at(m_limit_random() % s_rates.size()));
+    m_faults.begin("rate limit", end, [signals] { signals->state_limit(std::nullopt); });
+}
+
+void GatewaySoak::begin_leaving()
+{
+    auto const index = m_leaving_random() % m_backends.size();
+    auto const leaving = m_backends[index]->entry().instance;
+    m_backends[index]->signals()->state_leaving();
+    auto const end = Core::monotonic_now() + s_shortest_signal + Core::Milliseconds(m_leaving_random() % 4'000);
+    m_faults.begin("server states that it leaves", end, [this, index, leaving] {
+        // Another statement for the same run may have ended it.
+        if (m_backends[index]->entry().instance != leaving)
+            return;
+        m_fleet.remove_server(leaving);
+        m_backends[index]->replace();
+        enter(index);
+    });
 }
 
 void GatewaySoak::fault_backend(SoakBackend& backend)
@@ -392,12 +410,17 @@
     for (unsigned caller = 0; caller < m_options.callers; ++caller)
         callers.emplace_back([this, caller] { call_until_stopped(caller); });
     auto const end = Core::monotonic_now() + m_options.length;
-    auto next_signal = Core::monotonic_now();
+    auto next_limit = Core::monotonic_now();
+    auto next_leaving = next_limit + s_leaving_pause;
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
-        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_signal) {
-            begin_signal();
-            next_signal = Core::monotonic_now() + s_signal_pause;
+        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_limit) {
+            begin_rate_limit();
+            next_limit = Core::monotonic_now() + s_limit_pause;
+        }
+        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_leaving) {
+            begin_leaving();
+            next_leaving = Core::monotonic_now() + s_leaving_pause;
         }
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
@@ -416,6 +439,7 @@
     for (auto& finding : m_judges.findings())
         note_problem(std::move(finding));
     m_report.limited_arrivals = m_judges.limits.counted();
+    m_report.left_alone = m_judges.leaving.left_alone();
     return m_report;
 }
 
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -51,6 +51,8 @@
         std::map<std::string, unsigned> faults;
         /// Requests that were judged against a stated rate limit.
         std::size_t limited_arrivals {0};
+        /// Servers that stated to a gateway that they leave.
+        std::size_t left_alone {0};
     };
 
     explicit GatewaySoak(Options);
@@ -80,8 +82,10 @@
     void fault_gateway(Slot&, std::size_t index);
     void fault_store();
     void fault_backend(SoakBackend&);
-    /// A server states something about itself for a while. Drawn apart, so that the faults of a seed stay the same.
-    void begin_signal();
+    /// A server states something about itself for a while. Each kind is drawn apart, so that what else a seed draws
+    /// stays the same.
+    void begin_rate_limit();
+    void begin_leaving();
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -100,7 +104,8 @@
 
     Options m_options;
     std::mt19937 m_random;
-    std::mt19937 m_signal_random;
+    std::mt19937 m_limit_random;
+    std::mt19937 m_leaving_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -9,9 +9,11 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace GraniteField::Testing {
 
@@ -68,23 +70,33 @@
         Garbles,
     };
 
-    SoakBackend(std::string const& instance, RunLog& runs, SignalJudges& judges)
-        : m_runs(runs)
-        , m_signals(instance, judges)
-        , m_backend(instance,
-              [this, instance](auto& connection, auto const& request, auto) { serve(connection, request, instance); })
+    SoakBackend(std::string name, RunLog& runs, SignalJudges& judges)
+        : m_name(std::move(name))
+        , m_runs(runs)
+        , m_judges(judges)
+        , m_run(make_run())
+        , m_backend(m_name, [this](auto& connection, auto const& request, auto) { serve(connection, request); })
         , m_proxy(m_backend.entry().address)
     {
     }
 
     void set_mood(Mood mood) { m_mood = mood; }
-    [[nodiscard]] StatedSignals& signals() { return m_signals; }
+    /// What the present run states about itself.
+    [[nodiscard]] std::shared_ptr<StatedSignals> signals() const { return run().signals; }
+    /// Another run takes the place of this one at its address.
+    void replace()
+    {
+        std::lock_guard const lock(m_mutex);
+        ++m_life;
+        m_run = make_run();
+    }
     [[nodiscard]] FaultProxy& proxy() { return m_proxy; }
     [[nodiscard]] std::size_t arrivals() const { return m_backend.count(); }
     /// Its entry in the store, with the proxy's address.
     [[nodiscard]] Entry::ServerEntry entry() const
     {
         auto entry = m_backend.entry();
+        entry.instance = run().instance;
         entry.address = *Core::Address::from_string(Core::concat("127.0.0.1:", m_proxy.port()));
         return entry;
     }
@@ -93,14 +105,33 @@
     static constexpr Core::Milliseconds s_work_time {3};
     static constexpr Core::Milliseconds s_event_interval {4};
 
-    void serve(FakeConnection& connection, std::string const& request, std::string const& instance)
+    struct Run {
+        std::string instance;
+        std::shared_ptr<StatedSignals> signals;
+    };
+
+    [[nodiscard]] Run make_run() const
     {
+        auto const instance = m_life == 0 ? m_name : Core::concat(m_name, ".", m_life);
+        return {instance, std::make_shared<StatedSignals>(instance, m_judges)};
+    }
+
+    [[nodiscard]] Run run() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_run;
+    }
+
+    void serve(FakeConnection& connection, std::string const& request)
+    {
+        auto const [instance, signals] = run();
         auto const id = field_of(request, "X-Request-Id").value_or("");
         auto const head
-            = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n", m_signals.lines());
+            = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n", signals->lines());
         Mood const mood = m_mood;
         bool const is_for_another = field_of(request, "X-Expect-Instance") != instance;
-        m_signals.note_arrival(id);
+        if (!is_for_another)
+            signals->note_arrival(id);
         if (is_for_another || mood == Mood::Full) {
             auto const* status = is_for_another ? "421 Misdirected Request" : "503 Service Unavailable";
             return connection.write(
@@ -132,8 +163,12 @@
         connection.write("0\r\n\r\n");
     }
 
+    std::string m_name;
     RunLog& m_runs;
-    StatedSignals m_signals;
+    SignalJudges& m_judges;
+    mutable std::mutex m_mutex;
+    unsigned m_life {0};
+    Run m_run;
     std::atomic<Mood> m_mood {Mood::Well};
     FakeBackend m_backend;
     FaultProxy m_proxy;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -32,6 +32,7 @@
     for (auto const& problem : report.problems)
         ADD_FAILURE() << problem;
     EXPECT_GT(report.limited_arrivals, 0U);
+    EXPECT_GT(report.left_alone, 0U);
 }
 
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -53,7 +53,8 @@
 constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
 constexpr unsigned s_shortest_signal_ms = 6'000;
 constexpr unsigned s_longest_signal_ms = 12'000;
-constexpr Core::Milliseconds s_signal_pause {3'000};
+constexpr Core::Milliseconds s_limit_pause {3'000};
+constexpr Core::Milliseconds s_leaving_pause {5'000};
 /// How long a server that leaves goes on serving after it was to be left alone.
 constexpr Core::Milliseconds s_served_on {2'500};
 
@@ -98,7 +99,8 @@
 SpreadSoak::SpreadSoak(Options options)
     : m_options(options)
     , m_random(options.seed)
-    , m_signal_random(options.seed + 1)
+    , m_limit_random(options.seed + 1)
+    , m_leaving_random(options.seed + 2)
     , m_contact({}, options.gateways)
     , m_judges(s_contact_time, options.leave_bound)
     , m_seen(options.gateways)
@@ -225,6 +227,16 @@
     ++m_report.changes;
 }
 
+void SpreadSoak::replace(RotatingBackend& backend, std::string const& instance)
+{
+    if (backend.instance() != instance)
+        return;
+    m_fleet.remove_server(instance);
+    judge_arrivals();
+    backend.replace();
+    m_fleet.put_server(backend.entry());
+}
+
 void SpreadSoak::rotate_backends(Core::MonotonicTime now)
 {
     auto& backend = *m_backends[m_random() % m_backends.size()];
@@ -237,14 +249,12 @@
     auto const acknowledged = Core::monotonic_now();
     m_faults.begin(says_so ? "server leaves" : "server's entry goes", acknowledged + m_options.leave_bound,
         [this, &backend, leaving, now] {
+            // It may have been replaced meanwhile, after a statement of its own.
+            if (backend.instance() != leaving.instance)
+                return;
             backend.watch_arrivals();
-            m_faults.begin(
-                "server is left alone", now + m_options.leave_bound + s_served_on, [this, &backend, leaving] {
-                    m_fleet.remove_server(leaving.instance);
-                    judge_arrivals();
-                    backend.replace();
-                    m_fleet.put_server(backend.entry());
-                });
+            m_faults.begin("server is left alone", now + m_options.leave_bound + s_served_on,
+                [this, &backend, leaving] { replace(backend, leaving.instance); });
         });
 }
 
@@ -464,15 +474,26 @@
     }
 }
 
-void SpreadSoak::begin_signal()
+void SpreadSoak::begin_rate_limit()
 {
-    auto const signals = m_backends[m_signal_random() % m_backends.size()]->signals();
-    signals->state_limit(s_rates.at(m_signal_random() % s_rates.size()));
+    auto const signals = m_backends[m_limit_random() % m_backends.size()]->signals();
+    signals->state_limit(s_rates.at(m_limit_random() % s_rates.size()));
     auto const length
-        = Core::Milliseconds(s_shortest_signal_ms + m_signal_random() % (s_longest_signal_ms - s_shortest_signal_ms));
+        = Core::Milliseconds(s_shortest_signal_ms + m_limit_random() % (s_longest_signal_ms - s_shortest_signal_ms));
     m_faults.begin("rate limit", Core::monotonic_now() + length, [signals] { signals->state_limit(std::nullopt); });
 }
 
+void SpreadSoak::begin_leaving()
+{
+    auto& backend = *m_backends[m_leaving_random() % m_backends.size()];
+    auto const leaving = backend.instance();
+    backend.signals()->state_leaving();
+    auto const length
+        = Core::Milliseconds(s_shortest_signal_ms + m_leaving_random() % (s_longest_signal_ms - s_shortest_signal_ms));
+    m_faults.begin("server states that it leaves", Core::monotonic_now() + length,
+        [this, &backend, leaving] { replace(backend, leaving); });
+}
+
 void SpreadSoak::begin_fault()
 {
     switch (m_random() % 12) {
@@ -642,7 +663,8 @@
     auto next_change = Core::monotonic_now();
     auto next_rotation = next_change;
     auto next_fault = next_change + draw_time(0, 3'000);
-    auto next_signal = next_change;
+    auto next_limit = next_change;
+    auto next_leaving = next_change + s_leaving_pause;
     while (Core::monotonic_now() < end) {
         auto const now = Core::monotonic_now();
         m_faults.heal_due(now);
@@ -656,9 +678,13 @@
             rotate_backends(now);
             next_rotation = now + m_options.leave_bound + s_served_on + draw_time(100, 1'500);
         }
-        if (m_options.has_signals && now >= next_signal) {
-            begin_signal();
-            next_signal = now + s_signal_pause;
+        if (m_options.has_signals && now >= next_limit) {
+            begin_rate_limit();
+            next_limit = now + s_limit_pause;
+        }
+        if (m_options.has_signals && now >= next_leaving) {
+            begin_leaving();
+            next_leaving = now + s_leaving_pause;
         }
         if (m_options.has_faults && now >= next_fault) {
             begin_fault();
@@ -675,6 +701,7 @@
     for (auto& finding : m_judges.findings())
         note_problem(std::move(finding));
     m_report.limited_arrivals = m_judges.limits.counted();
+    m_report.left_alone = m_judges.leaving.left_alone();
     std::ranges::sort(m_report.delays);
     return m_report;
 }
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -62,6 +62,8 @@
         unsigned changes {0};
         /// Requests that were judged against a stated rate limit.
         std::size_t limited_arrivals {0};
+        /// Servers that stated to a gateway that they leave.
+        std::size_t left_alone {0};
         /// How long after the store's answer each gateway in touch was first seen to have each version, sorted.
         std::vector<Core::Milliseconds> delays;
     };
@@ -104,8 +106,12 @@
     void change_configuration();
     void rotate_backends(Core::MonotonicTime now);
     void judge_arrivals();
-    /// A server states something about itself for a while. Drawn apart, so that the faults of a seed stay the same.
-    void begin_signal();
+    /// Another instance takes the place of that one, if none has done so yet.
+    void replace(RotatingBackend&, std::string const& instance);
+    /// A server states something about itself for a while. Each kind is drawn apart, so that what else a seed draws
+    /// stays the same.
+    void begin_rate_limit();
+    void begin_leaving();
 
     void begin_fault();
     void kill(Indices const&);
@@ -139,7 +145,8 @@
 
     Options m_options;
     std::mt19937 m_random;
-    std::mt19937 m_signal_random;
+    std::mt19937 m_limit_random;
+    std::mt19937 m_leaving_random;
     Core::MonotonicTime m_begun {Core::monotonic_now()};
     ContactBook m_contact;
     SignalJudges m_judges;
--- a/Tests/Soak/SpreadTest.cpp
+++ b/Tests/Soak/SpreadTest.cpp
@@ -62,7 +62,7 @@
     expect_kept(options);
 }
 
-TEST(Spread, RateLimitsAreKeptWhileGatewaysAndTheStoreFail)
+TEST(Spread, WhatServersStateIsHeededWhileGatewaysAndTheStoreFail)
 {
     SpreadSoak::Options options;
     options.seed = 201;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -42,7 +42,7 @@
         for (auto const& [answer, times] : report.answers)
             std::cout << ' ' << answer << '=' << times;
         if (signals.getValue())
-            std::cout << " limited=" << report.limited_arrivals;
+            std::cout << " limited=" << report.limited_arrivals << " left alone=" << report.left_alone;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
