LibGateway: Log the Retry-After with which a server rejects a request

What users saw: a server had asked a gateway for 3 s of rest, and got 3 requests from it in that time (BUDGET). The log of a rejection had its status only, so that it did not show whether a server asked for rest, and for how long. Nothing decides by it yet.

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -329,12 +329,14 @@
 void GatewayRun::handle_not_run(Core::MonotonicTime now)
 {
     auto const status = m_attempt->parser().head().status;
+    auto const retry_after = std::string(m_attempt->parser().head().fields.value_or("Retry-After", ""));
     m_tried.insert(m_attempt->server().record().instance);
     end_attempt(false, now);
     m_context.log.write(Observe::LogEvent("refused-by-server")
                             .add("request", m_call.id)
                             .add("server", m_choice.server->record().instance)
-                            .add("status", status));
+                            .add("status", status)
+                            .add("retry_after", retry_after));
     if (may_try_again(now))
         return try_again("the backend server did not run it", now);
     if (m_has_begun_answer)
