LibPolicy, LibGateway: Keep to the rest that a backend server asks for

Cause: Retry-After of a server's answer was not read; a 503 was a failure like any other, for which a server is left alone after three in a row, for 250 ms to 2 s, and only while others are sound. Its other side: counted as a failure, a rejection lowered the server in the choice long after its rest. Change: ServerBackoff keeps the time for each server's life and gateway. Nothing is sent before its end, also where no other server is left; afterwards one request goes first. A rejection that asks for rest is no failure. Why it works: every choice of a server asks for the time of its next request, and a rest is part of that time.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -9,6 +9,13 @@
 
 namespace GraniteField::Gateway {
 
+namespace {
+
+/// Requests per second; stands for lower limits, of which nobody waits for the next request.
+constexpr double s_least_rate = 0.1;
+
+}
+
 BackendFleet::BackendFleet(Settings settings, Observe::EventLog& log)
     : m_policy(settings)
     , m_seed(settings.seed)
@@ -166,7 +173,8 @@
 Core::MonotonicTime BackendFleet::next_send(BackendView const& view, Core::MonotonicTime now) const
 {
     auto const limit = limit_of(view);
-    return limit ? m_limit_shares.next_send(view.id(), *limit, now) : now;
+    auto const after_backoff = view.backoff().next_send(now);
+    return limit ? std::max(after_backoff, m_limit_shares.next_send(view.id(), *limit, now)) : after_backoff;
 }
 
 void BackendFleet::log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const
@@ -185,8 +193,12 @@
 }
 
 void BackendFleet::note_signals(
-    BackendView const& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
+    BackendView& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
 {
+    if (signals.retry_after)
+        view.backoff().note_rejected(*signals.retry_after, received);
+    else
+        view.backoff().note_accepted(sent);
     if (signals.is_leaving && m_leavings.note(view.id(), {received}, received) == Policy::FactChange::Changed)
         begin_leaving(view.id(), "answer");
     auto const before = rate_limit_of(view);
@@ -227,8 +239,9 @@
                     .add("source", source));
 }
 
-void BackendFleet::note_sent(BackendView const& view, Core::MonotonicTime now)
+void BackendFleet::note_sent(BackendView& view, Core::MonotonicTime now)
 {
+    view.backoff().note_sent(now);
     if (view.is_cold(now))
         m_cold_shares.note_sent(view.id(), now);
     if (auto const limit = limit_of(view))
@@ -315,12 +328,13 @@
 
 Opening BackendFleet::opening_of(BackendView const& view, Core::MonotonicTime now) const
 {
+    auto const here = next_send(view, now);
     auto const limit = limit_of(view);
     if (!limit)
-        return {now, now};
-    auto const here = m_limit_shares.next_send(view.id(), *limit, now);
-    std::chrono::duration<double> const between_requests(1 / std::max(limit->rate, 1e-3));
-    auto const anywhere = now + std::chrono::duration_cast<Core::MonotonicTime::duration>(between_requests);
+        return {here, here};
+    std::chrono::duration<double> const between_requests(1 / std::max(limit->rate, s_least_rate));
+    auto const anywhere
+        = view.backoff().next_send(now) + std::chrono::duration_cast<Core::MonotonicTime::duration>(between_requests);
     return {here, std::min(here, anywhere)};
 }
 
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -75,7 +75,7 @@
     /// When the request that choose() finds no server for may be sent to one; nullopt where that is not known.
     [[nodiscard]] std::optional<Opening> next_opening(GatewayCall const&, Core::MonotonicTime now) const;
     /// The server stated this in the answer to a request that was sent at that time.
-    void note_signals(BackendView const&, ServerSignals const&, Core::MonotonicTime sent, Core::MonotonicTime received);
+    void note_signals(BackendView&, ServerSignals const&, Core::MonotonicTime sent, Core::MonotonicTime received);
     /// Another gateway reports it.
     void take_report(Policy::RateLimitFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
     void take_report(Policy::LeavingFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
@@ -84,7 +84,7 @@
     /// Requests per second that the server accepts from all gateways; nullopt for no limit.
     [[nodiscard]] std::optional<double> rate_limit_of(BackendView const&) const;
     /// A request goes to the server.
-    void note_sent(BackendView const&, Core::MonotonicTime now);
+    void note_sent(BackendView&, Core::MonotonicTime now);
     [[nodiscard]] Entry::DrainList const& drains() const { return m_drains; }
 
     /// Adds the instances that live at one of the places (hashes of addresses).
@@ -113,7 +113,7 @@
     /// Whether a cold server may get another request from this gateway now.
     [[nodiscard]] bool has_cold_share(BackendView const&, Core::MonotonicTime now) const;
     [[nodiscard]] std::optional<Policy::SharedRateLimit> limit_of(BackendView const&) const;
-    /// When the server's rate limit lets this gateway send it a request; `now` without a limit.
+    /// When the server's statements let this gateway send it a request, `now` at the earliest.
     [[nodiscard]] Core::MonotonicTime next_send(BackendView const&, Core::MonotonicTime now) const;
     [[nodiscard]] Opening opening_of(BackendView const&, Core::MonotonicTime now) const;
     [[nodiscard]] bool is_recheck_due(BackendView const&, Core::MonotonicTime now) const;
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -5,6 +5,7 @@
 #include <LibEntry/SharedServers.h>
 #include <LibGateway/PrefixMemory.h>
 #include <LibPolicy/CrashFacts.h>
+#include <LibPolicy/ServerBackoff.h>
 
 #include <algorithm>
 #include <cmath>
@@ -111,6 +112,10 @@
     /// An answer stated that it leaves. It holds until its end, also where a later list has it as serving.
     void set_states_leaving() { m_states_leaving = true; }
 
+    /// What it asked this gateway for when it rejected requests.
+    [[nodiscard]] Policy::ServerBackoff& backoff() { return m_backoff; }
+    [[nodiscard]] Policy::ServerBackoff const& backoff() const { return m_backoff; }
+
     /// Whether it is serving and its failure domain is not drained.
     [[nodiscard]] bool takes_new_requests() const { return is_serving() && !m_is_drained; }
     /// Whether the operators drain its failure domain.
@@ -255,6 +260,7 @@
     bool m_is_listed {true};
     bool m_is_drained {false};
     bool m_states_leaving {false};
+    Policy::ServerBackoff m_backoff;
     Core::MonotonicTime m_cold_until;
     ServerLoad m_own;
     ServerLoad m_others;
--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -275,16 +275,26 @@
     return text;
 }
 
-void GatewayRun::end_attempt(bool is_success_answer, Core::MonotonicTime now)
+GatewayRun::AttemptResult GatewayRun::result_of_error(Core::MonotonicTime now) const
+{
+    return m_attempt->server().backoff().is_in_force(now) ? AttemptResult::Rejected : AttemptResult::Failure;
+}
+
+void GatewayRun::end_attempt(AttemptResult result, Core::MonotonicTime now)
 {
     auto const attempt = std::exchange(m_attempt, nullptr);
     auto& server = attempt->server();
-    if (is_success_answer) {
+    switch (result) {
+    case AttemptResult::Success:
         if (server.note_success(now))
             m_context.load.note_answering(server);
         server.note_latency(now - attempt->begun());
-    } else {
+        break;
+    case AttemptResult::Failure:
         server.note_failure(now);
+        break;
+    case AttemptResult::Rejected:
+        break;
     }
     ++m_sends;
     attempt->cancel();
@@ -331,7 +341,7 @@
     auto const status = m_attempt->parser().head().status;
     auto const retry_after = std::string(m_attempt->parser().head().fields.value_or("Retry-After", ""));
     m_tried.insert(m_attempt->server().record().instance);
-    end_attempt(false, now);
+    end_attempt(result_of_error(now), now);
     m_context.log.write(Observe::LogEvent("refused-by-server")
                             .add("request", m_call.id)
                             .add("server", m_choice.server->record().instance)
@@ -354,7 +364,7 @@
     m_context.crashes.note_break(m_attempt->server(), m_call.digest(), exposure(now), now);
     if (m_context.usage != nullptr && m_call.is_stream() && !*m_is_counted && !m_call.workspace.empty())
         m_context.unseen_runs.add(m_choice.server, m_call.workspace, m_is_counted, now);
-    end_attempt(false, now);
+    end_attempt(AttemptResult::Failure, now);
     m_kept_answer.clear();
     m_context.log.write(Observe::LogEvent("broken")
                             .add("request", m_call.id)
@@ -482,7 +492,7 @@
     m_may_have_run = true;
     m_tried.insert(server);
     note_unanswered();
-    end_attempt(false, now);
+    end_attempt(AttemptResult::Failure, now);
     m_events.drop_partial_event();
     try_again("the backend server is silent", now);
 }
@@ -492,7 +502,7 @@
     if (m_attempt && m_attempt->is_sent()) {
         m_may_have_run = true;
         note_unanswered();
-        end_attempt(m_first_event.has_value(), now);
+        end_attempt(m_first_event ? AttemptResult::Success : AttemptResult::Failure, now);
     }
     drop_unsent_attempt();
     if (m_has_begun_answer)
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -162,7 +162,16 @@
     [[nodiscard]] HTTP::FieldList handed_on(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool must_hide(HTTP::AnswerHead const&) const;
     void give_whole_answer(BackendAttempt&);
-    void end_attempt(bool is_success, Core::MonotonicTime now);
+    /// What the end of an attempt says of its server.
+    enum class AttemptResult {
+        Success,
+        Failure,
+        /// It rejected the request and asked for rest. What it asked for is kept to; it has not failed.
+        Rejected,
+    };
+    void end_attempt(AttemptResult, Core::MonotonicTime now);
+    /// Failure, or Rejected where the server of the attempt in hand has asked for rest.
+    [[nodiscard]] AttemptResult result_of_error(Core::MonotonicTime now) const;
     /// A backend server began to run the request then. It counts once, by the first server, also where that fails.
     void note_running(Core::MonotonicTime begun);
     /// The server ran the request to its end: it crashes nobody.
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -22,7 +22,7 @@
     if (head.status == Status::s_misdirected || !is_answer_to_this(head))
         return;
     m_context.fleet.note_signals(
-        attempt.server(), read_signals(head.fields, m_context.dialect), attempt.begun(), Core::monotonic_now());
+        attempt.server(), read_signals(head, m_context.dialect), attempt.begun(), Core::monotonic_now());
 }
 
 bool GatewayRun::is_answer_sound(HTTP::AnswerHead const& head, std::string& problem) const
@@ -105,7 +105,7 @@
             attempt.cancel();
             return handle_broken("the stream ended within an event", now);
         }
-        end_attempt(true, now);
+        end_attempt(AttemptResult::Success, now);
         note_good_end(now);
         m_caller->finish();
         return finish(Outcome::Done, attempt.parser().head().status, "answered");
@@ -166,10 +166,10 @@
     note_good_end(now);
     if (is_server_error && m_call.is_repeatable() && !m_has_begun_answer && may_try_again(now)) {
         m_tried.insert(attempt.server().record().instance);
-        end_attempt(false, now);
+        end_attempt(result_of_error(now), now);
         return try_again("the backend server answered with an error", now);
     }
-    end_attempt(!is_server_error, now);
+    end_attempt(is_server_error ? result_of_error(now) : AttemptResult::Success, now);
     if (must_hide(head)) {
         m_may_have_run = true;
         return fail(
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -453,6 +453,7 @@
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
             {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
             {"failure-rate", view->failure_rate(now)}, {"drained", view->is_drained()}, {"cold", view->is_cold(now)},
+            {"resting-ms", Core::elapsed(now, view->backoff().next_send(now)).count()},
             {"rate-limit", limit ? nlohmann::json(*limit) : nlohmann::json()}});
     }
     nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
--- a/Libraries/LibGateway/ServerSignals.cpp
+++ b/Libraries/LibGateway/ServerSignals.cpp
@@ -1,5 +1,8 @@
 #include <LibGateway/ServerSignals.h>
 
+#include <LibHTTP/Status.h>
+
+#include <algorithm>
 #include <cmath>
 
 #include <absl/strings/numbers.h>
@@ -18,13 +21,26 @@
     return number;
 }
 
+/// Seconds, with a fraction or without. A date (RFC 9110, section 10.2.3) is ignored: clocks of hosts differ.
+std::optional<Core::Milliseconds> read_retry_after(HTTP::FieldList const& fields)
+{
+    constexpr double longest_seconds = 1e9;
+    auto const seconds = read_number(fields, "Retry-After");
+    if (!seconds)
+        return std::nullopt;
+    std::chrono::duration<double> const duration(std::min(*seconds, longest_seconds));
+    return std::chrono::ceil<Core::Milliseconds>(duration);
+}
+
 }
 
-ServerSignals read_signals(HTTP::FieldList const& fields, Dialect const& dialect)
+ServerSignals read_signals(HTTP::AnswerHead const& head, Dialect const& dialect)
 {
     ServerSignals signals;
-    signals.rate_limit = read_number(fields, dialect.rate_limit);
-    signals.is_leaving = fields.value_or(dialect.leaving, "") == "1";
+    signals.rate_limit = read_number(head.fields, dialect.rate_limit);
+    signals.is_leaving = head.fields.value_or(dialect.leaving, "") == "1";
+    if (head.status == HTTP::Status::s_unavailable)
+        signals.retry_after = read_retry_after(head.fields);
     return signals;
 }
 
--- a/Libraries/LibGateway/ServerSignals.h
+++ b/Libraries/LibGateway/ServerSignals.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibGateway/Dialect.h>
-#include <LibHTTP/FieldList.h>
+#include <LibHTTP/AnswerParser.h>
 
 #include <optional>
 
@@ -13,11 +14,13 @@
     std::optional<double> rate_limit;
     /// It wants no further requests and will end.
     bool is_leaving {false};
+    /// It rejected the request, and wants none from this gateway for so long.
+    std::optional<Core::Milliseconds> retry_after;
 
     bool operator==(ServerSignals const&) const = default;
 };
 
 /// Fields that are malformed are ignored: a server that sends nonsense is treated as one that sends nothing.
-[[nodiscard]] ServerSignals read_signals(HTTP::FieldList const&, Dialect const&);
+[[nodiscard]] ServerSignals read_signals(HTTP::AnswerHead const&, Dialect const&);
 
 }
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -89,6 +89,9 @@
     '77|Libraries/LibGateway/BackendFleet.cpp|s/Policy::RateLimitFact::unlimited(sent)/Policy::RateLimitFact::unlimited(sent - std::chrono::hours(1))/|RateLimitRulesTest|*UsedAgain*'
     '78|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& !m_states_leaving \&\&/return m_is_listed \&\&/|LeavingRulesTest|*GetsNothingAfter*'
     '79|Libraries/LibGateway/BackendFleet.cpp|s/if (m_leavings.find(view->id()) != nullptr)/if (false)/|LeavingRulesTest|*ListLacksTheServer*'
+    '80|Libraries/LibPolicy/ServerBackoff.h|s/auto const earliest = std::max(m_until, now);/auto const earliest = now;/|BackoffRulesTest|*WhileItRests*'
+    '81|Libraries/LibPolicy/ServerBackoff.h|s/if (!m_is_probing || !m_probe_sent)/if (true)/|BackoffRulesTest|*OneRequestTriesForAll*'
+    '82|Libraries/LibGateway/GatewayRun.cpp|s/? AttemptResult::Rejected : AttemptResult::Failure;/? AttemptResult::Failure : AttemptResult::Failure;/|BackoffRulesTest|*NoFailure*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
--- /dev/null
+++ b/Tests/LibGateway/BackoffRulesTest.cpp
@@ -0,0 +1,132 @@
+// A server asked for rest with 503 and Retry-After; its gateway sent it more within that time, and then none for long.
+#include "GatewayFixture.h"
+
+#include <atomic>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace GraniteField::Testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int s_many = 20;
+
+class BackoffRules : public GatewayFixture {
+protected:
+    /// Rejects with that Retry-After for as long as `m_rejects`.
+    FakeBackend& add_resting_backend(std::string const& instance, std::string const& retry_after)
+    {
+        return add_backend(instance, [this, retry_after](auto& connection, auto const& text, auto) {
+            if (!m_rejects)
+                return connection.write(answer_to(text, 200, "fine"));
+            auto answer = refusal_to(text, 503);
+            answer.insert(answer.find("\r\n") + 2, Core::concat("Retry-After: ", retry_after, "\r\n"));
+            connection.write(answer);
+        });
+    }
+
+    FakeBackend& add_good_backend(std::string const& instance)
+    {
+        return add_backend(
+            instance, [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    }
+
+    [[nodiscard]] RawCaller::Answer ask() const { return answer_of(request("GET", "/safe/")); }
+    [[nodiscard]] static double retry_after_of(RawCaller::Answer const& answer)
+    {
+        return std::stod(field_of(answer.head, "Retry-After").value_or("-1"));
+    }
+
+    std::atomic<bool> m_rejects {true};
+};
+
+}
+
+TEST_F(BackoffRules, AServerGetsNothingWhileItRests)
+{
+    auto const& resting = add_resting_backend("i-1", "30");
+    auto const& other = add_good_backend("i-2");
+    start();
+    while (resting.count() == 0)
+        ASSERT_EQ(ask().status, 200);
+    auto const before = other.count();
+    for (int number = 0; number < s_many; ++number)
+        EXPECT_EQ(ask().status, 200);
+    EXPECT_EQ(resting.count(), 1U);
+    EXPECT_EQ(other.count(), before + s_many);
+}
+
+TEST_F(BackoffRules, CallersAreToldWhenTheFirstServerEndsItsRest)
+{
+    auto const& first = add_resting_backend("i-1", "30.5");
+    auto const& second = add_resting_backend("i-2", "60");
+    start();
+    while (first.count() == 0 || second.count() == 0)
+        EXPECT_EQ(ask().status, 503);
+    auto const begun = Core::monotonic_now();
+    auto const answer = ask();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_LT(Core::elapsed(begun, Core::monotonic_now()), 125ms);
+    EXPECT_GE(retry_after_of(answer), 29);
+    // Whole seconds, and up to one more by the request's rank.
+    EXPECT_LE(retry_after_of(answer), 32);
+    EXPECT_EQ(first.count() + second.count(), 2U);
+}
+
+TEST_F(BackoffRules, AFractionOfASecondIsKeptAndWaitedFor)
+{
+    auto const& resting = add_resting_backend("i-1", "0.2");
+    start();
+    EXPECT_EQ(ask().status, 503);
+    m_rejects = false;
+    auto const begun = Core::monotonic_now();
+    // The class's target is one second, of which a quarter may be waited.
+    EXPECT_EQ(ask().status, 200);
+    EXPECT_GE(Core::elapsed(begun, Core::monotonic_now()), 150ms);
+    EXPECT_EQ(resting.count(), 2U);
+}
+
+TEST_F(BackoffRules, AfterTheRestOneRequestTriesForAll)
+{
+    auto const& resting = add_resting_backend("i-1", "0.2");
+    start();
+    EXPECT_EQ(ask().status, 503);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int number = 0; number < s_many; ++number)
+        callers.push_back(call(request("GET", "/safe/")));
+    for (auto const& caller : callers)
+        EXPECT_EQ(caller->read_answer().status, 503);
+    EXPECT_EQ(resting.count(), 2U);
+}
+
+TEST_F(BackoffRules, ARejectionWithRestIsNoFailure)
+{
+    add_resting_backend("i-1", "0.05");
+    start();
+    for (int number = 0; number < s_many; ++number)
+        static_cast<void>(ask());
+    auto const status = nlohmann::json::parse(m_gateway->status());
+    EXPECT_EQ(status["backend-servers"][0]["failure-rate"], 0);
+    EXPECT_EQ(status["backend-servers"][0]["avoided"], false);
+}
+
+TEST_F(BackoffRules, OnlyARejectionAsksForRest)
+{
+    HTTP::AnswerHead head {503, {}};
+    head.fields.add("Retry-After", "1.7");
+    EXPECT_EQ(Gateway::read_signals(head, {}).retry_after, 1'700ms);
+    head.status = 429;
+    EXPECT_FALSE(Gateway::read_signals(head, {}).retry_after);
+    head.status = 200;
+    EXPECT_FALSE(Gateway::read_signals(head, {}).retry_after);
+    for (auto const* const text : {"", "soon", "-1", "nan", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        HTTP::AnswerHead malformed {503, {}};
+        malformed.fields.add("Retry-After", text);
+        EXPECT_FALSE(Gateway::read_signals(malformed, {}).retry_after) << text;
+    }
+}
+
+}
--- a/Tests/LibGateway/RateLimitRulesTest.cpp
+++ b/Tests/LibGateway/RateLimitRulesTest.cpp
@@ -163,13 +163,13 @@
 TEST_F(RateLimitRules, ALimitThatIsNoNumberIsIgnored)
 {
     for (auto const* const text : {"", "much", "-1", "nan", "inf", "1e999"}) {
-        HTTP::FieldList fields;
-        fields.add("Granitefield-Rate-Limit", text);
-        EXPECT_EQ(Gateway::read_signals(fields, {}), Gateway::ServerSignals()) << text;
+        HTTP::AnswerHead head {200, {}};
+        head.fields.add("Granitefield-Rate-Limit", text);
+        EXPECT_EQ(Gateway::read_signals(head, {}), Gateway::ServerSignals()) << text;
     }
-    HTTP::FieldList fields;
-    fields.add("granitefield-rate-limit", "0.50");
-    EXPECT_EQ(Gateway::read_signals(fields, {}).rate_limit, 0.5);
+    HTTP::AnswerHead head {200, {}};
+    head.fields.add("granitefield-rate-limit", "0.50");
+    EXPECT_EQ(Gateway::read_signals(head, {}).rate_limit, 0.5);
 }
 
 }
--- a/Tests/LibGateway/SignalSharingTest.cpp
+++ b/Tests/LibGateway/SignalSharingTest.cpp
@@ -187,7 +187,9 @@
 {
     m_loss = 0.02;
     auto& told = node(5);
-    told.fleet.note_signals(view(told, "i-3"), {std::nullopt, true}, m_now, m_now);
+    ServerSignals leaving;
+    leaving.is_leaving = true;
+    told.fleet.note_signals(view(told, "i-3"), leaving, m_now, m_now);
     play(s_knowledge_limit + Policy::LeavingFacts::s_telling_pause * 2);
     for (auto const& node : m_nodes)
         EXPECT_FALSE(view(*node, "i-3").takes_new_requests()) << node->address;
--- /dev/null
+++ b/Tests/LibPolicy/ServerBackoffTest.cpp
@@ -0,0 +1,77 @@
+// When a gateway sends to a server again that asked it for rest.
+#include "BackoffWorld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Policy {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::MonotonicTime const s_start {1h};
+
+}
+
+TEST(ServerBackoff, AServerThatAskedForNothingIsNotHeldBack)
+{
+    ServerBackoff backoff;
+    backoff.note_sent(s_start);
+    EXPECT_EQ(backoff.next_send(s_start), s_start);
+}
+
+TEST(ServerBackoff, TheLongestTimeHolds)
+{
+    ServerBackoff backoff;
+    backoff.note_rejected(3s, s_start);
+    backoff.note_rejected(1s, s_start + 100ms);
+    EXPECT_EQ(backoff.next_send(s_start + 200ms), s_start + 3s);
+    EXPECT_TRUE(backoff.is_in_force(s_start + 2'999ms));
+    EXPECT_FALSE(backoff.is_in_force(s_start + 3s));
+}
+
+TEST(ServerBackoff, OneRequestAtATimeFollowsUntilOneIsAccepted)
+{
+    ServerBackoff backoff;
+    backoff.note_rejected(1s, s_start);
+    auto const end = s_start + 1s;
+    EXPECT_EQ(backoff.next_send(end), end);
+    backoff.note_sent(end);
+    EXPECT_EQ(backoff.next_send(end + 1ms), end + ServerBackoff::s_probe_interval);
+    // The answer to a request from before the rejection.
+    backoff.note_accepted(s_start - 1ms);
+    EXPECT_GT(backoff.next_send(end + 1ms), end + 1ms);
+    backoff.note_accepted(end);
+    EXPECT_EQ(backoff.next_send(end + 2ms), end + 2ms);
+}
+
+TEST(ServerBackoff, AnotherRejectionBeginsAnotherRest)
+{
+    ServerBackoff backoff;
+    backoff.note_rejected(1s, s_start);
+    backoff.note_sent(s_start + 1s);
+    backoff.note_rejected(1s, s_start + 1'010ms);
+    EXPECT_EQ(backoff.next_send(s_start + 1'011ms), s_start + 2'010ms);
+}
+
+TEST(ServerBackoff, AnAbsurdTimeIsBounded)
+{
+    ServerBackoff backoff;
+    backoff.note_rejected(std::chrono::hours(24 * 365), s_start);
+    EXPECT_EQ(backoff.next_send(s_start), s_start + ServerBackoff::s_longest);
+}
+
+RC_GTEST_PROP(ServerBackoff, NoRestIsBrokenHoweverManyWantTheServer, ())
+{
+    BackoffSettings settings;
+    settings.rest = Core::Milliseconds(*rc::gen::inRange(300, 5'000));
+    settings.load = *rc::gen::element(5.0, 50.0, 500.0);
+    settings.seed = *rc::gen::inRange<std::uint32_t>(0, 100'000);
+    auto const outcome = BackoffWorld(settings).play(BackoffWay::RestThenProbe);
+    RC_ASSERT(outcome.most_in_a_rest <= 2U);
+    RC_ASSERT(outcome.used_after.has_value());
+    RC_ASSERT(*outcome.used_after <= settings.rest + 1s);
+}
+
+}
