Tests: Judge the rest that servers ask for in both soaks

Backend servers of both soaks now also reject requests with 503 and Retry-After of 0.3 to 3 s, now and then all of them at once, while they state limits and that they leave and everything else fails.

--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -53,6 +53,8 @@
         std::size_t limited_arrivals {0};
         /// Servers that stated to a gateway that they leave.
         std::size_t left_alone {0};
+        /// Rejections with Retry-After that were judged.
+        std::size_t rests {0};
     };
 
     explicit GatewaySoak(Options);
@@ -86,6 +88,7 @@
     /// stays the same.
     void begin_rate_limit();
     void begin_leaving();
+    void begin_rest();
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -106,6 +109,7 @@
     std::mt19937 m_random;
     std::mt19937 m_limit_random;
     std::mt19937 m_leaving_random;
+    std::mt19937 m_rest_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/RotatingBackend.h
+++ b/Tests/Soak/RotatingBackend.h
@@ -103,6 +103,9 @@
         if (m_watched)
             m_arrivals.push_back({instance_locked(), id, Core::monotonic_now()});
         m_signals->note_arrival(id);
+        if (auto const retry_after = m_signals->reject(id))
+            return {
+                503, "text/plain", {{"X-Not-Executed", "1"}, {"X-Request-Id", id}, {"Retry-After", *retry_after}}, ""};
         auto fields = m_signals->fields();
         fields["X-Request-Id"] = id;
         fields["X-Response-Stamp"] = instance_locked();
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -132,6 +132,10 @@
         bool const is_for_another = field_of(request, "X-Expect-Instance") != instance;
         if (!is_for_another)
             signals->note_arrival(id);
+        if (auto const retry_after = is_for_another ? std::nullopt : signals->reject(id))
+            return connection.write(
+                Core::concat("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: ", *retry_after,
+                    "\r\nContent-Length: 0\r\n", head, "\r\n"));
         if (is_for_another || mood == Mood::Full) {
             auto const* status = is_for_another ? "421 Misdirected Request" : "503 Service Unavailable";
             return connection.write(
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -42,7 +42,8 @@
         for (auto const& [answer, times] : report.answers)
             std::cout << ' ' << answer << '=' << times;
         if (signals.getValue())
-            std::cout << " limited=" << report.limited_arrivals << " left alone=" << report.left_alone;
+            std::cout << " limited=" << report.limited_arrivals << " left alone=" << report.left_alone
+                      << " rests=" << report.rests;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
--- a/Tests/Soak/spread_soak.cpp
+++ b/Tests/Soak/spread_soak.cpp
@@ -34,7 +34,8 @@
     std::cout << ';';
     for (auto const& [fault, count] : report.faults)
         std::cout << ' ' << fault << '=' << count;
-    std::cout << "; limited=" << report.limited_arrivals << " left alone=" << report.left_alone << '\n';
+    std::cout << "; limited=" << report.limited_arrivals << " left alone=" << report.left_alone
+              << " rests=" << report.rests << '\n';
     for (std::size_t index = 0; index < std::min(report.problems.size(), s_most_problems_shown); ++index)
         std::cout << "  " << report.problems[index] << '\n';
     if (report.problems.size() > s_most_problems_shown)
