LibGateway: Do not end a rate limit for a rejection that states none

Cause: a rejection without the field was taken for the end of the limit. Who rejects may stand before the server's work and not know of the limit. Change: only an answer to a request that ran can end a limit. Tests: RateLimitRules.ARejectionThatStatesNoLimitDoesNotEndIt fails without it.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -202,7 +202,9 @@
     if (signals.is_leaving && m_leavings.note(view.id(), {received}, received) == Policy::FactChange::Changed)
         begin_leaving(view.id(), "answer");
     auto const before = rate_limit_of(view);
-    if (!signals.rate_limit && !before)
+    // A rejection may come from what stands before the server's work, which does not know of the limit.
+    bool const says_nothing_of_limits = !signals.rate_limit && (!before || signals.is_rejection);
+    if (says_nothing_of_limits)
         return;
     auto const fact = signals.rate_limit ? Policy::RateLimitFact::limited(*signals.rate_limit, received)
                                          : Policy::RateLimitFact::unlimited(sent);
--- a/Libraries/LibGateway/ServerSignals.cpp
+++ b/Libraries/LibGateway/ServerSignals.cpp
@@ -39,6 +39,7 @@
     ServerSignals signals;
     signals.rate_limit = read_number(head.fields, dialect.rate_limit);
     signals.is_leaving = head.fields.value_or(dialect.leaving, "") == "1";
+    signals.is_rejection = HTTP::Status::promises_not_run(head.status) && head.fields.find(dialect.not_run) != nullptr;
     if (head.status == HTTP::Status::s_unavailable)
         signals.retry_after = read_retry_after(head.fields);
     return signals;
--- a/Libraries/LibGateway/ServerSignals.h
+++ b/Libraries/LibGateway/ServerSignals.h
@@ -14,7 +14,9 @@
     std::optional<double> rate_limit;
     /// It wants no further requests and will end.
     bool is_leaving {false};
-    /// It rejected the request, and wants none from this gateway for so long.
+    /// It did not run the request.
+    bool is_rejection {false};
+    /// It wants no request from this gateway for so long.
     std::optional<Core::Milliseconds> retry_after;
 
     bool operator==(ServerSignals const&) const = default;
--- a/Tests/LibGateway/RateLimitRulesTest.cpp
+++ b/Tests/LibGateway/RateLimitRulesTest.cpp
@@ -132,6 +132,23 @@
     EXPECT_EQ(limited.count(), 12U);
 }
 
+TEST_F(RateLimitRules, ARejectionThatStatesNoLimitDoesNotEndIt)
+{
+    std::atomic<bool> rejects {false};
+    auto const& limited = add_backend("i-1", [&rejects](auto& connection, auto const& text, auto) {
+        auto answer = answer_to(text, 200, "fine");
+        answer.insert(answer.find("\r\n") + 2, "Granitefield-Rate-Limit: 2\r\n");
+        connection.write(rejects ? refusal_to(text, 503) : answer);
+    });
+    start_alone();
+    ASSERT_EQ(ask(), 200);
+    rejects = true;
+    while (limited.count() < 2)
+        EXPECT_EQ(ask(), 503);
+    auto const status = nlohmann::json::parse(m_gateway->status());
+    EXPECT_EQ(status["backend-servers"][0]["rate-limit"], 2);
+}
+
 TEST_F(RateLimitRules, ALimitedServerIsAskedAgainAlthoughOthersArePreferred)
 {
     auto const& limited = add_limited_backend("i-1");
