LibGateway: Send the most urgent of the requests that wait first

What callers would see: requests that wait at a gateway for a server that opens were looked at in the order of their arrival. A server that accepts one request, after its rest or by its rate limit, so got the oldest, while an urgent one was rejected a moment later. Change: runs that wait are ticked by rank, those of one rank by age; runs with an attempt keep their order. Test: BackoffRules.TheMostUrgentOfThoseThatWaitGoesFirst fails without the order. Why it works: the first that is ticked takes the share or the probe of a server, and the others find it taken.

--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -109,6 +109,8 @@
     /// The process ends: the caller gets what can be said.
     void abandon();
 
+    /// Whether it waits for a backend server.
+    [[nodiscard]] bool is_waiting() const { return !m_is_over && m_attempt == nullptr; }
     /// Whether the caller has its final answer or is gone.
     [[nodiscard]] bool is_over() const { return m_is_over; }
     [[nodiscard]] GatewayCall const& call() const { return m_call; }
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -360,10 +360,7 @@
     follow_members();
     m_fleet.observe(now);
     m_crashes.turn(now);
-    // A run may only be dropped here, outside its own calls.
-    for (auto const& run : m_runs)
-        run->tick(now);
-    std::erase_if(m_runs, [](auto const& run) { return run->is_over(); });
+    tick_runs(now);
     if (m_context.usage != nullptr)
         m_context.unseen_runs.settle(*m_context.usage, now);
     refuse_early_requests(now);
@@ -377,6 +374,23 @@
         tick_drain(now);
 }
 
+void GatewayServer::tick_runs(Core::MonotonicTime now)
+{
+    std::vector<GatewayRun*> waiting;
+    for (auto const& run : m_runs) {
+        if (run->is_waiting())
+            waiting.push_back(run.get());
+        else
+            run->tick(now);
+    }
+    // A server that opens may accept one request only: the most urgent of those that wait, then the oldest.
+    std::ranges::stable_sort(waiting, {}, [](auto const* run) { return run->call().priority; });
+    for (auto* const run : waiting)
+        run->tick(now);
+    // A run may only be dropped here, outside its own calls.
+    std::erase_if(m_runs, [](auto const& run) { return run->is_over(); });
+}
+
 void GatewayServer::drain()
 {
     boost::asio::post(m_loop, [this] {
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -97,6 +97,7 @@
     void follow_members();
     void schedule_tick();
     void tick();
+    void tick_runs(Core::MonotonicTime now);
     void tick_drain(Core::MonotonicTime now);
     /// The refusal for a request that a planned stop would cut; nothing when there is time for it.
     [[nodiscard]] std::optional<Entry::ErrorAnswer> refuse_for_stop(GatewayCall const&, Core::MonotonicTime now) const;
--- a/Tests/LibGateway/BackoffRulesTest.cpp
+++ b/Tests/LibGateway/BackoffRulesTest.cpp
@@ -102,6 +102,23 @@
     EXPECT_EQ(resting.count(), 2U);
 }
 
+TEST_F(BackoffRules, TheMostUrgentOfThoseThatWaitGoesFirst)
+{
+    // Long enough that both may wait.
+    for (auto const* name : {"safe", "keyed"})
+        set(Table::SheetName::Classes, name, {{"first-token", "4s"}});
+    auto const& resting = add_resting_backend("i-1", "0.2");
+    start();
+    EXPECT_EQ(ask().status, 503);
+    m_rejects = false;
+    auto const ordinary = call(request("GET", "/safe/"));
+    auto const urgent = call(request("GET", "/keyed/", std::string("Authorization: Bearer ") + s_key + "\r\n"));
+    EXPECT_EQ(ordinary->read_answer().status, 200);
+    EXPECT_EQ(urgent->read_answer().status, 200);
+    ASSERT_EQ(resting.count(), 3U);
+    EXPECT_NE(resting.requests()[1].find("/keyed/"), std::string::npos);
+}
+
 TEST_F(BackoffRules, ARejectionWithRestIsNoFailure)
 {
     add_resting_backend("i-1", "0.05");
