LibGateway: Fetch no prompts from an engine that states a rate limit

The limit counts requests; a fetch takes its link and its memory beside them. Change: a server with a limit is no source. One that leaves or rests was none before, since it is no candidate. Tests: FetchSources (3); the case of the limit fails without the change. Why it works: sources are taken among the candidates, which now say whether they are one.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -365,8 +365,11 @@
     GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
 {
     std::vector<Candidate> candidates;
-    for (auto& server : servers_for(call))
-        candidates.push_back({std::move(server), 0});
+    for (auto& server : servers_for(call)) {
+        // A server in need hands out its memory to nobody: that is work which its limit does not count.
+        bool const is_source = !limit_of(*server);
+        candidates.push_back({std::move(server), 0, is_source});
+    }
     rank_by_prompt(candidates, call);
     std::erase_if(candidates, [&](auto const& item) {
         auto const& server = *item.server;
--- a/Libraries/LibGateway/PlacementPolicy.cpp
+++ b/Libraries/LibGateway/PlacementPolicy.cpp
@@ -190,7 +190,7 @@
     for (auto const& candidate : candidates) {
         auto const kept = believed_kept(candidate, call, shared_tokens);
         beliefs.kept.push_back(kept);
-        if (kept > beliefs.keeper.tokens)
+        if (candidate.is_source && kept > beliefs.keeper.tokens)
             beliefs.keeper = {candidate.server, kept};
     }
     return beliefs;
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -45,6 +45,8 @@
     std::shared_ptr<BackendView> server;
     /// Place in the prompt's own order of the service's engines; 0 is its home.
     std::size_t rank {0};
+    /// Whether others may fetch from it what it keeps of the prompt.
+    bool is_source {true};
 };
 
 /// Weighs backend servers against each other by one measure: the expected loss of worth, of the request itself and of
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -74,4 +74,72 @@
     EXPECT_EQ(view()->load().open, 1U);
 }
 
+namespace {
+
+/// Two engines, of which the first keeps a prompt and has much to read.
+class FetchSources : public ::testing::Test {
+protected:
+    FetchSources()
+    {
+        Entry::ServerList list;
+        for (auto const* instance : {"i-1", "i-2"})
+            list.servers.push_back({instance, "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64,
+                Table::BackendServerState::Serving});
+        m_fleet.follow(list, s_start);
+        Entry::LoadMembers const alone;
+        m_fleet.follow(&alone);
+        m_class.first_token_target = 2s;
+        m_call.route = &m_route;
+        m_call.request_class = &m_class;
+        m_call.service = "svc";
+        m_call.prompt = {{7, 20'000}, {8, 100}};
+        m_call.received = s_start;
+        m_call.deadline = s_start + 10s;
+        keeper().prefixes().note_read(m_call.prompt);
+        keeper().begin_attempt({8, 400'000, 0});
+    }
+
+    [[nodiscard]] BackendView& keeper() const { return *m_fleet.all().at("i-1"); }
+    [[nodiscard]] Choice choose() const { return m_fleet.choose(m_call, {}, s_start); }
+
+    Testing::NullDescriptor m_log_descriptor;
+    Observe::MetricRegistry m_metrics;
+    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
+    BackendFleet m_fleet {{}, m_log};
+    Table::Route m_route;
+    Table::RequestClass m_class;
+    GatewayCall m_call;
+};
+
+}
+
+TEST_F(FetchSources, AnEngineWithARateLimitIsNone)
+{
+    auto const before = choose();
+    ASSERT_EQ(before.server->record().instance, "i-2");
+    ASSERT_NE(before.source, nullptr);
+    ServerSignals limited;
+    limited.rate_limit = 10;
+    m_fleet.note_signals(keeper(), limited, s_start, s_start);
+    auto const after = choose();
+    EXPECT_EQ(after.server->record().instance, "i-2");
+    EXPECT_EQ(after.source, nullptr);
+}
+
+TEST_F(FetchSources, AnEngineThatLeavesIsNone)
+{
+    ServerSignals leaving;
+    leaving.is_leaving = true;
+    m_fleet.note_signals(keeper(), leaving, s_start, s_start);
+    EXPECT_EQ(choose().source, nullptr);
+}
+
+TEST_F(FetchSources, AnEngineThatRestsIsNone)
+{
+    ServerSignals resting;
+    resting.retry_after = 3s;
+    m_fleet.note_signals(keeper(), resting, s_start, s_start);
+    EXPECT_EQ(choose().source, nullptr);
+}
+
 }
