--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -92,8 +92,8 @@
         m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
     auto const is_listed = [this](std::uint64_t id) { return m_servers_by_id.contains(id); };
-    m_rate_limits.forget_unlisted(is_listed, now);
-    m_leavings.forget_unlisted(is_listed, now);
+    m_rate_limits.forget_old(is_listed, now);
+    m_leavings.forget_old(is_listed, now);
 }
 
 std::shared_ptr<BackendView> BackendFleet::find(std::uint64_t id) const
@@ -160,6 +160,9 @@
 
 std::optional<Policy::SharedRateLimit> BackendFleet::limit_of(BackendView const& view) const
 {
+    // Asked for each server of a service and request; most of the time none states a limit.
+    if (m_rate_limits.is_empty())
+        return std::nullopt;
     auto const* fact = m_rate_limits.find(view.id());
     return fact == nullptr ? std::nullopt : fact->limit();
 }
@@ -400,7 +403,7 @@
     GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
 {
     auto const candidates = candidates_for(call, excluded, now);
-    if (excluded.empty()) {
+    if (excluded.empty() && !m_rate_limits.is_empty()) {
         if (auto const choice = choose_for_recheck(candidates, call, now))
             return *choice;
     }
--- a/Libraries/LibPolicy/LeavingFact.h
+++ b/Libraries/LibPolicy/LeavingFact.h
@@ -11,6 +11,8 @@
 struct LeavingFact {
     Core::MonotonicTime observed;
 
+    [[nodiscard]] static bool is_over() { return false; }
+
     FactChange merge(LeavingFact const& other)
     {
         if (other.observed <= observed)
--- a/Libraries/LibPolicy/RateLimitFact.h
+++ b/Libraries/LibPolicy/RateLimitFact.h
@@ -46,6 +46,8 @@
         return rate ? std::optional(SharedRateLimit {*rate, std::max(first_limited, last_unlimited)}) : std::nullopt;
     }
 
+    [[nodiscard]] bool is_over() const { return !rate; }
+
     FactChange merge(RateLimitFact const& other)
     {
         first_limited = std::min(first_limited, other.first_limited);
--- a/Libraries/LibPolicy/ServerFacts.h
+++ b/Libraries/LibPolicy/ServerFacts.h
@@ -31,19 +31,13 @@
 /// Most reports of one kind in one datagram.
 inline constexpr std::size_t s_most_reports_told = 200;
 
-/// Something that a backend server stated in an answer. Merging must give the same result in any order, since reports
-/// of different gateways overtake each other.
+/// Something that a backend server stated in an answer. `observed` is the time up to which answers show it; is_over()
+/// says whether it has no effect any more and is kept against older reports only. Merging must give the same result in
+/// any order, since reports of different gateways overtake each other.
 template <typename Fact>
-concept MergeableFact = requires(Fact fact, Fact const& other)
-{
-    {
-        fact.merge(other)
-        } -> std::same_as<FactChange>;
-    /// When the newest answer that it rests on was received.
-    {
-        other.observed
-        } -> std::convertible_to<Core::MonotonicTime>;
-};
+concept MergeableFact = std::same_as<decltype(Fact::observed),
+    Core::MonotonicTime> && std::same_as<decltype(std::declval<Fact&>().merge(std::declval<Fact const&>())),
+    FactChange> && std::same_as<decltype(std::declval<Fact const&>().is_over()), bool>;
 
 /// What backend servers have stated, as the gateways tell it to each other. A server is named by the hash of its
 /// life, so that a fact ends with the run that stated it. No I/O and no clock.
@@ -61,9 +55,11 @@
     /// A confirmed fact is told again after this time, for gateways that have just started.
     static constexpr Core::Milliseconds s_refresh {4'000};
     static constexpr std::size_t s_most_remembered = 16'384;
-    /// How long a fact is kept of a server that is not listed: the store may list it again after an outage.
+    /// How long a fact is kept that is over, or whose server is not listed: the store may list it again after an
+    /// outage.
     static constexpr Core::Milliseconds s_memory {600'000};
 
+    [[nodiscard]] bool is_empty() const { return m_entries.empty(); }
     /// What is known of the server, or null.
     [[nodiscard]] Fact const* find(std::uint64_t server) const
     {
@@ -118,14 +114,16 @@
         return reports;
     }
 
-    /// Drops what is old of servers that are not listed any more.
-    void forget_unlisted(std::predicate<std::uint64_t> auto const& is_listed, Core::MonotonicTime now)
+    /// Drops what is old and is over, or of servers that are not listed any more.
+    void forget_old(std::predicate<std::uint64_t> auto const& is_listed, Core::MonotonicTime now)
     {
         absl::erase_if(m_entries, [&](auto const& item) {
-            bool const is_old = Core::elapsed(item.second.fact.observed, now) > s_memory && !is_listed(item.first);
-            if (is_old && item.second.times_to_tell > 0)
+            auto const& [server, entry] = item;
+            bool const is_old = Core::elapsed(entry.fact.observed, now) > s_memory;
+            bool const is_dropped = is_old && (entry.fact.is_over() || !is_listed(server));
+            if (is_dropped && entry.times_to_tell > 0)
                 --m_telling;
-            return is_old;
+            return is_dropped;
         });
     }
 
--- a/Tests/LibPolicy/RateLimitFactTest.cpp
+++ b/Tests/LibPolicy/RateLimitFactTest.cpp
@@ -94,17 +94,24 @@
     EXPECT_TRUE(facts.has_news(s_start + 1ms));
 }
 
-TEST(RateLimitFacts, ForgetsServersThatAreGone)
+TEST(RateLimitFacts, ForgetsServersThatAreGoneAndLimitsThatAreOver)
 {
     RateLimitFacts facts;
+    auto const is_listed = [](auto) { return true; };
+    auto const is_gone = [](auto) { return false; };
     facts.note(s_server, RateLimitFact::limited(1, s_start), s_start);
-    facts.forget_unlisted([](auto) { return true; }, s_start + 1h);
+    facts.forget_old(is_listed, s_start + 1h);
     EXPECT_NE(facts.find(s_server), nullptr);
-    facts.forget_unlisted([](auto) { return false; }, s_start + 1s);
+    facts.forget_old(is_gone, s_start + 1s);
     EXPECT_NE(facts.find(s_server), nullptr);
-    facts.forget_unlisted([](auto) { return false; }, s_start + 1h);
-    EXPECT_EQ(facts.find(s_server), nullptr);
+    facts.forget_old(is_gone, s_start + 1h);
+    EXPECT_TRUE(facts.is_empty());
     EXPECT_FALSE(facts.has_news(s_start + 1h));
+    facts.note(s_server, RateLimitFact::unlimited(s_start), s_start);
+    facts.forget_old(is_listed, s_start + 1s);
+    EXPECT_NE(facts.find(s_server), nullptr);
+    facts.forget_old(is_listed, s_start + 1h);
+    EXPECT_TRUE(facts.is_empty());
 }
 
 }
