--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -9,13 +9,6 @@
 
 namespace GraniteField::Gateway {
 
-namespace {
-
-/// Requests per second; stands for lower limits, of which nobody waits for the next request.
-constexpr double s_least_rate = 0.1;
-
-}
-
 BackendFleet::BackendFleet(Settings settings, Observe::EventLog& log)
     : m_policy(settings)
     , m_seed(settings.seed)
@@ -158,106 +151,12 @@
     return m_cold_shares.may_send(view.id(), service->second.cold_rate / seconds_per_minute, now);
 }
 
-std::optional<Policy::SharedRateLimit> BackendFleet::limit_of(BackendView const& view) const
-{
-    // Asked for each server of a service and request; most of the time none states a limit.
-    if (m_rate_limits.is_empty())
-        return std::nullopt;
-    auto const* fact = m_rate_limits.find(view.id());
-    return fact == nullptr ? std::nullopt : fact->limit();
-}
-
-std::optional<double> BackendFleet::rate_limit_of(BackendView const& view) const
-{
-    auto const limit = limit_of(view);
-    return limit ? std::optional(limit->rate) : std::nullopt;
-}
-
-Core::MonotonicTime BackendFleet::next_send(BackendView const& view, Core::MonotonicTime now) const
-{
-    auto const limit = limit_of(view);
-    auto const after_backoff = view.backoff().next_send(now);
-    return limit ? std::max(after_backoff, m_limit_shares.next_send(view.id(), *limit, now)) : after_backoff;
-}
-
-void BackendFleet::log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const
-{
-    auto const view = find(server);
-    if (view == nullptr)
-        return;
-    constexpr double no_limit = -1;
-    m_log.write(Observe::LogEvent("server-limit")
-                    .add("server", view->record().instance)
-                    .add("service", view->record().service)
-                    .add("rate", rate_limit_of(*view).value_or(no_limit))
-                    .add("before", before.value_or(no_limit))
-                    .add("gateways", m_limit_shares.known_gateways())
-                    .add("source", source));
-}
-
-bool BackendFleet::is_sign_of_no_limit(
-    BackendView const& view, ServerSignals const& signals, Core::MonotonicTime received) const
-{
-    auto const* known = m_rate_limits.is_empty() ? nullptr : m_rate_limits.find(view.id());
-    if (known == nullptr)
-        return false;
-    // A rejection may come from what stands before the server's work, which does not know of the limit.
-    return !signals.is_rejection && Core::elapsed(known->last_limited, received) <= s_confirmation_time;
-}
-
-void BackendFleet::note_signals(
-    BackendView& view, ServerSignals const& signals, Core::MonotonicTime sent, Core::MonotonicTime received)
-{
-    if (signals.retry_after)
-        view.backoff().note_rejected(*signals.retry_after, received);
-    else
-        view.backoff().note_accepted(sent);
-    if (signals.is_leaving && m_leavings.note(view.id(), {received}, received) == Policy::FactChange::Changed)
-        begin_leaving(view.id(), "answer");
-    auto const before = rate_limit_of(view);
-    if (!signals.rate_limit && !is_sign_of_no_limit(view, signals, received))
-        return;
-    auto const fact = signals.rate_limit ? Policy::RateLimitFact::limited(*signals.rate_limit, received)
-                                         : Policy::RateLimitFact::unlimited(sent);
-    if (m_rate_limits.note(view.id(), fact, received) == Policy::FactChange::Changed)
-        log_limit(view.id(), before, "answer");
-}
-
-void BackendFleet::take_report(
-    Policy::RateLimitFacts::Report const& report, Policy::Relaying relaying, Core::MonotonicTime now)
-{
-    auto const* known = m_rate_limits.find(report.server);
-    auto const before = known != nullptr && known->is_limited() ? std::optional(known->rate) : std::nullopt;
-    if (m_rate_limits.take(report, relaying, now) == Policy::FactChange::Changed)
-        log_limit(report.server, before, "gateway");
-}
-
-void BackendFleet::take_report(
-    Policy::LeavingFacts::Report const& report, Policy::Relaying relaying, Core::MonotonicTime now)
-{
-    if (m_leavings.take(report, relaying, now) == Policy::FactChange::Changed)
-        begin_leaving(report.server, "gateway");
-}
-
-void BackendFleet::begin_leaving(std::uint64_t server, std::string_view source) const
-{
-    auto const view = find(server);
-    if (view == nullptr)
-        return;
-    view->set_states_leaving();
-    m_log.write(Observe::LogEvent("server-leaving")
-                    .add("server", view->record().instance)
-                    .add("service", view->record().service)
-                    .add("listed_as_leaving", view->record().state == Table::BackendServerState::Leaving)
-                    .add("source", source));
-}
-
 void BackendFleet::note_sent(BackendView& view, Core::MonotonicTime now)
 {
     view.backoff().note_sent(now);
     if (view.is_cold(now))
         m_cold_shares.note_sent(view.id(), now);
-    if (auto const limit = limit_of(view))
+    if (auto const limit = limit_of(view.id()))
         m_limit_shares.note_sent(view.id(), *limit, now);
 }
 
@@ -325,60 +224,13 @@
     return servers;
 }
 
-std::optional<Opening> BackendFleet::next_opening(GatewayCall const& call, Core::MonotonicTime now) const
-{
-    std::optional<Opening> next;
-    for (auto const& view : servers_for(call)) {
-        auto const opening = opening_of(*view, now);
-        // Something else keeps the request from this server, for a time that nobody knows.
-        if (opening.here <= now)
-            return std::nullopt;
-        next
-            = next ? Opening {std::min(next->here, opening.here), std::min(next->anywhere, opening.anywhere)} : opening;
-    }
-    return next;
-}
-
-Opening BackendFleet::opening_of(BackendView const& view, Core::MonotonicTime now) const
-{
-    auto const here = next_send(view, now);
-    auto const limit = limit_of(view);
-    if (!limit)
-        return {here, here};
-    std::chrono::duration<double> const between_requests(1 / std::max(limit->rate, s_least_rate));
-    auto const anywhere
-        = view.backoff().next_send(now) + std::chrono::duration_cast<Core::MonotonicTime::duration>(between_requests);
-    return {here, std::min(here, anywhere)};
-}
-
-bool BackendFleet::is_recheck_due(BackendView const& view, Core::MonotonicTime now) const
-{
-    auto const* fact = m_rate_limits.find(view.id());
-    return fact != nullptr && fact->is_limited() && view.own_load().open == 0
-        && Core::elapsed(fact->observed(), now) >= s_recheck_interval;
-}
-
-std::optional<Choice> BackendFleet::choose_for_recheck(
-    std::vector<Candidate> const& candidates, GatewayCall const& call, Core::MonotonicTime now) const
-{
-    auto const due = std::ranges::find_if(
-        candidates, [&](auto const& candidate) { return is_recheck_due(*candidate.server, now); });
-    if (due == candidates.end())
-        return std::nullopt;
-    auto choice = m_policy.choose({*due}, call, now);
-    if (choice.predicted_wait > call.request_class->first_token_target / 2)
-        return std::nullopt;
-    choice.candidates = candidates.size();
-    return choice;
-}
-
 std::vector<Candidate> BackendFleet::candidates_for(
     GatewayCall const& call, std::set<std::string> const& excluded, Core::MonotonicTime now) const
 {
     std::vector<Candidate> candidates;
     for (auto& server : servers_for(call)) {
-        // A server in need hands out its memory to nobody: that is work which its limit does not count.
-        bool const is_source = !limit_of(*server);
+        // A fetch is work that the limit does not count.
+        bool const is_source = !limit_of(server->id());
         candidates.push_back({std::move(server), 0, is_source});
     }
     rank_by_prompt(candidates, call);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -34,10 +34,11 @@
     Drains,
 };
 
-/// When a request for which no server can be chosen now may be sent to one.
+/// The next time at which a request may be sent to a server.
 struct Opening {
+    /// By this gateway.
     Core::MonotonicTime here;
-    /// The same at any gateway, for a caller that returns to another one.
+    /// By any gateway, for a caller that retries elsewhere.
     Core::MonotonicTime anywhere;
 };
 
@@ -46,12 +47,12 @@
 public:
     using Settings = PlacementPolicy::Settings;
 
-    /// A server with a rate limit of which no answer was seen for this long gets a request before others do, since only
-    /// an answer can tell that the limit is over.
+    /// Time without an answer of a rate-limited server after which a request is sent there to learn whether the limit
+    /// still holds.
     static constexpr Core::Milliseconds s_recheck_interval {1'000};
 
-    /// For so long after a limit was last stated, answers without one are told to other gateways again and again: one
-    /// that was told of the limit late may take it for newer than its end.
+    /// Time after the last statement of a limit during which its end is reported again and again: a gateway that
+    /// received a delayed report considers the limit newer than its end.
     static constexpr Core::Milliseconds s_confirmation_time {60'000};
 
     /// How often the engines' readings are looked at.
@@ -76,17 +77,17 @@
 
     /// Why choose() has no server for the request.
     [[nodiscard]] Unavailability unavailability(GatewayCall const&) const;
-    /// When the request that choose() finds no server for may be sent to one; nullopt where that is not known.
+    /// The next opening for a request that choose() finds no server for; nullopt if it is not known.
     [[nodiscard]] std::optional<Opening> next_opening(GatewayCall const&, Core::MonotonicTime now) const;
-    /// The server stated this in the answer to a request that was sent at that time.
+    /// Takes the statements of an answer to a request that was sent at that time.
     void note_signals(BackendView&, ServerSignals const&, Core::MonotonicTime sent, Core::MonotonicTime received);
-    /// Another gateway reports it.
+    /// Takes a report of another gateway.
     void take_report(Policy::RateLimitFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
     void take_report(Policy::LeavingFacts::Report const&, Policy::Relaying, Core::MonotonicTime now);
     [[nodiscard]] Policy::RateLimitFacts& rate_limits() { return m_rate_limits; }
     [[nodiscard]] Policy::LeavingFacts& leavings() { return m_leavings; }
     /// Requests per second that the server accepts from all gateways; nullopt for no limit.
-    [[nodiscard]] std::optional<double> rate_limit_of(BackendView const&) const;
+    [[nodiscard]] std::optional<double> rate_limit_of(std::uint64_t server) const;
     /// A request goes to the server.
     void note_sent(BackendView&, Core::MonotonicTime now);
     [[nodiscard]] Entry::DrainList const& drains() const { return m_drains; }
@@ -116,21 +117,20 @@
 
     /// Whether a cold server may get another request from this gateway now.
     [[nodiscard]] bool has_cold_share(BackendView const&, Core::MonotonicTime now) const;
-    [[nodiscard]] std::optional<Policy::SharedRateLimit> limit_of(BackendView const&) const;
-    /// When the server's statements let this gateway send it a request, `now` at the earliest.
+    [[nodiscard]] std::optional<Policy::SharedRateLimit> limit_of(std::uint64_t server) const;
+    /// The earliest time from `now` on that the server's statements allow for a request of this gateway.
     [[nodiscard]] Core::MonotonicTime next_send(BackendView const&, Core::MonotonicTime now) const;
-    /// Whether an answer that states no limit says something that others may not know.
+    /// Whether an answer without a limit is evidence that other gateways may lack.
     [[nodiscard]] bool is_sign_of_no_limit(
         BackendView const&, ServerSignals const&, Core::MonotonicTime received) const;
     [[nodiscard]] Opening opening_of(BackendView const&, Core::MonotonicTime now) const;
     [[nodiscard]] bool is_recheck_due(BackendView const&, Core::MonotonicTime now) const;
-    /// A server whose rate limit is due to be checked again, if the request does not suffer by going there.
+    /// A server whose rate limit is due for a recheck, if the request would still meet its target there.
     [[nodiscard]] std::optional<Choice> choose_for_recheck(
         std::vector<Candidate> const&, GatewayCall const&, Core::MonotonicTime now) const;
-    /// The servers that are listed and allowed for the request, whatever their state of the moment.
+    /// The serving servers that the request is allowed to use.
     [[nodiscard]] std::vector<std::shared_ptr<BackendView>> servers_for(GatewayCall const&) const;
-    /// The server gets nothing new for the rest of its life.
-    void begin_leaving(std::uint64_t server, std::string_view source) const;
+    void mark_leaving(std::uint64_t server, std::string_view source) const;
     void log_limit(std::uint64_t server, std::optional<double> before, std::string_view source) const;
 
     /// It may be cold now without having said so.
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -104,15 +104,16 @@
     [[nodiscard]] Entry::ServerEntry const& record() const { return m_record; }
     void set_record(Entry::ServerEntry record) { m_record = std::move(record); }
 
-    /// Whether it is in the newest list and not leaving, by the list or by its own statement.
+    /// Whether it is in the newest list and not leaving, neither by the list nor by its own statement.
     [[nodiscard]] bool is_serving() const
     {
         return m_is_listed && !m_states_leaving && m_record.state == Table::BackendServerState::Serving;
     }
-    /// An answer stated that it leaves. It holds until its end, also where a later list has it as serving.
+    /// An answer stated that the server is leaving. Holds for the rest of the run, even if a later list shows it as
+    /// serving.
     void set_states_leaving() { m_states_leaving = true; }
 
-    /// What it asked this gateway for when it rejected requests.
+    /// The backoff that the server requested from this gateway.
     [[nodiscard]] Policy::ServerBackoff& backoff() { return m_backoff; }
     [[nodiscard]] Policy::ServerBackoff const& backoff() const { return m_backoff; }
 
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -25,9 +25,9 @@
     std::string workspace {"Granitefield-Workspace"};
     /// Says that a backend server did not run the request.
     std::string not_run {"Granitefield-Not-Run"};
-    /// Requests per second that a backend server accepts from all gateways together; in its answers, while it needs to.
+    /// Requests per second that a backend server accepts from all gateways together.
     std::string rate_limit {"Granitefield-Rate-Limit"};
-    /// States with the value 1 that a backend server leaves: it wants no further requests.
+    /// Value 1: the backend server is leaving and wants no further requests.
     std::string leaving {"Granitefield-Leaving"};
     /// Proves that an answer is a backend server's own.
     std::string answer_signature {"Granitefield-Answer"};
--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -125,7 +125,7 @@
     void send_to(Choice const&, Core::MonotonicTime now);
     /// Why a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
     [[nodiscard]] std::optional<Policy::Rejection> refuse_now(Choice const&, Core::MonotonicTime now);
-    /// A number from 0 to 1 that each request has of its own.
+    /// A random number of the request from 0 to 1.
     [[nodiscard]] double own_draw() const;
     void tell_rejection(Policy::Rejection const&) const;
     [[nodiscard]] std::string request_for(BackendView const&, Core::MonotonicTime now) const;
@@ -151,7 +151,7 @@
     [[nodiscard]] bool may_try_again(Core::MonotonicTime now);
     void try_again(std::string_view why, Core::MonotonicTime now);
 
-    /// Whether the answer names no other request than this one.
+    /// Whether the answer belongs to this request, by the id that it echoes.
     [[nodiscard]] bool is_answer_to_this(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool is_answer_sound(HTTP::AnswerHead const&, std::string& problem) const;
     void take_stream(BackendAttempt&);
@@ -164,15 +164,15 @@
     [[nodiscard]] HTTP::FieldList handed_on(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool must_hide(HTTP::AnswerHead const&) const;
     void give_whole_answer(BackendAttempt&);
-    /// What the end of an attempt says of its server.
+    /// Result of an attempt for the estimate of its server's health.
     enum class AttemptResult {
         Success,
         Failure,
-        /// It rejected the request and asked for rest. What it asked for is kept to; it has not failed.
+        /// The server requested a backoff, which does not count as a failure.
         Rejected,
     };
     void end_attempt(AttemptResult, Core::MonotonicTime now);
-    /// Failure, or Rejected where the server of the attempt in hand has asked for rest.
+    /// Rejected during a backoff of the current attempt's server, otherwise Failure.
     [[nodiscard]] AttemptResult result_of_error(Core::MonotonicTime now) const;
     /// A backend server began to run the request then. It counts once, by the first server, also where that fails.
     void note_running(Core::MonotonicTime begun);
--- a/Libraries/LibGateway/GatewayRunAnswers.cpp
+++ b/Libraries/LibGateway/GatewayRunAnswers.cpp
@@ -18,7 +18,7 @@
 void GatewayRun::handle_head(BackendAttempt& attempt)
 {
     auto const& head = attempt.parser().head();
-    // 421 comes from another server that has taken over the address; what it states holds for itself only.
+    // 421 is sent by another server that now has the address; its statements do not concern this one.
     if (head.status == Status::s_misdirected || !is_answer_to_this(head))
         return;
     m_context.fleet.note_signals(
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -383,7 +383,7 @@
         else
             run->tick(now);
     }
-    // A server that opens may accept one request only: the most urgent of those that wait, then the oldest.
+    // A server may accept a single one of them: order by priority, then by age.
     std::ranges::stable_sort(waiting, {}, [](auto const* run) { return run->call().priority; });
     for (auto* const run : waiting)
         run->tick(now);
@@ -462,12 +462,12 @@
     auto const now = Core::monotonic_now();
     nlohmann::json servers = nlohmann::json::array();
     for (auto const& [instance, view] : m_fleet.all()) {
-        auto const limit = m_fleet.rate_limit_of(*view);
+        auto const limit = m_fleet.rate_limit_of(view->id());
         servers.push_back({{"backend-server", instance}, {"service", view->record().service},
             {"address", view->record().address.to_string()}, {"domain", view->record().failure_domain},
             {"serving", view->takes_new_requests()}, {"avoided", view->is_avoided(now)}, {"open", view->load().open},
             {"failure-rate", view->failure_rate(now)}, {"drained", view->is_drained()}, {"cold", view->is_cold(now)},
-            {"resting-ms", Core::elapsed(now, view->backoff().next_send(now)).count()},
+            {"backoff-ms", Core::elapsed(now, view->backoff().next_send(now)).count()},
             {"rate-limit", limit ? nlohmann::json(*limit) : nlohmann::json()}});
     }
     nlohmann::json status {{"role", "gateway"}, {"ready", m_is_ready.load()}, {"open-requests", m_runs.size()},
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -128,7 +128,7 @@
     /// What goes with the next datagram and can't wait.
     [[nodiscard]] bool has_shared_news(Core::MonotonicTime now) const
     {
-        return has_news_of_duties() || m_crashes.has_news(now) || m_signals.has_news(now);
+        return has_news_of_duties() || m_crashes.has_news(now) || m_signals.has_due_reports(now);
     }
     [[nodiscard]] bool has_news_of_duties() const { return m_duties != nullptr && m_duties->has_changes(); }
     void report_to(
--- a/Libraries/LibGateway/MessageAge.h
+++ b/Libraries/LibGateway/MessageAge.h
@@ -8,8 +8,8 @@
 
 namespace GraniteField::Gateway {
 
-/// A time as datagrams carry it: milliseconds before their sending, since clocks of hosts differ. Bounded by what the
-/// field holds; a time that is still to come has the age 0.
+/// The age of a time in milliseconds, which datagrams carry in place of times since the hosts' clocks differ. Times in
+/// the future have the age 0.
 [[nodiscard]] inline std::uint32_t age_of(Core::MonotonicTime time, Core::MonotonicTime now)
 {
     constexpr std::int64_t oldest = std::numeric_limits<std::uint32_t>::max();
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -45,7 +45,7 @@
     std::shared_ptr<BackendView> server;
     /// Place in the prompt's own order of the service's engines; 0 is its home.
     std::size_t rank {0};
-    /// Whether others may fetch from it what it keeps of the prompt.
+    /// Whether other engines may fetch prompts from it.
     bool is_source {true};
 };
 
--- a/Libraries/LibGateway/ServerSignals.h
+++ b/Libraries/LibGateway/ServerSignals.h
@@ -16,13 +16,13 @@
     bool is_leaving {false};
     /// It did not run the request.
     bool is_rejection {false};
-    /// It wants no request from this gateway for so long.
+    /// Backoff that it requests from this gateway, with 503.
     std::optional<Core::Milliseconds> retry_after;
 
     bool operator==(ServerSignals const&) const = default;
 };
 
-/// Fields that are malformed are ignored: a server that sends nonsense is treated as one that sends nothing.
+/// Reads the statements in the head of an answer. Malformed fields are ignored.
 [[nodiscard]] ServerSignals read_signals(HTTP::AnswerHead const&, Dialect const&);
 
 }
--- a/Libraries/LibGateway/SignalSharing.cpp
+++ b/Libraries/LibGateway/SignalSharing.cpp
@@ -24,12 +24,12 @@
         auto& message = *target.add_rate_limits();
         message.set_server(server);
         message.set_rate(fact.rate);
-        if (fact.last_limited != Core::MonotonicTime::min())
-            message.set_last_limited_age_ms(age_of(fact.last_limited, now));
-        if (fact.first_limited != Core::MonotonicTime::max())
-            message.set_first_limited_age_ms(age_of(fact.first_limited, now));
-        if (fact.last_unlimited != Core::MonotonicTime::min())
-            message.set_last_unlimited_age_ms(age_of(fact.last_unlimited, now));
+        if (fact.last_limited)
+            message.set_last_limited_age_ms(age_of(*fact.last_limited, now));
+        if (fact.first_limited)
+            message.set_first_limited_age_ms(age_of(*fact.first_limited, now));
+        if (fact.last_unlimited)
+            message.set_last_unlimited_age_ms(age_of(*fact.last_unlimited, now));
     }
 }
 
@@ -57,23 +57,23 @@
 
 }
 
-bool SignalSharing::has_news(Core::MonotonicTime now) const
+bool SignalSharing::has_due_reports(Core::MonotonicTime now) const
 {
-    return m_fleet.rate_limits().has_news(now) || m_fleet.leavings().has_news(now);
+    return m_fleet.rate_limits().has_due_reports(now) || m_fleet.leavings().has_due_reports(now);
 }
 
 bool SignalSharing::is_within_bounds(Message const& message)
 {
-    // To a newcomer all that is known goes with the news.
-    constexpr auto most = static_cast<int>(2 * Policy::s_most_reports_told);
+    // A newcomer gets all facts along with the due reports.
+    constexpr auto most = static_cast<int>(2 * Policy::s_most_reports);
     return message.rate_limits_size() <= most && message.leaving_size() <= most
         && std::ranges::all_of(message.rate_limits(), is_sound);
 }
 
 void SignalSharing::fill(Message& message, Core::MonotonicTime now)
 {
-    write(message, m_fleet.rate_limits().take_news(now), now);
-    write(message, m_fleet.leavings().take_news(now), now);
+    write(message, m_fleet.rate_limits().take_due_reports(now), now);
+    write(message, m_fleet.leavings().take_due_reports(now), now);
 }
 
 void SignalSharing::fill_everything(Message& message, Core::MonotonicTime now) const
--- a/Libraries/LibGateway/SignalSharing.h
+++ b/Libraries/LibGateway/SignalSharing.h
@@ -8,8 +8,8 @@
 
 namespace GraniteField::Gateway {
 
-/// What the gateways' datagrams carry of what backend servers state about themselves. A gateway tells its relay; relays
-/// tell each other and their gateways.
+/// Exchanges what backend servers state about themselves among the gateways. A gateway reports to its relay; relays
+/// exchange their reports and forward them to their gateways.
 class SignalSharing {
 public:
     using Message = granitefield::protocol::SignalReports;
@@ -19,11 +19,11 @@
     {
     }
 
-    [[nodiscard]] bool has_news(Core::MonotonicTime now) const;
+    [[nodiscard]] bool has_due_reports(Core::MonotonicTime now) const;
     [[nodiscard]] static bool is_within_bounds(Message const&);
-    /// Adds what is to be told now.
+    /// Adds the reports to send now.
     void fill(Message&, Core::MonotonicTime now);
-    /// Adds all that is known, for a gateway that has just started.
+    /// Adds all facts, for a gateway that has just started.
     void fill_everything(Message&, Core::MonotonicTime now) const;
     void take(Message const&, Policy::Relaying, Core::MonotonicTime now);
 
--- a/Libraries/LibPolicy/GatewayRanks.h
+++ b/Libraries/LibPolicy/GatewayRanks.h
@@ -8,13 +8,13 @@
 
 namespace GraniteField::Policy {
 
-/// Orders the known gateways by rendezvous hashing, with another order for each key. Gateways that know the same others
-/// agree on the order without a word, and one that comes or goes leaves the order of the rest as it is.
+/// Orders the known gateways by rendezvous hashing, with a different order for each key. Gateways with the same view of
+/// the membership agree on the order without communicating, and a change of the membership does not reorder the rest.
 class GatewayRanks {
 public:
-    /// Gateways are named by numbers that all of them use.
+    /// Gateways are identified by numbers that all of them use.
     void set(std::uint64_t self, std::vector<std::uint64_t> others);
-    /// Until set() is called again, nothing is known of other gateways.
+    /// The membership is unknown until set() is called again.
     void forget() { m_is_known = false; }
     [[nodiscard]] bool is_known() const { return m_is_known; }
 
--- a/Libraries/LibPolicy/LeavingFact.h
+++ b/Libraries/LibPolicy/LeavingFact.h
@@ -3,11 +3,9 @@
 #include <LibCore/Time.h>
 #include <LibPolicy/ServerFacts.h>
 
-#include <algorithm>
-
 namespace GraniteField::Policy {
 
-/// An answer of a backend server stated that it leaves. It does so until its end, whatever else is said of it.
+/// A backend server stated that it is leaving. A server does not retract this during a run.
 struct LeavingFact {
     /// When the newest such answer was received.
     Core::MonotonicTime stated;
--- a/Libraries/LibPolicy/LimitShares.cpp
+++ b/Libraries/LibPolicy/LimitShares.cpp
@@ -12,17 +12,17 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Senders beyond one for each request a second. They keep a limit in use when some senders have no requests, and small
-/// fleets without gateways that have no share at all.
+/// Senders beyond one for each request per second. They use a limit whose other senders have no requests, and make all
+/// gateways of a small fleet senders.
 constexpr std::size_t s_extra_senders = 3;
-/// A server that states less is asked this often nevertheless, in requests per second: only an answer can tell that the
-/// limit is over.
+/// Lower limits, 0 included, are treated as this one, in requests per second: only an answer shows that a limit is
+/// over.
 constexpr double s_least_rate = 0.1;
-/// Requests that arrive within this time of each other may use up a sender's share at once.
+/// Burst of a sender, as the time in which its share allows as many requests.
 constexpr Seconds s_burst_time {0.5};
-/// Gateways are senders for at least this long.
+/// Shortest term.
 constexpr Seconds s_least_term {5};
-/// How far ahead a gateway looks for a term in which it is a sender.
+/// Number of terms that are searched for one in which this gateway is a sender.
 constexpr std::int64_t s_most_terms_ahead = 32;
 constexpr std::size_t s_most_remembered = 16'384;
 
@@ -38,6 +38,11 @@
     m_ranks.set(self, std::move(others));
 }
 
+std::chrono::duration<double> LimitShares::mean_interval(double rate)
+{
+    return Seconds(1 / std::max(rate, s_least_rate));
+}
+
 std::size_t LimitShares::senders_for(double rate, std::size_t gateways)
 {
     auto const wanted = std::floor(rate) + s_extra_senders;
@@ -57,7 +62,7 @@
 
 std::size_t LimitShares::rank_in(std::uint64_t server, Division const& division, std::int64_t term) const
 {
-    // Where all are senders nobody's share ends with a term.
+    // If all gateways are senders, shares do not depend on the term.
     bool const are_all_senders = division.senders == m_ranks.count();
     return m_ranks.rank_for(are_all_senders ? server : Core::mix(server, static_cast<std::uint64_t>(term)));
 }
@@ -75,7 +80,7 @@
     if (rank >= division.senders)
         return end;
     auto time = begin_of(limit, division, term);
-    // Those that become senders together begin one after the other.
+    // Senders whose term begins at the same time are staggered.
     bool const is_new_sender = term == 0 || rank_in(server, division, term - 1) >= division.senders;
     if (is_new_sender)
         time += to_ticks(division.interval * static_cast<double>(rank) / static_cast<double>(division.senders));
--- a/Libraries/LibPolicy/RateLimitFact.h
+++ b/Libraries/LibPolicy/RateLimitFact.h
@@ -10,51 +10,56 @@
 
 namespace GraniteField::Policy {
 
-/// What answers of a backend server have shown of its rate limit. Each part merges by itself, by the least or the
-/// greatest value, so that the order of reports does not matter.
+/// What answers have shown of a backend server's rate limit. Each member merges by its least or greatest value, so that
+/// the order of reports does not matter.
 struct RateLimitFact {
+    using Time = std::optional<Core::MonotonicTime>;
+
     /// When a limit was first stated.
-    Core::MonotonicTime first_limited {Core::MonotonicTime::max()};
-    /// When one was last stated, and requests per second from all gateways by it.
-    Core::MonotonicTime last_limited {Core::MonotonicTime::min()};
+    Time first_limited;
+    /// When a limit was last stated, and its requests per second from all gateways.
+    Time last_limited;
     double rate {0};
-    /// When the server last stated none.
-    Core::MonotonicTime last_unlimited {Core::MonotonicTime::min()};
+    /// When an answer last stated no limit.
+    Time last_unlimited;
 
-    /// An answer that states a limit proves it for the time of its receipt.
+    /// An answer with a limit is evidence for the time of its receipt.
     [[nodiscard]] static RateLimitFact limited(double rate, Core::MonotonicTime received)
     {
-        return {received, received, rate, Core::MonotonicTime::min()};
+        return {received, received, rate, std::nullopt};
     }
 
-    /// An answer without a limit proves this for the time of its request only: answers on different connections
-    /// overtake each other.
+    /// An answer without a limit is evidence only for the time when its request was sent: answers on different
+    /// connections overtake each other.
     [[nodiscard]] static RateLimitFact unlimited(Core::MonotonicTime sent)
     {
-        return {Core::MonotonicTime::max(), Core::MonotonicTime::min(), 0, sent};
+        return {std::nullopt, std::nullopt, 0, sent};
     }
 
-    [[nodiscard]] bool is_limited() const
-    {
-        return last_limited != Core::MonotonicTime::min() && last_limited >= last_unlimited;
-    }
+    [[nodiscard]] bool is_limited() const { return last_limited && last_limited >= last_unlimited; }
 
+    /// The limit in force, or nullopt.
     [[nodiscard]] std::optional<SharedRateLimit> limit() const
     {
         if (!is_limited())
             return std::nullopt;
-        return SharedRateLimit {rate, std::max(first_limited, last_unlimited)};
+        auto const first = first_limited.value_or(*last_limited);
+        return SharedRateLimit {rate, std::max(first, last_unlimited.value_or(first))};
     }
 
-    [[nodiscard]] Core::MonotonicTime observed() const { return std::max(last_limited, last_unlimited); }
+    [[nodiscard]] Core::MonotonicTime observed() const
+    {
+        return std::max(last_limited, last_unlimited).value_or(Core::MonotonicTime());
+    }
     [[nodiscard]] bool is_over() const { return !is_limited(); }
 
     FactChange merge(RateLimitFact const& other)
     {
         auto const before = *this;
-        first_limited = std::min(first_limited, other.first_limited);
+        if (other.first_limited)
+            first_limited = std::min(*other.first_limited, first_limited.value_or(*other.first_limited));
         last_unlimited = std::max(last_unlimited, other.last_unlimited);
-        // Of two rates for the same time the lower one is kept to.
+        // Of two rates stated at the same time the lower one applies.
         if (std::pair(other.last_limited, -other.rate) > std::pair(last_limited, -rate)) {
             last_limited = other.last_limited;
             rate = other.rate;
--- a/Libraries/LibPolicy/ServerBackoff.h
+++ b/Libraries/LibPolicy/ServerBackoff.h
@@ -7,14 +7,14 @@
 
 namespace GraniteField::Policy {
 
-/// Keeps the time for which a backend server asked this gateway to send nothing, with 503 and Retry-After. Afterwards
-/// requests go there one by one until one is accepted: a server that still rejects would otherwise reject all that has
-/// gathered meanwhile. No I/O and no clock.
+/// Tracks the backoff that a backend server requested from this gateway with 503 and Retry-After. When it ends, single
+/// requests probe the server until one is accepted; a server that is still overloaded would otherwise reject all that
+/// has queued up meanwhile. No I/O and no clock.
 class ServerBackoff {
 public:
-    /// A longer time is taken for a mistake; the server is tried again after this one.
+    /// Longer backoffs are considered a mistake of the server and cut to this.
     static constexpr Core::Milliseconds s_longest {600'000};
-    /// How long the answer to a first request is waited for before another one is sent.
+    /// Time after which another probe is sent if the last one was not answered.
     static constexpr Core::Milliseconds s_probe_interval {250};
 
     /// The server rejected a request.
@@ -25,14 +25,14 @@
         m_probe_sent.reset();
     }
 
-    /// The server accepted a request that was sent then. One that was sent before the rejection says nothing.
+    /// The server accepted a request that was sent at that time.
     void note_accepted(Core::MonotonicTime sent)
     {
         if (sent >= m_until)
             m_is_probing = false;
     }
 
-    /// A request goes to the server.
+    /// A request is sent to the server.
     void note_sent(Core::MonotonicTime now)
     {
         if (m_is_probing)
@@ -48,7 +48,6 @@
         return std::max<Core::MonotonicTime>(earliest, *m_probe_sent + s_probe_interval);
     }
 
-    /// Whether the server has asked for this time.
     [[nodiscard]] bool is_in_force(Core::MonotonicTime now) const { return now < m_until; }
 
 private:
--- a/Libraries/LibPolicy/ServerFacts.h
+++ b/Libraries/LibPolicy/ServerFacts.h
@@ -6,34 +6,32 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
 namespace GraniteField::Policy {
 
-/// What an observation changed in what is known.
+/// Effect of an observation on a known fact.
 enum class FactChange {
     None,
-    /// It is the same as before, confirmed by a newer answer.
+    /// A newer answer confirms it.
     Confirmed,
     Changed,
 };
 
-/// Whether a report of another gateway is to be passed on.
+/// Whether a report received from another gateway is forwarded.
 enum class Relaying {
     No,
     Yes,
 };
 
 /// Most reports of one kind in one datagram.
-inline constexpr std::size_t s_most_reports_told = 200;
+inline constexpr std::size_t s_most_reports = 200;
 
-/// Something that a backend server stated in an answer. observed() is the time up to which answers show it; is_over()
-/// says whether it has no effect any more and is kept against older reports only. Merging must give the same result in
-/// any order, since reports of different gateways overtake each other.
+/// Something that a backend server stated in an answer. observed() is the time of the newest evidence; is_over() says
+/// whether the fact has no effect any more and only supersedes older reports. Merging must be independent of the order,
+/// since reports of different gateways overtake each other.
 template <typename Candidate>
 concept MergeableFact = requires(Candidate fact, Candidate const& other)
 {
@@ -48,8 +46,8 @@
         } -> std::same_as<bool>;
 };
 
-/// What backend servers have stated, as the gateways tell it to each other. A server is named by the hash of its
-/// life, so that a fact ends with the run that stated it. No I/O and no clock.
+/// Facts that backend servers stated in answers, replicated among the gateways. The key is the hash of a server's run,
+/// so that a fact ends with the run. No I/O and no clock.
 template <MergeableFact Fact>
 class ServerFacts {
 public:
@@ -59,79 +57,79 @@
     };
 
     /// Reports of a change are repeated, since datagrams are lost.
-    static constexpr unsigned s_times_told = 3;
-    static constexpr Core::Milliseconds s_telling_pause {100};
-    /// A confirmed fact is told again after this time, for gateways that have just started.
+    static constexpr unsigned s_repetitions = 3;
+    static constexpr Core::Milliseconds s_repetition_interval {100};
+    /// Interval between reports of a confirmed fact, for gateways that have just started.
     static constexpr Core::Milliseconds s_refresh {4'000};
-    static constexpr std::size_t s_most_remembered = 16'384;
-    /// How long a fact is kept that is over, or whose server is not listed: the store may list it again after an
+    static constexpr std::size_t s_most_facts = 16'384;
+    /// How long facts are kept that are over or whose server is not listed. The store may list a server again after an
     /// outage.
     static constexpr Core::Milliseconds s_memory {600'000};
 
     [[nodiscard]] bool is_empty() const { return m_entries.empty(); }
-    /// What is known of the server, or null.
+    /// The fact known of the server, or null.
     [[nodiscard]] Fact const* find(std::uint64_t server) const
     {
         auto const found = m_entries.find(server);
         return found == m_entries.end() ? nullptr : &found->second.fact;
     }
 
-    /// This gateway has observed it.
+    /// Merges what this gateway observed itself.
     FactChange note(std::uint64_t server, Fact const& fact, Core::MonotonicTime now)
     {
         return merge(server, fact, Relaying::Yes, now);
     }
 
-    /// Another gateway has reported it.
+    /// Merges a report of another gateway.
     FactChange take(Report const& report, Relaying relaying, Core::MonotonicTime now)
     {
         return merge(report.server, report.fact, relaying, now);
     }
 
-    [[nodiscard]] bool has_news(Core::MonotonicTime now) const
+    [[nodiscard]] bool has_due_reports(Core::MonotonicTime now) const
     {
-        return m_telling > 0
+        return m_scheduled > 0
             && std::ranges::any_of(m_entries, [now](auto const& item) { return is_due(item.second, now); });
     }
 
-    /// What is to be told to other gateways now.
-    [[nodiscard]] std::vector<Report> take_news(Core::MonotonicTime now)
+    /// Returns the reports to send now.
+    [[nodiscard]] std::vector<Report> take_due_reports(Core::MonotonicTime now)
     {
-        std::vector<Report> news;
-        if (m_telling == 0)
-            return news;
+        std::vector<Report> reports;
+        if (m_scheduled == 0)
+            return reports;
         for (auto& [server, entry] : m_entries) {
-            if (!is_due(entry, now) || news.size() >= s_most_reports_told)
+            if (!is_due(entry, now) || reports.size() >= s_most_reports)
                 continue;
-            news.push_back({server, entry.fact});
-            entry.next_telling = now + s_telling_pause;
-            entry.told = entry.fact.observed();
-            if (--entry.times_to_tell == 0)
-                --m_telling;
+            reports.push_back({server, entry.fact});
+            entry.next_report = now + s_repetition_interval;
+            entry.last_reported = entry.fact.observed();
+            if (--entry.repetitions_left == 0)
+                --m_scheduled;
         }
-        return news;
+        return reports;
     }
 
-    /// All that is known, for a gateway that has just started.
+    /// Returns all facts, for a gateway that has just started.
     [[nodiscard]] std::vector<Report> everything() const
     {
         std::vector<Report> reports;
         for (auto const& [server, entry] : m_entries) {
-            if (reports.size() < s_most_reports_told)
+            if (reports.size() < s_most_reports)
                 reports.push_back({server, entry.fact});
         }
         return reports;
     }
 
-    /// Drops what is old and is over, or of servers that are not listed any more.
+    /// Drops old facts that are over or whose server is not listed.
     void forget_old(std::predicate<std::uint64_t> auto const& is_listed, Core::MonotonicTime now)
     {
         absl::erase_if(m_entries, [&](auto const& item) {
             auto const& [server, entry] = item;
             bool const is_old = Core::elapsed(entry.fact.observed(), now) > s_memory;
             bool const is_dropped = is_old && (entry.fact.is_over() || !is_listed(server));
-            if (is_dropped && entry.times_to_tell > 0)
-                --m_telling;
+            if (is_dropped && entry.repetitions_left > 0)
+                --m_scheduled;
             return is_dropped;
         });
     }
@@ -139,47 +137,48 @@
 private:
     struct Entry {
         Fact fact;
-        unsigned times_to_tell {0};
-        Core::MonotonicTime next_telling;
-        /// The `observed` that was told last.
-        Core::MonotonicTime told;
+        unsigned repetitions_left {0};
+        Core::MonotonicTime next_report;
+        /// Time of the evidence that was last reported.
+        Core::MonotonicTime last_reported;
     };
 
     static bool is_due(Entry const& entry, Core::MonotonicTime now)
     {
-        return entry.times_to_tell > 0 && entry.next_telling <= now;
+        return entry.repetitions_left > 0 && entry.next_report <= now;
     }
 
     FactChange merge(std::uint64_t server, Fact const& fact, Relaying relaying, Core::MonotonicTime now)
     {
         auto found = m_entries.find(server);
         bool const is_new = found == m_entries.end();
-        if (is_new && m_entries.size() >= s_most_remembered)
+        if (is_new && m_entries.size() >= s_most_facts)
             return FactChange::None;
         if (is_new)
             found = m_entries.emplace(server, Entry {fact, 0, {}, {}}).first;
         auto& entry = found->second;
         auto const change = is_new ? FactChange::Changed : entry.fact.merge(fact);
         if (relaying == Relaying::No)
-            entry.told = std::max(entry.told, fact.observed());
+            entry.last_reported = std::max(entry.last_reported, fact.observed());
         else if (change == FactChange::Changed)
-            tell(entry, s_times_told, now);
-        else if (change == FactChange::Confirmed && Core::elapsed(entry.told, entry.fact.observed()) >= s_refresh)
-            tell(entry, 1, now);
+            schedule(entry, s_repetitions, now);
+        else if (change == FactChange::Confirmed
+            && Core::elapsed(entry.last_reported, entry.fact.observed()) >= s_refresh)
+            schedule(entry, 1, now);
         return change;
     }
 
-    void tell(Entry& entry, unsigned times, Core::MonotonicTime now)
+    void schedule(Entry& entry, unsigned repetitions, Core::MonotonicTime now)
     {
-        if (entry.times_to_tell == 0)
-            ++m_telling;
-        entry.times_to_tell = std::max(entry.times_to_tell, times);
-        entry.next_telling = now;
+        if (entry.repetitions_left == 0)
+            ++m_scheduled;
+        entry.repetitions_left = std::max(entry.repetitions_left, repetitions);
+        entry.next_report = now;
     }
 
     absl::flat_hash_map<std::uint64_t, Entry> m_entries;
-    /// Number of entries that are still to be told.
-    std::size_t m_telling {0};
+    /// Number of entries with repetitions left.
+    std::size_t m_scheduled {0};
 };
 
 }
--- a/Tests/Experiments/backoffs.cpp
+++ b/Tests/Experiments/backoffs.cpp
@@ -1,4 +1,4 @@
-// How a gateway may go on with a server that asks for rest, each way before the same requests.
+// How a gateway may go on with a server that requests a backoff, each way before the same requests.
 #include "BackoffWorld.h"
 
 #include <array>
@@ -12,10 +12,10 @@
 namespace {
 
 constexpr std::uint32_t s_plays = 20;
-constexpr std::array s_ways {BackoffWay::AfterThreeFailures, BackoffWay::Rest, BackoffWay::RestThenProbe};
-constexpr std::array s_names {"after three failures", "rest", "rest, then probe"};
+constexpr std::array s_ways {BackoffWay::AfterThreeFailures, BackoffWay::BackoffOnly, BackoffWay::BackoffThenProbe};
+constexpr std::array s_names {"after three failures", "backoff", "backoff, then probe"};
 
-/// A cell: the most requests in a rest, mean rejected requests, the longest time from the recovery to the first use.
+/// A cell: the most requests in a backoff, mean rejected requests, the longest time from the recovery to the first use.
 void print_row(char const* name, BackoffSettings settings)
 {
     std::cout << absl::StrFormat("%-32s", name);
@@ -26,7 +26,7 @@
         for (std::uint32_t seed = 1; seed <= s_plays; ++seed) {
             settings.seed = seed;
             auto const outcome = BackoffWorld(settings).play(s_ways.at(index));
-            most = std::max(most, outcome.most_in_a_rest);
+            most = std::max(most, outcome.most_in_a_backoff);
             rejected += static_cast<double>(outcome.rejected) / s_plays;
             used_after = std::max(used_after, outcome.used_after.value_or(settings.length));
         }
@@ -42,9 +42,9 @@
     for (double const load : {5.0, 50.0, 500.0}) {
         BackoffSettings settings;
         settings.load = load;
-        print_row(absl::StrFormat("rest of 1.7 s, %.0f requests/s", load).c_str(), settings);
-        settings.rest = Core::Milliseconds(700);
-        print_row(absl::StrFormat("rest of 0.7 s, %.0f requests/s", load).c_str(), settings);
+        print_row(absl::StrFormat("backoff of 1.7 s, %.0f requests/s", load).c_str(), settings);
+        settings.backoff = Core::Milliseconds(700);
+        print_row(absl::StrFormat("backoff of 0.7 s, %.0f requests/s", load).c_str(), settings);
     }
     return 0;
 }
--- a/Tests/Integration/BackoffTest.cpp
+++ b/Tests/Integration/BackoffTest.cpp
@@ -1,5 +1,4 @@
-// A server rejected requests with 503 and Retry-After, and its gateways sent it more before that time was over, or none
-// for long afterwards.
+// Guards against requests during the Retry-After of a server, and against avoiding the server for longer.
 #include "SignalFleet.h"
 
 #include <gtest/gtest.h>
@@ -13,7 +12,7 @@
 constexpr std::size_t s_gateways = 4;
 constexpr Core::Milliseconds s_pause {50};
 constexpr Core::Milliseconds s_work_time {10};
-constexpr Core::Milliseconds s_rest {1'700};
+constexpr Core::Milliseconds s_backoff {1'700};
 
 class Backoffs : public SignalFleet {
 protected:
@@ -26,7 +25,7 @@
         let_pass(1s);
     }
 
-    void expect_rests_kept()
+    void expect_backoffs_kept()
     {
         stop_callers();
         expect_promises_kept();
@@ -36,45 +35,45 @@
 
 }
 
-TEST_F(Backoffs, AreKeptWhileAllServersRest)
+TEST_F(Backoffs, HoldWhileAllServersReject)
 {
     begin();
     for (auto const& backend : m_backends)
-        backend->signals().reject_for(s_rest);
+        backend->signals().reject_for(s_backoff);
     let_pass(6s);
     for (auto const& backend : m_backends)
         backend->signals().reject_for(std::nullopt);
-    let_pass(s_rest + 1s);
+    let_pass(s_backoff + 1s);
     unsigned const served = m_served;
     let_pass(1s);
     EXPECT_GT(m_served, served);
-    expect_rests_kept();
+    expect_backoffs_kept();
 }
 
-TEST_F(Backoffs, AreKeptForAFractionOfASecond)
+TEST_F(Backoffs, HoldForAFractionOfASecond)
 {
     begin();
     for (auto const& backend : m_backends)
         backend->signals().reject_for(700ms);
     let_pass(4s);
-    expect_rests_kept();
+    expect_backoffs_kept();
 }
 
-TEST_F(Backoffs, EndWhenTheServerSaidSo)
+TEST_F(Backoffs, EndAtTheStatedTime)
 {
     begin();
-    auto& resting = *m_backends.front();
+    auto& rejecting = *m_backends.front();
     // One that everybody would prefer.
-    resting.set_work_time(1ms);
+    rejecting.set_work_time(1ms);
     let_pass(1s);
-    resting.signals().reject_for(s_rest);
+    rejecting.signals().reject_for(s_backoff);
     let_pass(4s);
-    resting.signals().reject_for(std::nullopt);
-    let_pass(s_rest + 500ms);
-    auto const before = resting.count();
+    rejecting.signals().reject_for(std::nullopt);
+    let_pass(s_backoff + 500ms);
+    auto const before = rejecting.count();
     let_pass(2s);
-    EXPECT_GT(resting.count(), before);
-    expect_rests_kept();
+    EXPECT_GT(rejecting.count(), before);
+    expect_backoffs_kept();
     EXPECT_EQ(m_refused, 0U);
 }
 
--- a/Tests/Integration/LeavingSignalTest.cpp
+++ b/Tests/Integration/LeavingSignalTest.cpp
@@ -1,4 +1,4 @@
-// A server stated in its answers that it leaves, and went on getting requests for as long as the store did not say so.
+// Guards against requests to a server whose answers state that it is leaving while the store does not say so.
 #include "SignalFleet.h"
 
 #include <gtest/gtest.h>
@@ -40,7 +40,7 @@
 
 }
 
-TEST_F(LeavingSignals, AreHeededWhileTheStoreSaysReady)
+TEST_F(LeavingSignals, StopRequestsWhileTheStoreSaysReady)
 {
     begin();
     m_leaving->signals().state_leaving();
@@ -48,7 +48,7 @@
     end();
 }
 
-TEST_F(LeavingSignals, AreHeededWhileTheStoreIsSilent)
+TEST_F(LeavingSignals, StopRequestsWhileTheStoreIsSilent)
 {
     begin();
     control({{"outage", "silent"}});
@@ -58,7 +58,7 @@
     end();
 }
 
-TEST_F(LeavingSignals, HoldWhenTheStoreListsTheServerAgain)
+TEST_F(LeavingSignals, HoldAfterTheStoreListsTheServerAgain)
 {
     begin();
     m_leaving->signals().state_leaving();
--- a/Tests/Integration/RateLimitTest.cpp
+++ b/Tests/Integration/RateLimitTest.cpp
@@ -1,4 +1,4 @@
-// A server in need stated the rate that it accepts from all gateways together, and got several times as much.
+// Guards against gateways that together exceed the rate limit stated in the answers of a server.
 #include "SignalFleet.h"
 
 #include <gtest/gtest.h>
@@ -45,7 +45,7 @@
     play(20, 250ms, 0.5);
 }
 
-TEST_F(RateLimits, TheOnlyServerIsUsedThroughAllGateways)
+TEST_F(RateLimits, TheOnlyServerIsUsedByAllGateways)
 {
     auto& only = add_backend("i-only", s_quick);
     start_gateways(4);
--- a/Tests/Judges/BackoffJudge.cpp
+++ b/Tests/Judges/BackoffJudge.cpp
@@ -47,7 +47,7 @@
             if (count <= s_most_arrivals || is_excused(key.second, span))
                 continue;
             findings.push_back(Core::concat("BUDGET: ", key.first, " had asked ", key.second, " for ",
-                Core::elapsed(span.begin, span.end).count(), " ms of rest, and got ", count,
+                Core::elapsed(span.begin, span.end).count(), " ms of backoff, and got ", count,
                 " requests from it in that time"));
         }
     }
--- a/Tests/Judges/StatedSignals.h
+++ b/Tests/Judges/StatedSignals.h
@@ -47,7 +47,7 @@
         m_is_leaving = true;
     }
 
-    /// The server rejects every request from now on and asks for that time of rest, or rejects none any more.
+    /// From now on the server rejects every request with that Retry-After, or none.
     void reject_for(std::optional<Core::Milliseconds> retry_after)
     {
         std::lock_guard const lock(m_mutex);
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -113,7 +113,7 @@
 
 }
 
-TEST_F(FetchSources, AnEngineWithARateLimitIsNone)
+TEST_F(FetchSources, ExcludeEnginesWithARateLimit)
 {
     auto const before = choose();
     ASSERT_EQ(before.server->record().instance, "i-2");
@@ -126,7 +126,7 @@
     EXPECT_EQ(after.source, nullptr);
 }
 
-TEST_F(FetchSources, AnEngineThatLeavesIsNone)
+TEST_F(FetchSources, ExcludeLeavingEngines)
 {
     ServerSignals leaving;
     leaving.is_leaving = true;
@@ -134,7 +134,7 @@
     EXPECT_EQ(choose().source, nullptr);
 }
 
-TEST_F(FetchSources, AnEngineThatRestsIsNone)
+TEST_F(FetchSources, ExcludeEnginesInBackoff)
 {
     ServerSignals resting;
     resting.retry_after = 3s;
--- a/Tests/LibGateway/BackoffRulesTest.cpp
+++ b/Tests/LibGateway/BackoffRulesTest.cpp
@@ -1,4 +1,4 @@
-// A server asked for rest with 503 and Retry-After; its gateway sent it more within that time, and then none for long.
+// Guards against requests during the Retry-After of a server, and against avoiding the server for longer.
 #include "GatewayFixture.h"
 
 #include <atomic>
@@ -17,7 +17,7 @@
 class BackoffRules : public GatewayFixture {
 protected:
     /// Rejects with that Retry-After for as long as `m_rejects`.
-    FakeBackend& add_resting_backend(std::string const& instance, std::string const& retry_after)
+    FakeBackend& add_rejecting_backend(std::string const& instance, std::string const& retry_after)
     {
         return add_backend(instance, [this, retry_after](auto& connection, auto const& text, auto) {
             if (!m_rejects)
@@ -45,24 +45,24 @@
 
 }
 
-TEST_F(BackoffRules, AServerGetsNothingWhileItRests)
+TEST_F(BackoffRules, SendsNothingDuringABackoff)
 {
-    auto const& resting = add_resting_backend("i-1", "30");
+    auto const& rejecting = add_rejecting_backend("i-1", "30");
     auto const& other = add_good_backend("i-2");
     start();
-    while (resting.count() == 0)
+    while (rejecting.count() == 0)
         ASSERT_EQ(ask().status, 200);
     auto const before = other.count();
     for (int number = 0; number < s_many; ++number)
         EXPECT_EQ(ask().status, 200);
-    EXPECT_EQ(resting.count(), 1U);
+    EXPECT_EQ(rejecting.count(), 1U);
     EXPECT_EQ(other.count(), before + s_many);
 }
 
-TEST_F(BackoffRules, CallersAreToldWhenTheFirstServerEndsItsRest)
+TEST_F(BackoffRules, TellsCallersWhenTheFirstBackoffEnds)
 {
-    auto const& first = add_resting_backend("i-1", "30.5");
-    auto const& second = add_resting_backend("i-2", "60");
+    auto const& first = add_rejecting_backend("i-1", "30.5");
+    auto const& second = add_rejecting_backend("i-2", "60");
     start();
     while (first.count() == 0 || second.count() == 0)
         EXPECT_EQ(ask().status, 503);
@@ -76,9 +76,9 @@
     EXPECT_EQ(first.count() + second.count(), 2U);
 }
 
-TEST_F(BackoffRules, AFractionOfASecondIsKeptAndWaitedFor)
+TEST_F(BackoffRules, WaitsForTheEndOfAShortBackoff)
 {
-    auto const& resting = add_resting_backend("i-1", "0.2");
+    auto const& rejecting = add_rejecting_backend("i-1", "0.2");
     start();
     EXPECT_EQ(ask().status, 503);
     m_rejects = false;
@@ -86,12 +86,12 @@
     // The class's target is one second, of which a quarter may be waited.
     EXPECT_EQ(ask().status, 200);
     EXPECT_GE(Core::elapsed(begun, Core::monotonic_now()), 150ms);
-    EXPECT_EQ(resting.count(), 2U);
+    EXPECT_EQ(rejecting.count(), 2U);
 }
 
-TEST_F(BackoffRules, AfterTheRestOneRequestTriesForAll)
+TEST_F(BackoffRules, ProbesWithOneRequestAfterABackoff)
 {
-    auto const& resting = add_resting_backend("i-1", "0.2");
+    auto const& rejecting = add_rejecting_backend("i-1", "0.2");
     start();
     EXPECT_EQ(ask().status, 503);
     std::vector<std::unique_ptr<RawCaller>> callers;
@@ -99,15 +99,15 @@
         callers.push_back(call(request("GET", "/safe/")));
     for (auto const& caller : callers)
         EXPECT_EQ(caller->read_answer().status, 503);
-    EXPECT_EQ(resting.count(), 2U);
+    EXPECT_EQ(rejecting.count(), 2U);
 }
 
-TEST_F(BackoffRules, TheMostUrgentOfThoseThatWaitGoesFirst)
+TEST_F(BackoffRules, SendsTheMostUrgentWaitingRequestFirst)
 {
     // Long enough that both may wait.
     for (auto const* name : {"safe", "keyed"})
         set(Table::SheetName::Classes, name, {{"first-token", "4s"}});
-    auto const& resting = add_resting_backend("i-1", "0.2");
+    auto const& rejecting = add_rejecting_backend("i-1", "0.2");
     start();
     EXPECT_EQ(ask().status, 503);
     m_rejects = false;
@@ -115,13 +115,13 @@
     auto const urgent = call(request("GET", "/keyed/", std::string("Authorization: Bearer ") + s_key + "\r\n"));
     EXPECT_EQ(ordinary->read_answer().status, 200);
     EXPECT_EQ(urgent->read_answer().status, 200);
-    ASSERT_EQ(resting.count(), 3U);
-    EXPECT_NE(resting.requests()[1].find("/keyed/"), std::string::npos);
+    ASSERT_EQ(rejecting.count(), 3U);
+    EXPECT_NE(rejecting.requests()[1].find("/keyed/"), std::string::npos);
 }
 
-TEST_F(BackoffRules, ARejectionWithRestIsNoFailure)
+TEST_F(BackoffRules, DoesNotCountABackoffAsFailure)
 {
-    add_resting_backend("i-1", "0.05");
+    add_rejecting_backend("i-1", "0.05");
     start();
     for (int number = 0; number < s_many; ++number)
         static_cast<void>(ask());
@@ -130,7 +130,7 @@
     EXPECT_EQ(status["backend-servers"][0]["avoided"], false);
 }
 
-TEST_F(BackoffRules, OnlyARejectionAsksForRest)
+TEST_F(BackoffRules, ReadsRetryAfterOf503Only)
 {
     HTTP::AnswerHead head {503, {}};
     head.fields.add("Retry-After", "1.7");
--- a/Tests/LibGateway/LeavingRulesTest.cpp
+++ b/Tests/LibGateway/LeavingRulesTest.cpp
@@ -1,4 +1,4 @@
-// A server stated in its answers that it leaves, and its gateways went on by the store's list, which did not say so.
+// Guards against requests to a server whose answers state that it is leaving while the store does not say so.
 #include "GatewayFixture.h"
 
 #include <gtest/gtest.h>
@@ -29,7 +29,7 @@
 
 }
 
-TEST_F(LeavingRules, AServerGetsNothingAfterItHasStatedThatItLeaves)
+TEST_F(LeavingRules, SendsNothingToALeavingServer)
 {
     auto const& last = add_leaving_backend("i-1");
     start();
@@ -39,7 +39,7 @@
     EXPECT_EQ(last.count(), 1U);
 }
 
-TEST_F(LeavingRules, TheStatementHoldsWhenTheListLacksTheServerForAWhile)
+TEST_F(LeavingRules, RemembersTheStatementWhileTheServerIsNotListed)
 {
     auto const& last = add_leaving_backend("i-1");
     add_backend(
@@ -61,7 +61,7 @@
     EXPECT_EQ(last.count(), 1U);
 }
 
-TEST_F(LeavingRules, TheNextRunAtTheAddressIsUsed)
+TEST_F(LeavingRules, UsesTheNextRunAtTheAddress)
 {
     add_leaving_backend("i-1");
     start();
@@ -72,7 +72,7 @@
     EXPECT_EQ(ask(), 200);
 }
 
-TEST_F(LeavingRules, AStreamOfALeavingServerIsFinished)
+TEST_F(LeavingRules, FinishesStreamsOfALeavingServer)
 {
     add_backend("i-1", [](auto& connection, auto const& text, auto) {
         connection.write(leaving(stream_head_to(text)));
@@ -87,7 +87,7 @@
     EXPECT_EQ(answer.body, event(1) + event(2));
 }
 
-TEST_F(LeavingRules, ARequestThatALeavingServerRejectsGoesElsewhere)
+TEST_F(LeavingRules, RetriesElsewhereAfterARejection)
 {
     auto const& last = add_backend(
         "i-1", [](auto& connection, auto const& text, auto) { connection.write(leaving(refusal_to(text, 503))); });
@@ -99,7 +99,7 @@
     EXPECT_LE(last.count(), 1U);
 }
 
-TEST_F(LeavingRules, AnotherServerAtTheAddressSpeaksForItself)
+TEST_F(LeavingRules, IgnoresStatementsOfAnotherServerAtTheAddress)
 {
     auto const& misdirected = add_backend(
         "i-1", [](auto& connection, auto const& text, auto) { connection.write(leaving(refusal_to(text, 421))); });
--- a/Tests/LibGateway/RateLimitRulesTest.cpp
+++ b/Tests/LibGateway/RateLimitRulesTest.cpp
@@ -1,5 +1,4 @@
-// Servers in need named the rate that they accept, and requests went on as before. Here a gateway that is alone, so
-// that all of a limit is its own.
+// Guards against exceeding a stated rate limit, with a single gateway that has the whole limit.
 #include "GatewayFixture.h"
 
 #include <atomic>
@@ -59,7 +58,7 @@
 
 }
 
-TEST_F(RateLimitRules, AServerGetsNoMoreThanItsLimit)
+TEST_F(RateLimitRules, LimitsTheRequestsToAServer)
 {
     auto const& limited = add_limited_backend("i-1");
     auto const& other = add_good_backend("i-2");
@@ -76,7 +75,7 @@
     EXPECT_GE(other.count(), before + 29);
 }
 
-TEST_F(RateLimitRules, AGatewayThatDoesNotKnowTheOthersSendsNothingToALimitedServer)
+TEST_F(RateLimitRules, SendsNothingToALimitedServerBeforeTheMembershipIsKnown)
 {
     auto const& limited = add_limited_backend("i-1");
     start();
@@ -89,7 +88,7 @@
     EXPECT_EQ(limited.count(), 1U);
 }
 
-TEST_F(RateLimitRules, TheLimitReachesTheCaller)
+TEST_F(RateLimitRules, PassesTheLimitOnToTheCaller)
 {
     add_limited_backend("i-1");
     start_alone();
@@ -97,7 +96,7 @@
     EXPECT_EQ(field_of(answer_of(request("GET", "/safe/")).head, "Granitefield-Rate-Limit"), "7.5");
 }
 
-TEST_F(RateLimitRules, RequestsAreRejectedAtOnceWhereTheOnlyServerAcceptsNoMore)
+TEST_F(RateLimitRules, RejectsAtOnceWhenTheOnlyServerIsAtItsLimit)
 {
     auto const& limited = add_limited_backend("i-1");
     start_alone();
@@ -117,7 +116,7 @@
     EXPECT_EQ(limited.count(), 2U);
 }
 
-TEST_F(RateLimitRules, AServerIsUsedAgainOnceItStatesNoLimit)
+TEST_F(RateLimitRules, UsesAServerAgainOnceItStatesNoLimit)
 {
     auto const& limited = add_limited_backend("i-1");
     start_alone();
@@ -132,7 +131,7 @@
     EXPECT_EQ(limited.count(), 12U);
 }
 
-TEST_F(RateLimitRules, ARejectionThatStatesNoLimitDoesNotEndIt)
+TEST_F(RateLimitRules, DoesNotEndALimitForARejection)
 {
     std::atomic<bool> rejects {false};
     auto const& limited = add_backend("i-1", [&rejects](auto& connection, auto const& text, auto) {
@@ -149,7 +148,7 @@
     EXPECT_EQ(status["backend-servers"][0]["rate-limit"], 2);
 }
 
-TEST_F(RateLimitRules, ALimitedServerIsAskedAgainAlthoughOthersArePreferred)
+TEST_F(RateLimitRules, RechecksALimitedServerAlthoughOthersArePreferred)
 {
     auto const& limited = add_limited_backend("i-1");
     add_good_backend("i-2");
@@ -164,7 +163,7 @@
     EXPECT_EQ(limited.count(), before + 1);
 }
 
-TEST_F(RateLimitRules, WhatAnotherServerAtTheAddressStatesIsIgnored)
+TEST_F(RateLimitRules, IgnoresStatementsOfAnotherServerAtTheAddress)
 {
     auto const& misdirected = add_backend("i-1", [](auto& connection, auto const& text, auto) {
         auto answer = refusal_to(text, 421);
@@ -177,7 +176,7 @@
     EXPECT_EQ(misdirected.count(), 5U);
 }
 
-TEST_F(RateLimitRules, ALimitThatIsNoNumberIsIgnored)
+TEST_F(RateLimitRules, IgnoresMalformedLimits)
 {
     for (auto const* const text : {"", "much", "-1", "nan", "inf", "1e999"}) {
         HTTP::AnswerHead head {200, {}};
--- a/Tests/LibGateway/SignalSharingTest.cpp
+++ b/Tests/LibGateway/SignalSharingTest.cpp
@@ -1,5 +1,4 @@
-// A rate limit that one gateway reads in an answer holds at all of them: 300 gateways by simulated time, with the
-// exchange of reports as it is between processes.
+// Exchange of server statements among gateways in simulated time: a limit that one gateway received binds all of them.
 #include "LoadFleet.h"
 #include "RateLimitJudge.h"
 
@@ -54,8 +53,8 @@
     /// Gateways that believe in a limit of the server.
     [[nodiscard]] std::size_t believers()
     {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            m_nodes, [&](auto const& node) { return node->fleet.rate_limit_of(view(*node, s_limited)).has_value(); }));
+        return static_cast<std::size_t>(std::ranges::count_if(m_nodes,
+            [&](auto const& node) { return node->fleet.rate_limit_of(view(*node, s_limited).id()).has_value(); }));
     }
 
     Testing::RateLimitJudge m_judge;
@@ -118,7 +117,7 @@
 
 }
 
-TEST_F(RateLimitFleet, ThreeHundredGatewaysKeepALimitThatOneWasTold)
+TEST_F(RateLimitFleet, KeepsALimitThatOneGatewayReceived)
 {
     m_loss = 0.02;
     play_requests(1s, 600);
@@ -131,7 +130,7 @@
     EXPECT_EQ(believers(), s_gateways);
 }
 
-TEST_F(RateLimitFleet, ThreeHundredGatewaysFindTheEndOfALimit)
+TEST_F(RateLimitFleet, FindsTheEndOfALimit)
 {
     play_requests(1s, 600);
     state(1);
@@ -143,8 +142,8 @@
     EXPECT_EQ(believers(), 0U);
 }
 
-// Reports wait at busy gateways, and their ages do not count that.
-TEST_F(RateLimitFleet, AGatewayThatTookALimitForNewerFindsItsEnd)
+// The age in a report does not include the time that it waits at a busy gateway.
+TEST_F(RateLimitFleet, CorrectsAGatewayWithADelayedReport)
 {
     play_requests(1s, 600);
     state(1);
@@ -157,8 +156,7 @@
     EXPECT_EQ(believers(), 0U);
 }
 
-// Its relay tells what was known before.
-TEST_F(RateLimitFleet, AGatewayThatStartsLaterIsToldOfALimit)
+TEST_F(RateLimitFleet, ReportsALimitToANewGateway)
 {
     play_requests(1s, 600);
     state(1);
@@ -169,10 +167,10 @@
     restarted = make_node(7);
     introduce();
     play_requests(3s, 600);
-    EXPECT_TRUE(node(7).fleet.rate_limit_of(view(node(7), s_limited)));
+    EXPECT_TRUE(node(7).fleet.rate_limit_of(view(node(7), s_limited).id()));
 }
 
-TEST(SignalSharing, RejectsReportsThatNoServerCouldHaveCaused)
+TEST(SignalSharing, RejectsInvalidRates)
 {
     SignalSharing::Message message;
     message.add_rate_limits()->set_rate(1);
@@ -196,15 +194,14 @@
     EXPECT_EQ(*node(1).fleet.rate_limits().find(server), fact);
 }
 
-// A store that is away cannot say so.
-TEST_F(LoadFleet, AllGatewaysLeaveAServerAloneThatOneWasToldLeaves)
+TEST_F(LoadFleet, ReportsALeavingServerToAllGateways)
 {
     m_loss = 0.02;
     auto& told = node(5);
     ServerSignals leaving;
     leaving.is_leaving = true;
     told.fleet.note_signals(view(told, "i-3"), leaving, m_now, m_now);
-    play(s_knowledge_limit + Policy::LeavingFacts::s_telling_pause * 2);
+    play(s_knowledge_limit + Policy::LeavingFacts::s_repetition_interval * 2);
     for (auto const& node : m_nodes)
         EXPECT_FALSE(view(*node, "i-3").takes_new_requests()) << node->address;
 }
--- a/Tests/LibPolicy/BackoffWorld.h
+++ b/Tests/LibPolicy/BackoffWorld.h
@@ -11,18 +11,18 @@
 
 namespace GraniteField::Policy {
 
-/// How a gateway goes on with a server that rejects its requests and asks for rest.
+/// How a gateway goes on with a server that rejects its requests and requests a backoff.
 enum class BackoffWay {
     /// After three rejections in a row it is left alone for 250 ms, doubling up to 2 s, whatever it asked for.
     AfterThreeFailures,
     /// It is left alone for as long as it asked, and then used as before.
-    Rest,
+    BackoffOnly,
     /// ServerBackoff.
-    RestThenProbe,
+    BackoffThenProbe,
 };
 
 struct BackoffSettings {
-    Core::Milliseconds rest {1'700};
+    Core::Milliseconds backoff {1'700};
     /// Requests per second of the gateway that want the server.
     double load {50};
     /// How long the server rejects; it accepts everything afterwards.
@@ -33,7 +33,7 @@
 
 struct BackoffOutcome {
     /// The most requests that arrived between half a second after a rejection and the end of its time.
-    std::size_t most_in_a_rest {0};
+    std::size_t most_in_a_backoff {0};
     std::size_t rejected {0};
     /// From the server's recovery until it accepted a request; nothing if it never did.
     std::optional<Core::Milliseconds> used_after;
@@ -83,9 +83,9 @@
         switch (way) {
         case BackoffWay::AfterThreeFailures:
             return now >= m_avoided_until;
-        case BackoffWay::Rest:
+        case BackoffWay::BackoffOnly:
             return !m_backoff.is_in_force(now);
-        case BackoffWay::RestThenProbe:
+        case BackoffWay::BackoffThenProbe:
             return m_backoff.next_send(now) <= now;
         }
         return true;
@@ -95,14 +95,14 @@
     {
         m_backoff.note_sent(now);
         bool const is_rejection = now < s_begin + m_settings.rejecting;
-        for (auto& rest : m_rests) {
-            bool const is_in_rest = now > rest.begin + s_notice && now < rest.begin + m_settings.rest;
-            if (is_in_rest)
-                m_outcome.most_in_a_rest = std::max(m_outcome.most_in_a_rest, ++rest.arrivals);
+        for (auto& backoff : m_backoffs) {
+            bool const is_in_backoff = now > backoff.begin + s_notice && now < backoff.begin + m_settings.backoff;
+            if (is_in_backoff)
+                m_outcome.most_in_a_backoff = std::max(m_outcome.most_in_a_backoff, ++backoff.arrivals);
         }
         if (is_rejection) {
             ++m_outcome.rejected;
-            m_rests.push_back({now, 0});
+            m_backoffs.push_back({now, 0});
         } else if (!m_outcome.used_after) {
             m_outcome.used_after = Core::elapsed(s_begin + m_settings.rejecting, now);
         }
@@ -119,7 +119,7 @@
                 m_failures = m_avoidances = 0;
                 continue;
             }
-            m_backoff.note_rejected(m_settings.rest, answer.received);
+            m_backoff.note_rejected(m_settings.backoff, answer.received);
             if (way == BackoffWay::AfterThreeFailures && ++m_failures >= s_failures_to_avoid) {
                 auto const doublings = std::min(m_avoidances++, s_most_doublings);
                 m_avoided_until = answer.received + s_shortest_avoidance * (1U << doublings);
@@ -127,7 +127,7 @@
         }
     }
 
-    struct Rest {
+    struct Backoff {
         Core::MonotonicTime begin;
         std::size_t arrivals {0};
     };
@@ -139,7 +139,7 @@
     unsigned m_avoidances {0};
     Core::MonotonicTime m_avoided_until;
     std::deque<Answer> m_answers;
-    std::vector<Rest> m_rests;
+    std::vector<Backoff> m_backoffs;
     BackoffOutcome m_outcome;
 };
 
--- a/Tests/LibPolicy/LimitSharesTest.cpp
+++ b/Tests/LibPolicy/LimitSharesTest.cpp
@@ -1,4 +1,4 @@
-// A server stated a limit of one request per second, and four gateways sent it 22 in 4 s: each sent as before.
+// Guards against gateways that together exceed a rate limit.
 #include "LimitWorld.h"
 
 #include <gtest/gtest.h>
@@ -35,7 +35,7 @@
 
 }
 
-TEST(LimitShares, KeepsALimitHoweverManyGatewaysSend)
+TEST(LimitShares, KeepsALimitWithAnyNumberOfGateways)
 {
     for (std::size_t const gateways : {1U, 2U, 4U, 7U, 30U, 300U}) {
         for (double const rate : {0.5, 1.0, 1.4, 3.7, 12.5})
@@ -43,7 +43,7 @@
     }
 }
 
-RC_GTEST_PROP(LimitShares, KeepsALimitWhereATenthOfTheOthersIsUnknown, ())
+RC_GTEST_PROP(LimitShares, KeepsALimitWithATenthOfTheMembershipUnknown, ())
 {
     auto settings = flood(*rc::gen::element<std::size_t>(4, 30, 100), *rc::gen::element(0.3, 0.5, 1.0, 2.5, 8.0));
     settings.unknown = 0.1;
@@ -65,7 +65,7 @@
     }
 }
 
-TEST(LimitShares, GivesNoShareToAGatewayThatDoesNotKnowTheOthers)
+TEST(LimitShares, GivesNoShareBeforeTheMembershipIsKnown)
 {
     LimitShares shares;
     SharedRateLimit const limit {5, s_start};
@@ -76,7 +76,7 @@
     EXPECT_EQ(shares.next_send(s_server, limit, s_start), Core::MonotonicTime::max());
 }
 
-TEST(LimitShares, TellsWhenTheNextRequestMayBeSent)
+TEST(LimitShares, ReturnsTheTimeOfTheNextRequest)
 {
     LimitShares shares;
     shares.set_gateways(1, {});
@@ -87,8 +87,8 @@
     EXPECT_TRUE(shares.may_send(s_server, limit, s_start + 2s));
 }
 
-// Callers are told this time.
-TEST(LimitShares, KeepsTheTimeThatItTold)
+// Callers receive this time as Retry-After.
+TEST(LimitShares, AllowsARequestAtTheReturnedTime)
 {
     for (std::uint64_t self = 0; self < 30; ++self) {
         LimitShares shares;
@@ -104,8 +104,7 @@
     }
 }
 
-// A limit of 0 is asked for as well.
-TEST(LimitShares, AsksAServerThatAcceptsNothingOnceInAWhile)
+TEST(LimitShares, ProbesAServerWithALimitOfZero)
 {
     LimitShares shares;
     shares.set_gateways(1, {});
@@ -116,7 +115,7 @@
     EXPECT_TRUE(shares.may_send(s_server, limit, s_start + 11s));
 }
 
-TEST(LimitShares, SendsRequestsThatArriveTogetherWhereTheLimitIsHigh)
+TEST(LimitShares, AllowsBurstsAtHighLimits)
 {
     LimitShares shares;
     shares.set_gateways(1, {2, 3, 4});
--- a/Tests/LibPolicy/RateLimitFactTest.cpp
+++ b/Tests/LibPolicy/RateLimitFactTest.cpp
@@ -1,4 +1,4 @@
-// What gateways conclude from answers and reports about rate limits, in whichever order these come.
+// Merging and reporting of rate limits, in any order of answers and reports.
 #include <LibPolicy/RateLimitFact.h>
 
 #include <gtest/gtest.h>
@@ -41,7 +41,7 @@
     RC_ASSERT(merge_all(facts) == merged);
 }
 
-TEST(RateLimitFact, AnAnswerToAnEarlierRequestDoesNotEndALimit)
+TEST(RateLimitFact, DoesNotEndALimitForAnAnswerToAnEarlierRequest)
 {
     auto fact = RateLimitFact::limited(1, s_start + 100ms);
     EXPECT_EQ(fact.merge(RateLimitFact::unlimited(s_start + 90ms)), FactChange::None);
@@ -61,40 +61,40 @@
     EXPECT_EQ(fact.limit()->since, s_start + 400ms);
 }
 
-TEST(RateLimitFacts, TellsAChangeThreeTimes)
+TEST(RateLimitFacts, RepeatsTheReportOfAChange)
 {
     RateLimitFacts facts;
-    EXPECT_FALSE(facts.has_news(s_start));
+    EXPECT_FALSE(facts.has_due_reports(s_start));
     EXPECT_EQ(facts.note(s_server, RateLimitFact::limited(1, s_start), s_start), FactChange::Changed);
     std::size_t told = 0;
     for (auto now = s_start; now < s_start + 2s; now += 10ms)
-        told += facts.take_news(now).size();
-    EXPECT_EQ(told, RateLimitFacts::s_times_told);
-    EXPECT_FALSE(facts.has_news(s_start + 2s));
+        told += facts.take_due_reports(now).size();
+    EXPECT_EQ(told, RateLimitFacts::s_repetitions);
+    EXPECT_FALSE(facts.has_due_reports(s_start + 2s));
 }
 
-TEST(RateLimitFacts, TellsAConfirmedLimitAgainNowAndThen)
+TEST(RateLimitFacts, RefreshesAConfirmedLimit)
 {
     RateLimitFacts facts;
     std::size_t told = 0;
     for (auto now = s_start; now < s_start + 20s; now += 100ms) {
         facts.note(s_server, RateLimitFact::limited(1, now), now);
-        told += facts.take_news(now).size();
+        told += facts.take_due_reports(now).size();
     }
-    EXPECT_EQ(told, RateLimitFacts::s_times_told + 4);
+    EXPECT_EQ(told, RateLimitFacts::s_repetitions + 4);
 }
 
-TEST(RateLimitFacts, PassesOnReportsOfItsReportersOnly)
+TEST(RateLimitFacts, ForwardsReportsOfItsOwnGatewaysOnly)
 {
     RateLimitFacts facts;
     facts.take({s_server, RateLimitFact::limited(1, s_start)}, Relaying::No, s_start);
     EXPECT_TRUE(facts.find(s_server)->limit());
-    EXPECT_FALSE(facts.has_news(s_start));
+    EXPECT_FALSE(facts.has_due_reports(s_start));
     facts.take({s_server, RateLimitFact::limited(2, s_start + 1ms)}, Relaying::Yes, s_start + 1ms);
-    EXPECT_TRUE(facts.has_news(s_start + 1ms));
+    EXPECT_TRUE(facts.has_due_reports(s_start + 1ms));
 }
 
-TEST(RateLimitFacts, ForgetsServersThatAreGoneAndLimitsThatAreOver)
+TEST(RateLimitFacts, ForgetsUnlistedServersAndOldLimits)
 {
     RateLimitFacts facts;
     auto const is_listed = [](auto) { return true; };
@@ -106,7 +106,7 @@
     EXPECT_NE(facts.find(s_server), nullptr);
     facts.forget_old(is_gone, s_start + 1h);
     EXPECT_TRUE(facts.is_empty());
-    EXPECT_FALSE(facts.has_news(s_start + 1h));
+    EXPECT_FALSE(facts.has_due_reports(s_start + 1h));
     facts.note(s_server, RateLimitFact::unlimited(s_start), s_start);
     facts.forget_old(is_listed, s_start + 1s);
     EXPECT_NE(facts.find(s_server), nullptr);
--- a/Tests/LibPolicy/ServerBackoffTest.cpp
+++ b/Tests/LibPolicy/ServerBackoffTest.cpp
@@ -1,4 +1,4 @@
-// When a gateway sends to a server again that asked it for rest.
+// Guards against requests during a backoff, and against a burst of them at its end.
 #include "BackoffWorld.h"
 
 #include <gtest/gtest.h>
@@ -14,14 +14,14 @@
 
 }
 
-TEST(ServerBackoff, AServerThatAskedForNothingIsNotHeldBack)
+TEST(ServerBackoff, DoesNothingWithoutARejection)
 {
     ServerBackoff backoff;
     backoff.note_sent(s_start);
     EXPECT_EQ(backoff.next_send(s_start), s_start);
 }
 
-TEST(ServerBackoff, TheLongestTimeHolds)
+TEST(ServerBackoff, KeepsTheLongestOfOverlappingBackoffs)
 {
     ServerBackoff backoff;
     backoff.note_rejected(3s, s_start);
@@ -31,7 +31,7 @@
     EXPECT_FALSE(backoff.is_in_force(s_start + 3s));
 }
 
-TEST(ServerBackoff, OneRequestAtATimeFollowsUntilOneIsAccepted)
+TEST(ServerBackoff, ProbesUntilARequestIsAccepted)
 {
     ServerBackoff backoff;
     backoff.note_rejected(1s, s_start);
@@ -46,7 +46,7 @@
     EXPECT_EQ(backoff.next_send(end + 2ms), end + 2ms);
 }
 
-TEST(ServerBackoff, AnotherRejectionBeginsAnotherRest)
+TEST(ServerBackoff, StartsAgainWhenAProbeIsRejected)
 {
     ServerBackoff backoff;
     backoff.note_rejected(1s, s_start);
@@ -55,23 +55,23 @@
     EXPECT_EQ(backoff.next_send(s_start + 1'011ms), s_start + 2'010ms);
 }
 
-TEST(ServerBackoff, AnAbsurdTimeIsBounded)
+TEST(ServerBackoff, BoundsAbsurdDurations)
 {
     ServerBackoff backoff;
     backoff.note_rejected(std::chrono::hours(24 * 365), s_start);
     EXPECT_EQ(backoff.next_send(s_start), s_start + ServerBackoff::s_longest);
 }
 
-RC_GTEST_PROP(ServerBackoff, NoRestIsBrokenHoweverManyWantTheServer, ())
+RC_GTEST_PROP(ServerBackoff, HoldsAtAnyLoad, ())
 {
     BackoffSettings settings;
-    settings.rest = Core::Milliseconds(*rc::gen::inRange(300, 5'000));
+    settings.backoff = Core::Milliseconds(*rc::gen::inRange(300, 5'000));
     settings.load = *rc::gen::element(5.0, 50.0, 500.0);
     settings.seed = *rc::gen::inRange<std::uint32_t>(0, 100'000);
-    auto const outcome = BackoffWorld(settings).play(BackoffWay::RestThenProbe);
-    RC_ASSERT(outcome.most_in_a_rest <= 2U);
+    auto const outcome = BackoffWorld(settings).play(BackoffWay::BackoffThenProbe);
+    RC_ASSERT(outcome.most_in_a_backoff <= 2U);
     RC_ASSERT(outcome.used_after.has_value());
-    RC_ASSERT(*outcome.used_after <= settings.rest + 1s);
+    RC_ASSERT(*outcome.used_after <= settings.backoff + 1s);
 }
 
 }
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -29,8 +29,8 @@
 constexpr Core::Milliseconds s_shortest_signal {5'000};
 constexpr Core::Milliseconds s_limit_pause {2'500};
 constexpr Core::Milliseconds s_leaving_pause {4'000};
-constexpr std::array s_rests {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
-constexpr Core::Milliseconds s_rest_pause {3'000};
+constexpr std::array s_backoffs {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
+constexpr Core::Milliseconds s_backoff_pause {3'000};
 
 std::string gateway_name(std::size_t index)
 {
@@ -54,7 +54,7 @@
     , m_random(options.seed)
     , m_limit_random(options.seed + 1)
     , m_leaving_random(options.seed + 2)
-    , m_rest_random(options.seed + 3)
+    , m_backoff_random(options.seed + 3)
     , m_ports(options.gateways)
 {
     change_configuration();
@@ -245,19 +245,19 @@
     });
 }
 
-void GatewaySoak::begin_rest()
+void GatewaySoak::begin_backoff()
 {
     // Now and then of all servers at once.
-    bool const rest_all = m_rest_random() % 4 == 0;
-    auto const chosen = m_rest_random() % m_backends.size();
-    auto const rest = s_rests.at(m_rest_random() % s_rests.size());
-    auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_rest_random() % 3'000);
+    bool const reject_all = m_backoff_random() % 4 == 0;
+    auto const chosen = m_backoff_random() % m_backends.size();
+    auto const backoff = s_backoffs.at(m_backoff_random() % s_backoffs.size());
+    auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_backoff_random() % 3'000);
     for (std::size_t index = 0; index < m_backends.size(); ++index) {
-        if (!rest_all && index != chosen)
+        if (!reject_all && index != chosen)
             continue;
         auto const signals = m_backends[index]->signals();
-        signals->reject_for(rest);
-        m_faults.begin("rest", end, [signals] { signals->reject_for(std::nullopt); });
+        signals->reject_for(backoff);
+        m_faults.begin("backoff", end, [signals] { signals->reject_for(std::nullopt); });
     }
 }
 
@@ -431,7 +431,7 @@
     auto const end = Core::monotonic_now() + m_options.length;
     auto next_limit = Core::monotonic_now();
     auto next_leaving = next_limit + s_leaving_pause;
-    auto next_rest = next_limit + s_rest_pause;
+    auto next_backoff = next_limit + s_backoff_pause;
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
         if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_limit) {
@@ -442,9 +442,9 @@
             begin_leaving();
             next_leaving = Core::monotonic_now() + s_leaving_pause;
         }
-        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_rest) {
-            begin_rest();
-            next_rest = Core::monotonic_now() + s_rest_pause;
+        if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_backoff) {
+            begin_backoff();
+            next_backoff = Core::monotonic_now() + s_backoff_pause;
         }
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
@@ -464,7 +464,7 @@
         note_problem(std::move(finding));
     m_report.limited_arrivals = m_judges.limits.counted();
     m_report.left_alone = m_judges.leaving.left_alone();
-    m_report.rests = m_judges.backoffs.counted();
+    m_report.backoffs = m_judges.backoffs.counted();
     return m_report;
 }
 
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -54,7 +54,7 @@
         /// Servers that stated to a gateway that they leave.
         std::size_t left_alone {0};
         /// Rejections with Retry-After that were judged.
-        std::size_t rests {0};
+        std::size_t backoffs {0};
     };
 
     explicit GatewaySoak(Options);
@@ -88,7 +88,7 @@
     /// stays the same.
     void begin_rate_limit();
     void begin_leaving();
-    void begin_rest();
+    void begin_backoff();
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -109,7 +109,7 @@
     std::mt19937 m_random;
     std::mt19937 m_limit_random;
     std::mt19937 m_leaving_random;
-    std::mt19937 m_rest_random;
+    std::mt19937 m_backoff_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -33,7 +33,7 @@
         ADD_FAILURE() << problem;
     EXPECT_GT(report.limited_arrivals, 0U);
     EXPECT_GT(report.left_alone, 0U);
-    EXPECT_GT(report.rests, 0U);
+    EXPECT_GT(report.backoffs, 0U);
 }
 
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -55,8 +55,8 @@
 constexpr unsigned s_longest_signal_ms = 12'000;
 constexpr Core::Milliseconds s_limit_pause {3'000};
 constexpr Core::Milliseconds s_leaving_pause {5'000};
-constexpr std::array s_rests {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
-constexpr Core::Milliseconds s_rest_pause {4'000};
+constexpr std::array s_backoffs {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
+constexpr Core::Milliseconds s_backoff_pause {4'000};
 /// How long a server that leaves goes on serving after it was to be left alone.
 constexpr Core::Milliseconds s_served_on {2'500};
 
@@ -103,7 +103,7 @@
     , m_random(options.seed)
     , m_limit_random(options.seed + 1)
     , m_leaving_random(options.seed + 2)
-    , m_rest_random(options.seed + 3)
+    , m_backoff_random(options.seed + 3)
     , m_contact({}, options.gateways)
     , m_judges(s_contact_time, options.leave_bound)
     , m_seen(options.gateways)
@@ -497,19 +497,19 @@
         [this, &backend, leaving] { replace(backend, leaving); });
 }
 
-void SpreadSoak::begin_rest()
+void SpreadSoak::begin_backoff()
 {
-    auto const rest = s_rests.at(m_rest_random() % s_rests.size());
-    auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_rest_random() % 4'000);
+    auto const backoff = s_backoffs.at(m_backoff_random() % s_backoffs.size());
+    auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_backoff_random() % 4'000);
     // Now and then of all servers of a service at once.
-    bool const rest_all = m_rest_random() % 4 == 0;
-    auto const chosen = m_rest_random() % m_backends.size();
-    auto const first = rest_all ? chosen / s_backends_per_service * s_backends_per_service : chosen;
-    auto const count = rest_all ? s_backends_per_service : 1;
+    bool const reject_all = m_backoff_random() % 4 == 0;
+    auto const chosen = m_backoff_random() % m_backends.size();
+    auto const first = reject_all ? chosen / s_backends_per_service * s_backends_per_service : chosen;
+    auto const count = reject_all ? s_backends_per_service : 1;
     for (auto index = first; index < first + count; ++index) {
         auto const signals = m_backends[index]->signals();
-        signals->reject_for(rest);
-        m_faults.begin("rest", end, [signals] { signals->reject_for(std::nullopt); });
+        signals->reject_for(backoff);
+        m_faults.begin("backoff", end, [signals] { signals->reject_for(std::nullopt); });
     }
 }
 
@@ -684,7 +684,7 @@
     auto next_fault = next_change + draw_time(0, 3'000);
     auto next_limit = next_change;
     auto next_leaving = next_change + s_leaving_pause;
-    auto next_rest = next_change + s_rest_pause;
+    auto next_backoff = next_change + s_backoff_pause;
     while (Core::monotonic_now() < end) {
         auto const now = Core::monotonic_now();
         m_faults.heal_due(now);
@@ -706,9 +706,9 @@
             begin_leaving();
             next_leaving = now + s_leaving_pause;
         }
-        if (m_options.has_signals && now >= next_rest) {
-            begin_rest();
-            next_rest = now + s_rest_pause;
+        if (m_options.has_signals && now >= next_backoff) {
+            begin_backoff();
+            next_backoff = now + s_backoff_pause;
         }
         if (m_options.has_faults && now >= next_fault) {
             begin_fault();
@@ -726,7 +726,7 @@
         note_problem(std::move(finding));
     m_report.limited_arrivals = m_judges.limits.counted();
     m_report.left_alone = m_judges.leaving.left_alone();
-    m_report.rests = m_judges.backoffs.counted();
+    m_report.backoffs = m_judges.backoffs.counted();
     std::ranges::sort(m_report.delays);
     return m_report;
 }
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -65,7 +65,7 @@
         /// Servers that stated to a gateway that they leave.
         std::size_t left_alone {0};
         /// Rejections with Retry-After that were judged.
-        std::size_t rests {0};
+        std::size_t backoffs {0};
         /// How long after the store's answer each gateway in touch was first seen to have each version, sorted.
         std::vector<Core::Milliseconds> delays;
     };
@@ -114,7 +114,7 @@
     /// stays the same.
     void begin_rate_limit();
     void begin_leaving();
-    void begin_rest();
+    void begin_backoff();
 
     void begin_fault();
     void kill(Indices const&);
@@ -150,7 +150,7 @@
     std::mt19937 m_random;
     std::mt19937 m_limit_random;
     std::mt19937 m_leaving_random;
-    std::mt19937 m_rest_random;
+    std::mt19937 m_backoff_random;
     Core::MonotonicTime m_begun {Core::monotonic_now()};
     ContactBook m_contact;
     SignalJudges m_judges;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -43,7 +43,7 @@
             std::cout << ' ' << answer << '=' << times;
         if (signals.getValue())
             std::cout << " limited=" << report.limited_arrivals << " left alone=" << report.left_alone
-                      << " rests=" << report.rests;
+                      << " backoffs=" << report.backoffs;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
--- a/Tests/Soak/spread_soak.cpp
+++ b/Tests/Soak/spread_soak.cpp
@@ -35,7 +35,7 @@
     for (auto const& [fault, count] : report.faults)
         std::cout << ' ' << fault << '=' << count;
     std::cout << "; limited=" << report.limited_arrivals << " left alone=" << report.left_alone
-              << " rests=" << report.rests << '\n';
+              << " backoffs=" << report.backoffs << '\n';
     for (std::size_t index = 0; index < std::min(report.problems.size(), s_most_problems_shown); ++index)
         std::cout << "  " << report.problems[index] << '\n';
     if (report.problems.size() > s_most_problems_shown)
