--- a/Tests/Judges/BackoffJudge.cpp
+++ b/Tests/Judges/BackoffJudge.cpp
@@ -59,8 +59,9 @@
     std::lock_guard const lock(m_mutex);
     std::size_t sum = 0;
     for (auto const& [key, rejections] : m_rejections) {
+        auto const& gateway = key.second;
         sum += static_cast<std::size_t>(
-            std::ranges::count_if(rejections, [&](auto const& span) { return !is_excused(key.second, span); }));
+            std::ranges::count_if(rejections, [&](auto const& span) { return !is_excused(gateway, span); }));
     }
     return sum;
 }
--- a/Tests/LibGateway/SignalSharingTest.cpp
+++ b/Tests/LibGateway/SignalSharingTest.cpp
@@ -94,8 +94,10 @@
 
     void answer()
     {
-        auto const due = std::ranges::partition(m_answers, [&](auto const& answer) { return answer.time > m_now; });
-        for (auto& answer : due) {
+        auto const is_open = [&](auto const& answer) { return answer.time > m_now; };
+        auto const first_due = std::partition(m_answers.begin(), m_answers.end(), is_open);
+        for (auto due = first_due; due != m_answers.end(); ++due) {
+            auto& answer = *due;
             answer.server->end_attempt(answer.load);
             answer.server->note_latency(s_answer_time);
             if (!answer.node->is_alive)
@@ -104,7 +106,7 @@
             if (answer.signals.rate_limit)
                 m_judge.note_passed_on(s_limited, answer.node->address, m_now);
         }
-        m_answers.erase(due.begin(), due.end());
+        m_answers.erase(first_due, m_answers.end());
     }
 
     Table::Table m_table;
--- a/Tests/LibPolicy/RateLimitFactTest.cpp
+++ b/Tests/LibPolicy/RateLimitFactTest.cpp
@@ -1,6 +1,8 @@
 // Merging and reporting of rate limits, in any order of answers and reports.
 #include <LibPolicy/RateLimitFact.h>
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -37,7 +39,7 @@
     auto const merged = merge_all(facts);
     std::ranges::reverse(facts);
     RC_ASSERT(merge_all(facts) == merged);
-    std::ranges::rotate(facts, facts.begin() + 2);
+    std::rotate(facts.begin(), facts.begin() + 2, facts.end());
     RC_ASSERT(merge_all(facts) == merged);
 }
 
