LibGateway: End a rate limit also after a minute without statements

What users would see: a server that stated a rate limit, was then asked by nobody for a minute, and has recovered meanwhile is held to its old limit by all gateways until its run ends; its answers state no limit, and its callers are rejected with servers_limited as soon as more of them come than the limit allows.

Cause: answers without a limit are evidence for 60 s after the last statement, so that gateways with a delayed report learn of its end. The bound also applied while the limit was still in force, where such an answer is the only thing that can end it. Found by reading; with traffic the recheck after 1 s hides it, and every test and soak has traffic.

Change: while a limit is known to be in force an answer without one always counts. ServerStatements.EndALimitAfterATimeWithoutRequests failed before (the limit still 0.5 two minutes later) and passes now.

--- a/Libraries/LibGateway/BackendFleetSignals.cpp
+++ b/Libraries/LibGateway/BackendFleetSignals.cpp
@@ -81,7 +81,7 @@
     // Rejections may be sent by a layer of the server that does not know the limit.
     if (known == nullptr || !known->last_limited || signals.is_rejection)
         return false;
-    return Core::elapsed(*known->last_limited, received) <= s_confirmation_time;
+    return known->is_limited() || Core::elapsed(*known->last_limited, received) <= s_confirmation_time;
 }
 
 void BackendFleet::note_signals(
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -142,4 +142,57 @@
     EXPECT_EQ(choose().source, nullptr);
 }
 
+namespace {
+
+/// One backend server, which states something in its answers.
+class ServerStatements : public ::testing::Test {
+protected:
+    ServerStatements()
+    {
+        list_server();
+        Entry::LoadMembers const alone;
+        m_fleet.follow(&alone);
+        m_call.route = &m_route;
+        m_call.request_class = &m_class;
+        m_call.service = "svc";
+        m_call.received = s_start;
+        m_call.deadline = s_start + 10s;
+    }
+
+    void list_server()
+    {
+        Entry::ServerList list;
+        list.servers.push_back(
+            {"i-1", "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64, Table::BackendServerState::Serving});
+        m_fleet.follow(list, s_start);
+    }
+
+    /// Takes an answer that came as soon as its request was sent.
+    void take_answer(ServerSignals const& signals, Core::MonotonicTime now)
+    {
+        m_fleet.note_signals(server(), signals, now, now);
+    }
+
+    [[nodiscard]] BackendView& server() const { return *m_fleet.all().at("i-1"); }
+    Testing::NullDescriptor m_log_descriptor;
+    Observe::MetricRegistry m_metrics;
+    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
+    BackendFleet m_fleet {{}, m_log};
+    Table::Route m_route;
+    Table::RequestClass m_class;
+    GatewayCall m_call;
+};
+
+}
+
+TEST_F(ServerStatements, EndALimitAfterATimeWithoutRequests)
+{
+    ServerSignals limited;
+    limited.rate_limit = 0.5;
+    take_answer(limited, s_start);
+    ASSERT_EQ(m_fleet.rate_limit_of(server().id()), 0.5);
+    take_answer({}, s_start + BackendFleet::s_confirmation_time * 2);
+    EXPECT_FALSE(m_fleet.rate_limit_of(server().id()));
+}
+
 }
