LibGateway: Keep the backoff of a server that is not listed for a while

Cause: a server's backoff is part of the gateway's view of it, which is dropped with the entry once nothing runs there; the next list makes a new view. Leaving and rate limits are kept by the id of the run and were not affected. Found by reading, while looking for what a list can overwrite.

Change: the view of an unlisted server stays until its backoff ends. Readiness asks for the number of listed servers, so that such a view does not make a gateway ready. ServerStatements.KeepABackoffWhileTheServerIsNotListed failed before (chosen one second into the rest) and passes now; the other 6 tests of the file pass.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -74,15 +74,18 @@
         if (view->record() != record)
             view->set_record(record);
     }
+    m_listed_count = listed.size();
     for (auto& [instance, view] : m_servers) {
         if (listed.contains(instance) || !view->is_listed())
             continue;
         view->set_listed(false);
         log_change(view->record(), "gone", list.revision);
     }
-    // Attempts hold their views; one without any may go.
-    std::erase_if(
-        m_servers, [](auto const& item) { return !item.second->is_listed() && item.second.use_count() == 1; });
+    // Attempts hold their views. A server in backoff may be listed again, and its backoff still applies then.
+    std::erase_if(m_servers, [now](auto const& item) {
+        auto const& view = item.second;
+        return !view->is_listed() && view.use_count() == 1 && !view->backoff().is_in_force(now);
+    });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
     auto const is_listed = [this](std::uint64_t id) { return m_servers_by_id.contains(id); };
     m_rate_limits.forget_old(is_listed, now);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -104,7 +104,8 @@
     /// Looks at what the engines have to read; to be called often.
     void observe(Core::MonotonicTime now);
 
-    [[nodiscard]] std::size_t count() const { return m_servers.size(); }
+    /// Number of servers in the newest list.
+    [[nodiscard]] std::size_t listed_count() const { return m_listed_count; }
     /// The server of that id, or null.
     [[nodiscard]] std::shared_ptr<BackendView> find(std::uint64_t id) const;
     [[nodiscard]] std::map<std::string, std::shared_ptr<BackendView>> const& all() const { return m_servers; }
@@ -150,6 +151,7 @@
     Policy::LeavingFacts m_leavings;
     Policy::LimitShares m_limit_shares;
     bool m_has_list {false};
+    std::size_t m_listed_count {0};
     Core::MonotonicTime m_observed;
 };
 
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -324,14 +324,14 @@
 
 bool GatewayServer::update_readiness()
 {
-    bool const is_ready = m_table != nullptr && m_fleet.count() > 0 && !m_drain_begun;
+    bool const is_ready = m_table != nullptr && m_fleet.listed_count() > 0 && !m_drain_begun;
     if (is_ready == m_is_ready)
         return false;
     m_is_ready = is_ready;
     m_log.write(Observe::LogEvent("readiness")
                     .add("ready", is_ready)
                     .add("has_table", m_table != nullptr)
-                    .add("servers", m_fleet.count())
+                    .add("servers", m_fleet.listed_count())
                     .add("draining", m_drain_begun.has_value()));
     return true;
 }
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -174,6 +174,11 @@
     }
 
     [[nodiscard]] BackendView& server() const { return *m_fleet.all().at("i-1"); }
+    [[nodiscard]] bool is_chosen(Core::MonotonicTime now) const
+    {
+        return m_fleet.choose(m_call, {}, now).server != nullptr;
+    }
+
     Testing::NullDescriptor m_log_descriptor;
     Observe::MetricRegistry m_metrics;
     Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
@@ -195,4 +200,17 @@
     EXPECT_FALSE(m_fleet.rate_limit_of(server().id()));
 }
 
+TEST_F(ServerStatements, KeepABackoffWhileTheServerIsNotListed)
+{
+    ServerSignals rejecting;
+    rejecting.retry_after = 30s;
+    take_answer(rejecting, s_start);
+    ASSERT_FALSE(is_chosen(s_start + 1s));
+    m_fleet.follow(Entry::ServerList(), s_start + 1s);
+    EXPECT_EQ(m_fleet.listed_count(), 0U);
+    list_server();
+    EXPECT_FALSE(is_chosen(s_start + 2s));
+    EXPECT_TRUE(is_chosen(s_start + 31s));
+}
+
 }
