LibGateway: Tell rejected callers when a backoff ends

What callers saw: a request whose last try was rejected by a server with Retry-After: 30, while no other server could take it, was answered with 503 and Retry-After: 1, so that it came back thirty times for nothing; only callers that were held learned the time.

Cause: the answer `refused` carried the default delay, and the time of the next opening was known to hold() alone.

Change: both answers use it, spread over a second by rank as before; where another server takes requests the default stays. BackoffRules.TellsTheRejectedCallerWhenTheBackoffEnds failed before (1 s in place of 29 to 31) and passes now; BackoffRulesTest, RateLimitRulesTest and AttemptRulesTest pass (52 tests).

--- a/Libraries/LibGateway/GatewayRun.cpp
+++ b/Libraries/LibGateway/GatewayRun.cpp
@@ -187,13 +187,17 @@
     bool const opens_too_late = opening && Core::elapsed(*m_held_since, opening->here) > limit;
     if (!has_tried && !opens_too_late && Core::elapsed(*m_held_since, now) < limit)
         return;
-    if (opening) {
-        auto const delay = Policy::return_delay(Core::elapsed(now, opening->anywhere), m_call.priority, own_draw());
-        return fail(Status::s_bad_gateway, "servers_limited", "no backend server accepts it before that time", delay);
-    }
+    if (opening)
+        return fail(Status::s_bad_gateway, "servers_limited", "no backend server accepts it before that time",
+            return_delay(*opening, now));
     fail(Status::s_bad_gateway, "no_backend_server", "no backend server of the service can be reached");
 }
 
+Core::Milliseconds GatewayRun::return_delay(Opening const& opening, Core::MonotonicTime now) const
+{
+    return Policy::return_delay(Core::elapsed(now, opening.anywhere), m_call.priority, own_draw());
+}
+
 void GatewayRun::send_to(Choice const& choice, Core::MonotonicTime now)
 {
     m_choice = choice;
@@ -351,7 +355,9 @@
         return try_again("the backend server did not run it", now);
     if (m_has_begun_answer)
         return cut("the stream was not taken up");
-    fail(Status::s_bad_gateway, "refused", "the backend server did not take the request");
+    auto const opening = m_context.fleet.next_opening(m_call, now);
+    fail(Status::s_bad_gateway, "refused", "the backend server did not take the request",
+        opening ? std::optional(return_delay(*opening, now)) : std::nullopt);
 }
 
 void GatewayRun::handle_broken(std::string const& reason, Core::MonotonicTime now)
--- a/Tests/LibGateway/BackoffRulesTest.cpp
+++ b/Tests/LibGateway/BackoffRulesTest.cpp
@@ -76,6 +76,18 @@
     EXPECT_EQ(first.count() + second.count(), 2U);
 }
 
+TEST_F(BackoffRules, TellsTheRejectedCallerWhenTheBackoffEnds)
+{
+    // The only try is the one that the server rejects.
+    set(Table::SheetName::Routes, "safe", {{"tries", "1"}});
+    add_rejecting_backend("i-1", "30");
+    start();
+    auto const answer = ask();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_GE(retry_after_of(answer), 29);
+    EXPECT_LE(retry_after_of(answer), 31);
+}
+
 TEST_F(BackoffRules, WaitsForTheEndOfAShortBackoff)
 {
     auto const& rejecting = add_rejecting_backend("i-1", "0.2");
