LibPolicy: Split the reasons and the return time from Admission::refuse

The function had grown to four decisions. The trial of a class without samples and the calculation of Retry-After are functions of their own now; comments and two test names use the terms of admission control (admitted, estimate, priority).

--- a/Libraries/LibGateway/GatewayRun.h
+++ b/Libraries/LibGateway/GatewayRun.h
@@ -123,7 +123,7 @@
     void dispatch(Core::MonotonicTime now);
     void hold(Core::MonotonicTime now);
     void send_to(Choice const&, Core::MonotonicTime now);
-    /// Why a prompt that has just come should come back rather than wait for that server; nothing where it is taken.
+    /// The reason to reject a new prompt for this server, or nullopt to admit it.
     [[nodiscard]] std::optional<Policy::Rejection> refuse_now(Choice const&, Core::MonotonicTime now);
     /// A random number of the request from 0 to 1.
     [[nodiscard]] double own_draw() const;
--- a/Libraries/LibPolicy/Admission.cpp
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -24,15 +24,15 @@
         [now](auto const& item) { return is_recent(item.second.pressed, now); });
     if (!is_pressed)
         return false;
-    // The ranks below make room first.
+    // Shed lower priorities first.
     return std::none_of(service.ranks.upper_bound(rank), service.ranks.end(),
-        [now](auto const& item) { return is_recent(item.second.taken_openly, now); });
+        [now](auto const& item) { return is_recent(item.second.admitted_openly, now); });
 }
 
 bool Admission::is_lower_rank_open(Service const& service, unsigned rank, Core::MonotonicTime now)
 {
     return std::any_of(service.ranks.upper_bound(rank), service.ranks.end(),
-        [now](auto const& item) { return is_recent(item.second.taken, now); });
+        [now](auto const& item) { return is_recent(item.second.admitted, now); });
 }
 
 char const* to_string(RejectionReason reason)
@@ -58,11 +58,10 @@
     auto const probable_wait = correction.most(question.predicted_wait);
     bool const seems_late = probable_wait > left;
     bool const is_closed_to_it = is_closed(service, question.rank, now);
-    bool const is_unproven = !correction.is_proven() && request_class.trials < s_trials;
-    if (seems_late && is_unproven && !is_closed_to_it) {
+    if (seems_late && is_trial(request_class) && !is_closed_to_it) {
         ++request_class.trials;
-        rank.taken = now;
-        rank.taken_openly = now;
+        rank.admitted = now;
+        rank.admitted_openly = now;
         return std::nullopt;
     }
     if (!seems_late)
@@ -76,20 +75,32 @@
         rank.pressed = now;
     bool const is_in_place = is_closed_to_it && (is_late || ++rank.closed_count % s_floor != 0);
     if (!is_in_place && (!is_late || is_lower_rank_open(service, question.rank, now))) {
-        rank.taken = now;
+        rank.admitted = now;
         if (!is_closed_to_it)
-            rank.taken_openly = now;
+            rank.admitted_openly = now;
         return std::nullopt;
     }
-    // A shortage that has lasted for a while lasts about as long again, and what waits must be worked off in any case.
-    auto const longest = std::max(s_shortest_return, question.patience * s_longest_return_part);
-    auto const shortest_middle = s_shortest_return / (1 - s_return_spread);
-    auto const longest_middle = std::max(shortest_middle, longest / (1 + s_return_spread));
-    auto const middle = std::clamp(std::max(probable_wait - left, lasted), shortest_middle, longest_middle);
     auto const reason = is_middle_late ? RejectionReason::Late
         : is_late                      ? RejectionReason::Shortage
                                        : RejectionReason::HigherRank;
-    return Rejection {whole(middle * (1 + s_return_spread * (2 * draw - 1))), reason, probable_wait};
+    return Rejection {retry_after(question, probable_wait, lasted, draw), reason, probable_wait};
+}
+
+bool Admission::is_trial(Class const& request_class)
+{
+    return !request_class.correction.is_proven() && request_class.trials < s_trials;
+}
+
+Core::Milliseconds Admission::retry_after(
+    AdmissionQuestion const& question, FineTime probable_wait, FineTime shortage, double draw)
+{
+    auto const lateness = probable_wait - (question.target - question.elapsed);
+    auto const longest = std::max(s_shortest_return, question.patience * s_longest_return_part);
+    auto const shortest_middle = s_shortest_return / (1 - s_return_spread);
+    auto const longest_middle = std::max(shortest_middle, longest / (1 + s_return_spread));
+    // A shortage will probably last about as long again as it has lasted.
+    auto const middle = std::clamp(std::max(lateness, shortage), shortest_middle, longest_middle);
+    return whole(middle * (1 + s_return_spread * (2 * draw - 1)));
 }
 
 }
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -9,101 +9,98 @@
 
 namespace GraniteField::Policy {
 
-/// What a request that has just come would meet.
+/// A new request and its prospects.
 struct AdmissionQuestion {
-    /// Who shares engines.
+    /// Requests of one service share its engines.
     std::string const& service;
     std::string const& request_class;
-    /// At the engine, from 0, the most urgent.
+    /// Priority at the engine; 0 is the most urgent.
     unsigned rank {0};
-    /// Since the caller's request came.
+    /// Time since the request was received.
     FineTime elapsed {0};
-    /// Time until its first piece at the best engine, as predicted.
+    /// Predicted time to the first token at the best engine.
     FineTime predicted_wait {0};
-    /// Within it the answer has its full worth.
+    /// Target of the time to the first token.
     FineTime target {0};
-    /// How long the caller waits yet.
+    /// Time for which the caller still waits.
     FineTime patience {0};
 };
 
 enum class RejectionReason {
-    /// It would probably begin too late.
+    /// It would probably miss its target.
     Late,
-    /// Most requests of its rank would have begun too late for a while.
+    /// Most requests of its rank have been missing their target for a while.
     Shortage,
-    /// A request of a higher rank was found to come too late a moment ago.
+    /// A request of a higher rank would have missed its target a moment ago.
     HigherRank,
 };
 
 [[nodiscard]] char const* to_string(RejectionReason);
 
-/// A request is not taken.
+/// A rejected request, with the rule that rejected it.
 struct Rejection {
-    /// When its caller is to come back.
+    /// Delay to send as Retry-After.
     Core::Milliseconds retry_after {0};
     RejectionReason reason {RejectionReason::Late};
-    /// What eight of ten requests with its prediction wait at most, by what was learned.
+    /// Estimated 80th percentile of the wait of requests with this prediction.
     FineTime probable_wait {0};
 };
 
-/// The load that it answers: more work than the engines can do, for seconds. If everybody is taken then, everybody is
-/// late: streams hold slots and memory for ten seconds, kept parts are put out and read again, which is more reading,
-/// and callers leave within their answers. So a request is refused, at once and with the time to come back, when it is
-/// not likely to begin in time. What has begun is never touched, and what must go elsewhere after a fault is not asked
-/// again.
+/// Admission control for overload that lasts for seconds. If all requests were admitted then, all of them would be
+/// late: streams hold slots and memory for ten seconds, cached prompts are evicted and read again, and callers leave
+/// before their answers end. A request that will probably miss its target is rejected at once with a Retry-After.
+/// Running requests are not affected, and retries after a fault are not asked again.
 ///
-/// The least urgent go first: a request is refused only while none of a lower rank is taken. Where one would have to be
-/// while others still are, these are refused in its place.
+/// Lower priorities are shed first: a request is rejected only while no request of a lower rank is admitted.
 ///
-/// Who is refused teaches nothing. So a prediction that rests on a guess refuses nobody until a few were taken on it.
+/// Rejected requests yield no samples, so an estimator without samples must not reject.
 ///
 /// No I/O and no clock; for one thread.
 class Admission {
 public:
-    /// A rank is closed for so long after a request of a higher one was found to come too late, the lowest one at once,
-    /// each other one when those below it have been closed for as long. A rank is open for so long after one of its
-    /// requests was taken.
+    /// Time for which a rank is closed after a request of a higher rank would have missed its target. The lowest rank
+    /// closes at once, every other one after those below it have been closed for this time. Also the time for which a
+    /// rank counts as open after one of its requests was admitted.
     static constexpr Core::Milliseconds s_closure {500};
-    /// One in so many of a closed rank is taken all the same where it could begin in time, so that no class starves.
+    /// One in so many requests of a closed rank is admitted if it can meet its target, so that no class starves.
     static constexpr unsigned s_floor {8};
 
-    /// Requests of a class that are taken in spite of an unproven prediction.
+    /// Requests of a class that are admitted while its estimate has too few samples.
     static constexpr unsigned s_trials {8};
 
-    /// A shortage is one when waits that two of ten requests would not survive have lasted for this part of the target;
-    /// a shorter peak passes by itself, and refusing in it turns away what would have begun in time.
+    /// Part of the target for which the 80th percentile of waits must exceed the target to count as a shortage. Shorter
+    /// peaks pass before rejections would take effect.
     static constexpr double s_patience_part = 0.2;
-    /// Callers honour a time to come back up to this part of the time that they still wait.
+    /// Longest Retry-After, as a part of the time for which the caller still waits.
     static constexpr double s_longest_return_part = 0.32;
     static constexpr FineTime s_shortest_return {250};
-    /// Half of the width, as a part of the time, over which returns are spread: those who were refused together don't
-    /// come back together.
+    /// Jitter of Retry-After, as a part of it, so that requests that were rejected together do not retry together.
     static constexpr double s_return_spread = 0.4;
 
-    /// Whether to take it; if not, why, and when to come back. `draw`, from 0 to 1, spreads that.
+    /// Returns the rejection of the request, or nullopt to admit it. `draw`, from 0 to 1, is the jitter of Retry-After.
     [[nodiscard]] std::optional<Rejection> refuse(AdmissionQuestion const&, double draw, Core::MonotonicTime now);
 
-    /// A request that was taken began.
+    /// Records the time to the first token of an admitted request.
     void note_wait(std::string const& service, std::string const& request_class, FineTime predicted, FineTime actual)
     {
         m_services[service].classes[request_class].correction.note(predicted, actual);
     }
 
 private:
-    /// What is known of the requests of one class.
     struct Class {
         WaitCorrection correction;
+        /// Requests admitted without samples.
         unsigned trials {0};
     };
 
-    /// What is known of the requests of one rank.
     struct Rank {
-        /// Since when waits have been too long for most without a break.
+        /// Start of the current time of predicted waits over the target.
         std::optional<Core::MonotonicTime> short_since;
-        /// When one was last found to come too late, when one was last taken, and when while the rank was not closed.
+        /// When a request last would have missed its target.
         std::optional<Core::MonotonicTime> pressed;
-        std::optional<Core::MonotonicTime> taken;
-        std::optional<Core::MonotonicTime> taken_openly;
+        /// When a request was last admitted, and when while the rank was not closed.
+        std::optional<Core::MonotonicTime> admitted;
+        std::optional<Core::MonotonicTime> admitted_openly;
         unsigned closed_count {0};
     };
 
@@ -115,6 +112,11 @@
     [[nodiscard]] static bool is_recent(std::optional<Core::MonotonicTime>, Core::MonotonicTime now);
     [[nodiscard]] static bool is_closed(Service const&, unsigned rank, Core::MonotonicTime now);
     [[nodiscard]] static bool is_lower_rank_open(Service const&, unsigned rank, Core::MonotonicTime now);
+    /// Whether the estimate of the class has too few samples to reject by, and a request may be admitted as a trial.
+    [[nodiscard]] static bool is_trial(Class const&);
+    /// `shortage` is the time for which the rank's requests have been late.
+    [[nodiscard]] static Core::Milliseconds retry_after(
+        AdmissionQuestion const&, FineTime probable_wait, FineTime shortage, double draw);
 
     std::map<std::string, Service> m_services;
 };
--- a/Tests/LibPolicy/AdmissionTest.cpp
+++ b/Tests/LibPolicy/AdmissionTest.cpp
@@ -92,7 +92,7 @@
 
 // All ranks below one that was expected to be late closed at the same moment, so that reports were refused although
 // cases of a lower rank had been taken a moment before.
-TEST(Admission, ARankClosesOnlyWhenTheRanksBelowItHaveBeenClosed)
+TEST(Admission, ClosesAPriorityOnlyAfterAllLowerOnes)
 {
     auto admission = make_taught();
     AdmissionQuestion const draft {s_service, s_patient, 1, FineTime(0), FineTime(100), s_target, s_patience};
@@ -123,7 +123,7 @@
 
 // A gateway that had just begun refused by a guess what engines would have begun in time, and closed the ranks below
 // for it; who is refused teaches nothing.
-TEST(Admission, AGuessRefusesNobodyUntilAFewWereTakenOnIt)
+TEST(Admission, DoesNotRejectByAnEstimateWithoutSamples)
 {
     Admission admission;
     for (unsigned count = 0; count < Admission::s_trials; ++count) {
