LibCore, LibEntry: Name stalls, ticks and reports by the field's terms

AbsenceWatch is StallDetector, a turn of the process is a tick, StoreWord is StoreReport, and a sound watch is a healthy one; tests say what they check (IgnoresSilenceDuringItsOwnStall).

--- a/Libraries/LibCore/RunningTime.h
+++ b/Libraries/LibCore/RunningTime.h
@@ -1,33 +1,33 @@
 #pragma once
 
-#include <LibCore/AbsenceWatch.h>
+#include <LibCore/StallDetector.h>
 #include <LibCore/Time.h>
 
 namespace GraniteField::Core {
 
-/// How long a process has run since it began, its absences left out: what it was to hear or learn within a time, it
-/// could not while its host was frozen. No I/O and no clock.
+/// The time that a process has run since its start, without stalls: a stalled process receives nothing, so that limits
+/// on what it should have received do not count that time. No I/O and no clock.
 class RunningTime {
 public:
     explicit RunningTime(MonotonicTime begun)
         : m_counted_from(begun)
-        , m_absence(begun)
+        , m_stalls(begun)
     {
     }
 
-    /// A turn begins; there is one each 250 ms at least.
-    void note_turn(MonotonicTime now)
+    /// Records a tick; there is one each 250 ms at least.
+    void note_tick(MonotonicTime now)
     {
-        if (auto const away = m_absence.note_turn(now))
-            m_counted_from += *away;
+        if (auto const stall = m_stalls.note_tick(now))
+            m_counted_from += *stall;
     }
 
-    /// At a turn that has been noted.
+    /// The time run at a tick that has been recorded.
     [[nodiscard]] Milliseconds at(MonotonicTime now) const { return elapsed(m_counted_from, now); }
 
 private:
     MonotonicTime m_counted_from;
-    AbsenceWatch m_absence;
+    StallDetector m_stalls;
 };
 
 }
--- a/Libraries/LibCore/StallDetector.h
+++ b/Libraries/LibCore/StallDetector.h
@@ -7,39 +7,39 @@
 
 namespace GraniteField::Core {
 
-/// Notices that this process did not run for a while: its host was frozen or suspended. What was silent meanwhile may
-/// have spoken, and is only now to be read. No I/O and no clock.
-class AbsenceWatch {
+/// Detects that this process did not run for a while, because its host was frozen or suspended. Messages of others may
+/// have arrived meanwhile and be unread. No I/O and no clock.
+class StallDetector {
 public:
-    /// Turns come every 25 to 250 ms; a process with a tenth of a core that has spent it waits for up to 100 ms more.
-    static constexpr Milliseconds s_longest_turn {600};
-
-    AbsenceWatch() = default;
-    /// An absence before the first turn counts as well, from this time on.
-    explicit AbsenceWatch(MonotonicTime begun)
-        : m_last_turn(begun)
+    /// Longest time between two ticks of a running process: ticks come every 25 to 250 ms, and a process that has used
+    /// up its share of a core waits for up to 100 ms more.
+    static constexpr Milliseconds s_longest_tick {600};
+
+    StallDetector() = default;
+    /// Also detects a stall before the first tick.
+    explicit StallDetector(MonotonicTime begun)
+        : m_last_tick(begun)
     {
     }
 
-    /// A turn begins; says how long the process was away before it, if it was.
-    std::optional<Milliseconds> note_turn(MonotonicTime now)
+    /// Records a tick. Returns the length of the stall before it, if there was one.
+    std::optional<Milliseconds> note_tick(MonotonicTime now)
     {
-        auto const before = m_last_turn.value_or(now);
-        // Another thread may have noted a later one.
-        m_last_turn = std::max(before, now);
+        auto const before = m_last_tick.value_or(now);
+        // Another thread may have stored a later time.
+        m_last_tick = std::max(before, now);
         auto const passed = elapsed(before, now);
-        return passed > s_longest_turn ? std::optional(passed) : std::nullopt;
+        return passed > s_longest_tick ? std::optional(passed) : std::nullopt;
     }
 
-    /// Whether the next turn is later than any would be, had this process run all the while. Before the first turn
-    /// nothing is.
+    /// Whether the next tick is overdue, so that the process has stalled.
     [[nodiscard]] bool is_overdue(MonotonicTime now) const
     {
-        return m_last_turn && elapsed(*m_last_turn, now) > s_longest_turn;
+        return m_last_tick && elapsed(*m_last_tick, now) > s_longest_tick;
     }
 
 private:
-    std::optional<MonotonicTime> m_last_turn;
+    std::optional<MonotonicTime> m_last_tick;
 };
 
 }
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -129,7 +129,7 @@
     while (!m_should_stop) {
         wait_for_messages();
         auto const now = Core::monotonic_now();
-        m_running.note_turn(now);
+        m_running.note_tick(now);
         auto const own = versions();
         if (own != std::exchange(m_seen, own))
             m_pulls.note_news();
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -51,7 +51,7 @@
 void WatchDuty::set_elected(bool value)
 {
     std::lock_guard const lock(m_mutex);
-    m_election.note_turn(Core::monotonic_now());
+    m_election.note_tick(Core::monotonic_now());
     if (std::exchange(m_is_elected, value) == value)
         return;
     m_election.set_elected(value);
@@ -66,12 +66,12 @@
     m_election.note_versions(own, now);
 }
 
-void WatchDuty::note_word(StoreWord const& word, Core::MonotonicTime now)
+void WatchDuty::note_report(StoreReport const& report, Core::MonotonicTime now)
 {
     std::lock_guard const lock(m_mutex);
-    m_election.note_turn(now);
+    m_election.note_tick(now);
     look_at_versions(now);
-    m_election.note_word(word, now);
+    m_election.note_report(report, now);
     wake_if_sooner(now);
 }
 
@@ -85,11 +85,11 @@
     m_signal.notify_all();
 }
 
-StoreWord WatchDuty::word(Core::MonotonicTime now)
+StoreReport WatchDuty::report(Core::MonotonicTime now)
 {
     std::lock_guard const lock(m_mutex);
     look_at_versions(now);
-    return m_election.word(now);
+    return m_election.report(now);
 }
 
 StoreKnowledge WatchDuty::knowledge(Core::MonotonicTime now)
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -14,25 +14,26 @@
 
 namespace GraniteField::Entry {
 
-/// The election of who watches the platform's store, shared by the threads of a gateway: those that follow the store
-/// wait here for their turn, the peer exchange says who is elected, the exchange of loads carries the word.
+/// The election of the gateways that watch the platform's store, shared by the threads of a gateway: followers of the
+/// store wait here until this gateway is on duty, the peer exchange sets whether it is elected, the exchange of loads
+/// carries the reports.
 class WatchDuty {
 public:
-    /// What a change is promised to hold after, where nobody says.
+    /// Default of the time within which a change must be in force.
     static constexpr Core::Milliseconds s_apply_limit {3'000};
 
-    /// `order` spreads the patience of the gateways: a number that each has of its own. `apply_limit` is the promised
-    /// time within which a change holds everywhere. `drains` is null where no failure domain can be drained.
+    /// `order` differs between gateways and spreads their patience. `apply_limit` is the time within which a change
+    /// must be in force everywhere. `drains` is null if failure domains cannot be drained.
     WatchDuty(Core::Milliseconds contact_time, std::uint64_t order, SharedTable const&, SharedServers const&,
         Observe::EventLog&, Observe::MetricRegistry&, Core::Milliseconds apply_limit = s_apply_limit,
         SharedDrains const* drains = nullptr);
 
-    /// Called with each turn of the peer exchange, so that a stall of this process is noticed.
+    /// Called with each tick of the peer exchange, so that stalls of this process are detected.
     void set_elected(bool);
-    /// What others told; also looks at what this gateway has.
-    void note_word(StoreWord const&, Core::MonotonicTime now);
-    [[nodiscard]] StoreWord word(Core::MonotonicTime now);
-    /// What is known of how current this gateway is. Any thread.
+    /// Takes a report of another gateway, and looks at the versions of this one.
+    void note_report(StoreReport const&, Core::MonotonicTime now);
+    [[nodiscard]] StoreReport report(Core::MonotonicTime now);
+    /// What this gateway knows about how current its state is. Any thread.
     [[nodiscard]] StoreKnowledge knowledge(Core::MonotonicTime now);
     /// Whether this gateway follows the store itself. Any thread.
     [[nodiscard]] bool follows_store();
@@ -62,7 +63,7 @@
     };
 
 private:
-    /// Wakes the followers where what was noted lets them look sooner than they would.
+    /// Wakes the followers if they need to look earlier than planned.
     void wake_if_sooner(Core::MonotonicTime now);
     void look_at_versions(Core::MonotonicTime now);
     void tell_change(bool is_on_duty, Core::MonotonicTime now);
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -4,9 +4,9 @@
 
 namespace GraniteField::Entry {
 
-void StoreWord::merge(StoreWord const& other)
+void StoreReport::merge(StoreReport const& other)
 {
-    // Nothing is less than any time.
+    // An absent time compares as earlier than any other.
     elected = std::max(elected, other.elected);
     any = std::max({any, other.any, other.elected});
     versions.merge(other.versions);
@@ -19,23 +19,23 @@
     m_is_elected = value;
 }
 
-void WatchElection::note_turn(Core::MonotonicTime now)
+void WatchElection::note_tick(Core::MonotonicTime now)
 {
-    auto const away = m_absence.note_turn(now);
-    if (!away)
+    auto const stall = m_stalls.note_tick(now);
+    if (!stall)
         return;
-    // The time that it ran before counts on. Begun anew, it never ended at a host that stalls again and again.
-    m_silent_since = silent_since() + *away;
+    // Keep the time accumulated before the stall; repeated stalls would otherwise restart the timeout forever.
+    m_silent_since = silent_since() + *stall;
     m_hears_until = now + s_shortest_hearing;
     if (m_behind_since)
-        *m_behind_since += *away;
+        *m_behind_since += *stall;
 }
 
-void WatchElection::note_word(StoreWord const& word, Core::MonotonicTime now)
+void WatchElection::note_report(StoreReport const& report, Core::MonotonicTime now)
 {
-    if (word.versions.table > std::max(m_heard.versions.table, m_own.table))
+    if (report.versions.table > std::max(m_heard.versions.table, m_own.table))
         m_table_known_since = now;
-    m_heard.merge(word);
+    m_heard.merge(report);
     if (!m_heard.versions.is_ahead_of(m_own) || m_behind_since)
         return;
     m_behind_since = now;
@@ -50,7 +50,7 @@
     if (!m_behind_since || m_wanted.is_ahead_of(m_own))
         return;
     m_behind_since.reset();
-    note_word({}, now);
+    note_report({}, now);
 }
 
 void WatchElection::note_call(Watch watch, Core::MonotonicTime overdue_at)
@@ -69,7 +69,7 @@
     m_contacts.at(static_cast<std::size_t>(watch)).is_answered = false;
     if (m_is_elected)
         return;
-    // While the store is away not everybody has to try it all the time.
+    // Back off, so that not all gateways keep calling a store that does not answer.
     m_stepped_in.reset();
     if (!is_behind()) {
         m_next_try = now + m_settings.patience;
@@ -84,7 +84,7 @@
     return watch != Watch::Drains || m_settings.drains == DrainsWatch::Yes;
 }
 
-bool WatchElection::is_sound(Core::MonotonicTime now) const
+bool WatchElection::is_healthy(Core::MonotonicTime now) const
 {
     for (std::size_t number = 0; number < s_watch_count; ++number) {
         auto const& contact = m_contacts.at(number);
@@ -97,22 +97,22 @@
 
 StoreKnowledge WatchElection::knowledge(Core::MonotonicTime now) const
 {
-    auto const heard = is_sound(now) ? std::optional(now) : m_heard.any;
+    auto const heard = is_healthy(now) ? std::optional(now) : m_heard.any;
     auto versions = m_own;
     versions.merge(m_heard.versions);
     return {versions, m_table_known_since, heard};
 }
 
-StoreWord WatchElection::word(Core::MonotonicTime now) const
+StoreReport WatchElection::report(Core::MonotonicTime now) const
 {
-    StoreWord word = m_heard;
-    word.versions.merge(m_own);
-    if (!is_sound(now))
-        return word;
-    word.any = now;
+    StoreReport report = m_heard;
+    report.versions.merge(m_own);
+    if (!is_healthy(now))
+        return report;
+    report.any = now;
     if (m_is_elected)
-        word.elected = now;
-    return word;
+        report.elected = now;
+    return report;
 }
 
 Core::MonotonicTime WatchElection::silent_since() const
@@ -141,8 +141,8 @@
 {
     if (m_is_elected)
         return true;
-    if (m_absence.is_overdue(now))
-        note_turn(now);
+    if (m_stalls.is_overdue(now))
+        note_tick(now);
     auto const behind_ends_at = behind_ends();
     bool const is_behind = behind_ends_at && now >= *behind_ends_at;
     if (m_stepped_in) {
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/AbsenceWatch.h>
+#include <LibCore/StallDetector.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SpreadVersions.h>
 
@@ -10,37 +10,37 @@
 
 namespace GraniteField::Entry {
 
-/// What gateways tell each other of the platform's store.
-struct StoreWord {
-    /// When an elected gateway with a sound watch spoke last, as far as is known.
+/// What gateways report to each other about the platform's store.
+struct StoreReport {
+    /// Time of the last known report of an elected gateway with a healthy watch.
     std::optional<Core::MonotonicTime> elected;
-    /// The same for any gateway with a sound watch.
+    /// The same for any gateway with a healthy watch.
     std::optional<Core::MonotonicTime> any;
-    /// The newest that are known to be somewhere.
+    /// The newest versions known to any gateway.
     SpreadVersions versions;
 
-    /// Takes over what the other word knows better.
-    void merge(StoreWord const& other);
+    /// Takes the newer parts of another report.
+    void merge(StoreReport const& other);
 };
 
-/// What a gateway knows of how current it is.
+/// What a gateway knows about how current its state is.
 struct StoreKnowledge {
-    /// The newest that are known to be somewhere, here included.
+    /// The newest versions known to any gateway, this one included.
     SpreadVersions versions;
-    /// Since when the table is known to be somewhere.
+    /// When this gateway first received a report of that table.
     std::optional<Core::MonotonicTime> table_known_since;
-    /// When somebody with a sound watch spoke last, this gateway included.
+    /// Time of the last report of a healthy watch, this gateway's included.
     std::optional<Core::MonotonicTime> heard;
 };
 
-/// Says whether this gateway is to watch the platform's store. Few do, since each call has its price and the store's
-/// rate does not grow with the fleet: those elected by rank in each failure domain. The others rest on two signs, which
-/// come with each datagram about load: that somebody's watch is sound, and that nobody has anything newer than they
-/// have. Where a sign is missing for too long, a gateway asks the store itself, whatever the reason is: dead, hung or
-/// parted watchers, or connections between gateways that have fallen silent. No I/O and no clock.
+/// Decides whether this gateway watches the platform's store. Only a few gateways in each failure domain are elected to
+/// watch, since the rate of calls that the store accepts does not grow with the fleet. The others rely on two reports,
+/// which arrive with each datagram about load: that some watch is healthy, and that no gateway has a newer version.
+/// A gateway that misses either report for too long watches the store itself, whether the watchers are dead, hung or
+/// partitioned. No I/O and no clock.
 class WatchElection {
 public:
-    /// What is watched, each by a call of its own.
+    /// The watched objects, each with its own call.
     enum class Watch : std::size_t {
         Table,
         Servers,
@@ -53,9 +53,9 @@
     enum class DutyReason {
         None,
         Elected,
-        /// Nobody's sound watch was heard of.
+        /// No healthy watch was reported.
         Silence,
-        /// Something newer is known to be somewhere and has not come.
+        /// A newer version is known to exist and was not received.
         Behind,
     };
 
@@ -65,68 +65,66 @@
     };
 
     struct Settings {
-        /// So long nobody's sound watch is heard of before this gateway asks the store itself.
+        /// Time without a report of a healthy watch after which this gateway watches the store itself.
         Core::Milliseconds patience {1'000};
-        /// A version that somebody has and that has not come is asked of the store after this long. Peers hand it on
-        /// within some 100 ms; a large one within some 500 ms. Where all gateways asked the store at the same moment,
-        /// each would decode the whole configuration on the processor that is to take a peer's word.
+        /// Time after which a newer version that peers know of and that was not received is read from the store. Peers
+        /// forward it within some 500 ms; reading it at every gateway would only delay that.
         Core::Milliseconds behind_limit {700};
-        /// After a call that failed, one that knows that it is behind tries again after this long, and each time after
-        /// twice as long, up to the patience: the store is there for somebody.
+        /// First delay after a failed call of a gateway that is behind. It doubles with each failure, up to the
+        /// patience.
         Core::Milliseconds shortest_retry {100};
         /// Whether drains are watched.
         DrainsWatch drains {DrainsWatch::No};
     };
 
-    /// A gateway that has stepped in goes on for at least this long, so that it does not come and go.
+    /// Shortest time for which a gateway that was not elected watches. Hysteresis against frequent changes.
     static constexpr Core::Milliseconds s_shortest_duty {1'000};
-    /// An elected watcher that was heard of this recently is there again.
+    /// Age of a report of an elected watcher up to which the watcher counts as healthy.
     static constexpr Core::Milliseconds s_fresh {400};
-    /// After an absence others' words are waited for so long, whatever silence there was before it: they come within
-    /// three intervals of the exchange of loads.
+    /// Time to wait for reports after a stall of this process: three intervals of the exchange of loads.
     static constexpr Core::Milliseconds s_shortest_hearing {400};
 
     WatchElection(Settings settings, Core::MonotonicTime begun)
         : m_settings(settings)
         , m_silent_since(begun)
-        , m_absence(begun)
+        , m_stalls(begun)
     {
     }
 
     void set_elected(bool value);
 
-    /// This process runs, as it does each 50 to 100 ms. Where it did not for longer, others' silence meanwhile was its
-    /// own, and does not count: with a host's processes stopped together, all of them stepped in when they went on.
-    void note_turn(Core::MonotonicTime now);
-    /// What others told.
-    void note_word(StoreWord const&, Core::MonotonicTime now);
-    /// What this gateway has.
+    /// Records a tick of this process, at least each 100 ms. Silence during a stall of this process is not counted:
+    /// otherwise all gateways of a stalled host would start to watch when it resumes.
+    void note_tick(Core::MonotonicTime now);
+    /// Takes a report of another gateway.
+    void note_report(StoreReport const&, Core::MonotonicTime now);
+    /// Records the versions that this gateway has.
     void note_versions(SpreadVersions const&, Core::MonotonicTime now);
 
-    /// A call is made that has an answer by `overdue_at`, or none.
+    /// Records a call that fails unless it is answered by `overdue_at`.
     void note_call(Watch, Core::MonotonicTime overdue_at);
     void note_answer(Watch);
     void note_failure(Watch, Core::MonotonicTime now);
 
     /// Whether this gateway's own watches are answered.
-    [[nodiscard]] bool is_sound(Core::MonotonicTime now) const;
+    [[nodiscard]] bool is_healthy(Core::MonotonicTime now) const;
     [[nodiscard]] StoreKnowledge knowledge(Core::MonotonicTime now) const;
-    /// Whether something newer is known to be somewhere.
+    /// Whether another gateway has a newer version.
     [[nodiscard]] bool is_behind() const { return m_behind_since.has_value(); }
-    /// What to tell others.
-    [[nodiscard]] StoreWord word(Core::MonotonicTime now) const;
+    /// The report for other gateways.
+    [[nodiscard]] StoreReport report(Core::MonotonicTime now) const;
 
-    /// Whether to ask the store now.
+    /// Whether this gateway watches the store now.
     [[nodiscard]] bool is_on_duty(Core::MonotonicTime now);
     [[nodiscard]] DutyReason duty_reason() const;
-    /// How long nobody's sound watch was heard of.
+    /// Time since the last report of a healthy watch.
     [[nodiscard]] Core::Milliseconds silence(Core::MonotonicTime now) const
     {
         return Core::elapsed(silent_since(), now);
     }
-    /// Whether nobody's sound watch was heard of for the patience: the store itself may be away.
+    /// Whether no healthy watch was reported for the patience: the store itself may be unavailable.
     [[nodiscard]] bool is_store_in_doubt(Core::MonotonicTime now) const;
-    /// When is_on_duty() may say otherwise without anything having been noted.
+    /// Earliest time at which is_on_duty() may change without new input.
     [[nodiscard]] Core::MonotonicTime next_look(Core::MonotonicTime now) const;
 
 private:
@@ -136,32 +134,32 @@
     };
 
     [[nodiscard]] bool is_watched(Watch) const;
-    /// Since when nobody's sound watch was heard of, as if this process had not been away meanwhile.
+    /// Time of the last report of a healthy watch, moved forward by stalls of this process.
     [[nodiscard]] Core::MonotonicTime silent_since() const;
     [[nodiscard]] Core::MonotonicTime doubt_begins() const;
     [[nodiscard]] std::optional<Core::MonotonicTime> behind_ends() const;
-    /// Watches nothing yet: a call of an earlier duty says nothing of this one.
+    /// Forgets the calls of an earlier time on duty.
     void begin_duty() { m_contacts = {}; }
 
     Settings m_settings;
     bool m_is_elected {false};
-    /// The same before the first word, and after an absence before the next one.
+    /// The same before the first report, and after a stall until the next one.
     Core::MonotonicTime m_silent_since;
-    /// Until when others' words are waited for after an absence.
+    /// End of the wait for reports after a stall.
     Core::MonotonicTime m_hears_until;
-    StoreWord m_heard;
-    Core::AbsenceWatch m_absence;
+    StoreReport m_heard;
+    Core::StallDetector m_stalls;
     std::optional<Core::MonotonicTime> m_table_known_since;
-    /// What this gateway has.
+    /// The versions of this gateway.
     SpreadVersions m_own;
-    /// Since when somebody has something newer; and what that is.
+    /// When a newer version was first reported, and that version.
     std::optional<Core::MonotonicTime> m_behind_since;
     SpreadVersions m_wanted;
     std::array<Contact, s_watch_count> m_contacts;
-    /// Since when this gateway stands in for the elected ones.
+    /// When this gateway started to watch without being elected.
     std::optional<Core::MonotonicTime> m_stepped_in;
     DutyReason m_stepped_in_for {DutyReason::None};
-    /// After a call that failed, one who is not elected waits.
+    /// Earliest time of the next call after a failed one, for a gateway that is not elected.
     Core::MonotonicTime m_next_try;
     Core::Milliseconds m_next_retry {m_settings.shortest_retry};
 };
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -351,7 +351,7 @@
 void GatewayServer::tick()
 {
     auto const now = Core::monotonic_now();
-    if (m_absence.note_turn(now)) {
+    if (m_stalls.note_tick(now)) {
         m_log.write(Observe::LogEvent("was-away").add("in_flight", m_runs.size()));
         for (auto const& run : m_runs)
             run->note_absence(now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCore/AbsenceWatch.h>
 #include <LibCore/Address.h>
+#include <LibCore/StallDetector.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
@@ -143,7 +143,7 @@
     std::shared_ptr<Entry::LoadMembers const> m_members;
     CallerConnection::Limits m_limits;
     std::atomic<bool> m_is_ready {false};
-    Core::AbsenceWatch m_absence;
+    Core::StallDetector m_stalls;
     std::optional<Core::MonotonicTime> m_drain_begun;
     std::thread m_thread;
 };
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -69,8 +69,8 @@
         m_members = std::move(members);
         m_endpoints.clear();
     }
-    m_duty.note_word(m_sharing.take_store_word(), now);
-    m_sharing.set_store_word(m_duty.word(now));
+    m_duty.note_report(m_sharing.take_store_report(), now);
+    m_sharing.set_store_report(m_duty.report(now));
     auto const own_clock = std::chrono::floor<Core::Milliseconds>(std::chrono::system_clock::now());
     for (auto const& outgoing : m_sharing.turn(own_clock, now))
         send(outgoing);
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -56,27 +56,27 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, Core::elapsed(*time, now).count()));
 }
 
-void write_word(granitefield::protocol::StoreWord& message, Entry::StoreWord const& word, Core::MonotonicTime now)
+void write_report(granitefield::protocol::StoreWord& message, Entry::StoreReport const& report, Core::MonotonicTime now)
 {
-    if (auto const age = age_of(word.elected, now))
+    if (auto const age = age_of(report.elected, now))
         message.set_elected_age_ms(*age);
-    if (auto const age = age_of(word.any, now))
+    if (auto const age = age_of(report.any, now))
         message.set_any_age_ms(*age);
-    message.set_table_version(word.versions.table.value());
-    message.set_servers_revision(word.versions.servers.value());
-    message.set_drains_version(word.versions.drains.value());
+    message.set_table_version(report.versions.table.value());
+    message.set_servers_revision(report.versions.servers.value());
+    message.set_drains_version(report.versions.drains.value());
 }
 
-Entry::StoreWord read_word(granitefield::protocol::StoreWord const& message, Core::MonotonicTime now)
+Entry::StoreReport read_report(granitefield::protocol::StoreWord const& message, Core::MonotonicTime now)
 {
-    Entry::StoreWord word;
+    Entry::StoreReport report;
     if (message.has_elected_age_ms())
-        word.elected = now - Core::Milliseconds(message.elected_age_ms());
+        report.elected = now - Core::Milliseconds(message.elected_age_ms());
     if (message.has_any_age_ms())
-        word.any = now - Core::Milliseconds(message.any_age_ms());
-    word.versions = {Core::TableVersion(message.table_version()), Entry::DrainsVersion(message.drains_version()),
+        report.any = now - Core::Milliseconds(message.any_age_ms());
+    report.versions = {Core::TableVersion(message.table_version()), Entry::DrainsVersion(message.drains_version()),
         Entry::ListRevision(message.servers_revision())};
-    return word;
+    return report;
 }
 
 std::shared_ptr<std::string const> to_bytes(LoadSharing::Datagram& datagram)
@@ -168,7 +168,7 @@
 {
     if (report.sender() == m_self)
         return;
-    m_heard_store_word.merge(read_word(report.store(), now));
+    m_received_store_report.merge(read_report(report.store(), now));
     if (m_duties != nullptr)
         m_duties->take_report(report, now);
     m_crashes.take(report.crashes(), Policy::CrashLedger::Relaying::Yes, now);
@@ -212,7 +212,7 @@
 {
     if (part.relay() == m_self)
         return;
-    m_heard_store_word.merge(read_word(part.store(), now));
+    m_received_store_report.merge(read_report(part.store(), now));
     if (m_duties != nullptr)
         m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
     m_crashes.take(part.crashes(), Policy::CrashLedger::Relaying::No, now);
@@ -353,7 +353,7 @@
     Datagram datagram;
     auto& report = *datagram.mutable_report();
     report.set_sender(m_self);
-    write_word(*report.mutable_store(), m_store_word, now);
+    write_report(*report.mutable_store(), m_store_report, now);
     if (m_duties != nullptr)
         m_duties->fill_report(report, own_clock, now);
     m_crashes.fill(*report.mutable_crashes(), now);
@@ -415,7 +415,7 @@
     RelayedLoad part;
     part.set_relay(m_self);
     part.set_sequence(++m_relay_sequence);
-    write_word(*part.mutable_store(), m_store_word, now);
+    write_report(*part.mutable_store(), m_store_report, now);
     if (m_duties != nullptr)
         m_duties->fill_part(part, now);
     m_crashes.fill(*part.mutable_crashes(), now);
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -59,7 +59,7 @@
     static constexpr std::size_t s_most_servers = 1'500;
     static constexpr std::size_t s_most_placements = 200;
     static constexpr std::size_t s_most_forwarded = 32;
-    /// Servers that are told of as dead, or as answering again, at once.
+    /// Most servers that one report lists as dead, or as answering again.
     static constexpr std::size_t s_most_suspected = 1'000;
 
     /// `self` is the gateway's incarnation. What is shared for duties is null where gateways have none.
@@ -75,14 +75,14 @@
     void note_broken(BackendView const& server) { m_broken.push_back(server.id()); }
     void note_answering(BackendView const& server) { m_answering.push_back(server.id()); }
 
-    /// Takes what came from that address, and says whether it was believed: only members' words are, and only what
-    /// keeps to the bounds.
+    /// Takes a datagram from that address. Returns whether it was accepted: its sender must be a member, and its sizes
+    /// must be within the bounds.
     bool take(Datagram const&, std::string const& from, Core::MonotonicTime now);
 
-    /// What this gateway knows of the platform's store, to be told with the next datagrams.
-    void set_store_word(Entry::StoreWord const& word) { m_store_word = word; }
-    /// What others have told of it since the last call.
-    [[nodiscard]] Entry::StoreWord take_store_word() { return std::exchange(m_heard_store_word, {}); }
+    /// Sets the report about the platform's store that the next datagrams carry.
+    void set_store_report(Entry::StoreReport const& report) { m_store_report = report; }
+    /// Returns what other gateways have reported about the store since the last call.
+    [[nodiscard]] Entry::StoreReport take_store_report() { return std::exchange(m_received_store_report, {}); }
 
     /// What there is to send now; `own_clock` is this host's time of day.
     [[nodiscard]] std::vector<OutgoingLoad> turn(Cluster::WallTime own_clock, Core::MonotonicTime now);
@@ -152,8 +152,8 @@
     bool m_is_busy {false};
     bool m_is_relay {false};
     std::string m_relay;
-    Entry::StoreWord m_store_word;
-    Entry::StoreWord m_heard_store_word;
+    Entry::StoreReport m_store_report;
+    Entry::StoreReport m_received_store_report;
 
     std::uint64_t m_report_sequence {0};
     std::deque<OwnReport> m_own_reports;
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -74,7 +74,7 @@
 
 std::optional<std::string> RelayElection::choose(Core::MonotonicTime now)
 {
-    m_running.note_turn(now);
+    m_running.note_tick(now);
     if (m_self.address.empty())
         return std::nullopt;
     if (has_paused(m_last_choice, now))
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -75,7 +75,7 @@
     '62|Libraries/LibEntry/WatchDuty.cpp|s/    wake_if_sooner(now);/    static_cast<void>(now);/|WatchDutyTest|*LooksInTime*'
     '63|Libraries/LibPlatform/ObjectFollower.h|s/m_revision = std::max(\*m_revision, proven_by(answer));/m_revision = std::max(*m_revision, answer.revision);/|ObjectFollowerTest|*HidesNoChange*'
     '64|Libraries/LibGateway/GatewayServer.cpp|s/    if (is_behind())/    if (is_behind() \&\& false)/|BehindTest|*NotRefusedByTheOldOne*'
-    '65|Libraries/LibEntry/WatchElection.cpp|s/    m_heard_since = now;/    static_cast<void>(now);/|WatchElectionTest|*WhoWasAwayItself*'
+    '65|Libraries/LibEntry/WatchElection.cpp|s/    m_silent_since = silent_since() + .stall;/    static_cast<void>(now);/|WatchElectionTest|*DuringItsOwnStall*'
     '66|Libraries/LibGateway/BackendView.h|s/return m_is_listed \&\& !m_is_drained \&\&/return m_is_listed \&\&/|DrainRulesTest|*ADrainedDomain*'
     '67|Libraries/LibPolicy/ColdShares.cpp|s/return m_ranks.rank_for(server) < senders_for(rate);/return m_ranks.rank_for(server) < 10 * senders_for(rate);/|ColdSharesTest|*NoSecondHasMore*'
     '68|Libraries/LibGateway/RegionRules.cpp|s/return is_open(find(m_by_route, call.route->name)) \&\&/return/|DrainRulesTest|*ARouteIsServed*'
--- a/Tests/LibCore/StallDetectorTest.cpp
+++ b/Tests/LibCore/StallDetectorTest.cpp
@@ -1,6 +1,6 @@
-// What a process concludes from its own absence: nothing. The clock leaps by the time of a suspension.
-#include <LibCore/AbsenceWatch.h>
+// Detection of the process's own stalls, and time without them.
 #include <LibCore/RunningTime.h>
+#include <LibCore/StallDetector.h>
 #include <LibCore/Time.h>
 
 #include <ctime>
@@ -11,55 +11,54 @@
 
 using namespace std::chrono_literals;
 
-TEST(AbsenceWatch, NoticesALeapOfTheClockOnce)
+TEST(StallDetector, ReportsAStallOnce)
 {
-    AbsenceWatch watch;
+    StallDetector detector;
     auto now = Core::MonotonicTime(1h);
-    EXPECT_FALSE(watch.note_turn(now));
-    for (int turn = 0; turn < 10; ++turn) {
+    EXPECT_FALSE(detector.note_tick(now));
+    for (int tick = 0; tick < 10; ++tick) {
         now += 250ms;
-        EXPECT_FALSE(watch.note_turn(now));
+        EXPECT_FALSE(detector.note_tick(now));
     }
     now += 4s;
-    EXPECT_TRUE(watch.note_turn(now));
+    EXPECT_TRUE(detector.note_tick(now));
     now += 25ms;
-    EXPECT_FALSE(watch.note_turn(now));
+    EXPECT_FALSE(detector.note_tick(now));
 }
 
-TEST(AbsenceWatch, NoticesAnAbsenceBeforeTheFirstTurn)
+TEST(StallDetector, DetectsAStallBeforeTheFirstTick)
 {
     auto const begun = Core::MonotonicTime(1h);
-    AbsenceWatch watch(begun);
-    EXPECT_FALSE(watch.is_overdue(begun + 100ms));
-    EXPECT_TRUE(watch.is_overdue(begun + 4s));
-    EXPECT_EQ(watch.note_turn(begun + 4s), 4s);
+    StallDetector detector(begun);
+    EXPECT_FALSE(detector.is_overdue(begun + 100ms));
+    EXPECT_TRUE(detector.is_overdue(begun + 4s));
+    EXPECT_EQ(detector.note_tick(begun + 4s), 4s);
 }
 
-// Two threads may note turns; the one that was stopped between its look at the clock and its note counted the same
-// absence a second time.
-TEST(AbsenceWatch, AnEarlierTurnThatIsNotedLateIsNoAbsence)
+// A thread that is stopped between reading the clock and recording its tick must not report the stall again.
+TEST(StallDetector, IgnoresATickThatIsReportedLate)
 {
     auto const begun = Core::MonotonicTime(1h);
-    AbsenceWatch watch(begun);
-    EXPECT_TRUE(watch.note_turn(begun + 4s));
-    EXPECT_FALSE(watch.note_turn(begun + 50ms));
-    EXPECT_FALSE(watch.note_turn(begun + 4s + 100ms));
+    StallDetector detector(begun);
+    EXPECT_TRUE(detector.note_tick(begun + 4s));
+    EXPECT_FALSE(detector.note_tick(begun + 50ms));
+    EXPECT_FALSE(detector.note_tick(begun + 4s + 100ms));
 }
 
-TEST(RunningTime, LeavesAbsencesOut)
+TEST(RunningTime, ExcludesStalls)
 {
     auto now = Core::MonotonicTime(1h);
     RunningTime running(now);
     now += 2'200ms;
-    running.note_turn(now);
+    running.note_tick(now);
     EXPECT_EQ(running.at(now), 0ms);
-    for (int turn = 0; turn < 10; ++turn) {
+    for (int tick = 0; tick < 10; ++tick) {
         now += 100ms;
-        running.note_turn(now);
+        running.note_tick(now);
     }
     EXPECT_EQ(running.at(now), 1s);
     now += 800ms;
-    running.note_turn(now);
+    running.note_tick(now);
     EXPECT_EQ(running.at(now), 1s);
 }
 
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -33,8 +33,8 @@
 void run_until(WatchElection& election, Core::MonotonicTime& now, Core::MonotonicTime end)
 {
     for (; now < end; now += std::min<Core::MonotonicTime::duration>(100ms, end - now))
-        election.note_turn(now);
-    election.note_turn(now);
+        election.note_tick(now);
+    election.note_tick(now);
 }
 
 /// Both watches are answered and under way.
@@ -46,7 +46,7 @@
     }
 }
 
-StoreWord word_of_elected(Core::MonotonicTime time)
+StoreReport report_of_elected(Core::MonotonicTime time)
 {
     return {time, time, {}};
 }
@@ -57,8 +57,8 @@
 {
     auto election = make_election();
     for (auto now = s_start; now < s_start + 1min; now += 100ms) {
-        election.note_turn(now);
-        election.note_word(word_of_elected(now), now);
+        election.note_tick(now);
+        election.note_report(report_of_elected(now), now);
         EXPECT_FALSE(election.is_on_duty(now));
         EXPECT_GT(election.next_look(now), now);
     }
@@ -67,18 +67,18 @@
 TEST(WatchElection, AnybodyStepsInWhenNoSoundWatchIsHeardOf)
 {
     auto election = make_election();
-    election.note_word(word_of_elected(s_start), s_start);
+    election.note_report(report_of_elected(s_start), s_start);
     EXPECT_EQ(election.next_look(s_start), s_start + s_patience);
     auto now = s_start;
     run_until(election, now, s_start + s_patience - 1ms);
     EXPECT_FALSE(election.is_on_duty(now));
     EXPECT_TRUE(election.is_store_in_doubt(s_start + s_patience));
     EXPECT_TRUE(election.is_on_duty(s_start + s_patience));
-    // Its own word tells the others not to.
-    EXPECT_FALSE(election.word(s_start + s_patience).any > s_start);
+    // Its own report tells the others not to.
+    EXPECT_FALSE(election.report(s_start + s_patience).any > s_start);
     watch_soundly(election, s_start + s_patience);
-    EXPECT_EQ(election.word(s_start + s_patience).any, s_start + s_patience);
-    EXPECT_EQ(election.word(s_start + s_patience).elected, s_start);
+    EXPECT_EQ(election.report(s_start + s_patience).any, s_start + s_patience);
+    EXPECT_EQ(election.report(s_start + s_patience).elected, s_start);
 }
 
 TEST(WatchElection, WhoSteppedInLeavesWhenAnElectedOneIsBack)
@@ -87,11 +87,11 @@
     auto now = s_start;
     run_until(election, now, s_start + s_patience);
     ASSERT_TRUE(election.is_on_duty(now));
-    // The word of others who stepped in as well, its own among them, relieves nobody.
+    // The report of others who stepped in as well, its own among them, relieves nobody.
     run_until(election, now, now + WatchElection::s_shortest_duty);
-    election.note_word({std::nullopt, now, {}}, now);
+    election.note_report({std::nullopt, now, {}}, now);
     EXPECT_TRUE(election.is_on_duty(now));
-    election.note_word(word_of_elected(now), now);
+    election.note_report(report_of_elected(now), now);
     EXPECT_FALSE(election.is_on_duty(now));
 }
 
@@ -99,19 +99,19 @@
 {
     auto election = make_election();
     auto now = s_start;
-    auto word = word_of_elected(now);
-    word.versions.table = Core::TableVersion(5);
-    election.note_word(word, now);
+    auto report = report_of_elected(now);
+    report.versions.table = Core::TableVersion(5);
+    election.note_report(report, now);
     for (; now < s_start + WatchElection::Settings().behind_limit; now += 50ms) {
-        election.note_turn(now);
-        election.note_word(word_of_elected(now), now);
+        election.note_tick(now);
+        election.note_report(report_of_elected(now), now);
         EXPECT_FALSE(election.is_on_duty(now));
     }
-    election.note_word(word_of_elected(now), now);
+    election.note_report(report_of_elected(now), now);
     EXPECT_TRUE(election.is_on_duty(now));
     // Once it has it, the elected ones suffice again.
     run_until(election, now, now + WatchElection::s_shortest_duty);
-    election.note_word(word_of_elected(now), now);
+    election.note_report(report_of_elected(now), now);
     EXPECT_TRUE(election.is_on_duty(now));
     election.note_versions({Core::TableVersion(5), {}, {}}, now);
     EXPECT_FALSE(election.is_on_duty(now));
@@ -119,30 +119,30 @@
 
 // A host whose processes had all been stopped, or got no processor time, for some seconds: when they went on, every
 // gateway on it took the others' silence for that of the watchers and listed everything from the store.
-TEST(WatchElection, WhoWasAwayItselfConcludesNothingFromTheSilenceOfOthers)
+TEST(WatchElection, IgnoresSilenceDuringItsOwnStall)
 {
     auto election = make_election();
     auto now = s_start;
     for (; now < s_start + 5s; now += 100ms) {
-        election.note_turn(now);
-        election.note_word(word_of_elected(now), now);
+        election.note_tick(now);
+        election.note_report(report_of_elected(now), now);
     }
     now += 10s;
     // Whichever of its threads goes on first.
     EXPECT_FALSE(election.is_on_duty(now));
-    election.note_turn(now);
+    election.note_tick(now);
     // Others are silent indeed.
     for (auto const end = now + s_patience; now < end; now += 100ms) {
-        election.note_turn(now);
+        election.note_tick(now);
         EXPECT_FALSE(election.is_on_duty(now));
     }
-    election.note_turn(now);
+    election.note_tick(now);
     EXPECT_TRUE(election.is_on_duty(now));
 }
 
 // A host that stalled within its first 100 ms: its gateways had heard nobody yet, and all of them listed everything
 // from the store when they went on, seven watchers in place of two.
-TEST(WatchElection, WhoWasAwayRightAfterItsStartConcludesNothingFromTheSilenceOfOthers)
+TEST(WatchElection, IgnoresSilenceDuringAStallRightAfterItsStart)
 {
     auto election = make_election();
     auto now = s_start + 2'200ms;
@@ -150,17 +150,17 @@
     EXPECT_FALSE(election.is_on_duty(now));
     run_until(election, now, now + s_patience - 100ms);
     EXPECT_FALSE(election.is_on_duty(now));
-    election.note_word(word_of_elected(now), now);
+    election.note_report(report_of_elected(now), now);
     run_until(election, now, now + 200ms);
     EXPECT_FALSE(election.is_on_duty(now));
 }
 
 // A host that stalls for 800 ms in each 1,300: with the patience begun anew after each stall nobody ever stepped in for
 // watchers that had died.
-TEST(WatchElection, AHostThatStallsAgainAndAgainNoticesAllTheSameThatNobodyWatches)
+TEST(WatchElection, StepsInAlthoughItsHostStallsRepeatedly)
 {
     auto election = make_election();
-    election.note_word(word_of_elected(s_start), s_start);
+    election.note_report(report_of_elected(s_start), s_start);
     auto now = s_start;
     unsigned stretches = 0;
     for (; stretches < 20 && !election.is_on_duty(now); ++stretches) {
@@ -177,10 +177,10 @@
     auto election = make_election();
     auto now = s_start;
     for (std::uint64_t version = 1; version < 100; ++version) {
-        auto word = word_of_elected(now);
-        word.versions.servers = ListRevision(version);
-        election.note_turn(now);
-        election.note_word(word, now);
+        auto report = report_of_elected(now);
+        report.versions.servers = ListRevision(version);
+        election.note_tick(now);
+        election.note_report(report, now);
         EXPECT_FALSE(election.is_on_duty(now));
         now += 300ms;
         // Each comes after a while, when the next one is known already.
@@ -193,10 +193,10 @@
     auto election = make_election();
     election.set_elected(true);
     watch_soundly(election, s_start);
-    EXPECT_TRUE(election.is_sound(s_start + s_call_limit));
-    EXPECT_FALSE(election.is_sound(s_start + s_call_limit + 1ms));
+    EXPECT_TRUE(election.is_healthy(s_start + s_call_limit));
+    EXPECT_FALSE(election.is_healthy(s_start + s_call_limit + 1ms));
     election.note_failure(WatchElection::Watch::Servers, s_start);
-    EXPECT_FALSE(election.is_sound(s_start));
+    EXPECT_FALSE(election.is_healthy(s_start));
     EXPECT_TRUE(election.is_on_duty(s_start));
 }
 
@@ -207,7 +207,7 @@
     run_until(election, now, s_start + s_patience);
     unsigned tries = 0;
     for (; now < s_start + s_patience * 10; now += 10ms) {
-        election.note_turn(now);
+        election.note_tick(now);
         if (!election.is_on_duty(now))
             continue;
         ++tries;
@@ -241,17 +241,17 @@
     void turn(Core::MonotonicTime now)
     {
         for (auto& node : nodes) {
-            node.election.note_turn(now);
+            node.election.note_tick(now);
             if (node.is_alive)
                 call(node, now);
         }
-        StoreWord word;
+        StoreReport report;
         for (auto const& node : nodes) {
             if (node.is_alive)
-                word.merge(node.election.word(now));
+                report.merge(node.election.report(now));
         }
         for (auto& node : nodes)
-            node.election.note_word(word, now);
+            node.election.note_report(report, now);
     }
 
     /// A call fails at once where the store can't be reached, and else ends after its wait.
@@ -277,7 +277,7 @@
     [[nodiscard]] bool has_sound_one(Core::MonotonicTime now)
     {
         return std::ranges::any_of(nodes,
-            [now](auto const& node) { return node.is_alive && node.reaches_store && node.election.is_sound(now); });
+            [now](auto const& node) { return node.is_alive && node.reaches_store && node.election.is_healthy(now); });
     }
 
     std::vector<Node> nodes;
--- a/Tests/LibGateway/BehindTest.cpp
+++ b/Tests/LibGateway/BehindTest.cpp
@@ -28,7 +28,7 @@
     void tell_of(unsigned version)
     {
         auto const now = Core::monotonic_now();
-        m_duty.note_word({now, now, {Core::TableVersion(version), {}, {}}}, now);
+        m_duty.note_report({now, now, {Core::TableVersion(version), {}, {}}}, now);
     }
 
     void put_in_force(unsigned version)
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -16,7 +16,7 @@
 
 // A host that stalled while its gateways began: they counted on knowing the members of their failure domain when they
 // went on, knew none, and each took itself for the relay.
-TEST(RelayElection, WhoWasAwayRightAfterItsStartDoesNotTakeItselfForTheRelay)
+TEST(RelayElection, IgnoresSilenceDuringAStallRightAfterItsStart)
 {
     auto const begun = Core::MonotonicTime(1h);
     RelayElection election(begun);
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -200,7 +200,7 @@
 
 // A gateway that watched until the elected ones had begun went on for the pause behind the news that had ended its
 // call, so that three watched where two are to.
-TEST_F(Follower, WhoIsRelievedLearnsItBeforeThePauseAfterNews)
+TEST_F(Follower, StopsWatchingOnceReplaced)
 {
     m_settings.pause_after_news = 10 * s_promise;
     start();
@@ -214,7 +214,7 @@
 
 // A gateway that had just been elected began with a watch from a peer's revision, whose answer came at the end of its
 // wait. Until then nobody's watch was known to be sound, and others stepped in beside it.
-TEST_F(Follower, WhoBeginsFromAPeersRevisionKnowsSoonThatTheStoreAnswers)
+TEST_F(Follower, ReportsHealthyAfterResumingFromPeerRevision)
 {
     m_settings.watch_wait = 10 * s_promise;
     m_sink.set_revision_from_peers(ObjectClient(m_settings.store, m_settings.call_timeout).list("config").revision);
