LibGateway: Log the first list of servers in one line

What operators saw: after a restart in a large fleet the log of each gateway lacked lines that matter.

Cause: each server of the first list was logged as an added one, some 700 KB at once before a buffer of 512 KB.

Change: one line, server-list, with the number of servers and the revision; later changes are logged as before.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -55,11 +55,12 @@
             view->set_drained(m_drains.failure_domains.contains(record.failure_domain));
             if (m_leavings.find(view->id()) != nullptr)
                 view->set_states_leaving();
-            // Of those that were there before this gateway, what they say themselves is all that is known.
-            if (!is_first)
-                expect_cold(*view, now);
             m_servers_by_id[view->id()] = view;
-            log_change(record, is_reborn ? "reborn" : "added", list.revision);
+            // Servers of the first list may have been running for long; only their entries say whether they are cold.
+            if (!is_first) {
+                expect_cold(*view, now);
+                log_change(record, is_reborn ? "reborn" : "added", list.revision);
+            }
             continue;
         }
         if (!view->is_listed()) {
@@ -75,6 +76,10 @@
             view->set_record(record);
     }
     m_listed_count = listed.size();
+    // A line for each server of a large fleet would displace the other lines of a start.
+    if (is_first)
+        m_log.write(
+            Observe::LogEvent("server-list").add("servers", m_listed_count).add("revision", list.revision.value()));
     for (auto& [instance, view] : m_servers) {
         if (listed.contains(instance) || !view->is_listed())
             continue;
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -1,9 +1,14 @@
 // What is believed of a backend server ends with its life, also where the next one has the same name.
 #include "NullDescriptor.h"
 
+#include <LibCore/Text.h>
 #include <LibGateway/BackendFleet.h>
 #include <LibGateway/LoadSources.h>
 
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace GraniteField::Gateway {
@@ -64,6 +69,32 @@
     EXPECT_EQ(before->life().place, after->life().place);
 }
 
+TEST(BackendFleet, LogsTheFirstListInOneLine)
+{
+    auto* const file = std::tmpfile();
+    ASSERT_NE(file, nullptr);
+    {
+        Observe::MetricRegistry metrics;
+        Observe::EventLog log {::fileno(file), "gateway-1", Core::Incarnation(1), metrics};
+        BackendFleet fleet {{}, log};
+        Entry::ServerList list;
+        for (int number = 0; number < 3'000; ++number)
+            list.servers.push_back({Core::concat("i-", number), "svc", *Core::Address::from_string("127.0.0.1:9"),
+                "here", 8, Table::BackendServerState::Serving});
+        fleet.follow(list, s_start);
+        list.servers.push_back({"i-last", "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 8,
+            Table::BackendServerState::Serving});
+        fleet.follow(list, s_start);
+    }
+    std::rewind(file);
+    std::string written(64U << 10U, ' ');
+    written.resize(std::fread(written.data(), 1, written.size(), file));
+    std::fclose(file);
+    EXPECT_EQ(std::ranges::count(written, '\n'), 2) << written.substr(0, 1'000);
+    EXPECT_NE(written.find(R"("event":"server-list","servers":3000)"), std::string::npos);
+    EXPECT_NE(written.find(R"("change":"added","instance":"i-last")"), std::string::npos);
+}
+
 TEST_F(ServerLives, AListOfTheLifeBeforeChangesNothing)
 {
     follow(2'000);
