LibPolicy, LibGateway: Keep a backoff of any length

Cause: backoffs were cut to ten minutes, as a mistake of the server. A server's statement binds whatever its length; it ends with the server's run, and the status shows it (backoff-ms).

Change: no cut. A view of an unlisted server is kept for its backoff for ten minutes at most, so that the memory stays bounded. ServerBackoff.BoundsAbsurdDurations checked the cut, which contradicts the rule; KeepsABackoffOfAnyLength takes its place, as strict in the other direction, and fails on the code before. The other tests of backoffs, leaving, limits and drains pass unchanged.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -48,7 +48,7 @@
         if (view != nullptr && record.is_of_earlier_life_than(view->record()))
             continue;
         if (is_reborn)
-            view->set_listed(false);
+            view->set_unlisted(now);
         if (view == nullptr || is_reborn) {
             view = std::make_shared<BackendView>(record, spread_of(record.instance));
             view->prefixes().set_capacity(m_services[record.service].memory_tokens);
@@ -71,7 +71,7 @@
                 record, record.state == Table::BackendServerState::Leaving ? "leaving" : "serving", list.revision);
         else if (!view->is_cold(now) && record.cold_until > now)
             log_change(record, "cold", list.revision);
-        view->set_listed(true);
+        view->set_listed();
         if (view->record() != record)
             view->set_record(record);
     }
@@ -83,20 +83,26 @@
     for (auto& [instance, view] : m_servers) {
         if (listed.contains(instance) || !view->is_listed())
             continue;
-        view->set_listed(false);
+        view->set_unlisted(now);
         log_change(view->record(), "gone", list.revision);
     }
-    // Attempts hold their views. A server in backoff may be listed again, and its backoff still applies then.
-    std::erase_if(m_servers, [now](auto const& item) {
-        auto const& view = item.second;
-        return !view->is_listed() && view.use_count() == 1 && !view->backoff().is_in_force(now);
-    });
+    std::erase_if(m_servers, [now](auto const& item) { return is_forgotten(item.second, now); });
     absl::erase_if(m_servers_by_id, [](auto const& item) { return item.second.expired(); });
     auto const is_listed = [this](std::uint64_t id) { return m_servers_by_id.contains(id); };
     m_rate_limits.forget_old(is_listed, now);
     m_leavings.forget_old(is_listed, now);
 }
 
+bool BackendFleet::is_forgotten(std::shared_ptr<BackendView> const& view, Core::MonotonicTime now)
+{
+    bool const has_attempts = view.use_count() > 1;
+    if (view->is_listed() || has_attempts)
+        return false;
+    // The store may list the server again after an outage, and its backoff still applies then.
+    bool const is_remembered = Core::elapsed(view->unlisted_since(), now) <= Policy::RateLimitFacts::s_memory;
+    return !is_remembered || !view->backoff().is_in_force(now);
+}
+
 std::shared_ptr<BackendView> BackendFleet::find(std::uint64_t id) const
 {
     auto const found = m_servers_by_id.find(id);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -136,6 +136,8 @@
 
     /// It may be cold now without having said so.
     void expect_cold(BackendView&, Core::MonotonicTime now) const;
+    /// Whether nothing about a server that is not listed needs to be kept.
+    [[nodiscard]] static bool is_forgotten(std::shared_ptr<BackendView> const&, Core::MonotonicTime now);
     [[nodiscard]] double spread_of(std::string const& instance) const;
 
     PlacementPolicy m_policy;
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -132,7 +132,14 @@
     void expect_cold_until(Core::MonotonicTime time) { m_cold_until = std::max(m_cold_until, time); }
 
     [[nodiscard]] bool is_listed() const { return m_is_listed; }
-    void set_listed(bool value) { m_is_listed = value; }
+    void set_listed() { m_is_listed = true; }
+    void set_unlisted(Core::MonotonicTime now)
+    {
+        m_is_listed = false;
+        m_unlisted_since = now;
+    }
+    /// When it was missing in a list first; meaningless while it is listed.
+    [[nodiscard]] Core::MonotonicTime unlisted_since() const { return m_unlisted_since; }
 
     /// Whether a recent failure says to leave it alone for now.
     [[nodiscard]] bool is_avoided(Core::MonotonicTime now) const { return now < m_avoided_until; }
@@ -259,6 +266,7 @@
     std::uint64_t m_id;
     double m_spread;
     bool m_is_listed {true};
+    Core::MonotonicTime m_unlisted_since;
     bool m_is_drained {false};
     bool m_states_leaving {false};
     Policy::ServerBackoff m_backoff;
--- a/Libraries/LibPolicy/ServerBackoff.h
+++ b/Libraries/LibPolicy/ServerBackoff.h
@@ -12,15 +12,13 @@
 /// has queued up meanwhile. No I/O and no clock.
 class ServerBackoff {
 public:
-    /// Longer backoffs are considered a mistake of the server and cut to this.
-    static constexpr Core::Milliseconds s_longest {600'000};
     /// Time after which another probe is sent if the last one was not answered.
     static constexpr Core::Milliseconds s_probe_interval {250};
 
     /// The server rejected a request.
     void note_rejected(Core::Milliseconds retry_after, Core::MonotonicTime now)
     {
-        m_until = std::max(m_until, now + std::min(retry_after, s_longest));
+        m_until = std::max<Core::MonotonicTime>(m_until, now + retry_after);
         m_is_probing = true;
         m_probe_sent.reset();
     }
