Tests: Show that a connection releases what a slow caller has read

The new test plays one connection with small buffers on both sides and a caller that never catches up; it stays as it was, beside the older one. Breaks 86 and 87 take out the mends of rate limits without an end and of forgotten backoffs.

--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -94,6 +94,9 @@
     '82|Libraries/LibGateway/GatewayRun.cpp|s/? AttemptResult::Rejected : AttemptResult::Failure;/? AttemptResult::Failure : AttemptResult::Failure;/|BackoffRulesTest|*DoesNotCountABackoff*'
     '83|Libraries/LibGateway/GatewayServer.cpp|s/std::ranges::stable_sort(waiting, .*/static_cast<void>(waiting);/|BackoffRulesTest|*MostUrgentWaiting*'
     '84|Libraries/LibPolicy/LimitShares.cpp|s/if (!m_ranks.is_known())/if (false)/|RateLimitRulesTest|*BeforeTheMembershipIsKnown*'
+    '85|Libraries/LibGateway/CallerConnection.cpp|s/    m_output.erase(0, m_written);/    return;/|CallerConnectionTest|*NeverCatchesUp*'
+    '86|Libraries/LibGateway/BackendFleetSignals.cpp|s/return known->is_limited() ../return/|BackendFleetTest|*WithoutRequests*'
+    '87|Libraries/LibGateway/BackendFleet.cpp|s/return !is_remembered .. !view->backoff().is_in_force(now);/return true;/|BackendFleetTest|*WhileTheServerIsNotListed*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor != 0/true/|AdmissionTest|*NeverShutOut*'
 )
 
--- /dev/null
+++ b/Tests/LibGateway/CallerConnectionTest.cpp
@@ -0,0 +1,67 @@
+// What a connection holds for a caller that reads more slowly than its answer is produced.
+#include <LibGateway/CallerConnection.h>
+
+#include <algorithm>
+#include <string>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <gtest/gtest.h>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+class IgnoringHandler final : public CallerConnection::Handler {
+public:
+    void handle_request(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string, Core::MonotonicTime) override
+    {
+    }
+    [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_limits; }
+    [[nodiscard]] bool is_draining() const override { return false; }
+    void note_bad_request(HTTP::RequestProblem) override { }
+
+private:
+    CallerConnection::Limits m_limits;
+};
+
+}
+
+// The kernel's buffers are small here, so that they do not take what the connection should hold.
+TEST(CallerConnection, ReleasesWhatASlowCallerHasReadWhileItNeverCatchesUp)
+{
+    constexpr std::size_t window = 256U << 10U;
+    constexpr std::size_t total = 16U << 20U;
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    tcp::socket caller(loop, tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+    caller.connect(acceptor.local_endpoint());
+    auto accepted = acceptor.accept();
+    accepted.set_option(boost::asio::socket_base::send_buffer_size(4'096));
+    accepted.non_blocking(true);
+    IgnoringHandler handler;
+    auto const connection = std::make_shared<CallerConnection>(std::move(accepted), handler);
+
+    std::string const piece(8U << 10U, 'x');
+    std::string taken(16U << 10U, ' ');
+    std::size_t most_held = 0;
+    connection->begin(200, {});
+    for (std::size_t read = 0; read < total;) {
+        while (connection->pending_bytes() < window)
+            connection->append(piece);
+        most_held = std::max(most_held, connection->held_bytes());
+        read += caller.read_some(boost::asio::buffer(taken));
+        loop.poll();
+        loop.restart();
+        ASSERT_GT(connection->pending_bytes(), 0U);
+    }
+    // The window, as much again that was read and not released yet, and the string's room to grow.
+    EXPECT_LE(most_held, 4 * window);
+}
+
+}
