--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -107,31 +109,35 @@
 
 namespace {
 
-/// Two engines, of which the first keeps a prompt and has much to read.
-class FetchSources : public ::testing::Test {
+/// A gateway that is alone before backend servers of one service.
+class ServerFleet : public ::testing::Test {
 protected:
-    FetchSources()
+    explicit ServerFleet(std::vector<std::string> instances)
+        : m_instances(std::move(instances))
     {
-        Entry::ServerList list;
-        for (auto const* instance : {"i-1", "i-2"})
-            list.servers.push_back({instance, "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64,
-                Table::BackendServerState::Serving});
-        m_fleet.follow(list, s_start);
+        list_servers();
         Entry::LoadMembers const alone;
         m_fleet.follow(&alone);
         m_class.first_token_target = 2s;
         m_call.route = &m_route;
         m_call.request_class = &m_class;
         m_call.service = "svc";
-        m_call.prompt = {{7, 20'000}, {8, 100}};
         m_call.received = s_start;
         m_call.deadline = s_start + 10s;
-        keeper().prefixes().note_read(m_call.prompt);
-        keeper().begin_attempt({8, 400'000, 0});
     }
 
-    [[nodiscard]] BackendView& keeper() const { return *m_fleet.all().at("i-1"); }
-    [[nodiscard]] Choice choose() const { return m_fleet.choose(m_call, {}, s_start); }
+    void list_servers()
+    {
+        Entry::ServerList list;
+        for (auto const& instance : m_instances)
+            list.servers.push_back({instance, "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64,
+                Table::BackendServerState::Serving});
+        m_fleet.follow(list, s_start);
+    }
+
+    /// The first server.
+    [[nodiscard]] BackendView& server() const { return *m_fleet.all().at("i-1"); }
+    [[nodiscard]] Choice choose(Core::MonotonicTime now = s_start) const { return m_fleet.choose(m_call, {}, now); }
 
     Testing::NullDescriptor m_log_descriptor;
     Observe::MetricRegistry m_metrics;
@@ -140,6 +146,38 @@
     Table::Route m_route;
     Table::RequestClass m_class;
     GatewayCall m_call;
+
+private:
+    std::vector<std::string> m_instances;
+};
+
+/// Two engines, of which the first keeps a prompt and has much to read.
+class FetchSources : public ServerFleet {
+protected:
+    FetchSources()
+        : ServerFleet({"i-1", "i-2"})
+    {
+        m_call.prompt = {{7, 20'000}, {8, 100}};
+        server().prefixes().note_read(m_call.prompt);
+        server().begin_attempt({8, 400'000, 0});
+    }
+};
+
+/// One server, which states something in its answers.
+class ServerStatements : public ServerFleet {
+protected:
+    ServerStatements()
+        : ServerFleet({"i-1"})
+    {
+    }
+
+    /// Takes an answer that came as soon as its request was sent.
+    void take_answer(ServerSignals const& signals, Core::MonotonicTime now)
+    {
+        m_fleet.note_signals(server(), signals, now, now);
+    }
+
+    [[nodiscard]] bool is_chosen(Core::MonotonicTime now) const { return choose(now).server != nullptr; }
 };
 
 }
@@ -151,7 +189,7 @@
     ASSERT_NE(before.source, nullptr);
     ServerSignals limited;
     limited.rate_limit = 10;
-    m_fleet.note_signals(keeper(), limited, s_start, s_start);
+    m_fleet.note_signals(server(), limited, s_start, s_start);
     auto const after = choose();
     EXPECT_EQ(after.server->record().instance, "i-2");
     EXPECT_EQ(after.source, nullptr);
@@ -161,7 +199,7 @@
 {
     ServerSignals leaving;
     leaving.is_leaving = true;
-    m_fleet.note_signals(keeper(), leaving, s_start, s_start);
+    m_fleet.note_signals(server(), leaving, s_start, s_start);
     EXPECT_EQ(choose().source, nullptr);
 }
 
@@ -169,58 +207,10 @@
 {
     ServerSignals resting;
     resting.retry_after = 3s;
-    m_fleet.note_signals(keeper(), resting, s_start, s_start);
+    m_fleet.note_signals(server(), resting, s_start, s_start);
     EXPECT_EQ(choose().source, nullptr);
 }
 
-namespace {
-
-/// One backend server, which states something in its answers.
-class ServerStatements : public ::testing::Test {
-protected:
-    ServerStatements()
-    {
-        list_server();
-        Entry::LoadMembers const alone;
-        m_fleet.follow(&alone);
-        m_call.route = &m_route;
-        m_call.request_class = &m_class;
-        m_call.service = "svc";
-        m_call.received = s_start;
-        m_call.deadline = s_start + 10s;
-    }
-
-    void list_server()
-    {
-        Entry::ServerList list;
-        list.servers.push_back(
-            {"i-1", "svc", *Core::Address::from_string("127.0.0.1:9"), "here", 64, Table::BackendServerState::Serving});
-        m_fleet.follow(list, s_start);
-    }
-
-    /// Takes an answer that came as soon as its request was sent.
-    void take_answer(ServerSignals const& signals, Core::MonotonicTime now)
-    {
-        m_fleet.note_signals(server(), signals, now, now);
-    }
-
-    [[nodiscard]] BackendView& server() const { return *m_fleet.all().at("i-1"); }
-    [[nodiscard]] bool is_chosen(Core::MonotonicTime now) const
-    {
-        return m_fleet.choose(m_call, {}, now).server != nullptr;
-    }
-
-    Testing::NullDescriptor m_log_descriptor;
-    Observe::MetricRegistry m_metrics;
-    Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
-    BackendFleet m_fleet {{}, m_log};
-    Table::Route m_route;
-    Table::RequestClass m_class;
-    GatewayCall m_call;
-};
-
-}
-
 TEST_F(ServerStatements, EndALimitAfterATimeWithoutRequests)
 {
     ServerSignals limited;
@@ -239,7 +229,7 @@
     ASSERT_FALSE(is_chosen(s_start + 1s));
     m_fleet.follow(Entry::ServerList(), s_start + 1s);
     EXPECT_EQ(m_fleet.listed_count(), 0U);
-    list_server();
+    list_servers();
     EXPECT_FALSE(is_chosen(s_start + 2s));
     EXPECT_TRUE(is_chosen(s_start + 31s));
 }
