Tests: Judge backoffs by the answers that gateways received, and wait for the entry of a leaving server

The gateways' logs show that no gateway got a Retry-After in that time: the server's proxy held all answers for five seconds, each request ended with its time limit (504), and none was logged as refused. The rule binds a machine by an answer that it got, and excuses cuts. The judge leaves out rejections at a time when no answer of the server reached a gateway, and no others; BackoffVerdicts.BindsByAnswersThatAGatewayReceived shows both sides.

The check of a leaving server took a gateway that did not list the server at all for one that knew; it waits for the entry now, which is stricter, and names what arrived.

--- a/Tests/Judges/BackoffJudgeTest.cpp
+++ b/Tests/Judges/BackoffJudgeTest.cpp
@@ -51,6 +51,17 @@
     EXPECT_EQ(broken(), 0U);
 }
 
+TEST_F(BackoffVerdicts, BindsByAnswersThatAGatewayReceived)
+{
+    m_judge.note_answers_lost("i-1", at(9'900ms), at(12s));
+    arrive(9, 11s);
+    EXPECT_EQ(broken(), 0U);
+    EXPECT_EQ(m_judge.counted(), 0U);
+    m_judge.note_rejection("i-1", "g0", 3s, at(12'001ms));
+    arrive(3, 13s);
+    EXPECT_EQ(broken(), 1U);
+}
+
 TEST_F(BackoffVerdicts, ExcusesAGatewayThatIsDisturbedMeanwhile)
 {
     arrive(9, 11s);
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -271,9 +271,10 @@
         return begin("connections reset", [] {});
     case 1:
         backend.proxy().set_mode(m_random() % 2 == 0 ? FaultProxy::Mode::Freeze : FaultProxy::Mode::FreezeAnswers);
-        return begin("backend server cut off", [&backend] {
+        return begin("backend server cut off", [this, &backend, cut = Core::monotonic_now()] {
             backend.proxy().set_mode(FaultProxy::Mode::Pass);
             backend.proxy().reset_connections();
+            m_judges.backoffs.note_answers_lost(backend.entry().instance, cut, Core::monotonic_now());
         });
     case 2:
         backend.proxy().set_delay(Core::Milliseconds(m_random() % 40));
@@ -344,22 +345,25 @@
                     if (server["backend-server"] == leaving.entry().instance)
                         return !server["serving"].get<bool>();
                 }
-                return true;
+                // Its entry is still to come, and may come as a serving one first.
+                return false;
             },
             s_leaving_limit);
         if (!is_known)
             note_problem(Core::concat("gateway ", index, " does not know of a leaving server after ",
                 Core::elapsed(begun, Core::monotonic_now()).count(), " ms"));
     }
-    auto const before = leaving.arrivals();
+    auto const before = leaving.requests().size();
     for (unsigned number = 0; number < 20; ++number) {
         RawCaller caller(port_of(number % m_slots.size()));
         caller.write(
             Core::concat("GET /safe/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: leaving-", number, "\r\n\r\n"));
         static_cast<void>(caller.read_answer());
     }
-    if (leaving.arrivals() != before)
-        note_problem("a server that leaves got new requests");
+    auto const requests = leaving.requests();
+    for (auto index = before; index < requests.size(); ++index)
+        note_problem(Core::concat("a server that leaves got a new request, ",
+            field_of(requests[index], "X-Request-Id").value_or("without an id"), ", after all gateways knew it"));
 }
 
 void GatewaySoak::check_draining()
@@ -380,7 +384,7 @@
     auto const arrivals = [this] {
         std::size_t sum = 0;
         for (std::size_t index = 1; index < m_backends.size(); index += 2)
-            sum += m_backends[index]->arrivals();
+            sum += m_backends[index]->requests().size();
         return sum;
     };
     auto const before = arrivals();
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace GraniteField::Testing {
 
@@ -91,7 +92,8 @@
         m_run = make_run();
     }
     [[nodiscard]] FaultProxy& proxy() { return m_proxy; }
-    [[nodiscard]] std::size_t arrivals() const { return m_backend.count(); }
+    /// The requests that have reached it.
+    [[nodiscard]] std::vector<std::string> requests() const { return m_backend.requests(); }
     /// Its entry in the store, with the proxy's address.
     [[nodiscard]] Entry::ServerEntry entry() const
     {
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -36,6 +36,21 @@
     EXPECT_GT(report.backoffs, 0U);
 }
 
+// A backend server is cut off while it rejects requests: no gateway receives its Retry-After.
+TEST(SoakOfSignals, BindsNoGatewayByAnAnswerThatWasLost)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    GatewaySoak::Options options;
+    options.seed = 4064;
+    options.length = Core::Milliseconds(8'000);
+    options.gateways = 4;
+    options.signals = GatewaySoak::Signals::Yes;
+    auto const report = GatewaySoak(options).run();
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_GT(report.backoffs, 0U);
+}
+
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
 
 TEST_P(SoakSeeds, KeepEveryPromise)
