--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -136,7 +136,7 @@
 
     /// It may be cold now without having said so.
     void expect_cold(BackendView&, Core::MonotonicTime now) const;
-    /// Whether nothing about a server that is not listed needs to be kept.
+    /// Whether the view can be dropped: its server is not listed, and has neither attempts nor a backoff.
     [[nodiscard]] static bool is_forgotten(std::shared_ptr<BackendView> const&, Core::MonotonicTime now);
     [[nodiscard]] double spread_of(std::string const& instance) const;
 
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -138,7 +138,7 @@
         m_is_listed = false;
         m_unlisted_since = now;
     }
-    /// When it was missing in a list first; meaningless while it is listed.
+    /// When it disappeared from the list; meaningless while it is listed.
     [[nodiscard]] Core::MonotonicTime unlisted_since() const { return m_unlisted_since; }
 
     /// Whether a recent failure says to leave it alone for now.
