Tests: Share the drawn membership, the drawn signals and the start of a soak

The simulated fleets of ColdWorld and LimitWorld drew their known members alike, both soaks held the same rates and backoffs, and each case of SoakTest set up the same way. One copy of each; draws, seeds and checks are the same.

--- a/Tests/Integration/SignalFleet.h
+++ b/Tests/Integration/SignalFleet.h
@@ -33,7 +33,7 @@
         put_configuration(1, "/v1/");
         Json seeds = Json::array();
         for (std::size_t number = 0; number < count; ++number) {
-            m_gateways.push_back(start(Core::concat("g", number), seeds));
+            m_gateways.push_back(start(gateway_name(number), seeds));
             if (number == 0)
                 seeds.push_back(Core::concat("127.0.0.1:", m_gateways.front().peers));
         }
@@ -77,7 +77,7 @@
     {
         auto next = Core::monotonic_now();
         for (unsigned call = 0; !m_should_stop; ++call) {
-            this->call(number, Core::concat("g", number, "-", call));
+            this->call(number, Core::concat(gateway_name(number), "-", call));
             next += pause;
             std::this_thread::sleep_for(next - Core::monotonic_now());
         }
--- a/Tests/Judges/StatedSignals.h
+++ b/Tests/Judges/StatedSignals.h
@@ -5,6 +5,8 @@
 #include <LibCore/Text.h>
 #include <LibCore/Time.h>
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -13,6 +15,17 @@
 
 namespace GraniteField::Testing {
 
+/// Rate limits and backoffs that the soaks draw from.
+inline constexpr std::array s_drawn_rates {0.4, 1.0, 2.5, 20.0};
+inline constexpr std::array s_drawn_backoffs {
+    Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
+
+/// The name by which the judges know a gateway.
+[[nodiscard]] inline std::string gateway_name(std::size_t index)
+{
+    return Core::concat("g", index);
+}
+
 /// The gateway that a request was sent to, by the request's id: callers write `GATEWAY-NUMBER`.
 [[nodiscard]] inline std::string gateway_of(std::string const& request_id)
 {
--- a/Tests/LibPolicy/ColdWorld.h
+++ b/Tests/LibPolicy/ColdWorld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "DrawnMembership.h"
+
 #include <LibCore/Hashing.h>
 #include <LibPolicy/ColdShares.h>
 
@@ -90,14 +92,9 @@
 
     void introduce(std::size_t number)
     {
-        std::bernoulli_distribution is_unknown(m_settings.unknown);
-        std::vector<std::uint64_t> others;
-        for (std::size_t other = 0; other < m_gateways.size(); ++other) {
-            if (other != number && !is_unknown(m_random))
-                others.push_back(Core::mix(other, 7));
-        }
+        auto const others = draw_known_others(number, m_gateways.size(), m_settings.unknown, m_random);
         m_gateways[number].known = others.size();
-        m_gateways[number].shares.set_gateways(Core::mix(number, 7), others);
+        m_gateways[number].shares.set_gateways(order_of(number), others);
     }
 
     [[nodiscard]] bool may_send(
--- a/Tests/LibPolicy/LimitWorld.h
+++ b/Tests/LibPolicy/LimitWorld.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "DrawnMembership.h"
 #include "RateLimitJudge.h"
 
-#include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
 #include <LibPolicy/LimitShares.h>
 #include <LibPolicy/RateLimitFact.h>
@@ -113,16 +113,11 @@
 
     void introduce(std::size_t number)
     {
-        std::bernoulli_distribution is_unknown(m_settings.unknown);
-        std::vector<std::uint64_t> others;
-        for (std::size_t other = 0; other < m_gateways.size(); ++other) {
-            if (other != number && !is_unknown(m_random))
-                others.push_back(Core::mix(other, 7));
-        }
+        auto others = draw_known_others(number, m_gateways.size(), m_settings.unknown, m_random);
         auto& gateway = m_gateways[number];
         gateway.known = others.size();
-        gateway.ranks.set(Core::mix(number, 7), others);
-        gateway.shares.set_gateways(Core::mix(number, 7), std::move(others));
+        gateway.ranks.set(order_of(number), others);
+        gateway.shares.set_gateways(order_of(number), std::move(others));
     }
 
     [[nodiscard]] bool knows_limit(Gateway const& gateway, Core::MonotonicTime now) const
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -25,18 +25,11 @@
 constexpr Core::Milliseconds s_leaving_limit {2'000};
 constexpr Core::Milliseconds s_drain_limit {5'000};
 constexpr char const* s_drains_kind = "evacuations";
-constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
 constexpr Core::Milliseconds s_shortest_signal {5'000};
 constexpr Core::Milliseconds s_limit_pause {2'500};
 constexpr Core::Milliseconds s_leaving_pause {4'000};
-constexpr std::array s_backoffs {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
 constexpr Core::Milliseconds s_backoff_pause {3'000};
 
-std::string gateway_name(std::size_t index)
-{
-    return Core::concat("g", index);
-}
-
 bool promises_not_run(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -225,7 +218,7 @@
     // Long enough that it is judged, and that the next one overlaps with it.
     auto const end = Core::monotonic_now() + s_shortest_signal + Core::Milliseconds(m_limit_random() % 5'000);
     auto const signals = m_backends[m_limit_random() % m_backends.size()]->signals();
-    signals->state_limit(s_rates.at(m_limit_random() % s_rates.size()));
+    signals->state_limit(s_drawn_rates.at(m_limit_random() % s_drawn_rates.size()));
     m_faults.begin("rate limit", end, [signals] { signals->state_limit(std::nullopt); });
 }
 
@@ -250,7 +243,7 @@
     // Now and then of all servers at once.
     bool const reject_all = m_backoff_random() % 4 == 0;
     auto const chosen = m_backoff_random() % m_backends.size();
-    auto const backoff = s_backoffs.at(m_backoff_random() % s_backoffs.size());
+    auto const backoff = s_drawn_backoffs.at(m_backoff_random() % s_drawn_backoffs.size());
     auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_backoff_random() % 3'000);
     for (std::size_t index = 0; index < m_backends.size(); ++index) {
         if (!reject_all && index != chosen)
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -7,30 +7,41 @@
 
 namespace GraniteField::Testing {
 
-TEST(SoakOfDrains, KeepsEveryPromise)
+namespace {
+
+GatewaySoak::Report play(GatewaySoak::Options const& options)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    GatewaySoak::Options options;
-    options.seed = 11;
-    options.length = Core::Milliseconds(5'000);
-    options.drains = GatewaySoak::Drains::Yes;
-    auto const report = GatewaySoak(options).run();
+    auto report = GatewaySoak(options).run();
     for (auto const& problem : report.problems)
         ADD_FAILURE() << problem;
-    EXPECT_GT(report.answers.size(), 4U);
+    return report;
 }
 
-TEST(SoakOfSignals, KeepsEveryPromise)
+GatewaySoak::Options with_signals(unsigned seed, Core::Milliseconds length)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     GatewaySoak::Options options;
-    options.seed = 21;
-    options.length = Core::Milliseconds(15'000);
+    options.seed = seed;
+    options.length = length;
     options.gateways = 4;
     options.signals = GatewaySoak::Signals::Yes;
-    auto const report = GatewaySoak(options).run();
-    for (auto const& problem : report.problems)
-        ADD_FAILURE() << problem;
+    return options;
+}
+
+}
+
+TEST(SoakOfDrains, KeepsEveryPromise)
+{
+    GatewaySoak::Options options;
+    options.seed = 11;
+    options.length = Core::Milliseconds(5'000);
+    options.drains = GatewaySoak::Drains::Yes;
+    EXPECT_GT(play(options).answers.size(), 4U);
+}
+
+TEST(SoakOfSignals, KeepsEveryPromise)
+{
+    auto const report = play(with_signals(21, Core::Milliseconds(15'000)));
     EXPECT_GT(report.limited_arrivals, 0U);
     EXPECT_GT(report.left_alone, 0U);
     EXPECT_GT(report.backoffs, 0U);
@@ -39,30 +50,17 @@
 // A backend server is cut off while it rejects requests: no gateway receives its Retry-After.
 TEST(SoakOfSignals, BindsNoGatewayByAnAnswerThatWasLost)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    GatewaySoak::Options options;
-    options.seed = 4064;
-    options.length = Core::Milliseconds(8'000);
-    options.gateways = 4;
-    options.signals = GatewaySoak::Signals::Yes;
-    auto const report = GatewaySoak(options).run();
-    for (auto const& problem : report.problems)
-        ADD_FAILURE() << problem;
-    EXPECT_GT(report.backoffs, 0U);
+    EXPECT_GT(play(with_signals(4064, Core::Milliseconds(8'000))).backoffs, 0U);
 }
 
 class SoakSeeds : public ::testing::TestWithParam<unsigned> { };
 
 TEST_P(SoakSeeds, KeepEveryPromise)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     GatewaySoak::Options options;
     options.seed = GetParam();
     options.length = Core::Milliseconds(5'000);
-    auto const report = GatewaySoak(options).run();
-    for (auto const& problem : report.problems)
-        ADD_FAILURE() << problem;
-    EXPECT_GT(report.answers.size(), 4U);
+    EXPECT_GT(play(options).answers.size(), 4U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Fixed, SoakSeeds, ::testing::Values(20261202U, 7U));
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -50,12 +50,10 @@
 constexpr Core::Milliseconds s_pause_after_failure {30};
 constexpr Core::Milliseconds s_turn {20};
 constexpr Core::Milliseconds s_stop_limit {20'000};
-constexpr std::array s_rates {0.4, 1.0, 2.5, 20.0};
 constexpr unsigned s_shortest_signal_ms = 6'000;
 constexpr unsigned s_longest_signal_ms = 12'000;
 constexpr Core::Milliseconds s_limit_pause {3'000};
 constexpr Core::Milliseconds s_leaving_pause {5'000};
-constexpr std::array s_backoffs {Core::Milliseconds(300), Core::Milliseconds(1'700), Core::Milliseconds(3'000)};
 constexpr Core::Milliseconds s_backoff_pause {4'000};
 /// How long a server that leaves goes on serving after it was to be left alone.
 constexpr Core::Milliseconds s_served_on {2'500};
@@ -83,11 +81,6 @@
     return *Core::Address::from_string(local(port));
 }
 
-std::string gateway_name(std::size_t index)
-{
-    return Core::concat("g", index);
-}
-
 Json route(std::string const& name, std::string const& path, std::string const& service, bool needs_key)
 {
     auto route = GatewayFleet::route(name, path, "safe");
@@ -480,7 +473,7 @@
 void SpreadSoak::begin_rate_limit()
 {
     auto const signals = m_backends[m_limit_random() % m_backends.size()]->signals();
-    signals->state_limit(s_rates.at(m_limit_random() % s_rates.size()));
+    signals->state_limit(s_drawn_rates.at(m_limit_random() % s_drawn_rates.size()));
     auto const length
         = Core::Milliseconds(s_shortest_signal_ms + m_limit_random() % (s_longest_signal_ms - s_shortest_signal_ms));
     m_faults.begin("rate limit", Core::monotonic_now() + length, [signals] { signals->state_limit(std::nullopt); });
@@ -499,7 +492,7 @@
 
 void SpreadSoak::begin_backoff()
 {
-    auto const backoff = s_backoffs.at(m_backoff_random() % s_backoffs.size());
+    auto const backoff = s_drawn_backoffs.at(m_backoff_random() % s_drawn_backoffs.size());
     auto const end = Core::monotonic_now() + Core::Milliseconds(500 + m_backoff_random() % 4'000);
     // Now and then of all servers of a service at once.
     bool const reject_all = m_backoff_random() % 4 == 0;
@@ -585,7 +578,7 @@
     unsigned const life = slot.life;
     RawCaller caller(slot.callers);
     for (auto& question : questions(random)) {
-        auto const id = Core::concat("g", index, "-", number++);
+        auto const id = Core::concat(gateway_name(index), "-", number++);
         auto const key = question.key.empty() ? "" : Core::concat("Authorization: Bearer ", question.key, "\r\n");
         auto& sighting = question.sighting;
         sighting.sent = Core::monotonic_now();
