Tests: Send no signal once a test's program has ended

Process kept -1 as the id of a program that had ended, or that another handle had taken over, and terminate(), kill(), freeze() and thaw() passed it to kill(2), which takes -1 for every process of the machine: a test that killed a gateway which had just crashed would have ended all of them.

All four go through one function that does nothing without a program. The limits of Process are as they were.

--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -156,25 +156,32 @@
     return m_printed.find(text) != std::string::npos;
 }
 
+void Process::send_signal(int number) const
+{
+    // kill() takes -1, the id of an ended program, for every process.
+    if (m_id > 0)
+        ::kill(m_id, number);
+}
+
 void Process::terminate() const
 {
-    ::kill(m_id, SIGTERM);
+    send_signal(SIGTERM);
 }
 
 void Process::kill()
 {
-    ::kill(m_id, SIGKILL);
+    send_signal(SIGKILL);
     wait();
 }
 
 void Process::freeze() const
 {
-    ::kill(m_id, SIGSTOP);
+    send_signal(SIGSTOP);
 }
 
 void Process::thaw() const
 {
-    ::kill(m_id, SIGCONT);
+    send_signal(SIGCONT);
 }
 
 bool Process::is_running()
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -42,6 +42,8 @@
     [[nodiscard]] pid_t id() const { return m_id; }
 
 private:
+    /// Does nothing once the program has ended.
+    void send_signal(int number) const;
     void take_output(Core::Milliseconds patience);
     void keep_output();
 
