LibObserve, GraniteFieldD: Hold the log until the ports are announced

Operators and tests read the ports from the first line that a gateway prints.

The log keeps its lines until the announcement is written. Its end writes them too, so that a start that fails still says why. Entries and side processes log to standard error and are not affected; the stand-ins announce before anything else.

--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -81,10 +81,12 @@
     return *this;
 }
 
-EventLog::EventLog(int descriptor, std::string host, Core::Incarnation incarnation, MetricRegistry& metrics)
+EventLog::EventLog(
+    int descriptor, std::string host, Core::Incarnation incarnation, MetricRegistry& metrics, Output output)
     : m_descriptor(descriptor)
     , m_lines(metrics.counter("granitefield_log_lines_total"))
     , m_dropped(metrics.counter("granitefield_log_lines_dropped_total"))
+    , m_is_held(output == Output::Held)
 {
     m_prefix = ",\"host\":";
     append_quoted(m_prefix, host);
@@ -119,10 +121,19 @@
         m_signal.notify_one();
 }
 
+void EventLog::begin_output()
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_is_held = false;
+    }
+    m_signal.notify_all();
+}
+
 std::string EventLog::take_batch()
 {
     std::unique_lock lock(m_mutex);
-    m_signal.wait(lock, [this] { return m_should_stop || !m_pending.empty(); });
+    m_signal.wait(lock, [this] { return m_should_stop || (!m_is_held && !m_pending.empty()); });
     if (!m_should_stop)
         m_signal.wait_for(lock, s_gathering_time, [this] { return m_should_stop; });
     return std::exchange(m_pending, {});
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -62,12 +62,20 @@
     /// How long the writer gathers lines, so that a burst costs few system calls.
     static constexpr Core::Milliseconds s_gathering_time {200};
 
-    EventLog(int descriptor, std::string host, Core::Incarnation, MetricRegistry&);
+    enum class Output {
+        AtOnce,
+        /// Lines are kept until begin_output().
+        Held,
+    };
+
+    EventLog(int descriptor, std::string host, Core::Incarnation, MetricRegistry&, Output = Output::AtOnce);
     ~EventLog();
     EventLog(EventLog const&) = delete;
     EventLog& operator=(EventLog const&) = delete;
 
     void write(LogEvent const&, LogWeight = LogWeight::Notable);
+    /// Writes the lines that were held, and those that follow. The destructor writes what is held as well.
+    void begin_output();
 
 private:
     void run();
@@ -83,6 +91,7 @@
     std::condition_variable m_signal;
     std::string m_pending;
     std::uint64_t m_reported_drops {0};
+    bool m_is_held;
     bool m_should_stop {false};
     std::thread m_thread;
 };
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -174,7 +174,8 @@
     auto const& common = settings.common;
     Observe::MetricRegistry metrics;
     Observe::DecisionRing decisions(common.decisions_kept);
-    Observe::EventLog log(STDOUT_FILENO, common.name, Core::draw_incarnation(), metrics);
+    Observe::EventLog log(
+        STDOUT_FILENO, common.name, Core::draw_incarnation(), metrics, Observe::EventLog::Output::Held);
 
     zmq::context_t context(s_io_threads);
     Entry::SharedTable table;
@@ -216,7 +217,8 @@
         = [&server](auto const& request) { return release_request(request, server); };
     OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
     announce({{"role", "gateway"}, {"callers", server.caller_port()}, {"readiness", server.readiness_port()},
-        {"operator", operators.port()}, {"peers", peers.port()}});
+                 {"operator", operators.port()}, {"peers", peers.port()}},
+        log);
     log.write(Observe::LogEvent("start")
                   .add("role", "gateway")
                   .add("callers", server.caller_port())
--- a/Tests/LibObserve/ObserveTest.cpp
+++ b/Tests/LibObserve/ObserveTest.cpp
@@ -8,6 +8,7 @@
 #include <LibObserve/EventLog.h>
 
 #include <array>
+#include <poll.h>
 #include <unistd.h>
 
 #include <gtest/gtest.h>
@@ -104,6 +105,31 @@
     ::close(ends[1]);
 }
 
+// A daemon whose main thread waited for a processor printed a log line before its announcement, and whoever had started it found no ports in
+// the first line.
+TEST(EventLog, HoldsItsLinesUntilTheAnnouncement)
+{
+    std::array<int, 2> ends {};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    MetricRegistry metrics;
+    {
+        EventLog log(ends[1], "host", Core::Incarnation(1), metrics, EventLog::Output::Held);
+        log.write(LogEvent("early"));
+        pollfd reader {ends[0], POLLIN, 0};
+        EXPECT_EQ(::poll(&reader, 1, static_cast<int>(3 * EventLog::s_gathering_time.count())), 0);
+        EXPECT_EQ(::write(ends[1], "{}\n", 3), 3);
+        log.begin_output();
+    }
+    std::array<char, 4096> buffer {};
+    auto const size = ::read(ends[0], buffer.data(), buffer.size());
+    ASSERT_GT(size, 3);
+    std::string_view const output(buffer.data(), static_cast<std::size_t>(size));
+    EXPECT_EQ(output.substr(0, 3), "{}\n");
+    EXPECT_NE(output.find("early"), std::string_view::npos);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 TEST(EventLog, LinesAreJsonWhateverTheyHold)
 {
     std::array<int, 2> ends {};
