--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -14,7 +14,6 @@
 constexpr std::chrono::seconds s_rate_window {1};
 /// How long a silent store keeps a call open, unless it is switched back before.
 constexpr std::chrono::seconds s_longest_silence {60};
-constexpr Core::Milliseconds s_due_interval {20};
 constexpr std::size_t s_kept_changes = 10'000;
 
 HTTP::ServerResponse json_answer(int status, nlohmann::json const& json)
@@ -176,10 +175,18 @@
         bool const is_over = Core::monotonic_now() >= limit && !m_switches.holds_watches;
         if (!events.empty() || is_over)
             return json_answer(200, {{"events", events}, {"store_revision", m_revision}});
-        m_changed.wait_for(lock, s_due_interval);
+        m_changed.wait_until(
+            lock, next_due_time(m_switches.holds_watches ? Core::monotonic_now() + s_longest_silence : limit));
     }
 }
 
+Core::MonotonicTime PlatformServer::next_due_time(Core::MonotonicTime latest) const
+{
+    for (auto const& [time, work] : m_due)
+        latest = std::min(latest, time);
+    return latest;
+}
+
 void PlatformServer::note_change(std::string const& kind, bool is_removal, Json object)
 {
     m_history.push_back({m_revision, kind, is_removal, std::move(object)});
@@ -229,6 +236,7 @@
     if (should_lose_answer && m_switches.late_writes.count() > 0) {
         m_due.emplace_back(Core::monotonic_now() + m_switches.late_writes,
             [this, request, place] { static_cast<void>(apply(request, place)); });
+        m_changed.notify_all();
         return no_answer();
     }
     auto answer = apply(request, place);
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -79,6 +79,8 @@
     void put(std::string const& kind, std::string const& name, Json const& spec);
     bool remove(std::string const& kind, std::string const& name);
     void note_change(std::string const& kind, bool is_removal, Json object);
+    /// When work is due next, `latest` if none is due before.
+    [[nodiscard]] Core::MonotonicTime next_due_time(Core::MonotonicTime latest) const;
     void do_due_work(Core::MonotonicTime now);
     [[nodiscard]] bool is_over(std::deque<Core::MonotonicTime>& calls, unsigned limit) const;
     [[nodiscard]] static Place place_of(std::string const& path);
