LibGateway: Count the time that a report waits to be read into its age

Gateways pass on how old the last report of a healthy watch is. The age was taken at the sending and added to the time of reading, so that the time in the receiver's socket buffer was left out. Where gateways wait for a processor each hop made the report younger, and reports of dead watchers went round between gateways and their relay without ever growing old: nobody stepped in.

The kernel notes when each datagram arrived (SO_TIMESTAMPNS), and DatagramReader gives the time since then. The exchange also reads all that waits before it judges who is silent; a late turn used to come after the first datagram only.

--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Bounds the time for which other work of the gateway's thread waits.
+constexpr int s_most_read_at_once = 256;
+
 std::string to_text(boost::asio::ip::udp::endpoint const& endpoint)
 {
     return Core::concat(endpoint.address().to_string(), ":", endpoint.port());
@@ -35,7 +38,8 @@
     m_socket.open(endpoint.protocol());
     m_socket.bind(endpoint);
     m_socket.non_blocking(true);
-    receive();
+    DatagramReader::enable_arrival_times(m_socket.native_handle());
+    wait_for_datagrams();
     schedule();
 }
 
@@ -63,6 +67,8 @@
 
 void LoadExchange::turn(Core::MonotonicTime now)
 {
+    // What waits in the socket's buffer is read before anybody is taken for silent.
+    read_waiting();
     auto members = m_membership.load_members();
     if (members != nullptr && members != m_members) {
         m_sharing.set_members(*members);
@@ -104,22 +110,30 @@
     return m_endpoints.emplace(text, endpoint).first->second;
 }
 
-void LoadExchange::receive()
+void LoadExchange::wait_for_datagrams()
+{
+    m_socket.async_wait(Udp::socket::wait_read, [this](boost::system::error_code const& error) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        read_waiting();
+        wait_for_datagrams();
+    });
+}
+
+void LoadExchange::read_waiting()
 {
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_buffer), m_sender, [this](boost::system::error_code const& error, std::size_t size) {
-            if (error == boost::asio::error::operation_aborted)
-                return;
-            if (!error)
-                take(size);
-            receive();
-        });
+    for (int count = 0; count < s_most_read_at_once; ++count) {
+        auto const datagram = m_reader.read(m_socket.native_handle());
+        if (!datagram)
+            return;
+        take(*datagram);
+    }
 }
 
-void LoadExchange::take(std::size_t size)
+void LoadExchange::take(ReceivedDatagram const& received)
 {
-    bool const is_taken = m_datagram.ParseFromArray(m_buffer.data(), static_cast<int>(size))
-        && m_sharing.take(m_datagram, to_text(m_sender), Core::monotonic_now());
+    bool const is_taken = m_datagram.ParseFromArray(received.bytes.data(), static_cast<int>(received.bytes.size()))
+        && m_sharing.take(m_datagram, received.sender, Core::monotonic_now(), received.waited);
     if (!is_taken)
         m_rejected.add();
 }
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -4,11 +4,11 @@
 #include <LibCore/Time.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/WatchDuty.h>
+#include <LibGateway/DatagramReader.h>
 #include <LibGateway/LoadSharing.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
 
-#include <array>
 #include <memory>
 #include <optional>
 #include <span>
@@ -67,8 +67,10 @@
     void tell_relay();
     void send(OutgoingLoad const&);
     [[nodiscard]] Udp::endpoint const& endpoint_of(std::string const& address);
-    void receive();
-    void take(std::size_t size);
+    void wait_for_datagrams();
+    /// Takes all datagrams that have arrived.
+    void read_waiting();
+    void take(ReceivedDatagram const&);
 
     Entry::SharedMembership const& m_membership;
     Entry::WatchDuty& m_duty;
@@ -81,10 +83,9 @@
     bool m_was_relay {false};
     std::string m_told_relay;
     Udp::socket m_socket;
-    Udp::endpoint m_sender;
     /// By their text, which is how members are named.
     absl::flat_hash_map<std::string, Udp::endpoint> m_endpoints;
-    std::array<char, 64U << 10U> m_buffer {};
+    DatagramReader m_reader;
     granitefield::protocol::LoadDatagram m_datagram;
     boost::asio::steady_timer m_timer;
 };
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -67,13 +67,13 @@
     message.set_drains_version(report.versions.drains.value());
 }
 
-Entry::StoreReport read_report(granitefield::protocol::StoreWord const& message, Core::MonotonicTime now)
+Entry::StoreReport read_report(granitefield::protocol::StoreWord const& message, Core::MonotonicTime arrived)
 {
     Entry::StoreReport report;
     if (message.has_elected_age_ms())
-        report.elected = now - Core::Milliseconds(message.elected_age_ms());
+        report.elected = arrived - Core::Milliseconds(message.elected_age_ms());
     if (message.has_any_age_ms())
-        report.any = now - Core::Milliseconds(message.any_age_ms());
+        report.any = arrived - Core::Milliseconds(message.any_age_ms());
     report.versions = {Core::TableVersion(message.table_version()), Entry::DrainsVersion(message.drains_version()),
         Entry::ListRevision(message.servers_revision())};
     return report;
@@ -148,27 +148,28 @@
            });
 }
 
-bool LoadSharing::take(Datagram const& datagram, std::string const& from, Core::MonotonicTime now)
+bool LoadSharing::take(
+    Datagram const& datagram, std::string const& from, Core::MonotonicTime now, Core::Milliseconds waited)
 {
     bool const is_believed = datagram.protocol_version() == Protocol::s_protocol_version && m_election.is_member(from)
         && is_within_bounds(datagram);
     if (!is_believed)
         return false;
     if (datagram.has_report())
-        take_report(datagram.report(), from, now);
+        take_report(datagram.report(), from, now, waited);
     if (datagram.relayed_size() > 0)
         m_election.note_heard(from, now);
     for (auto const& part : datagram.relayed())
-        take_relayed(part, now);
+        take_relayed(part, now, waited);
     return true;
 }
 
-void LoadSharing::take_report(
-    granitefield::protocol::GatewayLoad const& report, std::string const& from, Core::MonotonicTime now)
+void LoadSharing::take_report(granitefield::protocol::GatewayLoad const& report, std::string const& from,
+    Core::MonotonicTime now, Core::Milliseconds waited)
 {
     if (report.sender() == m_self)
         return;
-    m_received_store_report.merge(read_report(report.store(), now));
+    m_received_store_report.merge(read_report(report.store(), now - waited));
     if (m_duties != nullptr)
         m_duties->take_report(report, now);
     m_crashes.take(report.crashes(), Policy::CrashLedger::Relaying::Yes, now);
@@ -208,11 +209,11 @@
     }
 }
 
-void LoadSharing::take_relayed(RelayedLoad const& part, Core::MonotonicTime now)
+void LoadSharing::take_relayed(RelayedLoad const& part, Core::MonotonicTime now, Core::Milliseconds waited)
 {
     if (part.relay() == m_self)
         return;
-    m_received_store_report.merge(read_report(part.store(), now));
+    m_received_store_report.merge(read_report(part.store(), now - waited));
     if (m_duties != nullptr)
         m_duties->take_part(part, counts_own(part) ? DutySharing::Sender::OwnRelay : DutySharing::Sender::Other, now);
     m_crashes.take(part.crashes(), Policy::CrashLedger::Relaying::No, now);
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -75,9 +75,10 @@
     void note_broken(BackendView const& server) { m_broken.push_back(server.id()); }
     void note_answering(BackendView const& server) { m_answering.push_back(server.id()); }
 
-    /// Takes a datagram from that address. Returns whether it was accepted: its sender must be a member, and its sizes
-    /// must be within the bounds.
-    bool take(Datagram const&, std::string const& from, Core::MonotonicTime now);
+    /// Takes a datagram from that address, which arrived `waited` before it was read. Returns whether it was accepted:
+    /// its sender must be a member, and its sizes must be within the bounds.
+    bool take(Datagram const&, std::string const& from, Core::MonotonicTime now,
+        Core::Milliseconds waited = Core::Milliseconds(0));
 
     /// Sets the report about the platform's store that the next datagrams carry.
     void set_store_report(Entry::StoreReport const& report) { m_store_report = report; }
@@ -106,8 +107,9 @@
     };
 
     [[nodiscard]] static bool is_within_bounds(Datagram const&);
-    void take_report(granitefield::protocol::GatewayLoad const&, std::string const& from, Core::MonotonicTime now);
-    void take_relayed(RelayedLoad const&, Core::MonotonicTime now);
+    void take_report(granitefield::protocol::GatewayLoad const&, std::string const& from, Core::MonotonicTime now,
+        Core::Milliseconds waited);
+    void take_relayed(RelayedLoad const&, Core::MonotonicTime now, Core::Milliseconds waited);
     void believe_placements(google::protobuf::RepeatedPtrField<Placement> const&);
     void relay_placements(google::protobuf::RepeatedPtrField<Placement> const&);
     /// Takes this gateway's own part out of a sum that holds it.
