LibEntry: Count late ticks of this process neither against watchers nor against its own watch

RunningTime takes each late tick out of the time in which others were silent. A single stall counts for nothing, as before. Where one tick after the other is late each counts as the longest gap on time, since a gateway all of whose ticks came 700 ms apart never stepped in at all. A watch's time limit moves by the same: a watcher whose answer had come, and whose thread had not run, reported that its watch had failed. Only the thread that takes reports ticks; ticks of the peer exchange hid that it was late. `store-watch` logs the lost time.

On the code before: WatchElection.StepsInAlthoughEachTickIsLate 100 ticks where 10 are allowed, WatchElection.CountsNoLateTickOfItsOwnAgainstAWatch reports an unhealthy watch. Now both pass, with all checks that were there.

--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -51,7 +51,9 @@
 void WatchDuty::set_elected(bool value)
 {
     std::lock_guard const lock(m_mutex);
-    m_election.note_tick(Core::monotonic_now());
+    // Ticks of another thread would hide that the one which takes reports is late.
+    if (!m_takes_reports)
+        m_election.note_tick(Core::monotonic_now());
     if (std::exchange(m_is_elected, value) == value)
         return;
     m_election.set_elected(value);
@@ -69,6 +71,7 @@
 void WatchDuty::note_report(StoreReport const& report, Core::MonotonicTime now)
 {
     std::lock_guard const lock(m_mutex);
+    m_takes_reports = true;
     m_election.note_tick(now);
     look_at_versions(now);
     m_election.note_report(report, now);
@@ -121,7 +124,8 @@
                     .add("watches", is_on_duty)
                     .add("elected", m_is_elected)
                     .add("reason", to_string(m_election.duty_reason()))
-                    .add("silence_ms", m_election.silence(now)));
+                    .add("silence_ms", m_election.silence(now))
+                    .add("lost_ms", m_election.lost_time()));
 }
 
 FollowerTurn WatchDuty::Follower::wait_for_turn()
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -28,9 +28,9 @@
         Observe::EventLog&, Observe::MetricRegistry&, Core::Milliseconds apply_limit = s_apply_limit,
         SharedDrains const* drains = nullptr);
 
-    /// Called with each tick of the peer exchange, so that stalls of this process are detected.
+    /// Called with each tick of the peer exchange.
     void set_elected(bool);
-    /// Takes a report of another gateway, and looks at the versions of this one.
+    /// Takes a report of another gateway, and looks at the versions of this one. Called at least each 100 ms.
     void note_report(StoreReport const&, Core::MonotonicTime now);
     [[nodiscard]] StoreReport report(Core::MonotonicTime now);
     /// What this gateway knows about how current its state is. Any thread.
@@ -77,6 +77,8 @@
     std::condition_variable m_signal;
     WatchElection m_election;
     bool m_is_elected {false};
+    /// There is an exchange of loads, whose thread takes the reports.
+    bool m_takes_reports {false};
     bool m_was_on_duty {false};
     bool m_is_stopped {false};
     /// When the followers that wait for their turn look next.
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -4,6 +4,13 @@
 
 namespace GraniteField::Entry {
 
+namespace {
+
+/// Time until the next look while the thread that takes reports is late.
+constexpr Core::Milliseconds s_late_look {100};
+
+}
+
 void StoreReport::merge(StoreReport const& other)
 {
     // An absent time compares as earlier than any other.
@@ -21,14 +28,20 @@
 
 void WatchElection::note_tick(Core::MonotonicTime now)
 {
-    auto const stall = m_stalls.note_tick(now);
-    if (!stall)
+    bool const was_late = m_running.was_late();
+    auto const lost = m_running.note_tick(now);
+    if (lost.count() == 0)
         return;
-    // Keep the time accumulated before the stall; repeated stalls would otherwise restart the timeout forever.
-    m_silent_since = silent_since() + *stall;
-    m_hears_until = now + s_shortest_hearing;
+    // Keep the time accumulated before; repeated stalls would otherwise restart the timeout forever.
+    m_silent_since = silent_since() + lost;
+    // In a process whose ticks are all late, a new wait at each of them would never end.
+    if (!was_late)
+        m_hears_until = now + s_shortest_hearing;
     if (m_behind_since)
-        *m_behind_since += *stall;
+        *m_behind_since += lost;
+    // An answer that has come is noted only when its thread runs.
+    for (auto& contact : m_contacts)
+        contact.overdue_at += lost;
 }
 
 void WatchElection::note_report(StoreReport const& report, Core::MonotonicTime now)
@@ -141,8 +154,6 @@
 {
     if (m_is_elected)
         return true;
-    if (m_stalls.is_overdue(now))
-        note_tick(now);
     auto const behind_ends_at = behind_ends();
     bool const is_behind = behind_ends_at && now >= *behind_ends_at;
     if (m_stepped_in) {
@@ -152,7 +163,8 @@
             m_stepped_in.reset();
         return !is_relieved;
     }
-    if (now < m_next_try || (!is_behind && !is_store_in_doubt(now)))
+    // Reports may have arrived that the late thread has yet to take.
+    if (m_running.is_late(now) || now < m_next_try || (!is_behind && !is_store_in_doubt(now)))
         return false;
     m_stepped_in = now;
     m_stepped_in_for = is_behind ? DutyReason::Behind : DutyReason::Silence;
@@ -188,7 +200,8 @@
     auto next = doubt_begins();
     if (auto const behind = behind_ends())
         next = std::min(next, *behind);
-    return std::max({next, m_next_try, now});
+    auto const soonest = m_running.is_late(now) ? now + s_late_look : now;
+    return std::max({next, m_next_try, soonest});
 }
 
 }
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/StallDetector.h>
+#include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SpreadVersions.h>
 
@@ -87,14 +87,14 @@
     WatchElection(Settings settings, Core::MonotonicTime begun)
         : m_settings(settings)
         , m_silent_since(begun)
-        , m_stalls(begun)
+        , m_running(begun)
     {
     }
 
     void set_elected(bool value);
 
-    /// Records a tick of this process, at least each 100 ms. Silence during a stall of this process is not counted:
-    /// otherwise all gateways of a stalled host would start to watch when it resumes.
+    /// Records a tick of the thread that takes reports, at least each 100 ms. Time in which it did not run is not
+    /// counted: otherwise all gateways of a stalled or overloaded host would start to watch.
     void note_tick(Core::MonotonicTime now);
     /// Takes a report of another gateway.
     void note_report(StoreReport const&, Core::MonotonicTime now);
@@ -124,6 +124,8 @@
     }
     /// Whether no healthy watch was reported for the patience: the store itself may be unavailable.
     [[nodiscard]] bool is_store_in_doubt(Core::MonotonicTime now) const;
+    /// Time in which the thread that takes reports did not run.
+    [[nodiscard]] Core::Milliseconds lost_time() const { return m_running.lost(); }
     /// Earliest time at which is_on_duty() may change without new input.
     [[nodiscard]] Core::MonotonicTime next_look(Core::MonotonicTime now) const;
 
@@ -134,7 +136,7 @@
     };
 
     [[nodiscard]] bool is_watched(Watch) const;
-    /// Time of the last report of a healthy watch, moved forward by stalls of this process.
+    /// Time of the last report of a healthy watch, moved forward by the time in which this process did not run.
     [[nodiscard]] Core::MonotonicTime silent_since() const;
     [[nodiscard]] Core::MonotonicTime doubt_begins() const;
     [[nodiscard]] std::optional<Core::MonotonicTime> behind_ends() const;
@@ -143,12 +145,12 @@
 
     Settings m_settings;
     bool m_is_elected {false};
-    /// The same before the first report, and after a stall until the next one.
+    /// The same before the first report, and after lost time until the next one.
     Core::MonotonicTime m_silent_since;
     /// End of the wait for reports after a stall.
     Core::MonotonicTime m_hears_until;
     StoreReport m_heard;
-    Core::StallDetector m_stalls;
+    Core::RunningTime m_running;
     std::optional<Core::MonotonicTime> m_table_known_since;
     /// The versions of this gateway.
     SpreadVersions m_own;
--- a/Tests/LibCore/StallDetectorTest.cpp
+++ b/Tests/LibCore/StallDetectorTest.cpp
@@ -1,4 +1,4 @@
-// Detection of the process's own stalls, and time without them.
+// Detection of the process's own stalls and late ticks, and time without them.
 #include <LibCore/RunningTime.h>
 #include <LibCore/StallDetector.h>
 #include <LibCore/Time.h>
@@ -62,6 +62,29 @@
     EXPECT_EQ(running.at(now), 1s);
 }
 
+// A process that gets the processor late each time: with every late tick left out, its limits never ended.
+TEST(RunningTime, GoesOnWhereEachTickIsLate)
+{
+    auto now = Core::MonotonicTime(1h);
+    RunningTime running(now);
+    for (int tick = 0; tick < 20; ++tick) {
+        now += 2s;
+        EXPECT_GT(running.note_tick(now), 0ms);
+    }
+    EXPECT_GE(running.at(now), 5s);
+    EXPECT_LE(running.at(now), 20s);
+}
+
+TEST(RunningTime, CountsNoMoreThanTheLongestGapOfALateTick)
+{
+    auto now = Core::MonotonicTime(1h);
+    RunningTime running(now);
+    now += 500ms;
+    EXPECT_EQ(running.note_tick(now), 250ms);
+    EXPECT_EQ(running.at(now), 250ms);
+    EXPECT_EQ(running.clock(now), now - 250ms);
+}
+
 // By the steady clock, which stands still while the host is suspended, this difference grows with each suspension.
 TEST(BootClock, GoesOnWhileTheHostIsSuspended)
 {
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -172,6 +172,35 @@
     EXPECT_LE(stretches, s_patience / 500ms + 1);
 }
 
+// A host whose processors are taken by others: each tick came late, none counted, and nobody stepped in for watchers
+// that had died.
+TEST(WatchElection, StepsInAlthoughEachTickIsLate)
+{
+    auto election = make_election();
+    election.note_report(report_of_elected(s_start), s_start);
+    auto now = s_start;
+    unsigned ticks = 0;
+    for (; ticks < 100 && !election.is_on_duty(now); ++ticks) {
+        now += 700ms;
+        election.note_tick(now);
+    }
+    EXPECT_LE(ticks, 10U);
+}
+
+// The watcher's answer came in time, and the thread that notes it got no processor: it reported that its watch had
+// failed, and others stepped in.
+TEST(WatchElection, CountsNoLateTickOfItsOwnAgainstAWatch)
+{
+    auto election = make_election();
+    election.set_elected(true);
+    election.note_tick(s_start);
+    watch_soundly(election, s_start);
+    auto const now = s_start + s_call_limit + 1s;
+    election.note_tick(now);
+    EXPECT_TRUE(election.is_healthy(now));
+    EXPECT_FALSE(election.is_healthy(now + s_call_limit + 1ms));
+}
+
 TEST(WatchElection, VersionsThatKeepComingLeaveNobodyBehind)
 {
     auto election = make_election();
