LibCore, LibEntry, LibGateway: Adapt the silence that is accepted to the gaps of a peer

Waits of a watcher, of its relay and of the receiver add up to more than late ticks of the receiver show.

A gateway that runs late, or did so in the last 10 s, accepts twice the longest recent gap between the reports of a watch, or the datagrams of a relay, at most eight times the usual limit (RecentGaps, after accrual failure detectors). Elsewhere limits are as they were: a change has to be in force in time where hosts run. Relays' silence and the answer to a pull are measured by the time that this process has run.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -274,7 +274,7 @@
 void PeerExchange::pull_if_due(Core::MonotonicTime now)
 {
     auto const own = versions();
-    auto const origin = m_pulls.next(own, now, pull_patience());
+    auto const origin = m_pulls.next(own, m_running.clock(now), pull_patience());
     if (!origin)
         return;
     auto request = make_envelope();
@@ -444,7 +444,7 @@
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
     bool const has_news = versions() != m_announced || m_is_platform_reachable != m_announced_reachable
-        || m_pulls.should_ask(versions(), now, pull_patience()) || is_member_request_due(now);
+        || m_pulls.should_ask(versions(), m_running.clock(now), pull_patience()) || is_member_request_due(now);
     if (!has_news && now < m_next_announcement)
         return;
     announce();
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -48,6 +48,8 @@
 {
     if (report.versions.table > std::max(m_heard.versions.table, m_own.table))
         m_table_known_since = now;
+    if (report.any && (!m_heard.any || *report.any > *m_heard.any))
+        m_report_gaps.note(silence(now));
     m_heard.merge(report);
     if (!m_heard.versions.is_ahead_of(m_own) || m_behind_since)
         return;
@@ -133,9 +135,15 @@
     return std::max(m_heard.any.value_or(m_silent_since), m_silent_since);
 }
 
+Core::Milliseconds WatchElection::patience() const
+{
+    // Where hosts run well, changes must be in force in time although all watchers are gone.
+    return m_running.is_slow() ? m_report_gaps.silence_limit(m_settings.patience) : m_settings.patience;
+}
+
 Core::MonotonicTime WatchElection::doubt_begins() const
 {
-    return std::max(silent_since() + m_settings.patience, m_hears_until);
+    return std::max(silent_since() + patience(), m_hears_until);
 }
 
 bool WatchElection::is_store_in_doubt(Core::MonotonicTime now) const
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/RecentGaps.h>
 #include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SpreadVersions.h>
@@ -138,6 +139,8 @@
     [[nodiscard]] bool is_watched(Watch) const;
     /// Time of the last report of a healthy watch, moved forward by the time in which this process did not run.
     [[nodiscard]] Core::MonotonicTime silent_since() const;
+    /// Time without a report of a healthy watch after which this gateway watches the store.
+    [[nodiscard]] Core::Milliseconds patience() const;
     [[nodiscard]] Core::MonotonicTime doubt_begins() const;
     [[nodiscard]] std::optional<Core::MonotonicTime> behind_ends() const;
     /// Forgets the calls of an earlier time on duty.
@@ -151,6 +154,8 @@
     Core::MonotonicTime m_hears_until;
     StoreReport m_heard;
     Core::RunningTime m_running;
+    /// Silences that ended with a report of a healthy watch.
+    Core::RecentGaps m_report_gaps;
     std::optional<Core::MonotonicTime> m_table_known_since;
     /// The versions of this gateway.
     SpreadVersions m_own;
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -26,15 +26,24 @@
     auto const found = m_contacts.find(address);
     if (found == m_contacts.end())
         return;
-    found->second.heard = now;
-    found->second.suspected_until = {};
-    found->second.next_suspicion = s_first_suspicion;
+    auto& contact = found->second;
+    auto const running = m_running.clock(now);
+    if (contact.heard)
+        contact.gaps.note(Core::elapsed(*contact.heard, running));
+    contact.heard = running;
+    contact.suspected_until = {};
+    contact.next_suspicion = s_first_suspicion;
 }
 
-bool RelayElection::is_heard(std::string const& address, Core::MonotonicTime now) const
+Core::Milliseconds RelayElection::silence_limit(Contact const& contact) const
 {
-    auto const& heard = m_contacts.at(address).heard;
-    return heard && Core::elapsed(*heard, now) <= s_silence_limit;
+    return m_running.is_slow() ? contact.gaps.silence_limit(s_silence_limit) : s_silence_limit;
+}
+
+bool RelayElection::is_heard(std::string const& address, Core::MonotonicTime running) const
+{
+    auto const& contact = m_contacts.at(address);
+    return contact.heard && Core::elapsed(*contact.heard, running) <= silence_limit(contact);
 }
 
 bool RelayElection::may_relay(Core::MonotonicTime now) const
@@ -42,13 +51,15 @@
     return m_running.at(now) >= s_acquaintance;
 }
 
-bool RelayElection::has_paused(Core::MonotonicTime& last, Core::MonotonicTime now)
+bool RelayElection::has_paused(Core::MonotonicTime& last, Core::MonotonicTime now) const
 {
-    return Core::elapsed(std::exchange(last, now), now) > s_silence_limit;
+    auto const running = m_running.clock(now);
+    return Core::elapsed(std::exchange(last, running), running) > s_silence_limit;
 }
 
 std::string const* RelayElection::first_answering(Members const& members, std::string& asked, Core::MonotonicTime now)
 {
+    auto const running = m_running.clock(now);
     for (auto const& member : members) {
         if (member.address == m_self.address) {
             if (!may_relay(now))
@@ -57,16 +68,16 @@
             return &member.address;
         }
         auto& contact = m_contacts.at(member.address);
-        if (now < contact.suspected_until)
+        if (running < contact.suspected_until)
             continue;
         if (asked != member.address) {
             asked = member.address;
-            contact.asked = now;
+            contact.asked = running;
         }
         auto const last_sign = std::max(contact.heard.value_or(contact.asked), contact.asked);
-        if (Core::elapsed(last_sign, now) <= s_silence_limit)
+        if (Core::elapsed(last_sign, running) <= silence_limit(contact))
             return &member.address;
-        contact.suspected_until = now + contact.next_suspicion;
+        contact.suspected_until = running + contact.next_suspicion;
         contact.next_suspicion = std::min(contact.next_suspicion * 2, s_longest_suspicion);
     }
     return nullptr;
@@ -99,7 +110,7 @@
             }
             bool const is_senior = is_before_self && seniors < s_most_seniors;
             seniors += is_senior ? 1 : 0;
-            if (is_senior || is_heard(member.address, now))
+            if (is_senior || is_heard(member.address, m_running.clock(now)))
                 relays.push_back(member.address);
         }
         if (name == m_self.group || relays.size() > heard_before)
--- a/Libraries/LibGateway/RelayElection.h
+++ b/Libraries/LibGateway/RelayElection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/RecentGaps.h>
 #include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SharedMembership.h>
@@ -19,9 +20,9 @@
 /// knowledge. No I/O and no clock.
 class RelayElection {
 public:
-    /// A relay that says nothing for this long is left for the next one. It speaks each 100 ms, so that two lost
-    /// datagrams in a row are borne, and its death costs no more than the age that knowledge had without relays: one
-    /// second among a hundred gateways.
+    /// Silence after which a relay is left for the next one, where this process runs on time. A relay sends each 100
+    /// ms, so that two lost datagrams in a row are borne, and its death costs no more than the age that knowledge had
+    /// without relays: one second among a hundred gateways.
     static constexpr Core::Milliseconds s_silence_limit {350};
     /// How long a silent one is passed over first; it doubles up to the longest each time.
     static constexpr Core::Milliseconds s_first_suspicion {2'000};
@@ -55,6 +56,7 @@
     /// What is known of a member.
     struct Contact {
         std::optional<Core::MonotonicTime> heard;
+        Core::RecentGaps gaps;
         /// Since when an answer of it is waited for.
         Core::MonotonicTime asked;
         Core::MonotonicTime suspected_until;
@@ -65,12 +67,14 @@
 
     /// The first of the members that is not silent; asks it, if it is not the one that was asked before.
     [[nodiscard]] std::string const* first_answering(Members const&, std::string& asked, Core::MonotonicTime now);
-    [[nodiscard]] bool is_heard(std::string const& address, Core::MonotonicTime now) const;
+    [[nodiscard]] bool is_heard(std::string const& address, Core::MonotonicTime running) const;
+    /// Time after which that member counts as silent.
+    [[nodiscard]] Core::Milliseconds silence_limit(Contact const&) const;
     [[nodiscard]] bool may_relay(Core::MonotonicTime now) const;
     /// Nobody was asked for a while: silence since then says nothing.
-    static bool has_paused(Core::MonotonicTime& last, Core::MonotonicTime now);
+    [[nodiscard]] bool has_paused(Core::MonotonicTime& last, Core::MonotonicTime now) const;
 
-    /// Members are learned while this process runs.
+    /// The clock by which members are silent: datagrams arrive while this process does not run. Times below are its.
     Core::RunningTime m_running;
     Entry::LoadMember m_self;
     /// By group, each in the order in which they relay; the own group holds this gateway.
--- a/Tests/LibCore/StallDetectorTest.cpp
+++ b/Tests/LibCore/StallDetectorTest.cpp
@@ -1,4 +1,5 @@
 // Detection of the process's own stalls and late ticks, and time without them.
+#include <LibCore/RecentGaps.h>
 #include <LibCore/RunningTime.h>
 #include <LibCore/StallDetector.h>
 #include <LibCore/Time.h>
@@ -85,6 +86,24 @@
     EXPECT_EQ(running.clock(now), now - 250ms);
 }
 
+TEST(RecentGaps, AdaptTheLimitAndForget)
+{
+    RecentGaps gaps;
+    EXPECT_EQ(gaps.silence_limit(350ms), 350ms);
+    gaps.note(100ms);
+    EXPECT_EQ(gaps.silence_limit(350ms), 350ms);
+    gaps.note(1s);
+    EXPECT_GT(gaps.silence_limit(350ms), 1s);
+    // Whoever is gone is noticed in the end.
+    gaps.note(1h);
+    EXPECT_LT(gaps.silence_limit(350ms), 10s);
+    RecentGaps recovered;
+    recovered.note(1s);
+    for (int sign = 0; sign < 40; ++sign)
+        recovered.note(100ms);
+    EXPECT_EQ(recovered.silence_limit(350ms), 350ms);
+}
+
 // By the steady clock, which stands still while the host is suspended, this difference grows with each suspension.
 TEST(BootClock, GoesOnWhileTheHostIsSuspended)
 {
