LibCore, LibEntry, LibGateway: Do less background work while a process runs late

Twelve idle gateways and the store's stand-in take 65 to 69 ms of processor a second. In `starve.py` with 40 loops a copy of WatchersTest gets 22. All threads were runnable all the time, so that a process that started got a twentieth of that: 104 to 121 s for the first test, most of it to start twelve gateways, and "the program says nothing" after 30 s. A start itself takes 11 to 20 ms of processor up to the check of the settings, and waits for nothing and nobody before the ports are announced: the processor was the cause.

A process that runs late, or did so in the last 10 s, now ticks each 400 ms in place of 100, reads datagrams at its turns only and announces unchanged versions a quarter as often. Gateways on whose datagrams others depend (relays, watchers of the store) and those with open requests keep their intervals.

--- a/Libraries/LibCore/RunningTime.h
+++ b/Libraries/LibCore/RunningTime.h
@@ -7,13 +7,16 @@
 
 namespace GraniteField::Core {
 
-/// The time that a process has run since its start. A process that is stopped, or whose
+/// The time that a process has run since its start, and how often it is to tick. A process that is stopped, or whose
 /// processors are taken by others, receives nothing meanwhile, so that limits on what it should have received do not
 /// count that time. No I/O and no clock.
 class RunningTime {
 public:
     /// Longest interval between ticks.
     static constexpr Milliseconds s_interval {100};
+    /// The same for a process that runs late. Its background work would otherwise take what little processor time it
+    /// gets.
+    static constexpr Milliseconds s_slow_interval {400};
     /// Delay of a tick that is still on time: a process that has used up its share of a core waits for up to 100 ms.
     static constexpr Milliseconds s_longest_delay {150};
     /// Time without a late tick after which a process counts as running well again.
@@ -46,6 +49,8 @@
     [[nodiscard]] bool was_late() const { return m_is_late; }
     /// Whether the process runs late, or did so a short time ago.
     [[nodiscard]] bool is_slow() const { return m_last_late && elapsed(*m_last_late, m_last_tick) <= s_recovery; }
+    /// Longest interval between ticks now.
+    [[nodiscard]] Milliseconds interval() const { return is_slow() ? s_slow_interval : s_interval; }
 
     /// The time lost until the last tick.
     [[nodiscard]] Milliseconds lost() const { return m_lost; }
@@ -55,7 +60,7 @@
     [[nodiscard]] MonotonicTime clock(MonotonicTime now) const { return now - m_lost - lost_until(now); }
 
 private:
-    [[nodiscard]] static Milliseconds longest_gap() { return s_interval + s_longest_delay; }
+    [[nodiscard]] Milliseconds longest_gap() const { return interval() + s_longest_delay; }
 
     [[nodiscard]] Milliseconds lost_until(MonotonicTime now) const
     {
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr Core::Milliseconds s_longest_wait {100};
 /// Known entries that an announcement tells of.
 constexpr std::size_t s_known_per_announcement = 8;
 /// Members that a gateway which has just begun is told of at once.
@@ -24,6 +23,9 @@
 /// answer was lost.
 constexpr Core::Milliseconds s_first_member_request {400};
 constexpr Core::Milliseconds s_last_member_request {1'200};
+/// A process that runs late announces that much less often what has not changed.
+constexpr int s_slow_announce_factor = 4;
+constexpr int s_announcements_per_memory = 3;
 /// From then on a gateway counts on knowing the members of its group.
 constexpr Core::Milliseconds s_acquaintance {1'500};
 /// Relays of the own group that are told of this gateway.
@@ -177,7 +179,7 @@
         {nullptr, m_wake.descriptor(), ZMQ_POLLIN, 0}, {m_listener.handle(), 0, ZMQ_POLLIN, 0}};
     for (auto const& [address, connection] : m_connections)
         items.push_back({connection.socket->handle(), 0, ZMQ_POLLIN, 0});
-    zmq::poll(items, s_longest_wait);
+    zmq::poll(items, m_running.interval());
     m_wake.drain();
     receive(m_listener, {});
     for (auto const& [address, connection] : m_connections)
@@ -442,6 +444,16 @@
     std::erase_if(m_connections, [](auto const& item) { return !item.second.is_wanted; });
 }
 
+Core::Milliseconds PeerExchange::usual_announce_interval() const
+{
+    auto const interval = m_settings.announce_interval;
+    if (!m_running.is_slow())
+        return interval;
+    // One that is lost must not make peers forget this one.
+    auto const longest = std::max(interval, PeerView::s_memory / s_announcements_per_memory);
+    return std::min(interval * s_slow_announce_factor, longest);
+}
+
 void PeerExchange::announce_if_due(Core::MonotonicTime now)
 {
     bool const has_news = versions() != m_announced || m_is_platform_reachable != m_announced_reachable
@@ -450,7 +462,7 @@
         return;
     announce();
     auto const interval
-        = table_version() == Core::TableVersion() ? m_settings.first_interval : m_settings.announce_interval;
+        = table_version() == Core::TableVersion() ? m_settings.first_interval : usual_announce_interval();
     // Spread over a quarter of the interval, so that entries that started together do not stay together.
     static thread_local std::mt19937 s_generator {std::random_device {}()};
     std::uniform_int_distribution<std::int64_t> spread(interval.count() * 3 / 4, interval.count());
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -118,6 +118,8 @@
     void update_election(Core::MonotonicTime now);
     [[nodiscard]] bool is_acquainted(Core::MonotonicTime now) const;
     [[nodiscard]] bool is_member_request_due(Core::MonotonicTime now) const;
+    /// How often versions are announced when nothing changes.
+    [[nodiscard]] Core::Milliseconds usual_announce_interval() const;
     void announce_if_due(Core::MonotonicTime now);
     void announce();
     [[nodiscard]] Envelope make_announcement();
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -56,7 +56,8 @@
 
 void LoadExchange::schedule()
 {
-    m_timer.expires_after(m_sharing.is_busy() ? LoadSharing::s_interval : s_idle_interval);
+    using WatchesStore = LoadSharing::WatchesStore;
+    m_timer.expires_after(m_sharing.interval(m_duty.follows_store() ? WatchesStore::Yes : WatchesStore::No));
     m_timer.async_wait([this](auto const& error) {
         if (error)
             return;
@@ -69,6 +70,7 @@
 {
     // What waits in the socket's buffer is read before anybody is taken for silent.
     read_waiting();
+    wait_for_datagrams();
     auto members = m_membership.load_members();
     if (members != nullptr && members != m_members) {
         m_sharing.set_members(*members);
@@ -112,7 +114,12 @@
 
 void LoadExchange::wait_for_datagrams()
 {
+    // A process that runs late reads them at its turns: it has no time to wake for each.
+    if (m_is_waiting || m_sharing.is_slow())
+        return;
+    m_is_waiting = true;
     m_socket.async_wait(Udp::socket::wait_read, [this](boost::system::error_code const& error) {
+        m_is_waiting = false;
         if (error == boost::asio::error::operation_aborted)
             return;
         read_waiting();
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -24,9 +24,6 @@
 /// Carries the datagrams of LoadSharing. On the gateway's thread.
 class LoadExchange {
 public:
-    /// How often there may be something to send while nothing is open.
-    static constexpr Core::Milliseconds s_idle_interval {100};
-
     /// What is shared for duties is null where gateways have none.
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, CrashSharing,
         DutySharing* duties, Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&,
@@ -86,6 +83,7 @@
     /// By their text, which is how members are named.
     absl::flat_hash_map<std::string, Udp::endpoint> m_endpoints;
     DatagramReader m_reader;
+    bool m_is_waiting {false};
     granitefield::protocol::LoadDatagram m_datagram;
     boost::asio::steady_timer m_timer;
 };
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -316,6 +316,14 @@
     return m_report_sequence;
 }
 
+Core::Milliseconds LoadSharing::interval(WatchesStore watches_store) const
+{
+    if (m_is_busy)
+        return s_interval;
+    bool const is_needed = m_is_relay || watches_store == WatchesStore::Yes;
+    return is_needed ? s_heartbeat : m_election.interval();
+}
+
 std::vector<OutgoingLoad> LoadSharing::turn(Cluster::WallTime own_clock, Core::MonotonicTime now)
 {
     if (m_duties != nullptr)
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -62,6 +62,11 @@
     /// Most servers that one report lists as dead, or as answering again.
     static constexpr std::size_t s_most_suspected = 1'000;
 
+    enum class WatchesStore {
+        No,
+        Yes,
+    };
+
     /// `self` is the gateway's incarnation. What is shared for duties is null where gateways have none.
     LoadSharing(std::uint64_t self, BackendFleet&, CrashSharing, DutySharing* duties, Core::MonotonicTime begun);
 
@@ -88,8 +93,11 @@
     /// What there is to send now; `own_clock` is this host's time of day.
     [[nodiscard]] std::vector<OutgoingLoad> turn(Cluster::WallTime own_clock, Core::MonotonicTime now);
 
-    /// Whether something is open here or at those who report.
-    [[nodiscard]] bool is_busy() const { return m_is_busy; }
+    /// Time until the next call of turn(). A gateway that runs late calls it less often, unless others depend on its
+    /// datagrams: those that report to it, or all if it watches the platform's store.
+    [[nodiscard]] Core::Milliseconds interval(WatchesStore) const;
+    /// Whether this process runs late.
+    [[nodiscard]] bool is_slow() const { return m_election.is_slow(); }
     /// The relay that this gateway reports to, its own address if it relays; empty while there is none.
     [[nodiscard]] std::string const& relay() const { return m_relay; }
     /// Whether other gateways report here, or this one reports to nobody else.
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -54,7 +54,7 @@
 bool RelayElection::has_paused(Core::MonotonicTime& last, Core::MonotonicTime now) const
 {
     auto const running = m_running.clock(now);
-    return Core::elapsed(std::exchange(last, running), running) > s_silence_limit;
+    return Core::elapsed(std::exchange(last, running), running) > s_silence_limit + interval();
 }
 
 std::string const* RelayElection::first_answering(Members const& members, std::string& asked, Core::MonotonicTime now)
--- a/Libraries/LibGateway/RelayElection.h
+++ b/Libraries/LibGateway/RelayElection.h
@@ -46,6 +46,11 @@
     /// Where to report to, the own address if this gateway is to relay; nothing while there is nobody.
     [[nodiscard]] std::optional<std::string> choose(Core::MonotonicTime now);
 
+    /// Longest interval between calls of choose() now.
+    [[nodiscard]] Core::Milliseconds interval() const { return m_running.interval(); }
+    /// Whether this process runs late.
+    [[nodiscard]] bool is_slow() const { return m_running.is_slow(); }
+
     /// To whom a relay tells what it has collected: the relays of other failure domains, and others of its own.
     [[nodiscard]] std::vector<std::string> fellow_relays(Core::MonotonicTime now);
 
--- a/Tests/LibCore/StallDetectorTest.cpp
+++ b/Tests/LibCore/StallDetectorTest.cpp
@@ -86,6 +86,23 @@
     EXPECT_EQ(running.clock(now), now - 250ms);
 }
 
+TEST(RunningTime, TicksLessOftenUntilItHasRunOnTimeForAWhile)
+{
+    auto now = Core::MonotonicTime(1h);
+    RunningTime running(now);
+    EXPECT_EQ(running.interval(), RunningTime::s_interval);
+    now += 1s;
+    running.note_tick(now);
+    auto const late = now;
+    while (running.is_slow() && now < late + 1min) {
+        EXPECT_EQ(running.interval(), RunningTime::s_slow_interval);
+        now += running.interval();
+        EXPECT_EQ(running.note_tick(now), 0ms);
+    }
+    EXPECT_GT(now, late + RunningTime::s_recovery);
+    EXPECT_LE(now, late + RunningTime::s_recovery + RunningTime::s_slow_interval);
+}
+
 TEST(RecentGaps, AdaptTheLimitAndForget)
 {
     RecentGaps gaps;
