LibEntry, LibGateway: Let a gateway that starts join the others before it judges their silence

The logs: it stepped in for silence after 870 to 1,330 ms with hardly any time lost (0 to 335 ms), while it got to know its relay 350 to 1,100 ms after its start and the relay had yet to know it. Until then no report could come.

A gateway that has started within the last 1.5 s of its running time, and has heard no relay, does not step in. If it has found others, their silence begins afterwards: a member is known, or a connection to a seed is up. A gateway that finds nobody lists 1.5 s after its start at the latest, 0.75 to 1.5 s before; seeds, and gateways without seeds, ask the store at once as they did.

WatchElection.CountsNoSilenceWhileItJoins, StepsInAfterJoiningWhereNobodyIsFound, RelayElection.JoinsUntilItHears….

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -145,6 +145,7 @@
         update_election(now);
         m_membership.is_acquainted = is_acquainted(now);
         m_membership.other_entries = m_view.count();
+        m_membership.has_found_others = m_view.count() > 0 || is_connected();
         m_known.set(static_cast<std::int64_t>(m_view.count()));
         if (std::exchange(m_told_generation, m_view.generation()) != m_view.generation()) {
             m_membership.set_load_members(m_view.load_members());
@@ -157,6 +158,13 @@
     m_connections.clear();
 }
 
+bool PeerExchange::is_connected() const
+{
+    // Messages wait for complete connections only.
+    return std::ranges::any_of(m_connections,
+        [](auto const& item) { return (item.second.socket->get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0; });
+}
+
 bool PeerExchange::is_acquainted(Core::MonotonicTime now) const
 {
     return m_running.at(now) >= s_acquaintance;
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -116,6 +116,8 @@
     [[nodiscard]] zmq::message_t frame_from(ListRevision, std::shared_ptr<ServerList const> const&);
     void update_connections();
     void update_election(Core::MonotonicTime now);
+    /// Whether a connection to a neighbour or a seed is up.
+    [[nodiscard]] bool is_connected() const;
     [[nodiscard]] bool is_acquainted(Core::MonotonicTime now) const;
     [[nodiscard]] bool is_member_request_due(Core::MonotonicTime now) const;
     /// How often versions are announced when nothing changes.
--- a/Libraries/LibEntry/SharedMembership.h
+++ b/Libraries/LibEntry/SharedMembership.h
@@ -45,6 +45,9 @@
     /// Whether this entry has had the time to get to know the others.
     std::atomic<bool> is_acquainted {false};
 
+    /// Whether another entry is there: one is known, or a connection to a seed has come up.
+    std::atomic<bool> has_found_others {false};
+
     /// Null before they are known. Another object whenever they change.
     [[nodiscard]] std::shared_ptr<LoadMembers const> load_members() const
     {
--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -68,6 +68,12 @@
     m_election.note_versions(own, now);
 }
 
+void WatchDuty::note_joining(WatchElection::Others others, Core::MonotonicTime now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_election.note_joining(others, now);
+}
+
 void WatchDuty::note_report(StoreReport const& report, Core::MonotonicTime now)
 {
     std::lock_guard const lock(m_mutex);
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -30,6 +30,8 @@
 
     /// Called with each tick of the peer exchange.
     void set_elected(bool);
+    /// This gateway has just started, and the others may not know it yet.
+    void note_joining(WatchElection::Others, Core::MonotonicTime now);
     /// Takes a report of another gateway, and looks at the versions of this one. Called at least each 100 ms.
     void note_report(StoreReport const&, Core::MonotonicTime now);
     [[nodiscard]] StoreReport report(Core::MonotonicTime now);
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -44,6 +44,13 @@
         contact.overdue_at += lost;
 }
 
+void WatchElection::note_joining(Others others, Core::MonotonicTime now)
+{
+    m_hears_until = std::max(m_hears_until, now + Core::RunningTime::s_interval);
+    if (others == Others::Found)
+        m_silent_since = std::max(m_silent_since, now);
+}
+
 void WatchElection::note_report(StoreReport const& report, Core::MonotonicTime now)
 {
     if (report.versions.table > std::max(m_heard.versions.table, m_own.table))
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -97,6 +97,14 @@
     /// Records a tick of the thread that takes reports, at least each 100 ms. Time in which it did not run is not
     /// counted: otherwise all gateways of a stalled or overloaded host would start to watch.
     void note_tick(Core::MonotonicTime now);
+    enum class Others {
+        NotFound,
+        Found,
+    };
+
+    /// Records, with each tick, that this gateway has just started and that the others may not know it yet. It does not
+    /// watch the store meanwhile, and the silence of others that it has found begins afterwards.
+    void note_joining(Others, Core::MonotonicTime now);
     /// Takes a report of another gateway.
     void note_report(StoreReport const&, Core::MonotonicTime now);
     /// Records the versions that this gateway has.
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -96,6 +96,8 @@
     /// Time until the next call of turn(). A gateway that runs late calls it less often, unless others depend on its
     /// datagrams: those that report to it, or all if it watches the platform's store.
     [[nodiscard]] Core::Milliseconds interval(WatchesStore) const;
+    /// Whether this gateway has heard no other yet, and the others may not know it.
+    [[nodiscard]] bool is_joining(Core::MonotonicTime now) const { return m_election.is_joining(now); }
     /// Whether this process runs late.
     [[nodiscard]] bool is_slow() const { return m_election.is_slow(); }
     /// The relay that this gateway reports to, its own address if it relays; empty while there is none.
--- a/Libraries/LibGateway/RelayElection.cpp
+++ b/Libraries/LibGateway/RelayElection.cpp
@@ -51,6 +51,13 @@
     return m_running.at(now) >= s_acquaintance;
 }
 
+bool RelayElection::is_joining(Core::MonotonicTime now) const
+{
+    bool const has_heard_any
+        = std::ranges::any_of(m_contacts, [](auto const& item) { return item.second.heard.has_value(); });
+    return !has_heard_any && !may_relay(now);
+}
+
 bool RelayElection::has_paused(Core::MonotonicTime& last, Core::MonotonicTime now) const
 {
     auto const running = m_running.clock(now);
--- a/Libraries/LibGateway/RelayElection.h
+++ b/Libraries/LibGateway/RelayElection.h
@@ -46,6 +46,9 @@
     /// Where to report to, the own address if this gateway is to relay; nothing while there is nobody.
     [[nodiscard]] std::optional<std::string> choose(Core::MonotonicTime now);
 
+    /// Whether this gateway has heard no other yet, and the others may not know it.
+    [[nodiscard]] bool is_joining(Core::MonotonicTime now) const;
+
     /// Longest interval between calls of choose() now.
     [[nodiscard]] Core::Milliseconds interval() const { return m_running.interval(); }
     /// Whether this process runs late.
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -201,6 +201,37 @@
     EXPECT_FALSE(election.is_healthy(now + s_call_limit + 1ms));
 }
 
+// A gateway that started on a host without spare processor time listed everything from the store, since it had heard no
+// report in its first second: its peers did not know it yet.
+TEST(WatchElection, CountsNoSilenceWhileItJoins)
+{
+    auto election = make_election();
+    auto now = s_start;
+    for (; now < s_start + 2 * s_patience; now += 100ms) {
+        election.note_tick(now);
+        election.note_joining(WatchElection::Others::Found, now);
+        EXPECT_FALSE(election.is_on_duty(now));
+    }
+    auto const joined = now - 100ms;
+    run_until(election, now, joined + s_patience - 1ms);
+    EXPECT_FALSE(election.is_on_duty(now));
+    run_until(election, now, joined + s_patience);
+    EXPECT_TRUE(election.is_on_duty(now));
+}
+
+TEST(WatchElection, StepsInAfterJoiningWhereNobodyIsFound)
+{
+    auto election = make_election();
+    auto now = s_start;
+    for (; now < s_start + 2 * s_patience; now += 100ms) {
+        election.note_tick(now);
+        election.note_joining(WatchElection::Others::NotFound, now);
+        EXPECT_FALSE(election.is_on_duty(now));
+    }
+    election.note_tick(now);
+    EXPECT_TRUE(election.is_on_duty(now));
+}
+
 TEST(WatchElection, VersionsThatKeepComingLeaveNobodyBehind)
 {
     auto election = make_election();
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -27,6 +27,26 @@
     EXPECT_EQ(election.choose(now), "10.0.0.1:1");
 }
 
+TEST(RelayElection, JoinsUntilItHearsAMemberOrKnowsThatItWould)
+{
+    auto const begun = Core::MonotonicTime(1h);
+    Entry::LoadMember const self {"10.0.0.1:1", "here", 90, 1};
+    Entry::LoadMember const other {"10.0.0.2:1", "here", 90, 2};
+    RelayElection election(begun);
+    election.set_members({self, {other}});
+    EXPECT_TRUE(election.is_joining(begun));
+    RelayElection unanswered(begun);
+    unanswered.set_members({self, {other}});
+    auto now = begun;
+    for (; now < begun + RelayElection::s_acquaintance; now += 100ms) {
+        static_cast<void>(unanswered.choose(now));
+        EXPECT_TRUE(unanswered.is_joining(now));
+    }
+    EXPECT_FALSE(unanswered.is_joining(now));
+    election.note_heard(other.address, begun);
+    EXPECT_FALSE(election.is_joining(begun));
+}
+
 TEST_F(LoadFleet, KnowsWhatAnyGatewayDoesWithinThreeIntervals)
 {
     for (std::size_t number = 0; number < s_count; ++number) {
