LibEntry: Do not step in between two late ticks of a gateway that joins

The newcomers' logs: they step in after 884 to 919 ms of silence, within the time in which they join. The mark of a tick held for 100 ms, and under load the next tick comes up to 150 ms late; the followers' thread looked in between.

It holds until the next tick counts as late, from where on nobody steps in anyway. WatchElection.DoesNotStepInBetweenTheTicksOfAJoiningGateway was red with 100 ms.

--- a/Libraries/LibCore/RunningTime.h
+++ b/Libraries/LibCore/RunningTime.h
@@ -52,6 +52,9 @@
     /// Longest interval between ticks now.
     [[nodiscard]] Milliseconds interval() const { return is_slow() ? s_slow_interval : s_interval; }
 
+    /// Longest gap between ticks that are on time now.
+    [[nodiscard]] Milliseconds longest_gap() const { return interval() + s_longest_delay; }
+
     /// The time lost until the last tick.
     [[nodiscard]] Milliseconds lost() const { return m_lost; }
     /// The time run until now.
@@ -60,8 +63,6 @@
     [[nodiscard]] MonotonicTime clock(MonotonicTime now) const { return now - m_lost - lost_until(now); }
 
 private:
-    [[nodiscard]] Milliseconds longest_gap() const { return interval() + s_longest_delay; }
-
     [[nodiscard]] Milliseconds lost_until(MonotonicTime now) const
     {
         if (!is_late(now))
--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -46,7 +46,8 @@
 
 void WatchElection::note_joining(Others others, Core::MonotonicTime now)
 {
-    m_hears_until = std::max(m_hears_until, now + Core::RunningTime::s_interval);
+    // Until the next tick, which may come late.
+    m_hears_until = std::max(m_hears_until, now + m_running.longest_gap());
     if (others == Others::Found)
         m_silent_since = std::max(m_silent_since, now);
 }
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -219,6 +219,18 @@
     EXPECT_TRUE(election.is_on_duty(now));
 }
 
+// The follower's thread looks between the ticks of the one that joins, which come up to 150 ms late.
+TEST(WatchElection, DoesNotStepInBetweenTheTicksOfAJoiningGateway)
+{
+    auto election = make_election();
+    auto now = s_start;
+    for (; now < s_start + 2 * s_patience; now += 250ms) {
+        election.note_tick(now);
+        election.note_joining(WatchElection::Others::NotFound, now);
+        EXPECT_FALSE(election.is_on_duty(now + 240ms));
+    }
+}
+
 TEST(WatchElection, StepsInAfterJoiningWhereNobodyIsFound)
 {
     auto election = make_election();
@@ -228,7 +240,7 @@
         election.note_joining(WatchElection::Others::NotFound, now);
         EXPECT_FALSE(election.is_on_duty(now));
     }
-    election.note_tick(now);
+    run_until(election, now, now + 250ms);
     EXPECT_TRUE(election.is_on_duty(now));
 }
 
