--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -56,8 +56,8 @@
 {
     if (report.versions.table > std::max(m_heard.versions.table, m_own.table))
         m_table_known_since = now;
-    if (report.any && (!m_heard.any || *report.any > *m_heard.any))
-        m_report_gaps.note(silence(now));
+    if (report.any && m_heard.any)
+        m_report_gaps.note(Core::elapsed(*m_heard.any, *report.any));
     m_heard.merge(report);
     if (!m_heard.versions.is_ahead_of(m_own) || m_behind_since)
         return;
