--- a/Tests/LibObserve/ObserveTest.cpp
+++ b/Tests/LibObserve/ObserveTest.cpp
@@ -105,8 +105,8 @@
     ::close(ends[1]);
 }
 
-// A daemon whose main thread waited for a processor printed a log line before its announcement, and whoever had started it found no ports in
-// the first line.
+// A daemon whose main thread waited for a processor printed a log line before its announcement, and whoever had started
+// it found no ports in the first line.
 TEST(EventLog, HoldsItsLinesUntilTheAnnouncement)
 {
     std::array<int, 2> ends {};
