--- a/Libraries/LibCore/RecentGaps.h
+++ b/Libraries/LibCore/RecentGaps.h
@@ -19,7 +19,7 @@
     }
 
 private:
-    /// Signs of life after which a gap counts for some two thirds less.
+    /// Number of signs of life in which the memory of a long gap decays by some two thirds.
     static constexpr int s_decay = 16;
     static constexpr int s_margin = 2;
     /// Peers that are gone must be noticed in the end, however long their gaps were.
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -23,7 +23,7 @@
 /// answer was lost.
 constexpr Core::Milliseconds s_first_member_request {400};
 constexpr Core::Milliseconds s_last_member_request {1'200};
-/// A process that runs late announces that much less often what has not changed.
+/// Factor by which a process that runs late stretches the announce interval.
 constexpr int s_slow_announce_factor = 4;
 constexpr int s_announcements_per_memory = 3;
 /// From then on a gateway counts on knowing the members of its group.
@@ -457,7 +457,7 @@
     auto const interval = m_settings.announce_interval;
     if (!m_running.is_slow())
         return interval;
-    // One that is lost must not make peers forget this one.
+    // Peers must not forget this process because of one lost announcement.
     auto const longest = std::max(interval, PeerView::s_memory / s_announcements_per_memory);
     return std::min(interval * s_slow_announce_factor, longest);
 }
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -32,7 +32,8 @@
     void set_elected(bool);
     /// This gateway has just started, and the others may not know it yet.
     void note_joining(WatchElection::Others, Core::MonotonicTime now);
-    /// Takes a report of another gateway, and looks at the versions of this one. Called at least each 100 ms.
+    /// Takes a report of another gateway, and looks at the versions of this one. Called with each tick of the exchange
+    /// of loads.
     void note_report(StoreReport const&, Core::MonotonicTime now);
     [[nodiscard]] StoreReport report(Core::MonotonicTime now);
     /// What this gateway knows about how current its state is. Any thread.
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -94,8 +94,8 @@
 
     void set_elected(bool value);
 
-    /// Records a tick of the thread that takes reports, at least each 100 ms. Time in which it did not run is not
-    /// counted: otherwise all gateways of a stalled or overloaded host would start to watch.
+    /// Records a tick of the thread that takes reports, due at intervals of RunningTime. Time in which it did not run
+    /// is not counted: otherwise all gateways of a stalled or overloaded host would start to watch.
     void note_tick(Core::MonotonicTime now);
     enum class Others {
         NotFound,
@@ -162,7 +162,7 @@
     Core::MonotonicTime m_hears_until;
     StoreReport m_heard;
     Core::RunningTime m_running;
-    /// Silences that ended with a report of a healthy watch.
+    /// Gaps between reports of healthy watches.
     Core::RecentGaps m_report_gaps;
     std::optional<Core::MonotonicTime> m_table_known_since;
     /// The versions of this gateway.
--- a/Libraries/LibGateway/DatagramReader.cpp
+++ b/Libraries/LibGateway/DatagramReader.cpp
@@ -30,7 +30,7 @@
     return Core::concat(text.data(), ":", ntohs(sender.sin_port));
 }
 
-/// By the clock of the kernel's notes, which may be set meanwhile: never less than nothing.
+/// Time since a timestamp of the kernel; zero if the wall clock has been set back.
 Core::Milliseconds time_since(timespec const& arrived)
 {
     auto const arrival = std::chrono::seconds(arrived.tv_sec) + std::chrono::nanoseconds(arrived.tv_nsec);
--- a/Libraries/LibGateway/DatagramReader.h
+++ b/Libraries/LibGateway/DatagramReader.h
@@ -19,11 +19,11 @@
     Core::Milliseconds waited {0};
 };
 
-/// Reads the datagrams of a socket with the times at which they arrived, as the kernel noted them: a process that waits
-/// for a processor reads them later, and what they say has aged meanwhile.
+/// Reads the datagrams of a socket with the kernel's timestamps of their arrival. A process that waits for a processor
+/// reads them late, and their content has aged meanwhile.
 class DatagramReader {
 public:
-    /// Has the kernel note when datagrams arrive. Logs it if the kernel refuses; they count as read at once then.
+    /// Enables timestamps for the socket. Logs a failure; datagrams then count as read on arrival.
     static void enable_arrival_times(int socket);
 
     /// The next datagram of a socket that does not block, or nullopt if there is none.
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -68,7 +68,7 @@
 
 void LoadExchange::turn(Core::MonotonicTime now)
 {
-    // What waits in the socket's buffer is read before anybody is taken for silent.
+    // Read what has arrived before the silence of others is judged.
     read_waiting();
     wait_for_datagrams();
     auto members = m_membership.load_members();
@@ -117,7 +117,7 @@
 
 void LoadExchange::wait_for_datagrams()
 {
-    // A process that runs late reads them at its turns: it has no time to wake for each.
+    // A process that runs late reads datagrams at its turns, which saves a wake-up for each.
     if (m_is_waiting || m_sharing.is_slow())
         return;
     m_is_waiting = true;
--- a/Libraries/LibGateway/RelayElection.h
+++ b/Libraries/LibGateway/RelayElection.h
@@ -82,7 +82,7 @@
     /// Nobody was asked for a while: silence since then says nothing.
     [[nodiscard]] bool has_paused(Core::MonotonicTime& last, Core::MonotonicTime now) const;
 
-    /// The clock by which members are silent: datagrams arrive while this process does not run. Times below are its.
+    /// Measures silence without the time in which this process did not run. Times below are readings of its clock.
     Core::RunningTime m_running;
     Entry::LoadMember m_self;
     /// By group, each in the order in which they relay; the own group holds this gateway.
