--- a/Tests/Integration/GatewayProcessTest.cpp
+++ b/Tests/Integration/GatewayProcessTest.cpp
@@ -289,7 +289,7 @@
     auto const rejected = [&] { return gateway.process->has_printed(R"("event":"reload","outcome":"rejected")"); };
     // A file that can't be read changes nothing, and says so.
     std::ofstream(path) << "{";
-    ::kill(gateway.process->id(), SIGHUP);
+    gateway.process->hang_up();
     EXPECT_TRUE(wait_until(rejected));
     Json const settings = settings_of("g-1");
     std::ofstream(path) << settings.dump();
@@ -308,7 +308,7 @@
     put_server(backend);
     auto const gateway = start("g-1");
     ASSERT_TRUE(wait_until([&] { return is_ready(gateway); }));
-    ::kill(gateway.process->id(), SIGHUP);
+    gateway.process->hang_up();
     RawCaller caller(gateway.callers);
     caller.write("GET /a/ HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: r-1\r\n\r\n");
     ASSERT_TRUE(wait_until([&] { return backend.count() == 1; }));
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -168,6 +168,11 @@
     send_signal(SIGTERM);
 }
 
+void Process::hang_up() const
+{
+    send_signal(SIGHUP);
+}
+
 void Process::kill()
 {
     send_signal(SIGKILL);
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -32,6 +32,8 @@
     [[nodiscard]] bool has_printed(std::string_view text);
 
     void terminate() const;
+    /// Has the program read its settings again (SIGHUP).
+    void hang_up() const;
     void kill();
     /// Stops the program as it stands (SIGSTOP), and lets it go on.
     void freeze() const;
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -37,6 +37,17 @@
     election.note_tick(now);
 }
 
+/// The process joins the others, and does not watch the store meanwhile.
+void join_for(
+    Core::Milliseconds duration, WatchElection& election, Core::MonotonicTime& now, WatchElection::Others others)
+{
+    for (auto const end = now + duration; now < end; now += 100ms) {
+        election.note_tick(now);
+        election.note_joining(others, now);
+        EXPECT_FALSE(election.is_on_duty(now));
+    }
+}
+
 /// Both watches are answered and under way.
 void watch_soundly(WatchElection& election, Core::MonotonicTime now)
 {
@@ -207,11 +218,7 @@
 {
     auto election = make_election();
     auto now = s_start;
-    for (; now < s_start + 2 * s_patience; now += 100ms) {
-        election.note_tick(now);
-        election.note_joining(WatchElection::Others::Found, now);
-        EXPECT_FALSE(election.is_on_duty(now));
-    }
+    join_for(2 * s_patience, election, now, WatchElection::Others::Found);
     auto const joined = now - 100ms;
     run_until(election, now, joined + s_patience - 1ms);
     EXPECT_FALSE(election.is_on_duty(now));
@@ -235,11 +242,7 @@
 {
     auto election = make_election();
     auto now = s_start;
-    for (; now < s_start + 2 * s_patience; now += 100ms) {
-        election.note_tick(now);
-        election.note_joining(WatchElection::Others::NotFound, now);
-        EXPECT_FALSE(election.is_on_duty(now));
-    }
+    join_for(2 * s_patience, election, now, WatchElection::Others::NotFound);
     run_until(election, now, now + 250ms);
     EXPECT_TRUE(election.is_on_duty(now));
 }
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -184,7 +184,7 @@
         return begin("stop", [] {});
     }
     default:
-        ::kill(slot.gateway.process->id(), SIGHUP);
+        slot.gateway.process->hang_up();
         return begin("hangup", [] {});
     }
 }
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -530,7 +530,7 @@
     case 10: {
         auto const& slot = m_slots[m_random() % m_slots.size()];
         if (!slot.is_busy)
-            ::kill(slot.gateway.process->id(), SIGHUP);
+            slot.gateway.process->hang_up();
         return;
     }
     default:
