--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -97,6 +97,7 @@
     /// Records a tick of the thread that takes reports, due at intervals of RunningTime. Time in which it did not run
     /// is not counted: otherwise all gateways of a stalled or overloaded host would start to watch.
     void note_tick(Core::MonotonicTime now);
+
     enum class Others {
         NotFound,
         Found,
