LibGateway: Share demand, samples of waits and places in line with the load datagrams

Cause: gateways decide alike only if they know the same (docs/design/fleet-admission.md). AdmissionMonitor logs shortages and fills the status; metrics count rejections and returns.

--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -15,6 +15,7 @@
         : m_registry(registry)
         , m_retries(registry.counter("granitefield_gateway_retries_total"))
         , m_denied_retries(registry.counter("granitefield_gateway_retries_denied_total"))
+        , m_returning(registry.counter("granitefield_gateway_returning_total"))
         , m_unreachable(registry.counter("granitefield_gateway_unreachable_total"))
         , m_cancelled(registry.counter("granitefield_gateway_cancelled_total"))
         , m_crash_witnesses(registry.counter("granitefield_gateway_crash_witnesses_total"))
@@ -56,6 +57,17 @@
         m_registry.distribution("granitefield_gateway_pause_seconds", {{"tier", std::to_string(tier)}}).add(time);
     }
 
+    /// Records a request that admission control rejected. `reason` is one of a fixed set of short names.
+    void note_rejected(unsigned tier, std::string_view reason)
+    {
+        m_registry
+            .counter("granitefield_gateway_rejected_total",
+                {{"tier", std::to_string(tier)}, {"reason", std::string(reason)}})
+            .add();
+    }
+    /// Records a caller that returned at the time that a rejection had given it.
+    void note_returning() { m_returning.add(); }
+
     void note_retry() { m_retries.add(); }
     void note_denied_retry() { m_denied_retries.add(); }
     void note_unreachable() { m_unreachable.add(); }
@@ -78,6 +90,7 @@
     Observe::MetricRegistry& m_registry;
     Observe::Counter& m_retries;
     Observe::Counter& m_denied_retries;
+    Observe::Counter& m_returning;
     Observe::Counter& m_unreachable;
     Observe::Counter& m_cancelled;
     Observe::Counter& m_crash_witnesses;
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -35,6 +35,17 @@
     return error.status == unknown_key || error.status == not_allowed || error.status == unknown_route;
 }
 
+/// Returns the weights of the workspaces, without those of weight 1.
+Policy::WorkspaceShares::Weights workspace_weights(Table::Table const& table)
+{
+    Policy::WorkspaceShares::Weights weights;
+    for (auto const& [name, workspace] : table.workspaces()) {
+        if (workspace.weight != 1)
+            weights[Policy::hash_name(name)] = workspace.weight;
+    }
+    return weights;
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
 {
     return {boost::asio::ip::make_address(address.host()), address.port()};
@@ -118,15 +129,16 @@
     , m_crashes(m_loop, log, m_metrics, quarantine)
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
-          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry)
-    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_crashes, usage, {}, {}, {}, 1, 0, log,
-          m_metrics}
+          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing)
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_crashes, usage, {}, m_admission, {}, 1,
+          0, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
     , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness))
     , m_timer(m_loop)
 {
+    m_admission.set_settings(m_settings.runs.admission);
     accept(m_caller_acceptor, *m_caller_handler);
     accept(m_readiness_acceptor, *m_readiness_handler);
     schedule_tick();
@@ -294,6 +306,7 @@
         m_registry.gauge("granitefield_table_version").set(static_cast<std::int64_t>(table->version().value()));
         m_table = std::move(table);
         m_fleet.apply(*m_table);
+        m_admission.shares().set_weights(workspace_weights(*m_table));
         auto const limits = m_table->caller_limits();
         m_limits = {{limits.head_bytes, limits.body_bytes}, limits.head_time, limits.idle_time};
     }
@@ -363,6 +376,7 @@
     apply_members();
     m_fleet.sample_prefill_load(now);
     m_crashes.tick(now);
+    m_admission_monitor.tick(now);
     tick_runs(now);
     if (m_context.usage != nullptr)
         m_context.unconfirmed_runs.count_confirmed(*m_context.usage, now);
@@ -411,6 +425,7 @@
         m_settings.drain_notice = settings.drain_notice;
         m_settings.drain_limit = settings.drain_limit;
         m_context.settings = settings.runs;
+        m_admission.set_settings(settings.runs.admission);
         m_fleet.set_settings(settings.fleet);
     });
 }
@@ -481,6 +496,7 @@
     status["drains-version"] = m_fleet.drains().version.value();
     status["known-gateways"] = m_members ? nlohmann::json(m_members->peers.size()) : nlohmann::json();
     status["held-bytes"] = m_context.held_bytes;
+    status["admission"] = m_admission_monitor.status(m_table.get(), now);
     status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
     if (m_context.usage != nullptr)
         status["usage"] = usage_status(*m_context.usage, now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -6,6 +6,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibEntry/SharedTable.h>
+#include <LibGateway/AdmissionMonitor.h>
 #include <LibGateway/DeferredRequests.h>
 #include <LibGateway/RequestForwarder.h>
 
@@ -125,6 +126,9 @@
     BackendFleet m_fleet;
     CrashDetector m_crashes;
     std::optional<DutySharing> m_duty_sharing;
+    Policy::Admission m_admission;
+    AdmissionMonitor m_admission_monitor {m_admission, m_log};
+    DemandSharing m_demand_sharing {m_admission};
     LoadExchange m_load;
     ForwardingContext m_context;
     std::unique_ptr<CallerHandler> m_caller_handler;
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -21,14 +21,14 @@
 
 LoadExchange::LoadExchange(boost::asio::io_context& loop, std::optional<Core::Address> const& address,
     BackendFleet& fleet, CrashSharing crashes, DutySharing* duties, Entry::SharedMembership const& membership,
-    Entry::WatchDuty& duty, Observe::EventLog& log, Observe::MetricRegistry& metrics)
+    Entry::WatchDuty& duty, Observe::EventLog& log, Observe::MetricRegistry& metrics, DemandSharing* demand)
     : m_membership(membership)
     , m_duty(duty)
     , m_log(log)
     , m_bytes_out(metrics.counter("granitefield_load_bytes_total"))
     , m_rejected(metrics.counter("granitefield_load_datagrams_rejected_total"))
     , m_relaying(metrics.gauge("granitefield_load_relay"))
-    , m_sharing(Core::draw_incarnation().value(), fleet, crashes, duties, Core::monotonic_now())
+    , m_sharing(Core::draw_incarnation().value(), fleet, crashes, duties, Core::monotonic_now(), demand)
     , m_socket(loop)
     , m_timer(loop)
 {
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -24,10 +24,10 @@
 /// Sends and receives the datagrams of LoadSharing over UDP. On the gateway's thread.
 class LoadExchange {
 public:
-    /// `duties` is null where gateways have no duties.
+    /// `duties` is null where gateways have no duties, `demand` where they do not share their admission control.
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, CrashSharing,
         DutySharing* duties, Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&,
-        Observe::MetricRegistry&);
+        Observe::MetricRegistry&, DemandSharing* demand = nullptr);
 
     /// Records a prompt sent to the server. `parts` may be shared with other prompts; `own_tokens` is the length of the
     /// rest.
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -88,13 +88,14 @@
 
 }
 
-LoadSharing::LoadSharing(
-    std::uint64_t self, BackendFleet& fleet, CrashSharing crashes, DutySharing* duties, Core::MonotonicTime started)
+LoadSharing::LoadSharing(std::uint64_t self, BackendFleet& fleet, CrashSharing crashes, DutySharing* duties,
+    Core::MonotonicTime started, DemandSharing* demand)
     : m_self(self)
     , m_fleet(fleet)
     , m_crash_sharing(crashes)
     , m_signal_sharing(fleet)
     , m_duty_sharing(duties)
+    , m_demand_sharing(demand)
     , m_election(started)
     , m_reporter_loads(fleet)
     , m_relay_loads(fleet)
@@ -137,9 +138,11 @@
         && report.broken_size() <= max_suspected && report.answering_size() <= max_suspected;
     bool const are_shared_parts_valid = DutySharing::is_within_bounds(report)
         && CrashSharing::is_within_bounds(report.crashes()) && SignalSharing::is_within_bounds(report.signals())
+        && DemandSharing::is_within_bounds(report.demand())
         && std::ranges::all_of(datagram.relayed(), [](auto const& relayed) {
                return DutySharing::is_within_bounds(relayed) && CrashSharing::is_within_bounds(relayed.crashes())
-                   && SignalSharing::is_within_bounds(relayed.signals());
+                   && SignalSharing::is_within_bounds(relayed.signals())
+                   && DemandSharing::is_within_bounds(relayed.demand());
            });
     return is_report_valid && are_server_states_valid && are_shared_parts_valid
         && datagram.relayed_size() <= static_cast<int>(s_max_forwarded) + 1
@@ -181,6 +184,8 @@
     m_reporter_loads.apply(report.sender(), report.sequence(), LoadSources::ReportKind::Full, loads, now);
     if (!m_aggregator.update(report.sender(), {report.sequence(), now, from, std::move(loads)}))
         return;
+    if (m_demand_sharing != nullptr)
+        m_demand_sharing->receive_report(report.demand(), report.sender(), now);
     collect_suspicions(span_of(report.unreachable()), span_of(report.broken()), span_of(report.answering()), now);
     if (has_gap)
         relay_placements(report.placements_before());
@@ -224,6 +229,11 @@
     subtract_own_load(relayed, loads);
     if (!m_relay_loads.apply(relayed.relay(), relayed.sequence(), LoadSources::ReportKind::Delta, loads, now))
         return;
+    if (m_demand_sharing != nullptr) {
+        using Sender = DemandSharing::Sender;
+        auto const sender = is_from_own_relay(relayed) ? Sender::OwnRelay : Sender::Other;
+        m_demand_sharing->receive_relayed(relayed.demand(), relayed.relay(), sender, now);
+    }
     apply_placements(relayed.placements());
     apply_suspicions(relayed, now);
     if (m_aggregator.reports().empty() || m_forwarded.size() >= s_max_forwarded)
@@ -331,6 +341,8 @@
     if (m_duty_sharing != nullptr)
         m_duty_sharing->duty().tick(own_clock, now);
     m_failure_detector.remove_expired(now);
+    if (m_demand_sharing != nullptr)
+        m_demand_sharing->remove_expired(now);
     m_relay_loads.remove_silent(now, s_relay_expiry, s_entry_expiry);
     for (auto const gateway : m_aggregator.remove_silent(now))
         m_reporter_loads.remove(gateway);
@@ -369,6 +381,8 @@
         m_duty_sharing->fill_report(report, own_clock, now);
     m_crash_sharing.fill(*report.mutable_crashes(), now);
     m_signal_sharing.fill(*report.mutable_signals(), now);
+    if (m_demand_sharing != nullptr)
+        m_demand_sharing->fill_report(*report.mutable_demand(), now);
     for (auto const& [server, load] : loads) {
         if (report.servers_size() < static_cast<int>(s_max_servers))
             write_load(*report.add_servers(), server, load);
@@ -431,6 +445,8 @@
         m_duty_sharing->fill_relayed(relayed, now);
     m_crash_sharing.fill(*relayed.mutable_crashes(), now);
     m_signal_sharing.fill(*relayed.mutable_signals(), now);
+    if (m_demand_sharing != nullptr)
+        m_demand_sharing->fill_relayed(*relayed.mutable_demand(), m_self, now);
     for (auto const& [server, load] : loads) {
         if (relayed.servers_size() < static_cast<int>(s_max_servers))
             write_load(*relayed.add_servers(), server, load);
@@ -466,6 +482,8 @@
             m_duty_sharing->fill_all(relayed);
         m_signal_sharing.fill_all(*relayed.mutable_signals(), now);
     }
+    if (m_demand_sharing != nullptr)
+        m_demand_sharing->add_places(*relayed.mutable_demand(), now);
     Datagram to_reporters;
     for (auto const& [gateway, report] : m_aggregator.reports()) {
         auto& counted = *relayed.add_counted();
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -5,6 +5,7 @@
 #include <LibEntry/WatchElection.h>
 #include <LibGateway/BackendFleet.h>
 #include <LibGateway/CrashSharing.h>
+#include <LibGateway/DemandSharing.h>
 #include <LibGateway/DutySharing.h>
 #include <LibGateway/FailureDetector.h>
 #include <LibGateway/LoadAggregator.h>
@@ -66,8 +67,10 @@
         Yes,
     };
 
-    /// `self` is the incarnation of the gateway. `duties` is null where gateways have no duties.
-    LoadSharing(std::uint64_t self, BackendFleet&, CrashSharing, DutySharing* duties, Core::MonotonicTime started);
+    /// `self` is the incarnation of the gateway. `duties` is null where gateways have no duties, `demand` where they do
+    /// not share their admission control.
+    LoadSharing(std::uint64_t self, BackendFleet&, CrashSharing, DutySharing* duties, Core::MonotonicTime started,
+        DemandSharing* demand = nullptr);
 
     void set_members(Entry::LoadMembers const&);
 
@@ -156,6 +159,7 @@
     CrashSharing m_crash_sharing;
     SignalSharing m_signal_sharing;
     DutySharing* m_duty_sharing;
+    DemandSharing* m_demand_sharing;
     /// A gateway has reported for the first time and needs the full state.
     bool m_has_new_reporter {false};
     RelayElection m_election;
--- a/Libraries/LibGateway/PlacementPolicy.cpp
+++ b/Libraries/LibGateway/PlacementPolicy.cpp
@@ -135,6 +135,7 @@
     auto const fetch = model.prefill_time(fetched) * s_fetch_cost_share;
     estimate.wait = model.prefill_time(static_cast<double>(load.unread_tokens)) + own_prefill + fetch
         + Time(m_settings.cost_per_running) * load.open;
+    estimate.idle_wait = own_prefill + fetch;
     auto const own_loss
         = std::min(1.0, profile.lateness.expected_loss(estimate.wait) + own_pause_loss(server, profile));
     auto const delay_loss
@@ -228,6 +229,7 @@
         best.unread_tokens = estimate.unread_tokens;
         best.moved_tokens = estimate.moved_tokens;
         best.predicted_wait = std::chrono::duration_cast<Core::Milliseconds>(estimate.wait);
+        best.idle_wait = std::chrono::duration_cast<Core::Milliseconds>(estimate.idle_wait);
         best.expected_loss = loss;
     }
     return best;
--- a/Libraries/LibGateway/PlacementPolicy.h
+++ b/Libraries/LibGateway/PlacementPolicy.h
@@ -26,6 +26,8 @@
     std::uint32_t moved_tokens {0};
     /// Predicted time to the first token.
     Core::Milliseconds predicted_wait {0};
+    /// Part of it that the request causes itself, at an engine without other requests.
+    Core::Milliseconds idle_wait {0};
     /// Expected loss of the placement, as a share of the value of one request.
     double expected_loss {0};
     /// Whether a long prefill on the same engine makes this stream miss its pause target.
@@ -125,6 +127,7 @@
     /// Estimated effect of placing the request at a candidate.
     struct Estimate {
         Time wait {0};
+        Time idle_wait {0};
         double loss {0};
         std::uint32_t unread_tokens {0};
         std::uint32_t moved_tokens {0};
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -15,6 +15,14 @@
 using Entry::Outcome;
 namespace Status = HTTP::Status;
 
+namespace {
+
+/// Work of an engine for a token that it writes, relative to one that it reads. Reading is batched over a prompt, while
+/// each token written takes a step of the engine, shared by the streams that run.
+constexpr double s_written_token_weight = 8;
+
+}
+
 Policy::FleetRetryBudget& ForwardingContext::budget_of(std::string const& service)
 {
     auto& budget = budgets.try_emplace(service, settings.retries).first->second;
@@ -63,6 +71,7 @@
     if (auto const rejection = check_admission(choice, now)) {
         m_choice = choice;
         log_rejection(*rejection);
+        m_context.metrics.note_rejected(m_request.tier, to_string(rejection->reason));
         return fail(Status::s_bad_gateway, "engines_full", "no engine is expected to start the request in time",
             rejection->retry_after);
     }
@@ -131,8 +140,25 @@
         return std::nullopt;
     Policy::AdmissionRequest const question {m_request.service, m_request.request_class->name, m_request.priority,
         now - m_request.received, choice.predicted_wait, m_request.request_class->first_token_target,
-        m_request.deadline - now};
-    return m_context.admission.check(question, request_fraction(), now);
+        m_request.deadline - now, m_request.workspace, work_of(choice), fingerprint(), choice.idle_wait};
+    auto const claimed_before = m_context.admission.return_line().claimed_count();
+    auto const rejection = m_context.admission.check(question, request_fraction(), now);
+    if (m_context.admission.return_line().claimed_count() > claimed_before)
+        m_context.metrics.note_returning();
+    return rejection;
+}
+
+double RequestForwarder::work_of(Choice const& choice) const
+{
+    return choice.unread_tokens + s_written_token_weight * m_request.max_output_tokens;
+}
+
+Policy::ReturnLine::Fingerprint RequestForwarder::fingerprint() const
+{
+    if (!m_context.admission.settings().has_return_line)
+        return 0;
+    auto const caller = Core::hash_bytes(m_request.head.target, Core::hash_bytes(m_request.workspace));
+    return static_cast<Policy::ReturnLine::Fingerprint>(Core::hash_bytes(m_request.body, caller));
 }
 
 double RequestForwarder::request_fraction() const
@@ -155,6 +181,10 @@
                             .add("probable_wait_ms", to_milliseconds(rejection.probable_wait))
                             .add("target_ms", m_request.request_class->first_token_target)
                             .add("retry_after_ms", rejection.retry_after)
+                            .add("has_place", rejection.has_place)
+                            .add("workspace", m_request.workspace)
+                            .add("beyond_share", rejection.admission_class.standing == Policy::ShareStanding::Beyond)
+                            .add("returning", rejection.admission_class.arrival == Policy::Arrival::Returning)
                             .add("unread_tokens", m_choice.unread_tokens)
                             .add("unread_before", m_choice.server->load().unread_tokens)
                             .add("open", m_choice.server->load().open));
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -47,6 +47,7 @@
     /// Retry-After for requests that did not run, unless a backend server's backoff gives a better value.
     Core::Milliseconds retry_after {300};
     Policy::RetryAllowance retries;
+    Policy::AdmissionSettings admission;
     /// Time after the start of a request at a backend server during which a crash of the server may have been caused by
     /// the request. Includes some hundred milliseconds by which a busy gateway reads late.
     Core::Milliseconds recent_start_limit {1'000};
@@ -81,7 +82,7 @@
     /// Counts requests that start to run; null if usage is not reported.
     Cluster::SharedDuty* usage;
     UnconfirmedRuns unconfirmed_runs;
-    Policy::Admission admission;
+    Policy::Admission& admission;
     /// Retry budgets by service.
     std::map<std::string, Policy::FleetRetryBudget> budgets;
     std::size_t entry_count {1};
@@ -128,6 +129,10 @@
     void send_to(Choice const&, Core::MonotonicTime now);
     /// Returns the reason to reject a new prompt, or nullopt to admit it.
     [[nodiscard]] std::optional<Policy::Rejection> check_admission(Choice const&, Core::MonotonicTime now);
+    /// Returns the work that the request causes at the chosen engine, in tokens read.
+    [[nodiscard]] double work_of(Choice const&) const;
+    /// Identifies the request when its caller returns after a rejection; 0 if callers have no place in line.
+    [[nodiscard]] Policy::ReturnLine::Fingerprint fingerprint() const;
     /// Returns a number from 0 to 1 derived from the request's id.
     [[nodiscard]] double request_fraction() const;
     /// Returns the delay to send as Retry-After for a request that can be sent at this time.
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -75,8 +75,8 @@
             m_context.load.note_answering(attempt.server());
         if (!m_first_event_at) {
             m_first_event_at = now;
-            m_context.admission.note_wait(
-                m_request.service, m_request.request_class->name, m_choice.predicted_wait, now - attempt.started_at());
+            m_context.admission.note_wait(m_request.service, m_request.request_class->name, m_choice.predicted_wait,
+                now - attempt.started_at(), now);
             m_context.metrics.note_first_byte(
                 tier, std::chrono::duration_cast<Core::Microseconds>(now - m_request.received));
         }
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -136,6 +136,15 @@
     reader.finish();
 }
 
+void read_admission(Json const& json, Policy::AdmissionSettings& admission, Core::Findings& findings)
+{
+    ObjectReader reader(json, "/admission", findings);
+    reader.read("workspace-shares", admission.uses_workspace_shares);
+    reader.read("fleet-wide", admission.is_fleet_wide);
+    reader.read("return-line", admission.has_return_line);
+    reader.finish();
+}
+
 void read_duties(Json const& json, DutiesSettings& duties, Core::Findings& findings)
 {
     ObjectReader reader(json, "/duties", findings);
@@ -173,6 +182,8 @@
         server.runs.held_limit = static_cast<std::size_t>(memory_megabytes) * s_held_bytes_of_a_megabyte;
     if (auto const* retries = reader.member("retries"))
         read_retries(*retries, server.runs.retries, findings);
+    if (auto const* admission = reader.member("admission"))
+        read_admission(*admission, server.runs.admission, findings);
     if (auto const* duties = reader.member("duties"))
         read_duties(*duties, gateway.duties.emplace(), findings);
     gateway.peers.name = settings.common.name;
--- a/Tests/LibGateway/LoadFleet.h
+++ b/Tests/LibGateway/LoadFleet.h
@@ -34,7 +34,7 @@
         : address(Core::concat("10.0.0.", number, ":1"))
         , member {address, Core::concat("domain-", number % s_groups), number < s_groups ? 500U : 90U, number}
         , id(number + 1 + 1'000 * life)
-        , sharing(id, fleet, CrashSharing(crashes), nullptr, started)
+        , sharing(id, fleet, CrashSharing(crashes), nullptr, started, &demand)
         , next_tick(started + s_step * static_cast<int>(id % 10))
     {
     }
@@ -55,6 +55,8 @@
     Observe::EventLog log {log_descriptor.number(), "gateway", Core::Incarnation(1), metrics};
     BackendFleet fleet {settings(), log};
     Policy::CrashLedger crashes;
+    Policy::Admission admission;
+    DemandSharing demand {admission};
     LoadSharing sharing;
     /// Ticks of the gateways do not coincide.
     Core::MonotonicTime next_tick;
--- a/Tests/LibSettings/DaemonSettingsTest.cpp
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -58,6 +58,24 @@
     EXPECT_EQ(settings.gateway.peers.load_address, "127.0.0.1:4");
 }
 
+TEST(DaemonSettings, ReadsWhatAdmissionTakesIntoAccount)
+{
+    auto const read = [](std::string const& admission) {
+        return parse_settings(R"({"role": "gateway", "name": "g", "failure-domain": "a", "region": "r",
+            "operator-address": "127.0.0.1:1", "callers-address": "127.0.0.1:2", "readiness-address": "127.0.0.1:3",
+            "platform": {"address": "127.0.0.1:5"}, "peers": {"address": "127.0.0.1:6", "seeds": []})"
+            + admission + "}")
+            .gateway.server.runs.admission;
+    };
+    auto const off = read("");
+    EXPECT_FALSE(off.uses_workspace_shares || off.is_fleet_wide || off.has_return_line);
+    auto const partly = read(R"(, "admission": {"workspace-shares": true, "return-line": true})");
+    EXPECT_TRUE(partly.uses_workspace_shares && partly.has_return_line);
+    EXPECT_FALSE(partly.is_fleet_wide);
+    EXPECT_THROW(static_cast<void>(read(R"(, "admission": {"fleet-wide": 1})")), Core::InvalidInput);
+    EXPECT_THROW(static_cast<void>(read(R"(, "admission": {"fleet": true})")), Core::InvalidInput);
+}
+
 TEST(DaemonSettings, ReadsRegionsAndWhatMayBeHeldForCallers)
 {
     auto const read = [](std::string const& more) {
