--- a/Utilities/granitefield/FleetCommands.cpp
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -150,6 +150,30 @@
     return exit_code_of(answers);
 }
 
+int run_shares_command(Options const& options)
+{
+    auto const answers = ask_all(options, "/status");
+    Json all = Json::object();
+    TextTable text({"daemon", "service", "share of weight 1", "workspace", "weight", "requested work", "admitted work",
+        "beyond share"});
+    for (auto const& answer : answers) {
+        if (!answer.problem.empty())
+            continue;
+        auto const admission = answer.json.value("admission", Json::object());
+        all[answer.daemon.to_string()] = admission;
+        for (auto const& service : admission.value("shortages", Json::array())) {
+            for (auto const& workspace : service["workspaces"]) {
+                text.add({answer.daemon.to_string(), text_of(service["service"]), text_of(service["share"]),
+                    text_of(workspace["workspace"]), text_of(workspace["weight"]), text_of(workspace["requested-work"]),
+                    text_of(workspace["admitted-work"]), text_of(workspace["beyond-share"])});
+            }
+        }
+    }
+    std::cout << (options.should_print_json ? all.dump(2) + "\n" : text.to_string());
+    print_problems(answers);
+    return exit_code_of(answers);
+}
+
 int run_release_command(Options const& options)
 {
     if (options.words.size() != 2 || !Core::RequestDigest::from_string(options.words[1]))
--- a/Utilities/granitefield/main.cpp
+++ b/Utilities/granitefield/main.cpp
@@ -30,7 +30,8 @@
       "Commands: table show [SHEET] | table get SHEET ROW COLUMN | table set SHEET ROW COLUMN=VALUE... | "
       "table unset SHEET ROW COLUMN... | table remove SHEET ROW | table export SHEET | "
       "table import SHEET [--file FILE] | table check SHEET [--file FILE] | table history | "
-      "status | quarantine | release DIGEST | explain REQUEST | logs REQUEST-OR-DIGEST [FILE...] | losses [FILE...] | "
+      "status | shares | quarantine | release DIGEST | explain REQUEST | logs REQUEST-OR-DIGEST [FILE...] | losses "
+      "[FILE...] | "
       "drain "
       "BACKEND-SERVER... | undrain "
       "BACKEND-SERVER... | "
@@ -94,6 +95,8 @@
         return CommandLine::run_table_command(options);
     if (command == "status")
         return CommandLine::run_status_command(options);
+    if (command == "shares")
+        return CommandLine::run_shares_command(options);
     if (command == "quarantine")
         return CommandLine::run_quarantine_command(options);
     if (command == "release")
