Tests/Soak: Let streams carry more prompts than can be read in time

Cause: the soak sent no prompts, so that admission control, and what gateways share of it, never decided anything there. Draws without it stay as they are.

--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -121,6 +121,17 @@
     m_fleet.put("config", "main", GatewayFleet::configuration(m_version, routes));
 }
 
+std::string GatewaySoak::prompt_fields(unsigned number) const
+{
+    if (m_options.prompts == Prompts::No)
+        return {};
+    // Some read for longer than the target of the route.
+    constexpr unsigned large_tokens = 60'000;
+    constexpr unsigned small_tokens = 3'000;
+    auto const tokens = number % 4 == 0 ? large_tokens : small_tokens;
+    return Core::concat("X-Token-Count: ", tokens, ",64\r\nX-Prompt-Prefix: a1:1000,b", number, ":", tokens, "\r\n");
+}
+
 void GatewaySoak::call_until_stopped(unsigned caller)
 {
     std::mt19937 random(m_options.seed * 1'000 + caller);
@@ -133,8 +144,9 @@
                 auto const& kind = s_kinds.at(random() % s_kinds.size());
                 Record record {Core::concat(gateway_name(index), "-c", caller, "n", number++), kind.path, {}};
                 m_judges.leaving.note_sent(record.id, Core::monotonic_now());
-                connection.write(Core::concat("POST ", kind.path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ",
-                    record.id, "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"));
+                connection.write(Core::concat("POST ", kind.path,
+                    " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ", record.id, "\r\nX-Deadline-Ms: 2000\r\n",
+                    kind.is_stream ? prompt_fields(number) : "", "Content-Length: 4\r\n\r\nbody"));
                 record.answer = connection.read_answer();
                 note_passed_on(m_judges, record.answer.head, gateway_name(index));
                 bool const is_kept = record.answer.is_whole && field_of(record.answer.head, "Connection") != "close";
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -32,6 +32,12 @@
         Yes,
     };
 
+    /// Whether streams carry prompts, more than the backend servers can read in time.
+    enum class Prompts {
+        No,
+        Yes,
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {5'000};
@@ -42,6 +48,7 @@
         Drains drains {Drains::No};
         /// Whether backend servers also state things about themselves.
         Signals signals {Signals::No};
+        Prompts prompts {Prompts::No};
     };
 
     struct Report {
@@ -79,6 +86,8 @@
 
     void start_gateway(std::size_t index);
     void call_until_stopped(unsigned caller);
+    /// Returns the header fields of a prompt, or nothing for soaks without prompts.
+    [[nodiscard]] std::string prompt_fields(unsigned number) const;
     void begin_fault();
     void begin(std::string const& name, std::function<void()> heal);
     void fault_gateway(Slot&, std::size_t index);
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -106,6 +106,7 @@
 private:
     static constexpr Core::Milliseconds s_work_time {3};
     static constexpr Core::Milliseconds s_event_interval {4};
+    static constexpr unsigned long s_tokens_per_ms = 100;
 
     struct Run {
         std::string instance;
@@ -155,7 +156,8 @@
                     ? "HTTP/7 what\r\n\r\n"
                     : Core::concat("HTTP/1.1 200 OK\r\n", head, "Content-Length: 900\r\n\r\nshort"));
         bool const is_stream = request.find("-stream/") != std::string::npos;
-        std::this_thread::sleep_for(s_work_time);
+        auto const tokens = std::stoul(field_of(request, "X-Token-Count").value_or("0"));
+        std::this_thread::sleep_for(s_work_time + Core::Milliseconds(tokens / s_tokens_per_ms));
         if (!is_stream)
             return connection.write(Core::concat(
                 "HTTP/1.1 200 OK\r\n", head, "Content-Length: ", soak_body(id).size(), "\r\n\r\n", soak_body(id)));
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -47,6 +47,19 @@
     EXPECT_GT(report.backoffs, 0U);
 }
 
+TEST(SoakOfPrompts, KeepsEveryPromiseInAShortage)
+{
+    GatewaySoak::Options options;
+    options.seed = 31;
+    options.gateways = 4;
+    options.length = Core::Milliseconds(6'000);
+    options.prompts = GatewaySoak::Prompts::Yes;
+    unsigned rejected = 0;
+    for (auto const& [answer, count] : play(options).answers)
+        rejected += answer.find("stream") != std::string::npos && answer.ends_with(" 503") ? count : 0;
+    EXPECT_GT(rejected, 0U);
+}
+
 // A backend server is cut off while it rejects requests: no gateway receives its Retry-After.
 TEST(SoakOfSignals, BindsNoGatewayByAnAnswerThatWasLost)
 {
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -24,6 +24,7 @@
     TCLAP::ValueArg<unsigned> callers("", "callers", "Callers.", false, 8, "N", command_line);
     TCLAP::SwitchArg drains("", "drains", "Drain failure domains as well.", command_line);
     TCLAP::SwitchArg signals("", "signals", "Let backend servers state things about themselves as well.", command_line);
+    TCLAP::SwitchArg prompts("", "prompts", "Let streams carry more prompts than can be read in time.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -34,9 +35,10 @@
     for (unsigned number = 0; number < count.getValue(); ++number) {
         using Drains = Testing::GatewaySoak::Drains;
         using Signals = Testing::GatewaySoak::Signals;
+        using Prompts = Testing::GatewaySoak::Prompts;
         Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
             backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No,
-            signals.getValue() ? Signals::Yes : Signals::No};
+            signals.getValue() ? Signals::Yes : Signals::No, prompts.getValue() ? Prompts::Yes : Prompts::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
