--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -238,11 +238,11 @@
     [[nodiscard]] static Core::Milliseconds retry_after(
         AdmissionRequest const&, FractionalMilliseconds mean, double draw);
 
-    AdmissionSettings m_settings;
     void note_ratio(NameHash key, double ratio, Core::MonotonicTime now);
     /// Returns the estimates for a class of requests.
     Class& class_of(NameHash key);
 
+    AdmissionSettings m_settings;
     std::map<std::string, Service> m_services;
     /// By the hash of the service and the class, by which other gateways identify them.
     absl::flat_hash_map<NameHash, Class> m_classes;
--- a/Tests/Benchmarks/DecisionBenchmark.cpp
+++ b/Tests/Benchmarks/DecisionBenchmark.cpp
@@ -7,6 +7,8 @@
 #include <LibEntry/TableHistory.h>
 #include <LibPolicy/AdmissionQueue.h>
 #include <LibPolicy/BackendChooser.h>
+#include <LibPolicy/FleetDemand.h>
+#include <LibPolicy/WorkspaceShares.h>
 #include <LibTable/TablePages.h>
 
 #include <deque>
@@ -136,6 +138,43 @@
     }
 }
 
+Policy::FleetDemand make_demand(std::size_t workspaces, Core::MonotonicTime now)
+{
+    std::string const service("svc");
+    Policy::FleetDemand demand;
+    for (std::size_t number = 0; number < workspaces; ++number) {
+        Policy::FleetDemand::Request const request {service, Core::concat("workspace-", number), {2}, 100};
+        demand.note(request, Policy::FleetDemand::Verdict::Rejected, Policy::FleetDemand::ClassState::Open, now);
+    }
+    return demand;
+}
+
+/// A relay sums up the reports of its gateways, each with hundreds of workspaces.
+void relay_demand(benchmark::State& state)
+{
+    Core::MonotonicTime const now(1h);
+    auto demand = make_demand(s_workspaces, now);
+    auto const report = demand.own_report(now);
+    for (int gateway = 0; gateway < state.range(0); ++gateway)
+        demand.receive_from_gateway(static_cast<std::uint64_t>(gateway), report, now);
+    while (state.KeepRunning())
+        benchmark::DoNotOptimize(demand.relayed_report(now));
+}
+
+/// A gateway sums up the demand of all relays and works out the shares, as it does each 50 ms in a shortage.
+void work_out_shares(benchmark::State& state)
+{
+    constexpr std::uint64_t relays = 15;
+    Core::MonotonicTime const now(1h);
+    auto demand = make_demand(static_cast<std::size_t>(state.range(0)), now);
+    auto const report = demand.own_report(now);
+    for (std::uint64_t relay = 0; relay < relays; ++relay)
+        demand.receive_from_relay(relay, report, now);
+    Policy::WorkspaceShares const shares;
+    while (state.KeepRunning())
+        benchmark::DoNotOptimize(shares.level(demand.total("svc", now)));
+}
+
 void draw_digest(benchmark::State& state)
 {
     std::string const body(static_cast<std::size_t>(state.range(0)), 'b');
@@ -145,6 +184,8 @@
 
 }
 
+BENCHMARK(relay_demand)->Arg(7)->Arg(63)->Arg(357);
+BENCHMARK(work_out_shares)->Arg(24)->Arg(670)->Arg(6700);
 BENCHMARK(draw_digest)->Arg(0)->Arg(1'000)->Arg(60'000);
 BENCHMARK(decide<Policy::TieredDiscipline>)->RangeMultiplier(10)->Range(100, 100'000);
 BENCHMARK(decide<Policy::ArrivalDiscipline>)->RangeMultiplier(10)->Range(100, 100'000);
--- a/Tests/LibGateway/DemandSharingTest.cpp
+++ b/Tests/LibGateway/DemandSharingTest.cpp
@@ -6,7 +6,6 @@
 
 namespace GraniteField::Gateway {
 
-using Policy::AdmissionSettings;
 using Policy::FleetDemand;
 using Policy::ShareStanding;
 
