LibGateway: Drop reports of demand with a priority that engines do not have

Cause: found by reading: a class with an unknown priority counted as the lowest one, and as long as it seemed admitted, late requests of all others were admitted. Change: DemandSharing::is_within_bounds. Result: DemandSharingTest.DropsMalformedReports checks it.

--- a/Libraries/LibGateway/DemandSharing.cpp
+++ b/Libraries/LibGateway/DemandSharing.cpp
@@ -18,8 +18,9 @@
 using Policy::WaitSample;
 using Policy::WaitSamples;
 
-/// Engines know ten priorities, each with two standings.
-constexpr int s_max_classes = 20;
+/// Number of priorities that engines know, each with two standings.
+constexpr std::uint32_t s_max_ranks = 10;
+constexpr int s_max_classes = 2 * s_max_ranks;
 /// Longest time to return in a message.
 constexpr std::uint32_t s_max_return_ms = 600'000;
 /// Number of own samples to recognize: those of several reports.
@@ -36,8 +37,8 @@
     return service.classes_size() <= s_max_classes
         && service.workspaces_size() <= static_cast<int>(FleetDemand::s_max_reported_workspaces)
         && std::ranges::all_of(service.classes(), [](auto const& item) {
-               return item.late() <= item.requested() && item.admitted() <= item.requested()
-                   && item.admitted_while_open() <= item.admitted();
+               return item.rank() < s_max_ranks && item.late() <= item.requested()
+                   && item.admitted() <= item.requested() && item.admitted_while_open() <= item.admitted();
            });
 }
 
--- a/Tests/LibGateway/DemandSharingTest.cpp
+++ b/Tests/LibGateway/DemandSharingTest.cpp
@@ -185,6 +185,9 @@
     counts.set_late(2);
     EXPECT_FALSE(node(0).sharing.receive(datagram, node(1).address, m_now));
     counts.set_late(1);
+    counts.set_rank(10);
+    EXPECT_FALSE(node(0).sharing.receive(datagram, node(1).address, m_now));
+    counts.set_rank(9);
     EXPECT_TRUE(node(0).sharing.receive(datagram, node(1).address, m_now));
     report.mutable_demand()->add_wait_classes(1);
     EXPECT_FALSE(node(0).sharing.receive(datagram, node(1).address, m_now));
