--- a/Libraries/LibGateway/DemandSharing.h
+++ b/Libraries/LibGateway/DemandSharing.h
@@ -20,8 +20,8 @@
 
     /// Minimum time between two reports of demand.
     static constexpr Core::Milliseconds s_min_interval {250};
-    /// Additional interval for each relay, so that the reports of all relays together stay below 3 KB/s at a gateway
-    /// however many failure domains there are.
+    /// Additional interval for each relay, so that the reports of all relays about one service stay near 3 KB/s at a
+    /// gateway however many failure domains there are.
     static constexpr Core::Milliseconds s_interval_per_relay {67};
 
     explicit DemandSharing(Policy::Admission& admission)
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -58,7 +58,7 @@
     Shortage,
     /// A request of a higher rank would have missed its target a moment ago.
     HigherRank,
-    /// Its workspace uses more than its share during a shortage.
+    /// Its workspace requests more than its share during a shortage.
     Share,
 };
 
--- a/Libraries/LibPolicy/AdmissionClass.h
+++ b/Libraries/LibPolicy/AdmissionClass.h
@@ -5,7 +5,7 @@
 
 namespace GraniteField::Policy {
 
-/// Whether a workspace uses more of a service than its share in a shortage.
+/// Whether a workspace requests more of a service than its share in a shortage.
 enum class ShareStanding : std::uint8_t {
     Within,
     Beyond,
--- a/Libraries/LibPolicy/WorkspaceShares.h
+++ b/Libraries/LibPolicy/WorkspaceShares.h
@@ -13,7 +13,7 @@
 /// Weighted max-min fair shares of a service's work among workspaces. Shares are of work (tokens to read and write, or
 /// slot time), since a workspace with few large requests can take as much room as one with many small ones.
 ///
-/// A share only orders rejections during a shortage; without one, nobody is rejected for it. No I/O and no clock.
+/// A share only orders rejections during a shortage; without one, no request is rejected for it. No I/O and no clock.
 class WorkspaceShares {
 public:
     using Weights = absl::flat_hash_map<NameHash, unsigned>;
