--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -93,6 +93,7 @@
 {
     if (error)
         return fail(Failure::NotSent, error.message());
+    m_listener->handle_connected(*this);
     write();
     if (!m_is_over)
         read();
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -29,6 +29,8 @@
     class Listener {
     public:
         virtual ~Listener() = default;
+        /// Called once when the connection is established, before the request is sent.
+        virtual void handle_connected(BackendAttempt&) = 0;
         /// Called once when the head of the response has arrived, before handle_response().
         virtual void handle_response_head(BackendAttempt&) = 0;
         /// Called when the head of the response or more of its body has arrived.
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -76,6 +76,7 @@
             view->set_record(record);
     }
     m_listed_count = listed.size();
+    m_list_revision = list.revision;
     // A line for each server of a large fleet would displace other lines of the start.
     if (is_first)
         m_log.write(
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -106,6 +106,8 @@
 
     /// Number of servers in the newest list.
     [[nodiscard]] std::size_t listed_count() const { return m_listed_count; }
+    /// Revision of the newest list.
+    [[nodiscard]] Entry::ListRevision list_revision() const { return m_list_revision; }
     /// The server with that id, or null.
     [[nodiscard]] std::shared_ptr<BackendView> find(std::uint64_t id) const;
     [[nodiscard]] std::map<std::string, std::shared_ptr<BackendView>> const& all() const { return m_servers; }
@@ -153,6 +155,7 @@
     Policy::LimitShares m_limit_shares;
     bool m_has_list {false};
     std::size_t m_listed_count {0};
+    Entry::ListRevision m_list_revision;
     Core::MonotonicTime m_last_sample;
 };
 
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -264,7 +264,8 @@
                             .add("pause_sensitive", m_choice.is_pause_sensitive)
                             .add("sensitive_streams", m_choice.server->load().pause_sensitive)
                             .add("remaining_ms", Core::elapsed(now, m_request.deadline))
-                            .add("table", m_request.table->version().value()),
+                            .add("table", m_request.table->version().value())
+                            .add("servers", m_context.fleet.list_revision().value()),
         m_send_count == 0 ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
 }
 
@@ -354,6 +355,17 @@
         count_usage(m_attempt->started_at());
 }
 
+void RequestForwarder::handle_connected(BackendAttempt& attempt)
+{
+    if (attempt.server().accepts_new_requests())
+        return;
+    m_context.log.write(Observe::LogEvent("outdated-send")
+                            .add("request", m_request.id)
+                            .add("server", attempt.server().record().instance)
+                            .add("connect_ms", Core::elapsed(attempt.started_at(), Core::monotonic_now()))
+                            .add("servers", m_context.fleet.list_revision().value()));
+}
+
 void RequestForwarder::handle_failure(
     BackendAttempt& attempt, BackendAttempt::Failure failure, std::string const& reason)
 {
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -120,6 +120,7 @@
     [[nodiscard]] RoutedRequest const& request() const { return m_request; }
 
 private:
+    void handle_connected(BackendAttempt&) override;
     void handle_response_head(BackendAttempt&) override;
     void handle_response(BackendAttempt&) override;
     void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/ServerRoster.h>
 
+#include <algorithm>
 #include <set>
 
 namespace GraniteField::Gateway {
@@ -76,6 +77,12 @@
     return m_settles_at;
 }
 
+std::size_t ServerRoster::missing_count() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_entries, [](auto const& item) { return item.second.is_missing; }));
+}
+
 Entry::ServerList ServerRoster::list() const
 {
     Entry::ServerList list;
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibEntry/SharedServers.h>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     [[nodiscard]] std::optional<Core::MonotonicTime> settles_at() const;
 
     [[nodiscard]] Entry::ServerList list() const;
+    /// Number of entries that are missing in the store and still listed.
+    [[nodiscard]] std::size_t missing_count() const;
     [[nodiscard]] bool is_empty() const { return m_entries.empty(); }
 
 private:
