--- a/Tests/Soak/RotatingBackend.h
+++ b/Tests/Soak/RotatingBackend.h
@@ -25,6 +25,8 @@
         std::string instance;
         std::string request;
         Core::MonotonicTime time;
+        /// Time since the end of the bound.
+        Core::Milliseconds late {0};
     };
 
     RotatingBackend(std::string service, std::string name, SignalJudges& judges)
@@ -49,7 +51,7 @@
     {
         std::lock_guard const lock(m_mutex);
         ++m_life;
-        m_watched = false;
+        m_left_alone_from.reset();
         m_signals = make_signals();
     }
 
@@ -60,11 +62,17 @@
         return m_signals;
     }
 
-    /// From now on what arrives is noted.
-    void watch_arrivals()
+    /// The present instance leaves: requests that arrive after that time are recorded.
+    void expect_left_alone_from(Core::MonotonicTime time)
     {
         std::lock_guard const lock(m_mutex);
-        m_watched = true;
+        m_left_alone_from = time;
+    }
+
+    [[nodiscard]] bool is_leaving() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_left_alone_from.has_value();
     }
 
     [[nodiscard]] std::vector<Arrival> take_arrivals()
@@ -100,8 +108,9 @@
         std::lock_guard const lock(m_mutex);
         if (value_of("x-expect-instance") != instance_locked())
             return {421, "text/plain", {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, ""};
-        if (m_watched)
-            m_arrivals.push_back({instance_locked(), id, Core::monotonic_now()});
+        auto const now = Core::monotonic_now();
+        if (m_left_alone_from && now > *m_left_alone_from)
+            m_arrivals.push_back({instance_locked(), id, now, Core::elapsed(*m_left_alone_from, now)});
         m_signals->note_arrival(id);
         if (auto const retry_after = m_signals->reject(id))
             return {
@@ -118,7 +127,7 @@
     unsigned m_life {0};
     SignalJudges& m_judges;
     std::shared_ptr<StatedSignals> m_signals;
-    bool m_watched {false};
+    std::optional<Core::MonotonicTime> m_left_alone_from;
     std::vector<Arrival> m_arrivals;
     HTTP::HttpServer m_server;
 };
--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -21,7 +21,6 @@
 constexpr char const* s_host = "host.test";
 constexpr std::array s_services {"svc-a", "svc-b"};
 constexpr std::array s_domains {"domain-a", "domain-b", "domain-c"};
-constexpr std::size_t s_backends_per_service = 4;
 constexpr std::size_t s_seeds = 3;
 /// One gateway in so many has a larger share of a core than the others.
 constexpr std::size_t s_large_hosts = 5;
@@ -46,6 +45,9 @@
 constexpr std::size_t s_remembered_removals = 4;
 constexpr std::size_t s_workspaces = 3;
 
+/// Distance of the random seeds, and of the request numbers, of two callers of one gateway.
+constexpr unsigned s_seeds_per_caller = 1'000'000;
+constexpr unsigned s_requests_per_caller = 10'000'000;
 constexpr Core::Milliseconds s_round_pause {120};
 constexpr Core::Milliseconds s_pause_after_failure {30};
 constexpr Core::Milliseconds s_turn {20};
@@ -57,6 +59,15 @@
 constexpr Core::Milliseconds s_backoff_pause {4'000};
 /// How long a server that leaves goes on serving after it was to be left alone.
 constexpr Core::Milliseconds s_served_on {2'500};
+constexpr unsigned s_longest_served_on_ms = 6'000;
+/// Servers of a service that never leave in a series.
+constexpr std::size_t s_least_staying = 2;
+/// How long a killed process stays away, and at most after a joint fault.
+constexpr Core::Milliseconds s_least_down {50};
+constexpr Core::Milliseconds s_most_down {1'500};
+constexpr Core::Milliseconds s_longest_loss {8'000};
+/// Part of the gateways that a joint fault kills at once.
+constexpr std::size_t s_killed_percent = 55;
 
 std::uint16_t free_udp_port()
 {
@@ -97,13 +108,14 @@
     , m_limit_random(options.seed + 1)
     , m_leaving_random(options.seed + 2)
     , m_backoff_random(options.seed + 3)
+    , m_series_random(options.seed + 4)
     , m_contact({}, options.gateways)
     , m_judges(s_contact_time, options.leave_bound)
     , m_seen(options.gateways)
 {
     change_configuration();
     for (auto const* service : s_services) {
-        for (std::size_t number = 0; number < s_backends_per_service; ++number) {
+        for (std::size_t number = 0; number < options.backends; ++number) {
             auto& backend = m_backends.emplace_back(
                 std::make_unique<RotatingBackend>(service, Core::concat(service, "-", number), m_judges));
             m_fleet.put_server(backend->entry());
@@ -233,25 +245,87 @@
     m_fleet.put_server(backend.entry());
 }
 
-void SpreadSoak::rotate_backends(Core::MonotonicTime now)
+void SpreadSoak::rotate_backends()
 {
     auto& backend = *m_backends[m_random() % m_backends.size()];
+    auto const how = m_random() % 3 != 0 ? Leaving::Stated : Leaving::EntryRemoved;
+    leave(backend, how, s_served_on);
+}
+
+void SpreadSoak::let_server_leave(std::string const& service, Leaving how)
+{
+    auto const chosen = std::ranges::find_if(
+        m_backends, [&](auto const& backend) { return backend->service() == service && !backend->is_leaving(); });
+    if (chosen == m_backends.end())
+        throw std::runtime_error("all servers of the service are leaving");
+    leave(**chosen, how, s_served_on);
+}
+
+void SpreadSoak::leave(RotatingBackend& backend, Leaving how, Core::Milliseconds served_on)
+{
     auto const leaving = backend.entry();
-    bool const says_so = m_random() % 3 != 0;
-    if (says_so)
+    if (how == Leaving::Stated)
         m_fleet.put_server(leaving, "draining");
     else
         m_fleet.remove_server(leaving.instance);
-    auto const acknowledged = Core::monotonic_now();
-    m_faults.begin(says_so ? "server leaves" : "server's entry goes", acknowledged + m_options.leave_bound,
-        [this, &backend, leaving, now] {
-            // It may have been replaced meanwhile, after a statement of its own.
-            if (backend.instance() != leaving.instance)
-                return;
-            backend.watch_arrivals();
-            m_faults.begin("server is left alone", now + m_options.leave_bound + s_served_on,
-                [this, &backend, leaving] { replace(backend, leaving.instance); });
-        });
+    auto const bound_end = Core::monotonic_now() + m_options.leave_bound;
+    backend.expect_left_alone_from(bound_end);
+    m_faults.begin(how == Leaving::Stated ? "server leaves" : "server's entry goes", bound_end + served_on,
+        [this, &backend, leaving] { replace(backend, leaving.instance); });
+}
+
+void SpreadSoak::begin_leaving_series()
+{
+    auto const service = m_series_random() % s_services.size();
+    std::vector<RotatingBackend*> staying;
+    for (auto const& backend : m_backends) {
+        if (backend->service() == s_services.at(service) && !backend->is_leaving())
+            staying.push_back(backend.get());
+    }
+    if (staying.size() <= s_least_staying)
+        return;
+    std::ranges::shuffle(staying, m_series_random);
+    auto const count = 1 + m_series_random() % (staying.size() - s_least_staying);
+    static constexpr std::array s_gaps_ms {0, 50, 300, 1'000};
+    Core::Milliseconds const gap(s_gaps_ms.at(m_series_random() % s_gaps_ms.size()));
+    for (std::size_t place = 0; place < count; ++place) {
+        auto& backend = *staying[place];
+        auto const how = m_series_random() % 2 == 0 ? Leaving::Stated : Leaving::EntryRemoved;
+        Core::Milliseconds const served_on(m_series_random() % s_longest_served_on_ms);
+        m_faults.begin("leaving in a series", Core::monotonic_now() + gap * static_cast<int>(place),
+            [this, &backend, how, served_on] {
+                if (!backend.is_leaving())
+                    leave(backend, how, served_on);
+            });
+    }
+}
+
+void SpreadSoak::begin_joint_fault()
+{
+    auto both = watchers();
+    std::ranges::copy(relays(), std::back_inserter(both));
+    std::ranges::sort(both);
+    both.erase(std::ranges::unique(both).begin(), both.end());
+    Indices all(m_slots.size());
+    std::iota(all.begin(), all.end(), 0);
+    std::ranges::shuffle(all, m_series_random);
+    all.resize(m_slots.size() * s_killed_percent / 100);
+    switch (m_series_random() % 7) {
+    case 0:
+        return kill(watchers(), s_least_down, s_longest_loss);
+    case 1:
+        return kill(both, s_least_down, s_longest_loss);
+    case 2:
+        return freeze(watchers());
+    case 3:
+        return freeze(both);
+    case 4:
+        return cut_from_store(watchers());
+    case 5:
+        return kill(all, s_least_down, s_longest_loss);
+    default:
+        return terminate(both);
+    }
 }
 
 void SpreadSoak::judge_arrivals()
@@ -264,7 +338,7 @@
             if (!stretch || stretch->count() > 0)
                 continue;
             note_problem(Core::concat("DRAIN ", at(arrival.time), ": ", arrival.request, " reached ", arrival.instance,
-                " later than promised after it was told that it leaves;",
+                " ", arrival.late.count(), " ms after the end of its bound;",
                 m_contact.describe(index, arrival.time - Core::Milliseconds(10'000))));
         }
     }
@@ -280,12 +354,12 @@
     return indices;
 }
 
-SpreadSoak::Indices SpreadSoak::watchers() const
+SpreadSoak::Indices SpreadSoak::gateways_with(std::string const& metric) const
 {
     Indices found;
     for (std::size_t index = 0; index < m_slots.size(); ++index) {
         auto const& slot = m_slots[index];
-        if (!slot.is_busy && GatewayFleet::metric(slot.gateway, "granitefield_store_watching") == 1)
+        if (!slot.is_busy && GatewayFleet::metric(slot.gateway, metric) == 1)
             found.push_back(index);
     }
     return found;
@@ -317,13 +391,14 @@
     });
 }
 
-void SpreadSoak::kill(Indices const& indices)
+void SpreadSoak::kill(Indices const& indices, Core::Milliseconds least_down, Core::Milliseconds most_down)
 {
     for (auto const index : indices) {
         if (m_slots[index].is_busy)
             continue;
         disturb(
-            "kill", {index}, draw_time(50, 1'500),
+            "kill", {index},
+            draw_time(static_cast<unsigned>(least_down.count()), static_cast<unsigned>(most_down.count())),
             [this](Slot& slot) {
                 slot.is_busy = true;
                 m_shares.forget(slot.gateway.process->id());
@@ -497,8 +572,8 @@
     // Now and then of all servers of a service at once.
     bool const reject_all = m_backoff_random() % 4 == 0;
     auto const chosen = m_backoff_random() % m_backends.size();
-    auto const first = reject_all ? chosen / s_backends_per_service * s_backends_per_service : chosen;
-    auto const count = reject_all ? s_backends_per_service : 1;
+    auto const first = reject_all ? chosen / m_options.backends * m_options.backends : chosen;
+    auto const count = reject_all ? m_options.backends : 1;
     for (auto index = first; index < first + count; ++index) {
         auto const signals = m_backends[index]->signals();
         signals->reject_for(backoff);
@@ -510,7 +585,7 @@
 {
     switch (m_random() % 12) {
     case 0:
-        return kill(draw_gateways());
+        return kill(draw_gateways(), s_least_down, s_most_down);
     case 1:
         return terminate(draw_gateways());
     case 2:
@@ -572,11 +647,9 @@
     return questions;
 }
 
-void SpreadSoak::ask_round(std::size_t index, std::mt19937& random, unsigned& number)
+SpreadSoak::ConnectionState SpreadSoak::ask_round(
+    std::size_t index, unsigned life, RawCaller& caller, std::mt19937& random, unsigned& number)
 {
-    auto& slot = m_slots[index];
-    unsigned const life = slot.life;
-    RawCaller caller(slot.callers);
     for (auto& question : questions(random)) {
         auto const id = Core::concat(gateway_name(index), "-", number++);
         auto const key = question.key.empty() ? "" : Core::concat("Authorization: Bearer ", question.key, "\r\n");
@@ -601,22 +674,31 @@
         if (says_something)
             judge(index, life, sighting, id);
         if (!answer.is_whole || field_of(answer.head, "Connection") == "close")
-            return;
+            return ConnectionState::Closed;
     }
+    return ConnectionState::Open;
+}
+
+void SpreadSoak::ask_on_one_connection(std::size_t index, std::mt19937& random, unsigned& number)
+{
+    auto& slot = m_slots[index];
+    unsigned const life = slot.life;
+    RawCaller caller(slot.callers);
+    while (!m_should_stop && ask_round(index, life, caller, random, number) == ConnectionState::Open)
+        std::this_thread::sleep_for(s_round_pause);
 }
 
-void SpreadSoak::call_until_stopped(std::size_t index)
+void SpreadSoak::call_until_stopped(std::size_t index, unsigned caller)
 {
-    std::mt19937 random(m_options.seed * 1'000 + static_cast<unsigned>(index));
-    unsigned number = 0;
+    std::mt19937 random(m_options.seed * 1'000 + static_cast<unsigned>(index) + caller * s_seeds_per_caller);
+    unsigned number = caller * s_requests_per_caller;
     while (!m_should_stop) {
         try {
-            ask_round(index, random, number);
-            std::this_thread::sleep_for(s_round_pause);
+            ask_on_one_connection(index, random, number);
         } catch (std::runtime_error const&) {
             // NOTE: Nobody listens there now.
-            std::this_thread::sleep_for(s_pause_after_failure);
         }
+        std::this_thread::sleep_for(s_pause_after_failure);
     }
 }
 
@@ -665,12 +747,8 @@
     return Core::concat("at ", Core::elapsed(m_begun, time).count(), " ms");
 }
 
-SpreadSoak::Report SpreadSoak::run()
+void SpreadSoak::draw_until_over()
 {
-    std::vector<std::thread> callers;
-    for (std::size_t index = 0; index < m_slots.size(); ++index)
-        callers.emplace_back([this, index] { call_until_stopped(index); });
-    std::this_thread::sleep_for(Core::Milliseconds(2'000));
     auto const end = Core::monotonic_now() + m_options.length;
     auto next_change = Core::monotonic_now();
     auto next_rotation = next_change;
@@ -678,6 +756,8 @@
     auto next_limit = next_change;
     auto next_leaving = next_change + s_leaving_pause;
     auto next_backoff = next_change + s_backoff_pause;
+    auto next_series = next_change;
+    auto next_joint_fault = next_change;
     while (Core::monotonic_now() < end) {
         auto const now = Core::monotonic_now();
         m_faults.heal_due(now);
@@ -688,7 +768,7 @@
                     static_cast<unsigned>(m_options.most_pause.count()));
         }
         if (now >= next_rotation) {
-            rotate_backends(now);
+            rotate_backends();
             next_rotation = now + m_options.leave_bound + s_served_on + draw_time(100, 1'500);
         }
         if (m_options.has_signals && now >= next_limit) {
@@ -703,12 +783,45 @@
             begin_backoff();
             next_backoff = now + s_backoff_pause;
         }
+        if (m_options.has_leaving_series && now >= next_series) {
+            begin_leaving_series();
+            next_series = now + Core::Milliseconds(300 + m_series_random() % 2'700);
+        }
+        if (m_options.has_leaving_series && m_options.has_faults && now >= next_joint_fault) {
+            begin_joint_fault();
+            next_joint_fault = now + Core::Milliseconds(2'000 + m_series_random() % 6'000);
+        }
         if (m_options.has_faults && now >= next_fault) {
             begin_fault();
             next_fault = now + draw_time(300, 4'000);
         }
         std::this_thread::sleep_for(s_turn);
     }
+}
+
+void SpreadSoak::pass(Core::Milliseconds time)
+{
+    auto const end = Core::monotonic_now() + time;
+    while (Core::monotonic_now() < end) {
+        m_faults.heal_due(Core::monotonic_now());
+        std::this_thread::sleep_for(s_turn);
+    }
+}
+
+SpreadSoak::Report SpreadSoak::run()
+{
+    return run([this] { draw_until_over(); });
+}
+
+SpreadSoak::Report SpreadSoak::run(std::function<void()> const& script)
+{
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        for (unsigned caller = 0; caller < m_options.callers; ++caller)
+            callers.emplace_back([this, index, caller] { call_until_stopped(index, caller); });
+    }
+    std::this_thread::sleep_for(Core::Milliseconds(2'000));
+    script();
     m_should_stop = true;
     for (auto& caller : callers)
         caller.join();
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -49,6 +50,13 @@
         bool has_faults {true};
         /// Whether backend servers state things about themselves.
         bool has_signals {false};
+        /// Whether backend servers leave in overlapping series, while the watchers and relays among the gateways fail
+        /// together and many gateways are killed at once.
+        bool has_leaving_series {false};
+        /// Backend servers of each of the two services.
+        std::size_t backends {4};
+        /// Connections on which callers ask each gateway at once.
+        unsigned callers {1};
         /// The promise: how long after the store's answer a change holds, and a leaving server is left alone.
         Core::Milliseconds apply_bound {3'000};
         Core::Milliseconds leave_bound {3'000};
@@ -75,7 +83,21 @@
     SpreadSoak(SpreadSoak const&) = delete;
     SpreadSoak& operator=(SpreadSoak const&) = delete;
 
+    /// Draws changes, faults and leaving servers for the length of the options.
     [[nodiscard]] Report run();
+    /// The same for a script, which draws nothing. It is called once callers ask all gateways.
+    [[nodiscard]] Report run(std::function<void()> const& script);
+
+    // Steps of a script.
+    void pass(Core::Milliseconds);
+    /// All gateways that watch the store end, and are not started again within that time.
+    void lose_watchers(Core::Milliseconds down) { kill(watchers(), down, down); }
+    enum class Leaving {
+        Stated,
+        EntryRemoved,
+    };
+    /// The first server of a service that is not leaving yet leaves.
+    void let_server_leave(std::string const& service, Leaving);
 
 private:
     using Indices = std::vector<std::size_t>;
@@ -106,7 +128,13 @@
     void make_settings(std::size_t index);
     void start_gateway(std::size_t index);
     void change_configuration();
-    void rotate_backends(Core::MonotonicTime now);
+    void rotate_backends();
+    /// The server states that it leaves, or its entry goes. It is replaced some time after the bound.
+    void leave(RotatingBackend&, Leaving, Core::Milliseconds served_on);
+    /// Some servers of a service leave at once or one after the other. A few always stay.
+    void begin_leaving_series();
+    /// The gateways on which the others depend fail together, or many gateways are killed at once.
+    void begin_joint_fault();
     void judge_arrivals();
     /// Another instance takes the place of that one, if none has done so yet.
     void replace(RotatingBackend&, std::string const& instance);
@@ -117,7 +145,8 @@
     void begin_backoff();
 
     void begin_fault();
-    void kill(Indices const&);
+    /// Ends them, each for a time between the two.
+    void kill(Indices const&, Core::Milliseconds least_down, Core::Milliseconds most_down);
     void terminate(Indices const&);
     void freeze(Indices const&);
     void slow_down(Indices const&);
@@ -129,12 +158,23 @@
     void disturb(std::string const& what, Indices const&, Core::Milliseconds length, std::function<void(Slot&)> begin,
         std::function<void(Slot&)> end);
     [[nodiscard]] Indices draw_gateways();
+    void draw_until_over();
     [[nodiscard]] Core::Milliseconds draw_time(unsigned least, unsigned most);
     [[nodiscard]] unsigned draw_filler_routes();
-    [[nodiscard]] Indices watchers() const;
-
-    void call_until_stopped(std::size_t index);
-    void ask_round(std::size_t index, std::mt19937&, unsigned& number);
+    [[nodiscard]] Indices watchers() const { return gateways_with("granitefield_store_watching"); }
+    [[nodiscard]] Indices relays() const { return gateways_with("granitefield_load_relay"); }
+    /// The gateways of which that metric is 1, without those under a fault.
+    [[nodiscard]] Indices gateways_with(std::string const& metric) const;
+
+    void call_until_stopped(std::size_t index, unsigned caller);
+    /// Asks until the gateway closes the connection or the soak ends.
+    void ask_on_one_connection(std::size_t index, std::mt19937&, unsigned& number);
+    enum class ConnectionState {
+        Open,
+        Closed,
+    };
+    [[nodiscard]] ConnectionState ask_round(
+        std::size_t index, unsigned life, RawCaller&, std::mt19937&, unsigned& number);
     struct Question {
         Sighting sighting;
         std::string path;
@@ -151,6 +191,7 @@
     std::mt19937 m_limit_random;
     std::mt19937 m_leaving_random;
     std::mt19937 m_backoff_random;
+    std::mt19937 m_series_random;
     Core::MonotonicTime m_begun {Core::monotonic_now()};
     ContactBook m_contact;
     SignalJudges m_judges;
--- a/Tests/Soak/spread_soak.cpp
+++ b/Tests/Soak/spread_soak.cpp
@@ -60,6 +60,9 @@
     TCLAP::ValueArg<unsigned> growth("", "growth", "Routes that each change adds.", false, 0, "N", command_line);
     TCLAP::SwitchArg calm("", "calm", "No faults, changes only.", command_line);
     TCLAP::SwitchArg signals("", "signals", "Let backend servers state things about themselves as well.", command_line);
+    TCLAP::SwitchArg series("", "leaving", "Let servers leave in series while watchers and relays fail.", command_line);
+    TCLAP::ValueArg<unsigned> backends("", "backends", "Servers of each service.", false, 4, "N", command_line);
+    TCLAP::ValueArg<unsigned> callers("", "callers", "Connections to each gateway.", false, 1, "N", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -78,6 +81,9 @@
         options.growth = growth.getValue();
         options.has_faults = !calm.getValue();
         options.has_signals = signals.getValue();
+        options.has_leaving_series = series.getValue();
+        options.backends = backends.getValue();
+        options.callers = callers.getValue();
         auto const report = Testing::SpreadSoak(options).run();
         print(options.seed, report);
         has_failed = has_failed || !report.problems.empty();
