Tests/Soak: Start gateways at ports that are free

Ports for datagrams were probed for all gateways before any was bound, so that two could get one; a restarted gateway's port may be held by an outgoing connection for a while.

Change: ports of datagrams are unique, and a start is tried again for 5 s.

--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -51,6 +51,8 @@
 constexpr Core::Milliseconds s_round_pause {120};
 constexpr Core::Milliseconds s_pause_after_failure {30};
 constexpr Core::Milliseconds s_turn {20};
+constexpr unsigned s_start_attempts = 20;
+constexpr Core::Milliseconds s_start_pause {250};
 constexpr Core::Milliseconds s_stop_limit {20'000};
 constexpr unsigned s_shortest_signal_ms = 6'000;
 constexpr unsigned s_longest_signal_ms = 12'000;
@@ -147,7 +149,7 @@
     slot.peers->set_rate(is_small ? m_options.link_rate : 0);
     slot.store->set_rate(is_small ? m_options.link_rate : 0);
     Json fields {{"node", Core::concat("g-", index)}, {"zone", s_domains.at(index % s_domains.size())},
-        {"region", "region"}, {"ip", "127.0.0.1"}, {"port_range", {0, free_udp_port()}}, {"bounds", bounds()},
+        {"region", "region"}, {"ip", "127.0.0.1"}, {"port_range", {0, draw_load_port()}}, {"bounds", bounds()},
         {"listen", {{"front", local(0)}, {"ready", local(0)}, {"control", local(0)}}},
         {"platform", {{"addr", local(slot.store->port())}}}, {"seeds", seeds}};
     fields["bounds"]["apply_ms"] = m_options.apply_bound.count();
@@ -159,10 +161,32 @@
     slot.settings["peers"]["advertised-address"] = local(slot.peers->port());
 }
 
+std::uint16_t SpreadSoak::draw_load_port()
+{
+    auto port = free_udp_port();
+    while (!m_load_ports.insert(port).second)
+        port = free_udp_port();
+    return port;
+}
+
+GatewayFleet::Gateway SpreadSoak::start_process(Json const& settings)
+{
+    for (unsigned attempt = 1;; ++attempt) {
+        try {
+            return m_fleet.start_with(settings);
+        } catch (std::runtime_error const&) {
+            // An outgoing connection may hold a port of the process's last life for a while.
+            if (attempt == s_start_attempts)
+                throw;
+            std::this_thread::sleep_for(s_start_pause);
+        }
+    }
+}
+
 void SpreadSoak::start_gateway(std::size_t index)
 {
     auto& slot = m_slots[index];
-    slot.gateway = m_fleet.start_with(slot.settings);
+    slot.gateway = start_process(slot.settings);
     // The same ports in its next life, as on a host.
     slot.settings["callers-address"] = local(slot.gateway.callers);
     slot.settings["readiness-address"] = local(slot.gateway.readiness);
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -126,6 +127,8 @@
     };
 
     void make_settings(std::size_t index);
+    [[nodiscard]] std::uint16_t draw_load_port();
+    [[nodiscard]] GatewayFleet::Gateway start_process(Json const& settings);
     void start_gateway(std::size_t index);
     void change_configuration();
     void rotate_backends();
@@ -202,6 +205,7 @@
     std::deque<Slot> m_slots;
     FaultSeries m_faults;
     unsigned m_next_life {0};
+    std::set<std::uint16_t> m_load_ports;
 
     // The configuration.
     unsigned m_version {0};
