LibGateway: Drop removed servers at once unless most of their service is missing

Cause: a gateway without reports of a healthy watch takes over the watch after a quarter to a half of the contact time (1.0 s to 2.0 s) and took the silence for an outage of the store. The roster then kept every missing server listed for a settling time of 2 s. The sum is 3.0 s to 4.0 s. Such a list is provisional and not sent to peers, and the gateway's watch counts as healthy: every other gateway stayed with the list from before the watchers died, so that 'draining' of other servers did not reach them either.

ServerRoster.DropsARemovedServerAtOnceWhereWatchersWereSilent is red on the code before.

Why it works: entries expire in an outage because nobody renews them, most of a service at once; servers that leave are few. Only where most of a service is missing are its servers kept, all of them until the settling time is over. Otherwise the list is the store's own, holds at once and goes to peers.

Ruled out: settling only after an own call has failed. A gateway whose first call meets a store that has just returned would drop all servers that run.

--- a/Libraries/LibGateway/ServerRoster.cpp
+++ b/Libraries/LibGateway/ServerRoster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace GraniteField::Gateway {
 
@@ -20,7 +21,37 @@
     }
     for (auto const& instance : missing)
         apply_removal(instance, now);
+    set_revision(revision);
+}
+
+void ServerRoster::set_revision(Entry::ListRevision revision)
+{
     m_revision = revision;
+    find_expired_services();
+}
+
+void ServerRoster::find_expired_services()
+{
+    struct Count {
+        std::size_t missing {0};
+        std::size_t all {0};
+    };
+    std::map<std::string_view, Count> counts;
+    for (auto const& [instance, entry] : m_entries) {
+        auto& count = counts[entry.server.service];
+        count.missing += entry.is_missing ? 1 : 0;
+        ++count.all;
+    }
+    // Servers that are back must not shorten the wait for the others.
+    for (auto const& [service, count] : counts) {
+        if (2 * count.missing > count.all)
+            m_expired_services.emplace(service);
+    }
+}
+
+bool ServerRoster::is_listed(KnownServer const& known) const
+{
+    return !known.is_missing || m_expired_services.contains(known.server.service);
 }
 
 void ServerRoster::adopt(Entry::ServerList const& list)
@@ -69,6 +100,7 @@
     if (!m_settles_at || is_settling(now))
         return false;
     m_settles_at.reset();
+    m_expired_services.clear();
     return std::erase_if(m_entries, [](auto const& item) { return item.second.is_missing; }) > 0;
 }
 
@@ -79,8 +111,8 @@
 
 std::size_t ServerRoster::missing_count() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_entries, [](auto const& item) { return item.second.is_missing; }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_entries, [this](auto const& item) { return item.second.is_missing && is_listed(item.second); }));
 }
 
 Entry::ServerList ServerRoster::list() const
@@ -88,6 +120,8 @@
     Entry::ServerList list;
     list.revision = m_revision;
     for (auto const& [instance, entry] : m_entries) {
+        if (!is_listed(entry))
+            continue;
         list.servers.push_back(entry.server);
         list.is_provisional = list.is_provisional || entry.is_missing;
     }
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -6,14 +6,16 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace GraniteField::Gateway {
 
 /// Maintains the list of backend servers from the lists and changes of the platform's store. During an outage of the
-/// store, entries expire although their servers run. Entries that are missing right after the outage stay listed for a
-/// settling time, in which running servers register again.
+/// store, entries expire although their servers run. Where most entries of a service are missing right after a possible
+/// outage, the service's servers stay listed for a settling time, in which running servers register again. Single
+/// missing servers have left, and a silent watcher looks like an outage to gateways that relied on it.
 class ServerRoster {
 public:
     /// Time after an outage of the store within which running servers register again.
@@ -27,9 +29,10 @@
     void apply_entry(Entry::ServerEntry);
     void apply_removal(std::string const& instance, Core::MonotonicTime now);
     [[nodiscard]] Entry::ListRevision revision() const { return m_revision; }
-    void set_revision(Entry::ListRevision revision) { m_revision = revision; }
+    /// Ends a batch of changes, up to that revision.
+    void set_revision(Entry::ListRevision);
 
-    /// The store did not answer.
+    /// The store did not answer, or may not have answered others.
     void note_store_lost() { m_is_store_lost = true; }
     /// The store answers. After an outage this starts the settling time.
     void note_store_available(Core::MonotonicTime now);
@@ -50,11 +53,15 @@
     };
 
     [[nodiscard]] bool is_settling(Core::MonotonicTime now) const { return m_settles_at && now < *m_settles_at; }
+    void find_expired_services();
+    [[nodiscard]] bool is_listed(KnownServer const&) const;
 
     std::map<std::string, KnownServer> m_entries;
     Entry::ListRevision m_revision;
     bool m_is_store_lost {false};
     std::optional<Core::MonotonicTime> m_settles_at;
+    /// Services of which most entries were missing at once in this settling time.
+    std::set<std::string> m_expired_services;
 };
 
 }
--- a/Tests/LibGateway/ServerRosterTest.cpp
+++ b/Tests/LibGateway/ServerRosterTest.cpp
@@ -72,6 +72,32 @@
     EXPECT_FALSE(roster.list().is_provisional);
 }
 
+TEST(ServerRoster, DropsARemovedServerAtOnceWhereWatchersWereSilent)
+{
+    ServerRoster roster;
+    roster.apply_list({server("a"), server("b"), server("c")}, Entry::ListRevision(1), s_start);
+    roster.note_store_lost();
+    roster.note_store_available(s_start + 2s);
+    roster.apply_removal("a", s_start + 2s);
+    roster.set_revision(Entry::ListRevision(2));
+    EXPECT_FALSE(has(roster, "a"));
+    EXPECT_FALSE(roster.list().is_provisional);
+}
+
+TEST(ServerRoster, KeepsAllMissingEntriesOfAServiceThatExpired)
+{
+    ServerRoster roster;
+    roster.apply_list({server("a"), server("b"), server("c")}, Entry::ListRevision(1), s_start);
+    roster.note_store_lost();
+    roster.note_store_available(s_start + 5s);
+    roster.apply_list({}, Entry::ListRevision(5), s_start + 5s);
+    // The first ones are back.
+    roster.apply_list({server("a"), server("b")}, Entry::ListRevision(7), s_start + 6s);
+    EXPECT_TRUE(has(roster, "c"));
+    EXPECT_TRUE(roster.settle(s_start + 7s));
+    EXPECT_FALSE(has(roster, "c"));
+}
+
 TEST(ServerRoster, RemovesLeavingServersAfterAStoreOutage)
 {
     ServerRoster roster;
