LibEntry: Let a peer's list settle a provisional one of its revision

Cause: a gateway that keeps missing servers for the settling time and is relieved of the watch meanwhile has nothing that ends the settling time. A peer's list without those servers has the same revision, since both come from the same change, and was refused as not newer. The gateway went on with servers that are gone until the next change or until it took over the watch again.

Evidence: SharedServers.SettlesAProvisionalListByAPeersListOfTheSameRevision, red on the code before.

Why it works: a settled list of one revision says more than a provisional one, and never the other way round.

--- a/Libraries/LibEntry/SharedServers.h
+++ b/Libraries/LibEntry/SharedServers.h
@@ -49,11 +49,13 @@
         return m_settled ? m_settled->revision : ListRevision();
     }
 
-    /// Stores the list if it is newer. Returns whether it was.
+    /// Stores the list if it is newer, or if it settles a provisional list of its revision. Returns whether it did.
     bool offer(ServerList list)
     {
         std::lock_guard const lock(m_mutex);
-        if (m_list && list.revision <= m_list->revision)
+        bool const settles
+            = m_list && m_list->is_provisional && !list.is_provisional && list.revision == m_list->revision;
+        if (m_list && list.revision <= m_list->revision && !settles)
             return false;
         store(std::move(list));
         return true;
--- a/Tests/LibGateway/ServerRosterTest.cpp
+++ b/Tests/LibGateway/ServerRosterTest.cpp
@@ -140,4 +140,20 @@
     EXPECT_FALSE(shared.offer(settled));
 }
 
+TEST(SharedServers, SettlesAProvisionalListByAPeersListOfTheSameRevision)
+{
+    Entry::SharedServers shared;
+    Entry::ServerList provisional;
+    provisional.revision = Entry::ListRevision(2);
+    provisional.is_provisional = true;
+    provisional.servers = {server("removed")};
+    ASSERT_TRUE(shared.replace(provisional));
+    Entry::ServerList settled;
+    settled.revision = Entry::ListRevision(2);
+    EXPECT_TRUE(shared.offer(settled));
+    EXPECT_TRUE(shared.current()->servers.empty());
+    EXPECT_EQ(shared.settled_revision(), Entry::ListRevision(2));
+    EXPECT_FALSE(shared.offer(settled));
+}
+
 }
