LibGateway: Abort a started response that no server can continue

Callers could get the head of an error response inside the body of a stream: where a resumable stream broke, the retry was allowed and no other server was left, the request failed as if nothing had been sent to its caller.

Evidence: AttemptRules.SendsNoErrorResponseIntoAStreamThatNoServerCanResume, red on the code before (no response counted as cut).

Why it works: all ways to fail end in one function, which now cuts the connection once a response has begun.

--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -608,6 +608,8 @@
 void RequestForwarder::fail(
     int status_if_may_have_run, std::string code, std::string message, std::optional<Core::Milliseconds> retry_after)
 {
+    if (m_has_started_response)
+        return abort_response(code);
     Entry::ErrorAnswer error;
     error.status = m_may_have_run ? status_if_may_have_run : Status::s_unavailable;
     error.outcome = m_may_have_run ? Outcome::Unknown : Outcome::NotRun;
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -397,6 +397,24 @@
     EXPECT_EQ(status["backend-servers"][0]["open"], 0);
 }
 
+TEST_F(AttemptRules, SendsNoErrorResponseIntoAStreamThatNoServerCanResume)
+{
+    std::promise<void> may_reset;
+    add_backend("i-1", [&](auto& connection, auto const& text, auto) {
+        connection.write(stream_head_to(text) + chunk(event(1)));
+        may_reset.get_future().wait();
+        connection.reset();
+    });
+    start();
+    auto const caller = call(request("POST", "/resumable/", "", "x"));
+    ASSERT_TRUE(caller->read_body_bytes(event(1).size()));
+    may_reset.set_value();
+    EXPECT_FALSE(caller->read_answer().is_whole);
+    EXPECT_EQ(counter("granitefield_gateway_retries_total"), 1U);
+    EXPECT_EQ(
+        counter("granitefield_gateway_requests_total", {{"tier", "2"}, {"outcome", "cut"}, {"reason", "cut"}}), 1U);
+}
+
 TEST_F(AttemptRules, RefusesQuicklyWithoutAnyServer)
 {
     start();
