LibGateway: Decide again before a request goes out on a new connection

Backend servers got requests that were chosen for them before they left: the choice was made, the list changed, and the request was sent when the connection came up, up to 0.4 s (the connect limit) and a tick later, and later still on a host whose processor is taken.

Class: a decision that is carried out later without a look at what it rests on. The same held for a server that asked for a backoff and for a drained failure domain while the connection came up; both are covered. Requests that are queued, retried or resumed are decided anew at each dispatch, but by the list of the last wake-up; they use the newest one now.

Evidence: AttemptRules.SendsNothingToAServerThatLeftWhileConnecting (the request arrived at the server, its caller got 504) and AttemptRules.ChoosesAnotherServerOnceTheChosenOneLeavesWhileConnecting (an answer after 3.0 s, a server reported as unreachable), both red on the code before.

Why it works: nothing was sent until then, so that the request can go to another server without a retry; an admitted request is not admitted again. 'withdrawn' and granitefield_gateway_withdrawn_total take the place of 'outdated-send'.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -93,7 +93,8 @@
 {
     if (error)
         return fail(Failure::NotSent, error.message());
-    m_listener->handle_connected(*this);
+    if (m_listener->handle_connected(*this) == Listener::ConnectedResult::Withdrawn)
+        return;
     write();
     if (!m_is_over)
         read();
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -28,9 +28,16 @@
     /// Receives the events of an attempt, always from the event loop and never from within start().
     class Listener {
     public:
+        /// What happens to the request once the connection is established.
+        enum class ConnectedResult {
+            Send,
+            /// The attempt was cancelled; nothing is sent.
+            Withdrawn,
+        };
+
         virtual ~Listener() = default;
         /// Called once when the connection is established, before the request is sent.
-        virtual void handle_connected(BackendAttempt&) = 0;
+        [[nodiscard]] virtual ConnectedResult handle_connected(BackendAttempt&) = 0;
         /// Called once when the head of the response has arrived, before handle_response().
         virtual void handle_response_head(BackendAttempt&) = 0;
         /// Called when the head of the response or more of its body has arrived.
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -17,6 +17,7 @@
         , m_denied_retries(registry.counter("granitefield_gateway_retries_denied_total"))
         , m_returning(registry.counter("granitefield_gateway_returning_total"))
         , m_unreachable(registry.counter("granitefield_gateway_unreachable_total"))
+        , m_withdrawn(registry.counter("granitefield_gateway_withdrawn_total"))
         , m_cancelled(registry.counter("granitefield_gateway_cancelled_total"))
         , m_crash_witnesses(registry.counter("granitefield_gateway_crash_witnesses_total"))
         , m_crash_cleared(registry.counter("granitefield_gateway_crash_cleared_total"))
@@ -71,6 +72,8 @@
     void note_retry() { m_retries.add(); }
     void note_denied_retry() { m_denied_retries.add(); }
     void note_unreachable() { m_unreachable.add(); }
+    /// An attempt was withdrawn before it was sent, since its server accepts no new requests any more.
+    void note_withdrawn() { m_withdrawn.add(); }
     void note_cancelled() { m_cancelled.add(); }
     /// Records a request that was running on a backend server when that crashed.
     void note_crash_witness() { m_crash_witnesses.add(); }
@@ -92,6 +95,7 @@
     Observe::Counter& m_denied_retries;
     Observe::Counter& m_returning;
     Observe::Counter& m_unreachable;
+    Observe::Counter& m_withdrawn;
     Observe::Counter& m_cancelled;
     Observe::Counter& m_crash_witnesses;
     Observe::Counter& m_crash_cleared;
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -138,6 +138,7 @@
     , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness))
     , m_timer(m_loop)
 {
+    m_context.apply_server_list = [this] { apply_server_list(); };
     m_admission.set_settings(m_settings.runs.admission);
     accept(m_caller_acceptor, *m_caller_handler);
     accept(m_readiness_acceptor, *m_readiness_handler);
@@ -310,11 +311,7 @@
         auto const limits = m_table->caller_limits();
         m_limits = {{limits.head_bytes, limits.body_bytes}, limits.head_time, limits.idle_time};
     }
-    auto const servers = m_shared_servers.current();
-    if (servers && servers != m_servers) {
-        m_servers = servers;
-        m_fleet.apply(*servers, Core::monotonic_now());
-    }
+    apply_server_list();
     if (m_shared_drains != nullptr && m_shared_drains->version() != m_fleet.drains().version)
         m_fleet.apply(m_shared_drains->current(), Core::monotonic_now());
     bool const is_newly_ready = update_readiness() && m_is_ready;
@@ -322,6 +319,15 @@
         start_deferred_requests();
 }
 
+void GatewayServer::apply_server_list()
+{
+    auto const servers = m_shared_servers.current();
+    if (!servers || servers == m_servers)
+        return;
+    m_servers = servers;
+    m_fleet.apply(*servers, Core::monotonic_now());
+}
+
 Core::Milliseconds GatewayServer::table_delay(Core::TableVersion version) const
 {
     auto const known = m_duty.knowledge(m_table_since);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -94,6 +94,7 @@
     void start_deferred_requests();
     void finish_expired_requests(Core::MonotonicTime now);
     void apply_updates();
+    void apply_server_list();
     void apply_members();
     void schedule_tick();
     void tick();
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -58,6 +58,7 @@
 {
     if (now >= m_request.deadline)
         return handle_deadline(now);
+    m_context.apply_server_list();
     // Checked before each dispatch: first attempts, retries, resumed streams and stalled requests.
     if (is_quarantined(now))
         return reject_quarantined();
@@ -135,7 +136,7 @@
 std::optional<Policy::Rejection> RequestForwarder::check_admission(Choice const& choice, Core::MonotonicTime now)
 {
     // Admission applies to new requests only: an admitted request is not rejected because an attempt failed.
-    bool const is_first_attempt = m_send_count == 0 && m_failed_connects == 0;
+    bool const is_first_attempt = m_send_count == 0 && m_failed_connects == 0 && !m_was_withdrawn;
     if (!is_first_attempt || !m_request.is_stream() || m_request.prompt.empty())
         return std::nullopt;
     Policy::AdmissionRequest const question {m_request.service, m_request.request_class->name, m_request.priority,
@@ -355,15 +356,33 @@
         count_usage(m_attempt->started_at());
 }
 
-void RequestForwarder::handle_connected(BackendAttempt& attempt)
+BackendAttempt::Listener::ConnectedResult RequestForwarder::handle_connected(BackendAttempt&)
 {
-    if (attempt.server().accepts_new_requests())
-        return;
-    m_context.log.write(Observe::LogEvent("outdated-send")
+    auto const now = Core::monotonic_now();
+    m_context.apply_server_list();
+    if (may_send_attempt(now))
+        return ConnectedResult::Send;
+    withdraw_attempt(now);
+    return ConnectedResult::Withdrawn;
+}
+
+bool RequestForwarder::may_send_attempt(Core::MonotonicTime now) const
+{
+    auto const& server = m_attempt->server();
+    return server.accepts_new_requests() && !server.backoff().is_in_force(now);
+}
+
+void RequestForwarder::withdraw_attempt(Core::MonotonicTime now)
+{
+    m_context.metrics.note_withdrawn();
+    m_context.log.write(Observe::LogEvent("withdrawn")
                             .add("request", m_request.id)
-                            .add("server", attempt.server().record().instance)
-                            .add("connect_ms", Core::elapsed(attempt.started_at(), Core::monotonic_now()))
+                            .add("server", m_attempt->server().record().instance)
+                            .add("connect_ms", Core::elapsed(m_attempt->started_at(), now))
                             .add("servers", m_context.fleet.list_revision().value()));
+    drop_unsent_attempt();
+    m_was_withdrawn = true;
+    dispatch(now);
 }
 
 void RequestForwarder::handle_failure(
@@ -491,6 +510,8 @@
         return dispatch(now);
     if (is_quarantined(now) && !has_long_running_attempt(now))
         return reject_quarantined_attempt();
+    if (!m_attempt->is_sent() && !may_send_attempt(now))
+        return withdraw_attempt(now);
     if (!m_attempt->is_sent() && Core::elapsed(m_attempt->started_at(), now) > m_context.settings.connect_limit) {
         auto const attempt = m_attempt;
         attempt->cancel();
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -14,6 +14,7 @@
 #include <LibPolicy/Admission.h>
 #include <LibPolicy/FleetRetryBudget.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,6 +91,8 @@
     std::size_t held_bytes {0};
     Observe::EventLog& log;
     GatewayMetrics& metrics;
+    /// Applies the newest list of backend servers, which another thread may have stored since the last event.
+    std::function<void()> apply_server_list {[] {}};
 
     [[nodiscard]] bool is_short_of_memory() const { return held_bytes > settings.held_limit; }
     [[nodiscard]] Policy::FleetRetryBudget& budget_of(std::string const& service);
@@ -120,13 +123,17 @@
     [[nodiscard]] RoutedRequest const& request() const { return m_request; }
 
 private:
-    void handle_connected(BackendAttempt&) override;
+    [[nodiscard]] ConnectedResult handle_connected(BackendAttempt&) override;
     void handle_response_head(BackendAttempt&) override;
     void handle_response(BackendAttempt&) override;
     void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
 
     void dispatch(Core::MonotonicTime now);
     void hold(Core::MonotonicTime now);
+    /// Whether the attempt, of which nothing was sent yet, may still be sent to its server.
+    [[nodiscard]] bool may_send_attempt(Core::MonotonicTime now) const;
+    /// Cancels an attempt of which nothing was sent, and dispatches the request to another server.
+    void withdraw_attempt(Core::MonotonicTime now);
     void send_to(Choice const&, Core::MonotonicTime now);
     /// Returns the reason to reject a new prompt, or nullopt to admit it.
     [[nodiscard]] std::optional<Policy::Rejection> check_admission(Choice const&, Core::MonotonicTime now);
@@ -219,6 +226,8 @@
     std::set<std::string> m_unreachable_servers;
     unsigned m_send_count {0};
     unsigned m_failed_connects {0};
+    /// Whether an attempt was withdrawn before it was sent.
+    bool m_was_withdrawn {false};
     bool m_may_have_run {false};
     /// Whether the request was counted as started; shared with UnconfirmedRuns.
     std::shared_ptr<bool> m_is_usage_counted {std::make_shared<bool>(false)};
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -415,6 +415,44 @@
         counter("granitefield_gateway_requests_total", {{"tier", "2"}, {"outcome", "cut"}, {"reason", "cut"}}), 1U);
 }
 
+TEST_F(AttemptRules, SendsNothingToAServerThatLeftWhileConnecting)
+{
+    FullListener full;
+    m_settings.runs.connect_limit = Core::Milliseconds(5'000);
+    m_servers_list.servers.push_back(full.entry("i-0"));
+    start();
+    auto const caller = call(request("POST", "/plain/", "", "pay"));
+    while (nlohmann::json::parse(m_gateway->status())["backend-servers"][0]["open"] != 1)
+        continue;
+    m_servers_list.servers.front().state = Table::BackendServerState::Leaving;
+    add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    // The gateway's thread is not woken, so that the connection comes up first.
+    m_servers_list.revision = m_servers_list.revision.next();
+    m_servers.replace(m_servers_list);
+    full.make_room();
+    EXPECT_EQ(full.next_received(Core::Milliseconds(4'000)).value_or(""), "");
+    EXPECT_EQ(caller->read_answer().body, "fine");
+    EXPECT_EQ(counter("granitefield_gateway_withdrawn_total"), 1U);
+}
+
+TEST_F(AttemptRules, ChoosesAnotherServerOnceTheChosenOneLeavesWhileConnecting)
+{
+    FullListener const full;
+    m_settings.runs.connect_limit = Core::Milliseconds(5'000);
+    m_servers_list.servers.push_back(full.entry("i-0"));
+    start();
+    auto const caller = call(request("POST", "/plain/", "", "pay"));
+    while (nlohmann::json::parse(m_gateway->status())["backend-servers"][0]["open"] != 1)
+        continue;
+    m_servers_list.servers.clear();
+    add_backend(
+        "i-1", [](auto& connection, auto const& text, auto) { connection.write(answer_to(text, 200, "fine")); });
+    publish_servers();
+    EXPECT_EQ(caller->read_answer().body, "fine");
+    EXPECT_EQ(counter("granitefield_gateway_unreachable_total"), 0U);
+}
+
 TEST_F(AttemptRules, RefusesQuicklyWithoutAnyServer)
 {
     start();
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -253,6 +253,30 @@
     }
 }
 
+void FullListener::make_room()
+{
+    for (int const filler : m_fillers)
+        ::close(filler);
+    m_fillers.clear();
+    pollfd established {m_listener, POLLIN, 0};
+    while (::poll(&established, 1, 0) == 1)
+        ::close(::accept(m_listener, nullptr, nullptr));
+}
+
+std::optional<std::string> FullListener::next_received(Core::Milliseconds timeout) const
+{
+    pollfd next {m_listener, POLLIN, 0};
+    if (::poll(&next, 1, static_cast<int>(timeout.count())) != 1)
+        return std::nullopt;
+    int const connection = ::accept(m_listener, nullptr, nullptr);
+    std::string received;
+    std::array<char, 4'096> buffer {};
+    for (ssize_t count = 0; (count = ::recv(connection, buffer.data(), buffer.size(), 0)) > 0;)
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+    ::close(connection);
+    return received;
+}
+
 FullListener::~FullListener()
 {
     for (int const filler : m_fillers)
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -93,6 +93,12 @@
 
     [[nodiscard]] Entry::ServerEntry entry(std::string instance) const;
 
+    /// Closes the connections that fill the backlog, so that others are established from now on.
+    void make_room();
+    /// Accepts the next connection and returns what it received before it ended, or nullopt if none is established in
+    /// time.
+    [[nodiscard]] std::optional<std::string> next_received(Core::Milliseconds timeout) const;
+
 private:
     std::uint16_t m_port {0};
     int m_listener {-1};
