--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -508,6 +508,17 @@
         });
 }
 
+void SpreadSoak::silence_store_for_watchers(Core::Milliseconds length)
+{
+    disturb(
+        "cut from the store", watchers(), length,
+        [](Slot& slot) { slot.store->set_mode(FaultProxy::Mode::FreezeAnswers); },
+        [](Slot& slot) {
+            slot.store->set_mode(FaultProxy::Mode::Pass);
+            slot.store->reset_connections();
+        });
+}
+
 void SpreadSoak::cut_off(Indices const& indices)
 {
     using Mode = FaultProxy::Mode;
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -91,8 +91,11 @@
 
     // Steps of a script.
     void pass(Core::Milliseconds);
+    void change_configuration();
     /// All gateways that watch the store end, and are not started again within that time.
     void lose_watchers(Core::Milliseconds down) { kill(watchers(), down, down); }
+    /// The store gives no answer any more to the gateways that watch it, for that time.
+    void silence_store_for_watchers(Core::Milliseconds);
     enum class Leaving {
         Stated,
         EntryRemoved,
@@ -130,7 +133,6 @@
     [[nodiscard]] std::uint16_t draw_load_port();
     [[nodiscard]] GatewayFleet::Gateway start_process(Json const& settings);
     void start_gateway(std::size_t index);
-    void change_configuration();
     void rotate_backends();
     /// The server states that it leaves, or its entry goes. It is replaced some time after the bound.
     void leave(RotatingBackend&, Leaving, Core::Milliseconds served_on);
