LibEntry: Do not adopt echoes of the report of a healthy watch

Cause: gateways pass on the age of the last report of a healthy watch, and each takes the youngest that it receives. A report that returns to where it came from seems younger by the delays on its way, so that a dead watch ages more slowly than time passes. Found when the takeover in SilentStoreTest came 0.5 s late.

Evidence: WatchElection.TakesOverAlthoughPeersEchoTheLastReportOfAHealthyWatch, red on the code before.

Why it works: a healthy watch advances with the time between two reports, 50 ms or more, an echo by the delays of its way. What advances by less is not adopted, and what is not adopted is not passed on younger. Where a way takes longer than that, it is as before.

--- a/Libraries/LibEntry/WatchElection.cpp
+++ b/Libraries/LibEntry/WatchElection.cpp
@@ -58,13 +58,25 @@
         m_table_known_since = now;
     if (report.any_healthy_at && m_received_report.any_healthy_at)
         m_report_gaps.note(Core::elapsed(*m_received_report.any_healthy_at, *report.any_healthy_at));
-    m_received_report.merge(report);
+    m_received_report.merge(without_echo(report));
     if (!m_received_report.versions.is_ahead_of(m_own) || m_behind_since)
         return;
     m_behind_since = now;
     m_missing_versions = m_received_report.versions;
 }
 
+StoreReport WatchElection::without_echo(StoreReport report) const
+{
+    auto const is_echo = [](auto const& known, auto const& received) {
+        return known && received && *received < *known + s_min_report_advance;
+    };
+    if (is_echo(m_received_report.elected_healthy_at, report.elected_healthy_at))
+        report.elected_healthy_at.reset();
+    if (is_echo(m_received_report.any_healthy_at, report.any_healthy_at))
+        report.any_healthy_at.reset();
+    return report;
+}
+
 void WatchElection::note_versions(StateVersions const& versions, Core::MonotonicTime now)
 {
     if (versions.table > std::max(m_received_report.versions.table, m_own.table))
--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -82,6 +82,9 @@
     static constexpr Core::Milliseconds s_min_duty_time {1'000};
     /// Age of a report up to which an elected watcher counts as healthy.
     static constexpr Core::Milliseconds s_max_report_age {400};
+    /// Smallest advance of the time in a report that is adopted. A report that returns to a gateway that it came from
+    /// seems younger by the delays on its way; adopting it would keep a dead watch healthy.
+    static constexpr Core::Milliseconds s_min_report_advance {50};
     /// Time to wait for reports after a stall of this process: three intervals of the load exchange.
     static constexpr Core::Milliseconds s_min_report_wait {400};
 
@@ -146,6 +149,8 @@
     };
 
     [[nodiscard]] bool is_watched(Watch) const;
+    /// The report without the times that are no news.
+    [[nodiscard]] StoreReport without_echo(StoreReport) const;
     /// Time of the last report of a healthy watch, moved forward by the time in which this process did not run.
     [[nodiscard]] Core::MonotonicTime silent_since() const;
     /// Time without a report of a healthy watch after which this gateway watches the store.
--- a/Tests/LibEntry/WatchElectionTest.cpp
+++ b/Tests/LibEntry/WatchElectionTest.cpp
@@ -92,6 +92,21 @@
     EXPECT_EQ(election.report(s_start + s_silence_timeout).elected_healthy_at, s_start);
 }
 
+TEST(WatchElection, TakesOverAlthoughPeersEchoTheLastReportOfAHealthyWatch)
+{
+    auto election = make_election();
+    election.note_report(report_of_elected(s_start), s_start);
+    auto now = s_start;
+    while (now < s_start + 2 * s_silence_timeout && !election.is_on_duty(now)) {
+        now += 50ms;
+        election.note_tick(now);
+        // Delays on the way to a peer and back make the report seem younger each time.
+        auto const known = *election.report(now).elected_healthy_at;
+        election.note_report(report_of_elected(known + 20ms), now);
+    }
+    EXPECT_EQ(now, s_start + s_silence_timeout);
+}
+
 TEST(WatchElection, StopsWatchingWhenAnElectedWatcherIsHealthyAgain)
 {
     auto election = make_election();
