LibGateway: Leave out ages when a relay forwards the datagrams of others

Callers and servers could see changes and leavings in force late by the time for which dead watchers seemed healthy: with the relays alive, the age of the last report of a healthy watch grew half as fast as time passed, so that gateways took over after twice the timeout.

Cause: a relay keeps what the relays of other failure domains send until its next tick and forwards it as received. The ages in it leave out that wait, 50 ms of each 100 ms; members adopt the younger report and send it back.

LoadFleet.DoesNotRefreshTheReportOfADeadWatchByForwardingIt is red on the code before.

Why tests missed it: StarvedFleet, which guards the same promise, has one failure domain and nothing to forward; in LeavingServersTest the watchers are the relays and die together.

Why it works: the relay's own report, in the same datagram, carries the youngest age that it knows, computed when it is sent.

--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -240,6 +240,8 @@
         return;
     m_forwarded.push_back(relayed);
     m_forwarded.back().clear_counted();
+    // Its ages do not include the wait here; the report of this relay does.
+    m_forwarded.back().clear_store();
 }
 
 void LoadSharing::subtract_own_load(RelayedLoad const& relayed, LoadsByServer& loads) const
--- a/Tests/LibGateway/LoadSharingTest.cpp
+++ b/Tests/LibGateway/LoadSharingTest.cpp
@@ -61,6 +61,23 @@
     }
 }
 
+TEST_F(LoadFleet, DoesNotRefreshTheReportOfADeadWatchByForwardingIt)
+{
+    std::vector<Entry::WatchElection> elections(s_count, Entry::WatchElection({}, m_now));
+    auto const last_healthy = m_now;
+    elections.front().note_report({last_healthy, last_healthy, {}}, m_now);
+    for (auto const end = m_now + 2s; m_now < end;) {
+        for (std::size_t number = 0; number < s_count; ++number) {
+            auto& sharing = node(number).sharing;
+            elections[number].note_report(sharing.take_store_report(), m_now);
+            sharing.set_store_report(elections[number].report(m_now));
+        }
+        advance(s_step);
+    }
+    for (auto const& election : elections)
+        EXPECT_LE(election.report(m_now).any_healthy_at, last_healthy + Entry::WatchElection::s_min_report_advance);
+}
+
 TEST_F(LoadFleet, CorrectsLoadsAfterLostDatagrams)
 {
     m_loss = 0.1;
