LibPlatform, LibEntry, granitefieldd: Notice in time that the store is silent to all watchers

A watch waits for 3.0 s (contact time 4 s), counts as healthy until the call's time limit of 0.8 s after that, and the others then wait for 1.0 s or more.

Change: a watch counts as healthy for 0.2 s after its wait, while its call still goes on; and in fleets in which others rely on the watchers the wait ends so early that grace, takeover and spreading fit into the time within which a change must be in force (1.3 s here). Gateways of small fleets all watch for themselves and wait as before.

--- a/Libraries/LibEntry/WatchDuty.cpp
+++ b/Libraries/LibEntry/WatchDuty.cpp
@@ -28,7 +28,7 @@
 {
     using DrainsWatch = WatchElection::DrainsWatch;
     WatchElection::Settings settings;
-    settings.silence_timeout = spread_over_gateways(contact_time / s_silence_parts, order);
+    settings.silence_timeout = spread_over_gateways(WatchDuty::min_silence_timeout(contact_time), order);
     settings.behind_timeout = spread_over_gateways(apply_limit / s_behind_parts, order);
     settings.drains = drains == nullptr ? DrainsWatch::No : DrainsWatch::Yes;
     return settings;
@@ -36,6 +36,11 @@
 
 }
 
+Core::Milliseconds WatchDuty::min_silence_timeout(Core::Milliseconds contact_time)
+{
+    return contact_time / s_silence_parts;
+}
+
 WatchDuty::WatchDuty(Core::Milliseconds contact_time, std::uint64_t order, SharedTable const& table,
     SharedServers const& servers, Observe::EventLog& log, Observe::MetricRegistry& metrics,
     Core::Milliseconds apply_limit, SharedDrains const* drains)
--- a/Libraries/LibEntry/WatchDuty.h
+++ b/Libraries/LibEntry/WatchDuty.h
@@ -21,6 +21,9 @@
     /// Default of the time within which a change must be in force.
     static constexpr Core::Milliseconds s_apply_limit {3'000};
 
+    /// Time without a report of a healthy watch after which the first gateways take over.
+    [[nodiscard]] static Core::Milliseconds min_silence_timeout(Core::Milliseconds contact_time);
+
     /// `contact_time` is the time within which a process that can reach the store is up to date with it. `order`
     /// differs between gateways and spreads their timeouts. `apply_limit` is the time within which a change must be in
     /// force everywhere. `drains` is null if failure domains cannot be drained.
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -24,6 +24,10 @@
     /// How long the store holds a watch without news. A watch may be left hanging while changes are made; only the
     /// missing answer tells.
     Core::Milliseconds watch_wait {2'000};
+    /// Upper limit of the wait at present. Called on the follower's thread before each watch.
+    std::function<Core::Milliseconds()> longest_wait {[] { return Core::Milliseconds::max(); }};
+    /// How late a watch may be answered before it counts as unhealthy. The call goes on until its timeout.
+    Core::Milliseconds watch_grace {200};
     /// After news, before the next watch. Objects that change one after the other then come in one answer, and each
     /// call has its price. News are late by this much at most, far below the seconds within which they must be known.
     Core::Milliseconds pause_after_news {500};
@@ -207,7 +211,7 @@
         m_begun_listing.reset();
         m_watches.add();
         auto const wait = next_wait();
-        m_turns.note_call(wait + m_settings.call_timeout);
+        m_turns.note_call(wait + m_settings.watch_grace);
         believe_old_claims(Core::monotonic_now());
         auto answer = m_client.watch(m_kind, *m_revision, wait);
         m_revision = std::max(*m_revision, proven_by(answer));
@@ -220,7 +224,8 @@
 
     [[nodiscard]] Core::Milliseconds next_wait() const
     {
-        auto const wait = std::min(m_sink.wanted_wait().value_or(m_settings.watch_wait), m_settings.watch_wait);
+        auto const longest = std::min(m_settings.watch_wait, m_settings.longest_wait());
+        auto const wait = std::min(m_sink.wanted_wait().value_or(longest), longest);
         return m_is_answered ? wait : std::min(wait, s_first_watch_wait);
     }
 
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -8,6 +8,7 @@
 #include <LibCluster/UsageReporter.h>
 #include <LibCore/Hashing.h>
 #include <LibEntry/PeerExchange.h>
+#include <LibEntry/PeerView.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/WatchDuty.h>
 #include <LibGateway/GatewayServer.h>
@@ -34,6 +35,8 @@
 constexpr Core::Milliseconds s_settings_interval {2'000};
 /// A list takes the store some milliseconds a page, and a busy process some wake-ups.
 constexpr Core::Milliseconds s_time_to_list {200};
+/// From the takeover of a watch until all gateways have what it reads.
+constexpr Core::Milliseconds s_time_to_spread {500};
 /// A shorter wait would only cost calls.
 constexpr Core::Milliseconds s_shortest_watch_wait {500};
 
@@ -49,6 +52,15 @@
     return std::min(platform.watch_wait, std::max(longest, s_shortest_watch_wait));
 }
 
+/// The longest wait of a watch on which other gateways rely, such that a change is in force in time even if the store
+/// has fallen silent to all watchers at the start of their waits.
+Core::Milliseconds relied_on_wait(
+    Core::Milliseconds contact_time, Core::Milliseconds apply_limit, Core::Milliseconds watch_grace)
+{
+    auto const takeover = Entry::WatchDuty::min_silence_timeout(contact_time) + s_time_to_spread;
+    return std::max(apply_limit - watch_grace - takeover, s_shortest_watch_wait);
+}
+
 Platform::FollowerSettings follower_settings(Entry::PlatformSettings const& platform)
 {
     Platform::FollowerSettings settings;
@@ -186,10 +198,11 @@
     server_settings.dialect = Platform::platform_dialect();
     auto const contact_time = settings.gateway.platform.contact_time.value_or(s_contact_time);
     auto const& drain_limit = settings.gateway.platform.drain_limit;
-    auto const apply_limit = settings.gateway.platform.apply_limit.value_or(Entry::WatchDuty::s_apply_limit);
+    auto const table_limit = settings.gateway.platform.apply_limit.value_or(Entry::WatchDuty::s_apply_limit);
+    auto const apply_limit = std::min(table_limit, drain_limit.value_or(table_limit));
     auto const* const watched_drains = drain_limit ? &drains : nullptr;
-    Entry::WatchDuty duty(contact_time, Core::hash_bytes(common.name), table, servers, log, metrics,
-        std::min(apply_limit, drain_limit.value_or(apply_limit)), watched_drains);
+    Entry::WatchDuty duty(
+        contact_time, Core::hash_bytes(common.name), table, servers, log, metrics, apply_limit, watched_drains);
     auto const incarnation = Core::draw_incarnation().value();
     auto const& duties = settings.gateway.duties;
     std::optional<Cluster::SharedDuty> usage;
@@ -228,6 +241,11 @@
     Platform::ConfigurationSink configuration_sink(table, tell_all, log);
     Platform::ServersSink servers_sink(servers, tell_all, log);
     auto store = follower_settings(settings.gateway.platform);
+    auto const longest_wait = relied_on_wait(contact_time, apply_limit, store.watch_grace);
+    store.longest_wait = [&membership, longest_wait] {
+        // In a small fleet every gateway watches for itself.
+        return membership.peer_count < Entry::PeerView::s_small_fleet ? Core::Milliseconds::max() : longest_wait;
+    };
     // All followers count, each with a connection of its own.
     std::atomic<int> lost_count {0};
     store.on_change = [&peers, &lost_count](bool is_reachable) {
