--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -97,6 +97,13 @@
     '85|Libraries/LibGateway/CallerConnection.cpp|s/    m_output.erase(0, m_written);/    return;/|CallerConnectionTest|*NeverCatchesUp*'
     '86|Libraries/LibGateway/BackendFleetSignals.cpp|s/return known->is_limited() ../return/|BackendFleetTest|*WithoutRequests*'
     '87|Libraries/LibGateway/BackendFleet.cpp|s/return !is_remembered .. !view->backoff().is_in_force(now);/return true;/|BackendFleetTest|*WhileTheServerIsNotListed*'
+    '88|Libraries/LibGateway/ServerRoster.cpp|s/if (2 \* count.missing > count.all)/if (count.missing > 0)/|ServerRosterTest|*WatchersWereSilent*'
+    '89|Libraries/LibEntry/SharedServers.h|s/ \&\& !settles)/)/|ServerRosterTest|*SettlesAProvisionalList*'
+    '90|Libraries/LibGateway/RequestForwarder.cpp|s/    if (may_send_attempt(now))$/    if (true)/|AttemptRulesTest|*LeftWhileConnecting*'
+    '91|Libraries/LibGateway/RequestForwarder.cpp|s/return abort_response(code);/static_cast<void>(code);/|AttemptRulesTest|*NoServerCanResume*'
+    '92|Libraries/LibGateway/LoadSharing.cpp|s/m_forwarded.back().clear_store();/static_cast<void>(0);/|LoadSharingTest|*ReportOfADeadWatch*'
+    '93|Libraries/LibEntry/WatchElection.cpp|s/merge(without_echo(report));/merge(report);/|WatchElectionTest|*EchoTheLastReport*'
+    '94|Services/GraniteFieldD/GatewayDaemon.cpp|s/Core::Milliseconds::max() : longest_wait;/Core::Milliseconds::max() : 10 * longest_wait;/|SilentStoreTest|*SilentToAllWatchers*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor_interval != 0/true/|AdmissionTest|*AdmitsSomeRequests*'
 )
 
