--- a/Tests/Soak/SpreadTest.cpp
+++ b/Tests/Soak/SpreadTest.cpp
@@ -72,6 +72,18 @@
     expect_kept(options);
 }
 
+TEST(Spread, ServersThatLeaveInSeriesGetNoRequestsWhileWatchersAndRelaysFail)
+{
+    SpreadSoak::Options options;
+    options.seed = 801;
+    options.length = 20s;
+    options.gateways = 12;
+    options.backends = 6;
+    options.callers = 2;
+    options.has_leaving_series = true;
+    expect_kept(options);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fixed, SpreadSeeds, ::testing::Values(102U, 105U));
 
 }
