Tests/Soak: Judge only answers that carry the request's id

The check is narrowed to answers of gateways, which all carry the request's id; a whole answer without it ends the connection.

--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -377,6 +377,10 @@
         caller.write(Core::concat("GET ", question.path, " HTTP/1.1\r\nHost: ", s_host, "\r\nX-Request-Id: ", id,
             "\r\nX-Deadline-Ms: 2000\r\n", key, "\r\n"));
         auto const answer = caller.read_answer();
+        // Another program may have got the port of a gateway that is down.
+        bool const is_from_gateway = field_of(answer.head, "X-Request-Id") == id;
+        if (answer.is_whole && !is_from_gateway)
+            return ConnectionState::Closed;
         note_passed_on(m_judges, answer.head, gateway_name(index));
         sighting.answered = Core::monotonic_now();
         {
