--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -347,8 +347,10 @@
     if (receive_buffer > 0)
         ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     auto const address = loopback(port);
-    if (::connect(m_descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) != 0)
+    if (::connect(m_descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) != 0) {
+        close();
         throw std::runtime_error("can't connect");
+    }
 }
 
 RawCaller::~RawCaller()
