--- a/Libraries/LibEntry/WatchElection.h
+++ b/Libraries/LibEntry/WatchElection.h
@@ -149,7 +149,7 @@
     };
 
     [[nodiscard]] bool is_watched(Watch) const;
-    /// The report without the times that are no news.
+    /// Returns the report without times that may be echoes of the known ones.
     [[nodiscard]] StoreReport without_echo(StoreReport) const;
     /// Time of the last report of a healthy watch, moved forward by the time in which this process did not run.
     [[nodiscard]] Core::MonotonicTime silent_since() const;
--- a/Libraries/LibGateway/ServerRoster.h
+++ b/Libraries/LibGateway/ServerRoster.h
@@ -14,8 +14,8 @@
 
 /// Maintains the list of backend servers from the lists and changes of the platform's store. During an outage of the
 /// store, entries expire although their servers run. Where most entries of a service are missing right after a possible
-/// outage, the service's servers stay listed for a settling time, in which running servers register again. Single
-/// missing servers have left, and a silent watcher looks like an outage to gateways that relied on it.
+/// outage, they stay listed for a settling time, in which running servers register again. Fewer missing servers are
+/// removed at once, since a gateway whose watchers are silent cannot tell that from an outage of the store.
 class ServerRoster {
 public:
     /// Time after an outage of the store within which running servers register again.
@@ -53,6 +53,7 @@
     };
 
     [[nodiscard]] bool is_settling(Core::MonotonicTime now) const { return m_settles_at && now < *m_settles_at; }
+    /// Adds the services of which most entries are missing now.
     void find_expired_services();
     [[nodiscard]] bool is_listed(KnownServer const&) const;
 
