--- a/Tests/Soak/SpreadFaults.cpp
+++ b/Tests/Soak/SpreadFaults.cpp
@@ -306,7 +306,7 @@
     auto both = watchers();
     std::ranges::copy(relays(), std::back_inserter(both));
     std::ranges::sort(both);
-    both.erase(std::ranges::unique(both).begin(), both.end());
+    both.erase(std::unique(both.begin(), both.end()), both.end());
     Indices all(m_slots.size());
     std::iota(all.begin(), all.end(), 0);
     std::ranges::shuffle(all, m_series_random);
