Tests/Soak: Take other ports where a restarted gateway's are taken

Another test of the same run had got a port and kept it. No promise was broken in it.

Change: a start that fails draws new ports; callers, peers and the judge take them from the announcement, as before.

--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -46,8 +46,7 @@
 constexpr Core::Milliseconds s_round_pause {120};
 constexpr Core::Milliseconds s_pause_after_failure {30};
 constexpr Core::Milliseconds s_turn {20};
-constexpr unsigned s_start_attempts = 20;
-constexpr Core::Milliseconds s_start_pause {250};
+constexpr unsigned s_start_attempts = 5;
 constexpr Core::Milliseconds s_limit_pause {3'000};
 constexpr Core::Milliseconds s_leaving_pause {5'000};
 constexpr Core::Milliseconds s_backoff_pause {4'000};
@@ -155,16 +154,16 @@
     return port;
 }
 
-GatewayFleet::Gateway SpreadSoak::start_process(Json const& settings)
+GatewayFleet::Gateway SpreadSoak::start_process(std::size_t index)
 {
     for (unsigned attempt = 1;; ++attempt) {
         try {
-            return m_fleet.start_with(settings);
+            return m_fleet.start_with(m_slots[index].settings);
         } catch (std::runtime_error const&) {
-            // An outgoing connection may hold a port of the process's last life for a while.
             if (attempt == s_start_attempts)
                 throw;
-            std::this_thread::sleep_for(s_start_pause);
+            // Another program may have got a port of the last life meanwhile.
+            make_settings(index);
         }
     }
 }
@@ -172,7 +171,7 @@
 void SpreadSoak::start_gateway(std::size_t index)
 {
     auto& slot = m_slots[index];
-    slot.gateway = start_process(slot.settings);
+    slot.gateway = start_process(index);
     // The same ports in its next life, as on a host.
     slot.settings["callers-address"] = local(slot.gateway.callers);
     slot.settings["readiness-address"] = local(slot.gateway.readiness);
--- a/Tests/Soak/SpreadSoak.h
+++ b/Tests/Soak/SpreadSoak.h
@@ -131,7 +131,7 @@
 
     void make_settings(std::size_t index);
     [[nodiscard]] std::uint16_t draw_load_port();
-    [[nodiscard]] GatewayFleet::Gateway start_process(Json const& settings);
+    [[nodiscard]] GatewayFleet::Gateway start_process(std::size_t index);
     void start_gateway(std::size_t index);
     void rotate_backends();
     /// The server states that it leaves, or its entry goes. It is replaced some time after the bound.
