--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -54,6 +54,7 @@
 
 /// The longest wait of a watch on which other gateways rely, such that a change is in force in time even if the store
 /// has fallen silent to all watchers at the start of their waits.
+// FIXME: A change in the pause before the wait (pause_after_news) takes effect later by up to that pause.
 Core::Milliseconds relied_on_wait(
     Core::Milliseconds contact_time, Core::Milliseconds apply_limit, Core::Milliseconds watch_grace)
 {
--- a/Tests/Soak/SilentStoreTest.cpp
+++ b/Tests/Soak/SilentStoreTest.cpp
@@ -9,7 +9,7 @@
 {
     expect_left_alone([](SpreadSoak& soak) {
         soak.pass(5s);
-        // News lets the waits of all watches begin together.
+        // The waits of all watches start together after a change.
         soak.change_configuration();
         soak.let_server_leave("svc-b", SpreadSoak::Leaving::Stated);
         soak.pass(700ms);
