LibPlatform, LibEntry, LibGateway: Read and log the software version of backend servers

The version is read from the store, handed on between gateways with the list of servers and part of its digest: a gateway that would drop it cannot pass its list on as the same one. No decision changes.

--- a/Libraries/LibEntry/PeerMessages.cpp
+++ b/Libraries/LibEntry/PeerMessages.cpp
@@ -139,6 +139,7 @@
         record.set_born_ms(static_cast<std::uint64_t>(server.born.time_since_epoch().count()));
         auto const cold = std::max(Core::Milliseconds(0), Core::elapsed(now, server.cold_until));
         record.set_cold_ms(static_cast<std::uint32_t>(cold.count()));
+        record.set_software_version(server.software_version);
     }
     for (auto const& instance : changes.removed)
         records.add_gone(instance);
@@ -169,7 +170,8 @@
         auto const state
             = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
         changes.changed.push_back({record.instance(), record.service(), *address, record.failure_domain(),
-            record.slots(), state, Platform::BirthTime(Core::Milliseconds(record.born_ms())), cold_until});
+            record.slots(), state, Platform::BirthTime(Core::Milliseconds(record.born_ms())), cold_until,
+            record.software_version()});
     }
     return changes;
 }
--- a/Libraries/LibEntry/ServerChanges.cpp
+++ b/Libraries/LibEntry/ServerChanges.cpp
@@ -18,7 +18,7 @@
     // No field contains the separator.
     return Core::hash_bytes(Core::concat(server.instance, "\n", server.service, "\n", server.address.to_string(), "\n",
         server.failure_domain, "\n", server.slots, "\n", is_leaving ? 1 : 0, "\n",
-        server.born.time_since_epoch().count()));
+        server.born.time_since_epoch().count(), "\n", server.software_version));
 }
 
 using ServersByInstance = std::map<std::string_view, ServerEntry const*>;
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -26,6 +26,7 @@
                     .add("service", server.service)
                     .add("address", server.address.to_string())
                     .add("domain", server.failure_domain)
+                    .add("version", server.software_version)
                     .add("revision", revision.value()));
 }
 
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -38,6 +38,8 @@
     /// Parts of the prompt in order, as `ID:TOKENS` separated by commas.
     std::string prompt_parts {"Granitefield-Prompt-Parts"};
     std::string last_event_id {"Last-Event-ID"};
+    /// Id of the caller's request that received the first event of the stream that this request resumes.
+    std::string resumes {"Granitefield-Resumes"};
     /// Address, as ADDRESS:PORT, of another engine from which an engine fetches cached parts of the prompt that it
     /// lacks. Empty if engines do not support this. Set by the gateway only.
     std::string prompt_source;
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -24,6 +24,7 @@
         , m_quarantines(registry.counter("granitefield_gateway_quarantines_total"))
         , m_quarantined(registry.gauge("granitefield_gateway_quarantined"))
         , m_held_back(registry.counter("granitefield_gateway_held_back_total"))
+        , m_mixed_streams(registry.counter("granitefield_gateway_mixed_streams_total"))
     {
     }
 
@@ -84,6 +85,8 @@
     void set_quarantined(std::size_t count) { m_quarantined.set(static_cast<std::int64_t>(count)); }
     /// Records a request that was refused because it is in quarantine.
     void note_refused_by_quarantine() { m_held_back.add(); }
+    /// Records a stream that received an event of another software version than the one that began it.
+    void note_mixed_stream() { m_mixed_streams.add(); }
     void note_bad_request(int status)
     {
         m_registry.counter("granitefield_gateway_bad_requests_total", {{"status", std::to_string(status)}}).add();
@@ -102,6 +105,7 @@
     Observe::Counter& m_quarantines;
     Observe::Gauge& m_quarantined;
     Observe::Counter& m_held_back;
+    Observe::Counter& m_mixed_streams;
 };
 
 }
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -172,6 +172,8 @@
     /// Whether the request id echoed by the response is that of this request.
     [[nodiscard]] bool is_response_to_request(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool is_valid_response(HTTP::AnswerHead const&, std::string& problem) const;
+    /// Records the software version that begins the stream, and an event of another one.
+    void note_event_version(BackendView const&);
     void forward_stream(BackendAttempt&);
     void forward_response(BackendAttempt&);
     /// Pauses reading from the backend server while the caller does not keep up.
@@ -237,6 +239,8 @@
     bool m_has_started_response {false};
     std::string m_buffered_response;
     HTTP::EventFramer m_events;
+    /// Software version of the server that sent the first event.
+    std::optional<std::string> m_stream_version;
     std::optional<Core::MonotonicTime> m_first_event_at;
     std::optional<Core::MonotonicTime> m_last_event_at;
     Core::Milliseconds m_longest_pause {0};
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -63,6 +63,21 @@
     forward_response(attempt);
 }
 
+void RequestForwarder::note_event_version(BackendView const& server)
+{
+    auto const& record = server.record();
+    if (!m_stream_version)
+        m_stream_version = record.software_version;
+    if (*m_stream_version == record.software_version)
+        return;
+    m_context.metrics.note_mixed_stream();
+    m_context.log.write(Observe::LogEvent("mixed-stream")
+                            .add("request", m_request.id)
+                            .add("began_at", *m_stream_version)
+                            .add("server", record.instance)
+                            .add("version", record.software_version));
+}
+
 void RequestForwarder::forward_stream(BackendAttempt& attempt)
 {
     auto const now = Core::monotonic_now();
@@ -71,6 +86,7 @@
         start_response(attempt.parser().head());
     if (!events.empty()) {
         auto const tier = m_request.tier;
+        note_event_version(attempt.server());
         if (attempt.server().note_alive())
             m_context.load.note_answering(attempt.server());
         if (!m_first_event_at) {
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -77,6 +77,8 @@
     /// Until then it bears few requests, by this process's clock; the clock's beginning where it says that it is warm,
     /// so that entries that say the same are equal.
     Core::MonotonicTime cold_until {};
+    /// Version of its software. Streams can continue only at a server of the same version. Empty where it does not say.
+    std::string software_version;
 
     /// Whether this is what an earlier life of that server said.
     [[nodiscard]] bool is_of_earlier_life_than(ServerEntry const& other) const { return born < other.born; }
--- a/Tests/LibEntry/ServerChangesTest.cpp
+++ b/Tests/LibEntry/ServerChangesTest.cpp
@@ -51,6 +51,18 @@
 
 }
 
+TEST(ServerChanges, CarriesTheSoftwareVersion)
+{
+    auto const before = list_of(2, 1);
+    auto after = list_of(2, 2);
+    after.servers.back().software_version = "v2";
+    auto const received = sent_and_received(difference(before, after));
+    ASSERT_EQ(received.changed.size(), 1U);
+    EXPECT_EQ(received.changed.front().software_version, "v2");
+    EXPECT_NE(digest_of(before), digest_of(after));
+    EXPECT_TRUE(apply_changes(received, make_shared_list(before)));
+}
+
 // The size of an update must not depend on the size of the fleet: the whole list of 640 servers took 10 KB and more.
 TEST(ServerChanges, EncodesOneServerInConstantSizeForAnyFleet)
 {
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -147,6 +147,19 @@
     EXPECT_FALSE(second.is_of_earlier_life_than(first));
 }
 
+TEST(DecodeServer, TakesTheSoftwareVersionOrNone)
+{
+    auto spec = server_spec();
+    spec["version"] = "v1.2";
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).software_version, "v1.2");
+    for (auto const& odd : {Json(), Json(3), Json::array({"v1"})}) {
+        spec["version"] = odd;
+        EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).software_version, "");
+    }
+    spec.erase("version");
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).software_version, "");
+}
+
 // Another writer may put anything there. It names no server, and spoils no other.
 TEST(DecodeServer, RefusesWhatIsNoServersEntry)
 {
