--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -11,7 +11,7 @@
 // count within one run or over all requests, so no limit applied to it. Of 17 engines that ended in eight seconds, 12
 // had requests of the same class and workspace, while no other pair was on more than 6; 977 of 1,020 sends were first
 // ones; nothing ended in the pauses between these requests.
-#include "GatewayFixture.h"
+#include "GatewayGroup.h"
 
 #include <LibCore/Text.h>
 
@@ -32,27 +32,13 @@
 constexpr Core::Milliseconds s_restart_delay {300};
 
 /// Three connected gateways in front of engines that crash when they start a request with the body `deadly`.
-class CrashRules : public GatewayFixture {
+class CrashRules : public GatewayGroup {
 protected:
     static constexpr std::size_t s_gateways = 3;
     static constexpr std::size_t s_engines = 6;
 
-    struct Node {
-        explicit Node(CrashRules& test)
-            : duty(Core::Milliseconds(3'000), 0, test.m_table, test.m_servers, test.m_log, test.m_metrics)
-            , gateway(test.m_settings, test.m_table, test.m_servers, membership, duty, test.m_log, test.m_metrics,
-                  nullptr, &test.m_store_quarantine)
-        {
-        }
-
-        Entry::SharedMembership membership;
-        Entry::WatchDuty duty;
-        Gateway::GatewayServer gateway;
-    };
-
     CrashRules()
     {
-        m_settings.load_address = Core::Address::from_string("127.0.0.1:0");
         add_route("asked",
             {{"path-prefix", "/asked/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"},
                 {"key", "required"}});
@@ -60,11 +46,7 @@
             add_engine(number);
         publish_table();
         publish_servers();
-        for (std::size_t number = 0; number < s_gateways; ++number)
-            m_nodes.push_back(std::make_unique<Node>(*this));
-        connect_all();
-        for (auto const& node : m_nodes)
-            node->gateway.wake();
+        start_gateways(s_gateways);
     }
 
     void add_engine(std::size_t number)
@@ -77,19 +59,6 @@
         });
     }
 
-    void connect_all()
-    {
-        std::vector<Entry::LoadMember> members;
-        for (std::size_t number = 0; number < s_gateways; ++number)
-            members.push_back({m_nodes[number]->gateway.load_address(), "here", 100, number});
-        for (std::size_t number = 0; number < s_gateways; ++number) {
-            Entry::LoadMembers known {members[number], members};
-            known.peers.erase(known.peers.begin() + static_cast<std::ptrdiff_t>(number));
-            m_nodes[number]->membership.set_load_members(known);
-            m_nodes[number]->membership.peer_count = s_gateways - 1;
-        }
-    }
-
     /// Sends the request to the gateways in turn.
     RawCaller::Answer send(std::string const& body)
     {
@@ -130,9 +99,6 @@
         }
     }
 
-    /// Quarantine loaded from the store; the first gateway that ticks takes it.
-    Cluster::SharedQuarantine m_store_quarantine;
-    std::vector<std::unique_ptr<Node>> m_nodes;
     std::size_t m_next_gateway {0};
 };
 
