--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -78,7 +78,7 @@
     /// so that entries that say the same are equal.
     Core::MonotonicTime cold_until {};
     /// Version of its software. Streams can continue only at a server of the same version. Empty where it does not say.
-    std::string software_version;
+    std::string software_version {};
 
     /// Whether this is what an earlier life of that server said.
     [[nodiscard]] bool is_of_earlier_life_than(ServerEntry const& other) const { return born < other.born; }
