LibGateway: Continue an answer only at the software version that began it

Callers received events of two software versions in one answer.

The version of the server that sends the first event becomes part of the request, and BackendFleet leaves out servers of other versions wherever it lists servers: choice, search for a later time, reason for having none. An entry that changes its version is a new run of the server, so that attempts keep the view, and thereby the version, that they were sent to. Without a server of the version the answer is aborted, as before.

ContinuesAnAnswerOnlyAtTheVersionThatBeganIt (two handovers in an answer) and AbortsAnAnswerThatOnlyAnotherVersionCouldContinue were red before and pass; the cases in which callers resume a stream are still red.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -45,7 +45,9 @@
         auto& view = m_servers[record.instance];
         // Load, kept prefixes, failures and suspicions of an earlier run do not apply to this one. Attempts that were
         // sent to the earlier run keep its view.
-        bool const is_new_run = view != nullptr && view->record().is_of_earlier_life_than(record);
+        bool const is_new_run = view != nullptr
+            && (view->record().is_of_earlier_life_than(record)
+                || view->record().software_version != record.software_version);
         if (view != nullptr && record.is_of_earlier_life_than(view->record()))
             continue;
         if (is_new_run)
@@ -176,12 +178,18 @@
         m_limit_shares.note_sent(view.id(), *limit, now);
 }
 
+bool BackendFleet::has_version_for(BackendView const& view, RoutedRequest const& call)
+{
+    return !call.stream_version || view.record().software_version == *call.stream_version;
+}
+
 Unavailability BackendFleet::unavailability(RoutedRequest const& call) const
 {
     bool is_served = false;
     bool is_allowed = false;
     for (auto const& [instance, view] : m_servers) {
-        bool const serves = view->record().service == call.service && view->is_serving();
+        bool const serves
+            = view->record().service == call.service && view->is_serving() && has_version_for(*view, call);
         if (!serves)
             continue;
         is_served = true;
@@ -233,7 +241,7 @@
     std::vector<std::shared_ptr<BackendView>> servers;
     bool const is_restricted = m_regions.restricts(call);
     for (auto const& [instance, view] : m_servers) {
-        if (view->record().service != call.service || !view->accepts_new_requests())
+        if (view->record().service != call.service || !view->accepts_new_requests() || !has_version_for(*view, call))
             continue;
         if (!is_restricted || m_regions.allows(call, view->record().failure_domain))
             servers.push_back(view);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -130,6 +130,8 @@
     /// Chooses a server whose rate limit is due for a recheck, if the request would still meet its target there.
     [[nodiscard]] std::optional<Choice> choose_for_recheck(
         std::vector<Candidate> const&, RoutedRequest const&, Core::MonotonicTime now) const;
+    /// Whether the server has the software version that the request needs.
+    [[nodiscard]] static bool has_version_for(BackendView const&, RoutedRequest const&);
     /// The serving servers that the request is allowed to use.
     [[nodiscard]] std::vector<std::shared_ptr<BackendView>> servers_for(RoutedRequest const&) const;
     void mark_leaving(std::uint64_t server, std::string_view source) const;
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -239,8 +239,6 @@
     bool m_has_started_response {false};
     std::string m_buffered_response;
     HTTP::EventFramer m_events;
-    /// Software version of the server that sent the first event.
-    std::optional<std::string> m_stream_version;
     std::optional<Core::MonotonicTime> m_first_event_at;
     std::optional<Core::MonotonicTime> m_last_event_at;
     Core::Milliseconds m_longest_pause {0};
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -66,14 +66,14 @@
 void RequestForwarder::note_event_version(BackendView const& server)
 {
     auto const& record = server.record();
-    if (!m_stream_version)
-        m_stream_version = record.software_version;
-    if (*m_stream_version == record.software_version)
+    if (!m_request.stream_version)
+        m_request.stream_version = record.software_version;
+    if (*m_request.stream_version == record.software_version)
         return;
     m_context.metrics.note_mixed_stream();
     m_context.log.write(Observe::LogEvent("mixed-stream")
                             .add("request", m_request.id)
-                            .add("began_at", *m_stream_version)
+                            .add("began_at", *m_request.stream_version)
                             .add("server", record.instance)
                             .add("version", record.software_version));
 }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -48,6 +48,10 @@
     /// Time at which the caller stops waiting; unset if the request does not state it.
     std::optional<Core::MonotonicTime> caller_deadline;
 
+    /// Software version of the server that began the stream, which every further server of it must have. Unset before
+    /// the first event.
+    std::optional<std::string> stream_version;
+
     std::vector<PromptPart> prompt;
     std::uint32_t prompt_tokens {0};
     std::uint32_t max_output_tokens {0};
