LibGateway: Resume a stream only at the software version that began it

A gateway now announces each stream, before its first event goes to the caller, to the two gateways that rendezvous hashing assigns to it, and a gateway at which it is resumed asks them. The key covers the workspace, so that nobody names another's stream. While a service has one version, announcements are rationed; those held back go out when a second version appears. A resumed stream was admitted when it began and is not rejected for load again, and stays at the service of the request that began it where a route has several.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -42,6 +42,8 @@
     std::set<std::string> listed;
     for (auto const& record : list.servers) {
         listed.insert(record.instance);
+        if (!record.software_version.empty())
+            m_versioned_services.insert(record.service);
         auto& view = m_servers[record.instance];
         // Load, kept prefixes, failures and suspicions of an earlier run do not apply to this one. Attempts that were
         // sent to the earlier run keep its view.
@@ -178,9 +180,13 @@
         m_limit_shares.note_sent(view.id(), *limit, now);
 }
 
-bool BackendFleet::has_version_for(BackendView const& view, RoutedRequest const& call)
+bool BackendFleet::has_version_for(BackendView const& view, RoutedRequest const& call) const
 {
-    return !call.stream_version || view.record().software_version == *call.stream_version;
+    if (!call.stream_version)
+        return true;
+    // Servers that state no version may differ where others state theirs.
+    bool const is_unknown = call.stream_version->empty() && has_versions(call.service);
+    return !is_unknown && view.record().software_version == *call.stream_version;
 }
 
 Unavailability BackendFleet::unavailability(RoutedRequest const& call) const
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -95,6 +95,9 @@
     /// Adds the instances at the given places (hashes of addresses).
     void add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const;
 
+    /// Whether any server of the service has stated a software version.
+    [[nodiscard]] bool has_versions(std::string const& service) const { return m_versioned_services.contains(service); }
+
     /// Records the time to the first event of a prompt of which the engine had to prefill `unread_tokens`.
     void note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait);
 
@@ -131,7 +134,7 @@
     [[nodiscard]] std::optional<Choice> choose_for_recheck(
         std::vector<Candidate> const&, RoutedRequest const&, Core::MonotonicTime now) const;
     /// Whether the server has the software version that the request needs.
-    [[nodiscard]] static bool has_version_for(BackendView const&, RoutedRequest const&);
+    [[nodiscard]] bool has_version_for(BackendView const&, RoutedRequest const&) const;
     /// The serving servers that the request is allowed to use.
     [[nodiscard]] std::vector<std::shared_ptr<BackendView>> servers_for(RoutedRequest const&) const;
     void mark_leaving(std::uint64_t server, std::string_view source) const;
@@ -149,6 +152,7 @@
     std::map<std::string, std::shared_ptr<BackendView>> m_servers;
     absl::flat_hash_map<std::uint64_t, std::weak_ptr<BackendView>> m_servers_by_id;
     std::map<std::string, Table::Service> m_services;
+    std::set<std::string> m_versioned_services;
     Entry::DrainList m_drains;
     RegionRules m_regions;
     Policy::ColdShares m_cold_shares;
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -87,6 +87,11 @@
     void note_refused_by_quarantine() { m_held_back.add(); }
     /// Records a stream that received an event of another software version than the one that began it.
     void note_mixed_stream() { m_mixed_streams.add(); }
+    /// Records a stream that a caller resumes. `result` is one of a fixed set of short names.
+    void note_resumption(std::string_view result)
+    {
+        m_registry.counter("granitefield_gateway_resumptions_total", {{"result", std::string(result)}}).add();
+    }
     void note_bad_request(int status)
     {
         m_registry.counter("granitefield_gateway_bad_requests_total", {{"status", std::to_string(status)}}).add();
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -129,9 +129,9 @@
     , m_crashes(m_loop, log, m_metrics, quarantine)
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
-          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing)
-    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_crashes, usage, {}, m_admission, {}, 1,
-          0, log, m_metrics}
+          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams)
+    , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_streams, m_crashes, usage, {},
+          m_admission, {}, 1, 0, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
@@ -325,7 +325,9 @@
     if (!servers || servers == m_servers)
         return;
     m_servers = servers;
-    m_fleet.apply(*servers, Core::monotonic_now());
+    auto const now = Core::monotonic_now();
+    m_fleet.apply(*servers, now);
+    m_streams.apply(*servers, now);
 }
 
 Core::Milliseconds GatewayServer::table_delay(Core::TableVersion version) const
@@ -503,6 +505,7 @@
     status["known-gateways"] = m_members ? nlohmann::json(m_members->peers.size()) : nlohmann::json();
     status["held-bytes"] = m_context.held_bytes;
     status["admission"] = m_admission_monitor.status(m_table.get(), now);
+    status["known-streams"] = m_streams.known_count();
     status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
     if (m_context.usage != nullptr)
         status["usage"] = usage_status(*m_context.usage, now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -130,6 +130,7 @@
     Policy::Admission m_admission;
     AdmissionMonitor m_admission_monitor {m_admission, m_log};
     DemandSharing m_demand_sharing {m_admission};
+    StreamOriginSharing m_streams;
     LoadExchange m_load;
     ForwardingContext m_context;
     std::unique_ptr<CallerHandler> m_caller_handler;
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -21,19 +21,22 @@
 
 LoadExchange::LoadExchange(boost::asio::io_context& loop, std::optional<Core::Address> const& address,
     BackendFleet& fleet, CrashSharing crashes, DutySharing* duties, Entry::SharedMembership const& membership,
-    Entry::WatchDuty& duty, Observe::EventLog& log, Observe::MetricRegistry& metrics, DemandSharing* demand)
+    Entry::WatchDuty& duty, Observe::EventLog& log, Observe::MetricRegistry& metrics, DemandSharing* demand,
+    StreamOriginSharing* streams)
     : m_membership(membership)
     , m_duty(duty)
     , m_log(log)
     , m_bytes_out(metrics.counter("granitefield_load_bytes_total"))
     , m_rejected(metrics.counter("granitefield_load_datagrams_rejected_total"))
     , m_relaying(metrics.gauge("granitefield_load_relay"))
-    , m_sharing(Core::draw_incarnation().value(), fleet, crashes, duties, Core::monotonic_now(), demand)
+    , m_sharing(Core::draw_incarnation().value(), fleet, crashes, duties, Core::monotonic_now(), demand, streams)
     , m_socket(loop)
     , m_timer(loop)
 {
-    if (!address)
+    if (!address) {
+        m_sharing.set_members({});
         return;
+    }
     Udp::endpoint const endpoint(boost::asio::ip::make_address(address->host()), address->port());
     m_socket.open(endpoint.protocol());
     m_socket.bind(endpoint);
@@ -49,6 +52,14 @@
     if_open([&] { m_sharing.note_placement(server, parts, own_tokens); });
 }
 
+void LoadExchange::send_stream_messages()
+{
+    if_open([&] {
+        for (auto const& outgoing : m_sharing.take_stream_messages())
+            send(outgoing);
+    });
+}
+
 std::string LoadExchange::address() const
 {
     return m_socket.is_open() ? to_string(m_socket.local_endpoint()) : std::string();
@@ -145,7 +156,8 @@
     bool const is_accepted = m_datagram.ParseFromArray(received.bytes.data(), static_cast<int>(received.bytes.size()))
         && m_sharing.receive(m_datagram, received.sender, Core::monotonic_now(), received.waited);
     if (!is_accepted)
-        m_rejected.add();
+        return m_rejected.add();
+    send_stream_messages();
 }
 
 }
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -24,10 +24,11 @@
 /// Sends and receives the datagrams of LoadSharing over UDP. On the gateway's thread.
 class LoadExchange {
 public:
-    /// `duties` is null where gateways have no duties, `demand` where they do not share their admission control.
+    /// `duties` is null where gateways have no duties, `demand` where they do not share their admission control,
+    /// `streams` where they do not share the versions of streams.
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, CrashSharing,
         DutySharing* duties, Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&,
-        Observe::MetricRegistry&, DemandSharing* demand = nullptr);
+        Observe::MetricRegistry&, DemandSharing* demand = nullptr, StreamOriginSharing* streams = nullptr);
 
     /// Records a prompt sent to the server. `parts` may be shared with other prompts; `own_tokens` is the length of the
     /// rest.
@@ -47,6 +48,9 @@
         if_open([&] { m_sharing.note_answering(server); });
     }
 
+    /// Sends the messages about streams that have been added since the last tick.
+    void send_stream_messages();
+
     /// Address at which datagrams are received, with the port chosen by the kernel; empty without a socket.
     [[nodiscard]] std::string address() const;
 
--- a/Libraries/LibGateway/LoadSharing.cpp
+++ b/Libraries/LibGateway/LoadSharing.cpp
@@ -89,13 +89,14 @@
 }
 
 LoadSharing::LoadSharing(std::uint64_t self, BackendFleet& fleet, CrashSharing crashes, DutySharing* duties,
-    Core::MonotonicTime started, DemandSharing* demand)
+    Core::MonotonicTime started, DemandSharing* demand, StreamOriginSharing* streams)
     : m_self(self)
     , m_fleet(fleet)
     , m_crash_sharing(crashes)
     , m_signal_sharing(fleet)
     , m_duty_sharing(duties)
     , m_demand_sharing(demand)
+    , m_streams(streams)
     , m_election(started)
     , m_reporter_loads(fleet)
     , m_relay_loads(fleet)
@@ -106,6 +107,8 @@
 {
     m_election.set_members(members);
     m_peer_count = members.peers.size();
+    if (m_streams != nullptr)
+        m_streams->set_members(members);
 }
 
 void LoadSharing::note_placement(BackendView const& server, std::span<PromptPart const> parts, std::uint32_t own_tokens)
@@ -138,7 +141,7 @@
         && report.broken_size() <= max_suspected && report.answering_size() <= max_suspected;
     bool const are_shared_parts_valid = DutySharing::is_within_bounds(report)
         && CrashSharing::is_within_bounds(report.crashes()) && SignalSharing::is_within_bounds(report.signals())
-        && DemandSharing::is_within_bounds(report.demand())
+        && DemandSharing::is_within_bounds(report.demand()) && StreamOriginSharing::is_within_bounds(datagram.streams())
         && std::ranges::all_of(datagram.relayed(), [](auto const& relayed) {
                return DutySharing::is_within_bounds(relayed) && CrashSharing::is_within_bounds(relayed.crashes())
                    && SignalSharing::is_within_bounds(relayed.signals())
@@ -165,6 +168,8 @@
         m_election.note_relay_datagram(from, now);
     for (auto const& relayed : datagram.relayed())
         receive_relayed(relayed, now, waited);
+    if (m_streams != nullptr && datagram.has_streams())
+        m_streams->receive(datagram.streams(), from, now);
     return true;
 }
 
@@ -361,6 +366,22 @@
         send_as_relay(outgoing, now);
     m_is_busy = !m_own_reports.empty() && !m_own_reports.back().loads.empty();
     m_is_busy = m_is_busy || !m_aggregator.sums().empty();
+    if (m_streams != nullptr)
+        m_streams->tick(now);
+    std::ranges::move(take_stream_messages(), std::back_inserter(outgoing));
+    return outgoing;
+}
+
+std::vector<OutgoingDatagram> LoadSharing::take_stream_messages()
+{
+    std::vector<OutgoingDatagram> outgoing;
+    if (m_streams == nullptr)
+        return outgoing;
+    for (auto& [address, message] : m_streams->take_messages()) {
+        Datagram datagram;
+        *datagram.mutable_streams() = std::move(message);
+        outgoing.push_back({address, serialize(datagram)});
+    }
     return outgoing;
 }
 
--- a/Libraries/LibGateway/LoadSharing.h
+++ b/Libraries/LibGateway/LoadSharing.h
@@ -10,9 +10,11 @@
 #include <LibGateway/FailureDetector.h>
 #include <LibGateway/LoadAggregator.h>
 #include <LibGateway/LoadSources.h>
+#include <LibGateway/OutgoingDatagram.h>
 #include <LibGateway/RelayElection.h>
 #include <LibGateway/RoutedRequest.h>
 #include <LibGateway/SignalSharing.h>
+#include <LibGateway/StreamOriginSharing.h>
 
 #include <Peers.pb.h>
 
@@ -28,11 +30,6 @@
 
 namespace GraniteField::Gateway {
 
-struct OutgoingDatagram {
-    std::string address;
-    std::shared_ptr<std::string const> bytes;
-};
-
 /// Shares the load that each gateway has on each backend server, and the prompts that it has sent there, among all
 /// gateways. Without it each gateway would place requests by its own part of the load.
 ///
@@ -68,9 +65,9 @@
     };
 
     /// `self` is the incarnation of the gateway. `duties` is null where gateways have no duties, `demand` where they do
-    /// not share their admission control.
+    /// not share their admission control, `streams` where they do not share the versions of streams.
     LoadSharing(std::uint64_t self, BackendFleet&, CrashSharing, DutySharing* duties, Core::MonotonicTime started,
-        DemandSharing* demand = nullptr);
+        DemandSharing* demand = nullptr, StreamOriginSharing* streams = nullptr);
 
     void set_members(Entry::LoadMembers const&);
 
@@ -96,6 +93,9 @@
     /// Returns the datagrams to send now. `own_clock` is the wall clock of this host.
     [[nodiscard]] std::vector<OutgoingDatagram> tick(Cluster::WallTime own_clock, Core::MonotonicTime now);
 
+    /// Returns the messages about streams, which need not wait for tick().
+    [[nodiscard]] std::vector<OutgoingDatagram> take_stream_messages();
+
     /// Time until the next call of tick(). A gateway that runs late ticks less often, unless other gateways depend on
     /// its datagrams: its reporters, or all gateways if it watches the platform's store.
     [[nodiscard]] Core::Milliseconds interval(WatchesStore) const;
@@ -160,6 +160,7 @@
     SignalSharing m_signal_sharing;
     DutySharing* m_duty_sharing;
     DemandSharing* m_demand_sharing;
+    StreamOriginSharing* m_streams;
     /// A gateway has reported for the first time and needs the full state.
     bool m_has_new_reporter {false};
     RelayElection m_election;
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -21,6 +21,10 @@
 /// each token written takes a step of the engine, shared by the streams that run.
 constexpr double s_written_token_weight = 8;
 
+/// Number of a route's time limits within which a caller can receive a stream's first event, lose the stream and resume
+/// it.
+constexpr int s_time_limits_per_stream = 4;
+
 }
 
 Policy::FleetRetryBudget& ForwardingContext::budget_of(std::string const& service)
@@ -65,6 +69,8 @@
     // Decided at a later tick.
     if (is_quarantine_pending(now))
         return;
+    if (!has_stream_version(now))
+        return;
     auto const choice = choose_server(now);
     if (!choice.server)
         return hold(now);
@@ -79,6 +85,41 @@
     send_to(choice, now);
 }
 
+bool RequestForwarder::has_stream_version(Core::MonotonicTime now)
+{
+    bool const needs_version = m_request.is_resumption(m_context.dialect) && !m_request.stream_version
+        && m_context.fleet.has_versions(m_request.service);
+    if (!needs_version)
+        return true;
+    using Status = StreamOriginSharing::Status;
+    auto const resumed = m_request.head.fields.value_or(m_context.dialect.resumes, "");
+    auto const period = m_request.route->time_limit * s_time_limits_per_stream;
+    auto const resolution
+        = m_context.streams.resolve(stream_key(m_request.workspace, resumed), m_request.service, period, now);
+    m_context.load.send_stream_messages();
+    if (resolution.status == Status::Pending)
+        return false;
+    log_stream_version(resolution, now);
+    if (resolution.status != Status::Unknown) {
+        m_request.stream_version = resolution.software_version;
+        return true;
+    }
+    fail(HTTP::Status::s_bad_gateway, "unknown_stream", "the software version that began this stream is not known");
+    return false;
+}
+
+void RequestForwarder::log_stream_version(StreamOriginSharing::Resolution const& resolution, Core::MonotonicTime now)
+{
+    m_context.metrics.note_resumption(to_string(resolution.status));
+    m_context.log.write(Observe::LogEvent("resumption")
+                            .add("request", m_request.id)
+                            .add("resumes", m_request.head.fields.value_or(m_context.dialect.resumes, ""))
+                            .add("service", m_request.service)
+                            .add("result", to_string(resolution.status))
+                            .add("version", resolution.software_version)
+                            .add("waited_ms", Core::elapsed(m_request.received, now)));
+}
+
 bool RequestForwarder::is_quarantined(Core::MonotonicTime now) const
 {
     auto& ledger = m_context.crashes.ledger();
@@ -137,7 +178,9 @@
 {
     // Admission applies to new requests only: an admitted request is not rejected because an attempt failed.
     bool const is_first_attempt = m_send_count == 0 && m_failed_connects == 0 && !m_was_withdrawn;
-    if (!is_first_attempt || !m_request.is_stream() || m_request.prompt.empty())
+    // A resumed stream was admitted when it began.
+    bool const is_resumed = m_request.stream_version.has_value();
+    if (!is_first_attempt || is_resumed || !m_request.is_stream() || m_request.prompt.empty())
         return std::nullopt;
     Policy::AdmissionRequest const question {m_request.service, m_request.request_class->name, m_request.priority,
         now - m_request.received, choice.predicted_wait, m_request.request_class->first_token_target,
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -79,6 +79,7 @@
     Dialect dialect;
     BackendFleet& fleet;
     LoadExchange& load;
+    StreamOriginSharing& streams;
     CrashDetector& crashes;
     /// Counts requests that start to run; null if usage is not reported.
     Cluster::SharedDuty* usage;
@@ -130,6 +131,10 @@
 
     void dispatch(Core::MonotonicTime now);
     void hold(Core::MonotonicTime now);
+    /// Whether the software version that began the stream is known, or none is needed. If not, the request waits for
+    /// other gateways or was rejected.
+    [[nodiscard]] bool has_stream_version(Core::MonotonicTime now);
+    void log_stream_version(StreamOriginSharing::Resolution const&, Core::MonotonicTime now);
     /// Whether the attempt, of which nothing was sent yet, may still be sent to its server.
     [[nodiscard]] bool may_send_attempt(Core::MonotonicTime now) const;
     /// Cancels an attempt of which nothing was sent, and dispatches the request to another server.
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -68,6 +68,12 @@
     auto const& record = server.record();
     if (!m_request.stream_version)
         m_request.stream_version = record.software_version;
+    if (!m_first_event_at && m_request.is_repeatable()) {
+        m_context.streams.note_begun(stream_key(m_request.workspace, m_request.id),
+            {m_request.service, *m_request.stream_version}, Core::monotonic_now());
+        // Other gateways must know the stream before its caller can resume it.
+        m_context.load.send_stream_messages();
+    }
     if (*m_request.stream_version == record.software_version)
         return;
     m_context.metrics.note_mixed_stream();
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -160,7 +160,9 @@
     if (auto error = authenticate(request))
         return *error;
     request.id = request.head.fields.value_or(dialect.request_id, "");
-    request.service = pick_service(*request.route, request.id);
+    // A stream continues at the service that began it.
+    request.service
+        = pick_service(*request.route, std::string(request.head.fields.value_or(dialect.resumes, request.id)));
     request.priority = engine_priority(request);
     set_deadlines(request, dialect);
     parse_prompt(request, dialect);
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -67,6 +67,12 @@
     mutable std::optional<Core::RequestDigest> cached_digest;
 
     [[nodiscard]] bool is_stream() const { return route->answer == Table::AnswerKind::EventStream; }
+    /// Whether the caller has received a part of the stream and asks for the rest.
+    [[nodiscard]] bool is_resumption(Dialect const& dialect) const
+    {
+        bool const names_stream = head.fields.find(dialect.resumes) != nullptr;
+        return is_stream() && (names_stream || head.fields.find(dialect.last_event_id) != nullptr);
+    }
     /// Whether the request may be sent again after it may have run.
     [[nodiscard]] bool is_repeatable() const
     {
--- /dev/null
+++ b/Libraries/LibGateway/StreamOriginSharing.cpp
@@ -0,0 +1,257 @@
+#include <LibGateway/StreamOriginSharing.h>
+
+#include <LibCore/Hashing.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+/// Bound on the versions in an answer; a service with more is never resolved by them.
+constexpr int s_max_versions = 8;
+constexpr auto s_max_items = static_cast<int>(StreamOriginSharing::s_max_streams);
+
+/// Number of gateways, of those asked, of which at least one is a holder.
+std::size_t needed_witnesses(std::size_t asked)
+{
+    return std::max<std::size_t>(1, asked > 0 ? asked - 1 : 0);
+}
+
+}
+
+std::string_view to_string(StreamOriginSharing::Status status)
+{
+    switch (status) {
+    case StreamOriginSharing::Status::Pending:
+        return "pending";
+    case StreamOriginSharing::Status::Known:
+        return "known";
+    case StreamOriginSharing::Status::OnlyVersion:
+        return "only_version";
+    case StreamOriginSharing::Status::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void StreamOriginSharing::set_members(Entry::LoadMembers const& members)
+{
+    m_peers.emplace();
+    for (auto const& peer : members.peers)
+        m_peers->push_back(peer.address);
+}
+
+void StreamOriginSharing::apply(Entry::ServerList const& list, Core::MonotonicTime now)
+{
+    m_versions.apply(list, now);
+    std::vector<std::string> services;
+    for (auto const& [service, streams] : m_withheld) {
+        if (m_versions.has_several(service, now))
+            services.push_back(service);
+    }
+    for (auto const& service : services)
+        announce_withheld(service);
+}
+
+void StreamOriginSharing::announce_withheld(std::string const& service)
+{
+    auto const streams = m_withheld.extract(service);
+    for (auto const& withheld : streams.mapped())
+        schedule({withheld.stream});
+}
+
+void StreamOriginSharing::announce(StreamKey stream, StreamOrigin const& origin)
+{
+    send_to_holders(stream, origin);
+    schedule({stream, s_announcements - 1});
+}
+
+void StreamOriginSharing::schedule(Announcement announcement)
+{
+    m_announcements.push_back(announcement);
+    if (m_announcements.size() > StreamOrigins::s_max_streams)
+        m_announcements.pop_front();
+}
+
+void StreamOriginSharing::send_to_holders(StreamKey stream, StreamOrigin const& origin)
+{
+    for (auto const& address : ranked_members(stream, s_holders))
+        add_begun(m_messages[address], stream, origin);
+}
+
+void StreamOriginSharing::note_begun(StreamKey stream, StreamOrigin const& origin, Core::MonotonicTime now)
+{
+    m_origins.note(stream, origin, now);
+    if (m_versions.has_several(origin.service, now))
+        return announce(stream, origin);
+    if (m_spare.wait_for(1, now).count() == 0) {
+        m_spare.charge(1, now);
+        return announce(stream, origin);
+    }
+    auto& withheld = m_withheld[origin.service];
+    withheld.push_back({stream, now});
+    while (Core::elapsed(withheld.front().begun, now) > s_withholding_time
+        || withheld.size() > StreamOrigins::s_max_streams)
+        withheld.pop_front();
+}
+
+std::vector<std::string> StreamOriginSharing::ranked_members(StreamKey stream, std::size_t count) const
+{
+    if (!m_peers)
+        return {};
+    std::vector<std::pair<std::uint64_t, std::string const*>> ranked;
+    ranked.reserve(m_peers->size());
+    for (auto const& address : *m_peers)
+        ranked.emplace_back(Core::hash_bytes(address, stream.value()), &address);
+    auto const end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::ranges::partial_sort(ranked, end, std::greater());
+    std::vector<std::string> addresses;
+    for (auto item = ranked.begin(); item != end; ++item)
+        addresses.push_back(*item->second);
+    return addresses;
+}
+
+StreamOriginSharing::Resolution StreamOriginSharing::resolve(
+    StreamKey stream, std::string const& service, Core::Milliseconds period, Core::MonotonicTime now)
+{
+    if (auto const* const origin = m_origins.find(stream)) {
+        m_lookups.erase(stream);
+        // Servers of another service cannot continue the stream, whatever their version.
+        if (origin->service != service)
+            return {};
+        return {Status::Known, origin->software_version};
+    }
+    auto const found = m_lookups.find(stream);
+    if (found == m_lookups.end()) {
+        if (m_lookups.size() >= s_max_lookups)
+            return {};
+        Lookup lookup {service, period, now, now, ranked_members(stream, s_asked), {}};
+        if (lookup.asked.empty())
+            return infer(lookup, now);
+        query(stream, lookup, now);
+        m_lookups.emplace(stream, std::move(lookup));
+        return {Status::Pending, {}};
+    }
+    auto& lookup = found->second;
+    bool const is_answered = lookup.answers.size() == lookup.asked.size();
+    if (is_answered || Core::elapsed(lookup.started, now) >= s_lookup_timeout) {
+        auto resolution = infer(lookup, now);
+        m_lookups.erase(found);
+        return resolution;
+    }
+    if (now >= lookup.next_query)
+        query(stream, lookup, now);
+    return {Status::Pending, {}};
+}
+
+void StreamOriginSharing::query(StreamKey stream, Lookup& lookup, Core::MonotonicTime now)
+{
+    lookup.next_query = now + s_query_interval;
+    for (auto const& address : lookup.asked) {
+        if (lookup.answers.contains(address))
+            continue;
+        auto& query = *m_messages[address].add_queries();
+        query.set_stream(stream.value());
+        query.set_service(lookup.service);
+        query.set_period_ms(static_cast<std::uint32_t>(lookup.period.count()));
+    }
+}
+
+StreamOriginSharing::Resolution StreamOriginSharing::infer(Lookup const& lookup, Core::MonotonicTime now) const
+{
+    auto recent = m_versions.recent(lookup.service, lookup.period, now);
+    // A gateway that this one cannot ask may have begun the stream at a version that is not known here. It has
+    // announced it to the holders then, so one that was there throughout must have answered.
+    bool const is_alone = m_peers && m_peers->empty();
+    auto const witnesses
+        = std::ranges::count_if(lookup.answers, [](auto const& item) { return item.second.is_complete; });
+    if (!is_alone && static_cast<std::size_t>(witnesses) < needed_witnesses(lookup.asked.size()))
+        return {};
+    for (auto const& [address, versions] : lookup.answers) {
+        recent.versions.insert(versions.versions.begin(), versions.versions.end());
+        recent.is_complete = recent.is_complete || versions.is_complete;
+    }
+    if (!recent.is_complete || recent.versions.size() != 1)
+        return {};
+    return {Status::OnlyVersion, *recent.versions.begin()};
+}
+
+bool StreamOriginSharing::is_within_bounds(Message const& message)
+{
+    return message.begun_size() <= s_max_items && message.queries_size() <= s_max_items
+        && message.unknown_size() <= s_max_items
+        && std::ranges::all_of(message.begun(), [](auto const& begun) { return begun.streams_size() <= s_max_items; })
+        && std::ranges::all_of(
+            message.unknown(), [](auto const& unknown) { return unknown.versions_size() <= s_max_versions; });
+}
+
+void StreamOriginSharing::receive(Message const& message, std::string const& from, Core::MonotonicTime now)
+{
+    for (auto const& begun : message.begun()) {
+        for (auto const stream : begun.streams())
+            m_origins.note(StreamKey(stream), {begun.service(), begun.software_version()}, now);
+    }
+    for (auto const& query : message.queries())
+        answer(query, from, now);
+    for (auto const& unknown : message.unknown()) {
+        auto const lookup = m_lookups.find(StreamKey(unknown.stream()));
+        if (lookup != m_lookups.end())
+            lookup->second.answers[from]
+                = {{unknown.versions().begin(), unknown.versions().end()}, unknown.is_complete()};
+    }
+}
+
+void StreamOriginSharing::answer(
+    granitefield::protocol::StreamQuery const& query, std::string const& from, Core::MonotonicTime now)
+{
+    auto& message = m_messages[from];
+    StreamKey const stream(query.stream());
+    if (auto const* const origin = m_origins.find(stream))
+        return add_begun(message, stream, *origin);
+    auto const recent = m_versions.recent(query.service(), Core::Milliseconds(query.period_ms()), now);
+    auto& unknown = *message.add_unknown();
+    unknown.set_stream(query.stream());
+    unknown.set_is_complete(recent.is_complete);
+    for (auto const& version : recent.versions) {
+        if (unknown.versions_size() < s_max_versions)
+            unknown.add_versions(version);
+    }
+}
+
+void StreamOriginSharing::add_begun(Message& message, StreamKey stream, StreamOrigin const& origin)
+{
+    auto const is_same = [&](auto const& begun) {
+        return begun.service() == origin.service && begun.software_version() == origin.software_version;
+    };
+    auto const found = std::ranges::find_if(*message.mutable_begun(), is_same);
+    if (found != message.mutable_begun()->end())
+        return found->add_streams(stream.value());
+    auto& begun = *message.add_begun();
+    begun.set_service(origin.service);
+    begun.set_software_version(origin.software_version);
+    begun.add_streams(stream.value());
+}
+
+void StreamOriginSharing::tick(Core::MonotonicTime now)
+{
+    m_origins.forget_old(now);
+    absl::erase_if(
+        m_lookups, [now](auto const& item) { return Core::elapsed(item.second.started, now) > 2 * s_lookup_timeout; });
+    if (!m_peers)
+        return;
+    auto const due = std::min(m_announcements.size(), s_max_streams);
+    for (std::size_t count = 0; count < due; ++count) {
+        auto announcement = m_announcements.front();
+        m_announcements.pop_front();
+        auto const* const origin = m_origins.find(announcement.stream);
+        if (origin == nullptr)
+            continue;
+        send_to_holders(announcement.stream, *origin);
+        if (--announcement.left > 0)
+            schedule(announcement);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -0,0 +1,327 @@
+// Tests in simulated time that a resumed stream is resolved to the version that began it, or to none, whatever gateways
+// are killed and whichever lists of servers they act on.
+#include <LibCore/Text.h>
+#include <LibGateway/StreamOriginSharing.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace GraniteField::Gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Status = StreamOriginSharing::Status;
+
+Core::MonotonicTime const s_start {1h};
+constexpr Core::Milliseconds s_step {25};
+constexpr Core::Milliseconds s_tick {50};
+/// Period in which a resumed stream may have begun.
+constexpr Core::Milliseconds s_period {20'000};
+/// Time within which most callers resume a stream.
+constexpr Core::Milliseconds s_usual_delay {5'000};
+
+using Versions = std::vector<std::string>;
+
+Entry::ServerList list_of(Versions const& versions, std::uint64_t revision)
+{
+    Entry::ServerList list;
+    list.revision = Entry::ListRevision(revision);
+    for (auto const& version : versions) {
+        Entry::ServerEntry entry;
+        entry.instance = Core::concat("i-", version);
+        entry.service = "svc";
+        entry.software_version = version;
+        list.servers.push_back(entry);
+    }
+    return list;
+}
+
+class StreamFleet : public ::testing::Test {
+protected:
+    struct Node {
+        std::string address;
+        StreamOriginSharing streams;
+        Versions versions;
+        bool is_alive {true};
+        /// Processes that do not receive news of servers act on an old list.
+        bool is_stale {false};
+    };
+
+    void create(std::size_t count, Versions const& versions)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            m_nodes.push_back(std::make_unique<Node>());
+            m_nodes.back()->address = Core::concat("10.0.0.", number, ":1");
+        }
+        for (std::size_t number = 0; number < count; ++number)
+            connect(number);
+        publish(versions);
+    }
+
+    void connect(std::size_t number)
+    {
+        Entry::LoadMembers members;
+        for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+            if (other != number)
+                members.peers.push_back({m_nodes[other]->address, "here", 100, other});
+        }
+        m_nodes[number]->streams.set_members(members);
+    }
+
+    void publish(Versions const& versions)
+    {
+        m_versions = versions;
+        ++m_revision;
+        for (auto& node : m_nodes) {
+            if (node->is_alive && !node->is_stale)
+                apply_list(*node);
+        }
+    }
+
+    void apply_list(Node& node)
+    {
+        node.versions = m_versions;
+        node.streams.apply(list_of(m_versions, m_revision), m_now);
+    }
+
+    void restart(std::size_t number)
+    {
+        auto const address = m_nodes[number]->address;
+        m_nodes[number] = std::make_unique<Node>();
+        m_nodes[number]->address = address;
+        connect(number);
+        apply_list(*m_nodes[number]);
+    }
+
+    /// Begins a stream at that gateway, at one of the versions that it knows.
+    std::string begin(std::size_t number, StreamKey stream, std::size_t choice = 0)
+    {
+        auto& node = *m_nodes[number];
+        auto const version = node.versions.at(choice % node.versions.size());
+        node.streams.note_begun(stream, {"svc", version}, m_now);
+        send(node);
+        return version;
+    }
+
+    StreamOriginSharing::Resolution resume(std::size_t number, StreamKey stream)
+    {
+        auto& node = *m_nodes[number];
+        while (true) {
+            auto const resolution = node.streams.resolve(stream, "svc", s_period, m_now);
+            send(node);
+            if (resolution.status != Status::Pending)
+                return resolution;
+            advance(s_step);
+        }
+    }
+
+    void send(Node& from)
+    {
+        for (auto const& [address, message] : from.streams.take_messages()) {
+            EXPECT_TRUE(StreamOriginSharing::is_within_bounds(message));
+            ++m_datagrams;
+            if (std::uniform_real_distribution<double>(0, 1)(m_random) >= m_loss)
+                m_in_flight.push_back({from.address, address, message});
+        }
+    }
+
+    void deliver()
+    {
+        for (auto const& item : std::exchange(m_in_flight, {})) {
+            auto const target = std::ranges::find(m_nodes, item.to, [](auto const& node) { return node->address; });
+            if (!(*target)->is_alive)
+                continue;
+            (*target)->streams.receive(item.message, item.from, m_now);
+            send(**target);
+        }
+    }
+
+    void advance(Core::Milliseconds duration)
+    {
+        for (auto const end = m_now + duration; m_now < end; m_now += s_step) {
+            deliver();
+            if (Core::elapsed(s_start, m_now).count() % s_tick.count() != 0)
+                continue;
+            for (auto& node : m_nodes) {
+                if (!node->is_alive)
+                    continue;
+                node->streams.tick(m_now);
+                send(*node);
+            }
+        }
+    }
+
+    struct InFlight {
+        std::string from;
+        std::string to;
+        StreamOriginSharing::Message message;
+    };
+
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<InFlight> m_in_flight;
+    Core::MonotonicTime m_now {s_start};
+    Versions m_versions;
+    std::uint64_t m_revision {0};
+    std::mt19937 m_random {20261204};
+    double m_loss {0};
+    std::size_t m_datagrams {0};
+    /// Streams that may be resumed, and the number of the next one.
+    std::vector<std::size_t> m_resumable;
+    std::size_t m_resumable_end {0};
+};
+
+}
+
+TEST_F(StreamFleet, KnowsAStreamAfterTheGatewayThatBeganItWasKilled)
+{
+    create(12, {"v1", "v2"});
+    auto const version = begin(3, StreamKey(1), 1);
+    m_nodes[3]->is_alive = false;
+    advance(s_tick);
+    for (std::size_t number : {0U, 5U, 11U})
+        EXPECT_EQ(resume(number, StreamKey(1)).software_version, version);
+}
+
+TEST_F(StreamFleet, KnowsStreamsThatBeganBeforeTheSecondVersionAppeared)
+{
+    create(12, {"v1"});
+    // More than the ration of a service with a single version.
+    constexpr std::size_t count = 400;
+    for (std::size_t number = 0; number < count; ++number)
+        begin(3, StreamKey(number));
+    publish({"v1", "v2"});
+    advance(1s);
+    m_nodes[3]->is_alive = false;
+    for (std::size_t number = 0; number < count; ++number)
+        EXPECT_EQ(resume(7, StreamKey(number)).software_version, "v1");
+}
+
+TEST_F(StreamFleet, RationsAnnouncementsWhileOneVersionServes)
+{
+    create(12, {"v1"});
+    advance(1s);
+    m_datagrams = 0;
+    constexpr int seconds = 20;
+    for (std::size_t number = 0; number < 100 * seconds; ++number) {
+        begin(3, StreamKey(number));
+        if (number % 2 == 1)
+            advance(s_step);
+    }
+    auto const streams = StreamOriginSharing::s_spare_burst + StreamOriginSharing::s_spare_rate * (seconds + 6);
+    EXPECT_LE(static_cast<double>(m_datagrams), streams * StreamOriginSharing::s_holders * 3);
+}
+
+TEST_F(StreamFleet, ResolvesAnUnannouncedStreamToTheOnlyVersion)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    auto const resolution = resume(5, StreamKey(1));
+    EXPECT_EQ(resolution.status, Status::OnlyVersion);
+    EXPECT_EQ(resolution.software_version, "v1");
+    // Its holders have been there long enough.
+    restart(5);
+    EXPECT_EQ(resume(5, StreamKey(2)).status, Status::OnlyVersion);
+}
+
+TEST_F(StreamFleet, DoesNotGuessWhileNobodyHasBeenThereForLong)
+{
+    create(12, {"v1"});
+    advance(s_period / 2);
+    EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessAfterARollback)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    publish({"v1", "v2"});
+    advance(1s);
+    publish({"v1"});
+    advance(s_period / 2);
+    EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
+    advance(s_period);
+    EXPECT_EQ(resume(5, StreamKey(1)).status, Status::OnlyVersion);
+}
+
+TEST_F(StreamFleet, DoesNotGuessByAnOldListOfServers)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    m_nodes[5]->is_stale = true;
+    publish({"v2"});
+    advance(1s);
+    auto const version = begin(2, StreamKey(1));
+    EXPECT_EQ(version, "v2");
+    EXPECT_EQ(resume(5, StreamKey(1)).software_version, "v2");
+    EXPECT_EQ(resume(5, StreamKey(2)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessWithoutAnswersOfTheHolders)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    for (std::size_t number = 0; number < 12; ++number)
+        m_nodes[number]->is_alive = number == 5;
+    EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
+}
+
+// Releases and rollbacks, lists that arrive late, gateways killed and restarted, datagrams lost.
+RC_GTEST_FIXTURE_PROP(StreamFleet, NeverResolvesToAnotherVersion, (unsigned seed))
+{
+    m_random.seed(seed);
+    auto const draw = [this](std::size_t max) { return std::uniform_int_distribution<std::size_t>(0, max)(m_random); };
+    m_loss = static_cast<double>(draw(10)) / 100;
+    auto const count = 3 + draw(9);
+    std::vector<Versions> const releases {{"v1"}, {"v1", "v2"}, {"v2"}, {"v1", "v2", "v3"}, {"v3"}};
+    create(count, {"v1"});
+    advance(s_period + 1s);
+    struct Stream {
+        std::string version;
+        Core::MonotonicTime begun;
+    };
+    std::vector<Stream> streams;
+    std::size_t resumed_soon = 0;
+    std::size_t resolved_soon = 0;
+    for (std::size_t step = 0; step < 60; ++step) {
+        switch (draw(5)) {
+        case 0:
+            publish(releases[draw(releases.size() - 1)]);
+            break;
+        case 1:
+            m_nodes[draw(count - 1)]->is_stale = draw(1) == 1;
+            for (auto& node : m_nodes) {
+                if (!node->is_stale)
+                    apply_list(*node);
+            }
+            break;
+        case 2:
+            restart(draw(count - 1));
+            break;
+        default:
+            streams.push_back({begin(draw(count - 1), StreamKey(streams.size()), draw(3)), m_now});
+        }
+        advance(s_step * static_cast<int>(1 + draw(40)));
+        std::erase_if(m_resumable, [&](auto number) { return streams[number].begun + s_period < m_now; });
+        if (streams.size() > m_resumable_end)
+            m_resumable.push_back(m_resumable_end++);
+        if (m_resumable.empty())
+            continue;
+        auto const number = m_resumable[draw(m_resumable.size() - 1)];
+        bool const is_soon = m_now - streams[number].begun <= s_usual_delay;
+        auto const resolution = resume(draw(count - 1), StreamKey(number));
+        resumed_soon += is_soon ? 1 : 0;
+        if (resolution.status == Status::Unknown)
+            continue;
+        resolved_soon += is_soon ? 1 : 0;
+        RC_ASSERT(resolution.software_version == streams[number].version);
+    }
+    RC_ASSERT(2 * resolved_soon >= resumed_soon);
+}
+
+}
