--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -104,6 +104,9 @@
     '92|Libraries/LibGateway/LoadSharing.cpp|s/m_forwarded.back().clear_store();/static_cast<void>(0);/|LoadSharingTest|*ReportOfADeadWatch*'
     '93|Libraries/LibEntry/WatchElection.cpp|s/merge(without_echo(report));/merge(report);/|WatchElectionTest|*EchoTheLastReport*'
     '94|Services/GraniteFieldD/GatewayDaemon.cpp|s/Core::Milliseconds::max() : longest_wait;/Core::Milliseconds::max() : 10 * longest_wait;/|SilentStoreTest|*SilentToAllWatchers*'
+    '95|Libraries/LibGateway/BackendFleet.cpp|s/    if (!call.stream_version)/    if (true)/|StreamVersionRulesTest|*ContinuesAnAnswer*'
+    '96|Libraries/LibGateway/StreamOriginSharing.cpp|s/    if (!is_alone \&\& static_cast/    if (false \&\& static_cast/|StreamOriginSharingTest|*WithoutAnswers*'
+    '97|Libraries/LibGateway/StreamOriginSharing.cpp|s/        schedule({withheld.stream});/        static_cast<void>(withheld);/|StreamOriginSharingTest|*BeforeTheSecondVersion*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor_interval != 0/true/|AdmissionTest|*AdmitsSomeRequests*'
 )
 
--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -4,6 +4,9 @@
 
 #include <array>
 #include <csignal>
+#include <set>
+
+#include <absl/strings/str_replace.h>
 
 namespace GraniteField::Testing {
 
@@ -29,6 +32,36 @@
 constexpr Core::Milliseconds s_limit_pause {2'500};
 constexpr Core::Milliseconds s_leaving_pause {4'000};
 constexpr Core::Milliseconds s_backoff_pause {3'000};
+constexpr Core::Milliseconds s_release_pause {700};
+constexpr std::array s_versions {"v1", "v2"};
+/// Tries of a caller to resume one stream.
+constexpr unsigned s_resumptions = 3;
+
+/// Returns the id of the last whole event, or 0.
+unsigned last_event(std::string const& body)
+{
+    auto const end = body.rfind("\n\n");
+    auto const start = end == std::string::npos ? end : body.rfind("id: ", end);
+    return start == std::string::npos ? 0 : static_cast<unsigned>(std::stoul(body.substr(start + 4)));
+}
+
+/// Returns the software versions that the events name in their comments.
+std::set<std::string> versions_in(std::string const& body)
+{
+    std::set<std::string> versions;
+    for (auto const* version : s_versions) {
+        if (body.find(Core::concat(": ", version, "\n")) != std::string::npos)
+            versions.insert(version);
+    }
+    return versions;
+}
+
+std::string without_versions(std::string body)
+{
+    for (auto const* version : s_versions)
+        absl::StrReplaceAll({{Core::concat(": ", version, "\n"), ""}}, &body);
+    return body;
+}
 
 bool promises_not_run(int status)
 {
@@ -48,6 +81,7 @@
     , m_limit_random(options.seed + 1)
     , m_leaving_random(options.seed + 2)
     , m_backoff_random(options.seed + 3)
+    , m_release_random(options.seed + 4)
     , m_ports(options.gateways)
 {
     change_configuration();
@@ -55,6 +89,8 @@
         m_fleet.set_domain_drains(s_drain_limit);
     for (unsigned number = 0; number < options.backends; ++number) {
         m_backends.push_back(std::make_unique<SoakBackend>("i-" + std::to_string(number), m_runs, m_judges));
+        if (options.releases == Releases::Yes)
+            m_backends.back()->replace(s_versions.at(number % s_versions.size()));
         enter(number);
     }
     m_slots.resize(options.gateways);
@@ -73,7 +109,7 @@
     auto const* const domain = has_drains() && index % 2 == 1 ? s_drained : s_other;
     m_fleet.put("servers", entry.instance,
         {{"service", entry.service}, {"addr", entry.address.to_string()}, {"zone", domain}, {"slots", 8},
-            {"state", state}});
+            {"state", state}, {"version", entry.software_version}});
 }
 
 void GatewaySoak::drain()
@@ -149,6 +185,8 @@
                     kind.is_stream ? prompt_fields(number) : "", "Content-Length: 4\r\n\r\nbody"));
                 record.answer = connection.read_answer();
                 note_passed_on(m_judges, record.answer.head, gateway_name(index));
+                if (m_options.releases == Releases::Yes && kind.is_stream && kind.is_repeatable)
+                    resume(record, random);
                 bool const is_kept = record.answer.is_whole && field_of(record.answer.head, "Connection") != "close";
                 {
                     std::lock_guard const lock(m_mutex);
@@ -164,6 +202,25 @@
     }
 }
 
+void GatewaySoak::resume(Record& record, std::mt19937& random)
+{
+    auto last = record.answer.status == 200 && !record.answer.is_whole ? last_event(record.answer.body) : 0;
+    for (unsigned number = 0; number < s_resumptions && last > 0 && last < s_soak_events; ++number) {
+        try {
+            auto const id = Core::concat(record.id, "-again", number);
+            RawCaller connection(port_of(random() % m_options.gateways));
+            connection.write(Core::concat("POST ", record.path, " HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: ", id,
+                "\r\nX-Deadline-Ms: 2000\r\nResumes: ", record.id, "\r\nLast-Event-Id: ", last,
+                "\r\nContent-Length: 4\r\n\r\nbody"));
+            auto const answer = connection.read_answer();
+            record.resumptions.emplace_back(id, answer.status == 200 ? answer.body : std::string());
+            last = std::max(last, last_event(record.resumptions.back().second));
+        } catch (std::runtime_error const&) {
+            std::this_thread::sleep_for(s_pause_after_failure);
+        }
+    }
+}
+
 void GatewaySoak::begin(std::string const& name, std::function<void()> heal)
 {
     auto const length = Core::Milliseconds(100 + m_random() % 1'200);
@@ -250,6 +307,20 @@
     });
 }
 
+void GatewaySoak::begin_release()
+{
+    auto const index = m_release_random() % m_backends.size();
+    auto& backend = *m_backends[index];
+    auto const old = backend.entry().instance;
+    backend.replace(s_versions.at(m_release_random() % s_versions.size()));
+    // The store says so before or after the servers themselves.
+    enter(index);
+    m_fleet.remove_server(old);
+    if (m_release_random() % 2 == 0)
+        backend.proxy().reset_connections();
+    begin("release", [] {});
+}
+
 void GatewaySoak::begin_backoff()
 {
     // Now and then of all servers at once.
@@ -426,12 +497,36 @@
     if (answer.status != 200)
         return;
     auto const expected = kind.is_stream ? soak_events(record.id) : soak_body(record.id);
+    if (m_options.releases == Releases::Yes && kind.is_stream)
+        return check_versions(record);
     if (answer.is_whole && answer.body != expected)
         note_problem(Core::concat(name, " got '", answer.body, "' as whole"));
     if (!answer.is_whole && !expected.starts_with(answer.body))
         note_problem(Core::concat(name, " got '", answer.body, "' before its answer was cut"));
 }
 
+void GatewaySoak::check_versions(Record const& record)
+{
+    auto const& answer = record.answer;
+    auto const events = without_versions(answer.body);
+    auto const expected = soak_events(record.id);
+    if (answer.is_whole ? events != expected : !expected.starts_with(events))
+        note_problem(Core::concat(record.path, " ", record.id, " got '", answer.body, "'"));
+    auto all = answer.body;
+    auto last = last_event(answer.body);
+    for (auto const& [id, body] : record.resumptions) {
+        auto const rest = soak_events(id).substr(soak_events(id).find(Core::concat("id: ", last + 1, "\n")));
+        if (!rest.starts_with(without_versions(body)))
+            note_problem(Core::concat(record.path, " ", id, " got '", body, "' behind event ", last));
+        last = std::max(last, last_event(body));
+        all += body;
+    }
+    m_report.resumed += record.resumptions.empty() ? 0 : 1;
+    m_report.went_on += last > last_event(answer.body) ? 1 : 0;
+    if (versions_in(all).size() > 1)
+        note_problem(Core::concat(record.path, " ", record.id, " holds events of two software versions: '", all, "'"));
+}
+
 GatewaySoak::Report GatewaySoak::run()
 {
     std::vector<std::thread> callers;
@@ -441,6 +536,7 @@
     auto next_limit = Core::monotonic_now();
     auto next_leaving = next_limit + s_leaving_pause;
     auto next_backoff = next_limit + s_backoff_pause;
+    auto next_release = next_limit + s_release_pause;
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
         if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_limit) {
@@ -455,6 +551,10 @@
             begin_backoff();
             next_backoff = Core::monotonic_now() + s_backoff_pause;
         }
+        if (m_options.releases == Releases::Yes && Core::monotonic_now() >= next_release) {
+            begin_release();
+            next_release = Core::monotonic_now() + s_release_pause;
+        }
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
     }
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -38,6 +38,12 @@
         Yes,
     };
 
+    /// Whether servers are replaced by ones of other software versions, and callers resume their streams.
+    enum class Releases {
+        No,
+        Yes,
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {5'000};
@@ -49,6 +55,7 @@
         /// Whether backend servers also state things about themselves.
         Signals signals {Signals::No};
         Prompts prompts {Prompts::No};
+        Releases releases {Releases::No};
     };
 
     struct Report {
@@ -62,6 +69,9 @@
         std::size_t left_alone {0};
         /// Rejections with Retry-After that were judged.
         std::size_t backoffs {0};
+        /// Streams that callers resumed, and those of them that got further events.
+        std::size_t resumed {0};
+        std::size_t went_on {0};
     };
 
     explicit GatewaySoak(Options);
@@ -82,6 +92,8 @@
         std::string id;
         std::string path;
         RawCaller::Answer answer;
+        /// Further parts of the stream, each with the id of the request that received it.
+        std::vector<std::pair<std::string, std::string>> resumptions {};
     };
 
     void start_gateway(std::size_t index);
@@ -98,6 +110,10 @@
     void begin_rate_limit();
     void begin_leaving();
     void begin_backoff();
+    void begin_release();
+    /// Takes a stream that ended early up again at other gateways.
+    void resume(Record&, std::mt19937&);
+    void check_versions(Record const&);
     void change_configuration();
     void check_recovery();
     void check_leaving();
@@ -119,6 +135,7 @@
     std::mt19937 m_limit_random;
     std::mt19937 m_leaving_random;
     std::mt19937 m_backoff_random;
+    std::mt19937 m_release_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -5,6 +5,7 @@
 #include "StatedSignals.h"
 
 #include <LibCore/Address.h>
+#include <LibCore/Hashing.h>
 #include <LibCore/Text.h>
 
 #include <atomic>
@@ -44,9 +45,10 @@
     return "ran " + request;
 }
 inline constexpr unsigned s_soak_events = 8;
-[[nodiscard]] inline std::string soak_event(std::string const& request, unsigned id)
+[[nodiscard]] inline std::string soak_event(std::string const& request, unsigned id, std::string const& version = "")
 {
-    return Core::concat("id: ", id, "\ndata: ", request, "-", id, "\n\n");
+    auto const comment = version.empty() ? version : Core::concat(": ", version, "\n");
+    return Core::concat(comment, "id: ", id, "\ndata: ", request, "-", id, "\n\n");
 }
 [[nodiscard]] inline std::string soak_events(std::string const& request)
 {
@@ -84,11 +86,12 @@
     void set_mood(Mood mood) { m_mood = mood; }
     /// What the present run states about itself.
     [[nodiscard]] std::shared_ptr<StatedSignals> signals() const { return run().signals; }
-    /// Another run takes the place of this one at its address.
-    void replace()
+    /// Another run takes the place of this one at its address, which ends its answers as they are.
+    void replace(std::string const& version = "")
     {
         std::lock_guard const lock(m_mutex);
         ++m_life;
+        m_version = version;
         m_run = make_run();
     }
     [[nodiscard]] FaultProxy& proxy() { return m_proxy; }
@@ -99,6 +102,7 @@
     {
         auto entry = m_backend.entry();
         entry.instance = run().instance;
+        entry.software_version = run().version;
         entry.address = *Core::Address::from_string(Core::concat("127.0.0.1:", m_proxy.port()));
         return entry;
     }
@@ -110,13 +114,14 @@
 
     struct Run {
         std::string instance;
+        std::string version;
         std::shared_ptr<StatedSignals> signals;
     };
 
     [[nodiscard]] Run make_run() const
     {
         auto const instance = m_life == 0 ? m_name : Core::concat(m_name, ".", m_life);
-        return {instance, std::make_shared<StatedSignals>(instance, m_judges)};
+        return {instance, m_version, std::make_shared<StatedSignals>(instance, m_judges)};
     }
 
     [[nodiscard]] Run run() const
@@ -127,7 +132,7 @@
 
     void serve(FakeConnection& connection, std::string const& request)
     {
-        auto const [instance, signals] = run();
+        auto const [instance, version, signals] = run();
         auto const id = field_of(request, "X-Request-Id").value_or("");
         auto const head
             = Core::concat("X-Request-Id: ", id, "\r\nX-Response-Stamp: ", instance, "\r\n", signals->lines());
@@ -164,8 +169,13 @@
         connection.write(Core::concat(
             "HTTP/1.1 200 OK\r\n", head, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
         auto const last = std::stoul(field_of(request, "Last-Event-Id").value_or("0"));
+        // With software versions, many streams break, so that callers resume some.
+        constexpr unsigned runs_per_break = 3;
+        bool const breaks = !version.empty() && Core::hash_bytes(id, Core::hash_bytes(instance)) % runs_per_break == 0;
         for (auto event = static_cast<unsigned>(last) + 1; event <= s_soak_events; ++event) {
-            connection.write(chunk(soak_event(id, event)));
+            if (breaks && event > last + 2)
+                return;
+            connection.write(chunk(soak_event(id, event, version)));
             std::this_thread::sleep_for(s_event_interval);
         }
         connection.write("0\r\n\r\n");
@@ -176,6 +186,7 @@
     SignalJudges& m_judges;
     mutable std::mutex m_mutex;
     unsigned m_life {0};
+    std::string m_version;
     Run m_run;
     std::atomic<Mood> m_mood {Mood::Well};
     FakeBackend m_backend;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -60,6 +60,19 @@
     EXPECT_GT(rejected, 0U);
 }
 
+TEST(SoakOfReleases, MixesNoSoftwareVersionsInAStream)
+{
+    GatewaySoak::Options options;
+    options.seed = 41;
+    options.gateways = 4;
+    options.backends = 6;
+    options.length = Core::Milliseconds(10'000);
+    options.releases = GatewaySoak::Releases::Yes;
+    auto const report = play(options);
+    EXPECT_GE(report.resumed, 12U);
+    EXPECT_GE(2 * report.went_on, report.resumed);
+}
+
 // A backend server is cut off while it rejects requests: no gateway receives its Retry-After.
 TEST(SoakOfSignals, BindsNoGatewayByAnAnswerThatWasLost)
 {
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -25,6 +25,8 @@
     TCLAP::SwitchArg drains("", "drains", "Drain failure domains as well.", command_line);
     TCLAP::SwitchArg signals("", "signals", "Let backend servers state things about themselves as well.", command_line);
     TCLAP::SwitchArg prompts("", "prompts", "Let streams carry more prompts than can be read in time.", command_line);
+    TCLAP::SwitchArg releases(
+        "", "releases", "Replace backend servers by ones of other software versions as well.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -36,9 +38,11 @@
         using Drains = Testing::GatewaySoak::Drains;
         using Signals = Testing::GatewaySoak::Signals;
         using Prompts = Testing::GatewaySoak::Prompts;
+        using Releases = Testing::GatewaySoak::Releases;
         Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
             backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No,
-            signals.getValue() ? Signals::Yes : Signals::No, prompts.getValue() ? Prompts::Yes : Prompts::No};
+            signals.getValue() ? Signals::Yes : Signals::No, prompts.getValue() ? Prompts::Yes : Prompts::No,
+            releases.getValue() ? Releases::Yes : Releases::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
@@ -46,6 +50,8 @@
         if (signals.getValue())
             std::cout << " limited=" << report.limited_arrivals << " left alone=" << report.left_alone
                       << " backoffs=" << report.backoffs;
+        if (releases.getValue())
+            std::cout << " resumed=" << report.resumed << " went on=" << report.went_on;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
