--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 
+#include <absl/strings/str_join.h>
+
 namespace GraniteField::Gateway {
 
 using Entry::Outcome;
@@ -295,6 +297,7 @@
                             .add("version", m_choice.server->record().software_version)
                             .add("resumes", m_request.head.fields.value_or(m_context.dialect.resumes, ""))
                             .add("last_event", m_events.last_id().value_or(0))
+                            .add("parts", absl::StrJoin(shared_part_ids(m_request, m_context.dialect), ","))
                             .add("service", m_request.service)
                             .add("class", m_request.request_class->name)
                             .add("workspace", m_request.workspace)
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -95,28 +95,35 @@
     request.deadline = std::min(request.deadline, *request.caller_deadline);
 }
 
-void parse_prompt(RoutedRequest& request, Dialect const& dialect)
+/// Calls `handle_part` with the id and the token count of each part of the prompt, up to the first malformed one.
+void for_each_part(RoutedRequest const& request, Dialect const& dialect, auto handle_part)
 {
-    auto const counts = request.head.fields.value_or(dialect.token_counts, "");
-    auto const comma = counts.find(',');
-    request.prompt_tokens = static_cast<std::uint32_t>(parse_number(counts.substr(0, comma)).value_or(0));
-    if (comma != std::string_view::npos)
-        request.max_output_tokens = static_cast<std::uint32_t>(parse_number(counts.substr(comma + 1)).value_or(0));
     auto parts = request.head.fields.value_or(dialect.prompt_parts, "");
-    std::uint64_t prefix_hash = Core::hash_bytes(request.service);
-    while (!parts.empty() && request.prompt.size() < s_max_prompt_parts) {
+    for (std::size_t count = 0; !parts.empty() && count < s_max_prompt_parts; ++count) {
         auto const end = parts.find(',');
         auto const part = parts.substr(0, end);
         parts = end == std::string_view::npos ? std::string_view() : parts.substr(end + 1);
         auto const colon = part.find(':');
         if (colon == std::string_view::npos)
             return;
-        prefix_hash = Core::hash_bytes(part.substr(0, colon), prefix_hash);
-        auto const tokens = parse_number(part.substr(colon + 1)).value_or(0);
-        request.prompt.push_back({prefix_hash, static_cast<std::uint32_t>(tokens)});
+        handle_part(part.substr(0, colon), parse_number(part.substr(colon + 1)).value_or(0));
     }
 }
 
+void parse_prompt(RoutedRequest& request, Dialect const& dialect)
+{
+    auto const counts = request.head.fields.value_or(dialect.token_counts, "");
+    auto const comma = counts.find(',');
+    request.prompt_tokens = static_cast<std::uint32_t>(parse_number(counts.substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos)
+        request.max_output_tokens = static_cast<std::uint32_t>(parse_number(counts.substr(comma + 1)).value_or(0));
+    std::uint64_t prefix_hash = Core::hash_bytes(request.service);
+    for_each_part(request, dialect, [&](std::string_view id, std::uint64_t tokens) {
+        prefix_hash = Core::hash_bytes(id, prefix_hash);
+        request.prompt.push_back({prefix_hash, static_cast<std::uint32_t>(tokens)});
+    });
+}
+
 }
 
 std::span<PromptPart const> shared_parts(RoutedRequest const& request)
@@ -125,6 +132,16 @@
     return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
+std::vector<std::string> shared_part_ids(RoutedRequest const& request, Dialect const& dialect)
+{
+    std::vector<std::string> ids;
+    for_each_part(request, dialect, [&](std::string_view id, std::uint64_t) { ids.emplace_back(id); });
+    // The last one belongs to the request or its session.
+    if (!ids.empty())
+        ids.pop_back();
+    return ids;
+}
+
 std::uint32_t own_tokens(RoutedRequest const& request)
 {
     return request.prompt.empty() ? 0 : request.prompt.back().tokens;
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -86,6 +87,9 @@
 /// session.
 [[nodiscard]] std::span<PromptPart const> shared_parts(RoutedRequest const&);
 
+/// Returns the ids of the parts of the prompt that other requests share, as the caller wrote them.
+[[nodiscard]] std::vector<std::string> shared_part_ids(RoutedRequest const&, Dialect const&);
+
 /// Returns the number of tokens in the last part.
 [[nodiscard]] std::uint32_t own_tokens(RoutedRequest const&);
 
