--- /dev/null
+++ b/Tests/LibGateway/CrashFixture.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "GatewayGroup.h"
+
+#include <LibCore/Text.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace GraniteField::Testing {
+
+/// Three connected gateways in front of engines that crash when they start a deadly request.
+class CrashFixture : public GatewayGroup {
+protected:
+    static constexpr std::size_t s_gateways = 3;
+    static constexpr std::size_t s_engines = 6;
+    /// Time within which a conclusion of one gateway reaches all others.
+    static constexpr Core::Milliseconds s_propagation_time {3'000};
+    /// Maximum number of sends of what crashes engines, after the propagation time.
+    static constexpr std::size_t s_max_late_sends = 3;
+    static constexpr Core::Milliseconds s_restart_delay {300};
+
+    using Predicate = std::function<bool(std::string const& request)>;
+
+    explicit CrashFixture(Predicate is_deadly)
+        : m_is_deadly(std::move(is_deadly))
+    {
+        add_route("asked",
+            {{"path-prefix", "/asked/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"},
+                {"key", "required"}});
+        for (std::size_t number = 0; number < s_engines; ++number)
+            add_engine(number);
+        publish_table();
+        publish_servers();
+        start_gateways(s_gateways);
+    }
+
+    void add_engine(std::size_t number)
+    {
+        add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
+            connection.write(stream_head_to(text));
+            if (m_is_deadly(text))
+                return m_backends[number]->crash();
+            connection.write(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+        });
+    }
+
+    /// Sends the request to the gateways in turn.
+    RawCaller::Answer send(std::string const& body, std::string const& fields = "")
+    {
+        restart_engines();
+        RawCaller caller(m_nodes[m_next_gateway++ % s_gateways]->gateway.caller_port());
+        caller.write(
+            request("POST", "/asked/case", Core::concat("Authorization: Bearer ", s_key, "\r\n", fields), body));
+        return caller.read_answer();
+    }
+
+    void restart_engines()
+    {
+        for (auto const& backend : m_backends) {
+            auto const crashed = backend->crashed();
+            if (crashed && Core::elapsed(*crashed, Core::monotonic_now()) >= s_restart_delay)
+                backend->restart();
+        }
+    }
+
+    /// Number of requests that have reached engines and match.
+    [[nodiscard]] std::size_t arrivals(Predicate const& matches) const
+    {
+        std::size_t sum = 0;
+        for (auto const& backend : m_backends)
+            sum += static_cast<std::size_t>(std::ranges::count_if(backend->requests(), matches));
+        return sum;
+    }
+    [[nodiscard]] std::size_t arrivals(std::string_view body) const
+    {
+        return arrivals([body](auto const& text) { return body_of(text) == body; });
+    }
+
+    Predicate m_is_deadly;
+    std::size_t m_next_gateway {0};
+};
+
+}
--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -11,7 +11,7 @@
 // count within one run or over all requests, so no limit applied to it. Of 17 engines that ended in eight seconds, 12
 // had requests of the same class and workspace, while no other pair was on more than 6; 977 of 1,020 sends were first
 // ones; nothing ended in the pauses between these requests.
-#include "GatewayGroup.h"
+#include "CrashFixture.h"
 
 #include <LibCore/Text.h>
 
@@ -23,68 +23,12 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-/// Time within which a conclusion of one gateway reaches all others.
-constexpr Core::Milliseconds s_propagation_time {3'000};
-/// Maximum number of sends of a request that has crashed three engines, after the propagation time.
-constexpr std::size_t s_max_late_sends = 3;
-constexpr Core::Milliseconds s_restart_delay {300};
-
-/// Three connected gateways in front of engines that crash when they start a request with the body `deadly`.
-class CrashRules : public GatewayGroup {
+/// Requests with the body `deadly` crash engines.
+class CrashRules : public CrashFixture {
 protected:
-    static constexpr std::size_t s_gateways = 3;
-    static constexpr std::size_t s_engines = 6;
-
     CrashRules()
+        : CrashFixture([](auto const& request) { return body_of(request) == "deadly"; })
     {
-        add_route("asked",
-            {{"path-prefix", "/asked/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"},
-                {"key", "required"}});
-        for (std::size_t number = 0; number < s_engines; ++number)
-            add_engine(number);
-        publish_table();
-        publish_servers();
-        start_gateways(s_gateways);
-    }
-
-    void add_engine(std::size_t number)
-    {
-        add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
-            connection.write(stream_head_to(text));
-            if (body_of(text) == "deadly")
-                return m_backends[number]->crash();
-            connection.write(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
-        });
-    }
-
-    /// Sends the request to the gateways in turn.
-    RawCaller::Answer send(std::string const& body)
-    {
-        restart_engines();
-        RawCaller caller(m_nodes[m_next_gateway++ % s_gateways]->gateway.caller_port());
-        caller.write(request("POST", "/asked/case", Core::concat("Authorization: Bearer ", s_key, "\r\n"), body));
-        return caller.read_answer();
-    }
-
-    void restart_engines()
-    {
-        for (auto const& backend : m_backends) {
-            auto const crashed = backend->crashed();
-            if (crashed && Core::elapsed(*crashed, Core::monotonic_now()) >= s_restart_delay)
-                backend->restart();
-        }
-    }
-
-    [[nodiscard]] std::size_t arrivals(std::string_view body) const
-    {
-        std::size_t sum = 0;
-        for (auto const& backend : m_backends) {
-            sum += static_cast<std::size_t>(
-                std::ranges::count_if(backend->requests(), [body](auto const& text) { return body_of(text) == body; }));
-        }
-        return sum;
     }
 
     /// Sends the deadly request until the gateways have had their time to learn of three crashes.
@@ -98,8 +42,6 @@
             std::this_thread::sleep_for(s_restart_delay / 10);
         }
     }
-
-    std::size_t m_next_gateway {0};
 };
 
 }
