--- /dev/null
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -0,0 +1,99 @@
+// Guards against requests that share a part of their prompts, each of them new, under which one engine after the other
+// crashes.
+#include "CrashFixture.h"
+
+#include <LibCore/Text.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace GraniteField::Testing {
+
+namespace {
+
+/// Requests with a part `bad...` in their prompts crash engines.
+class CrashingPartRules : public CrashFixture {
+protected:
+    /// Number of crashes after which a part must be known.
+    static constexpr std::size_t s_known_crashes = 5;
+
+    CrashingPartRules()
+        : CrashFixture(has_bad_part)
+    {
+    }
+
+    static bool has_bad_part(std::string const& request)
+    {
+        return field_of(request, "Granitefield-Prompt-Parts").value_or("").find("bad") != std::string::npos;
+    }
+
+    /// Sends a new request whose prompt has these shared parts.
+    RawCaller::Answer send_prompt(std::string const& parts)
+    {
+        auto const number = ++m_requests;
+        return send(Core::concat("body-", number),
+            Core::concat("Granitefield-Prompt-Parts: ", parts, ",own", number, ":10\r\n"));
+    }
+
+    /// Sends the prompts in turn until the gateways have had their time to learn of five crashes under bad parts.
+    void crash_engines_and_wait(std::vector<std::string> const& prompts)
+    {
+        std::optional<Core::MonotonicTime> known_at;
+        for (std::size_t count = 0; !known_at || Core::monotonic_now() < *known_at + s_propagation_time; ++count) {
+            static_cast<void>(send_prompt(prompts[count % prompts.size()]));
+            if (!known_at && arrivals(has_bad_part) >= s_known_crashes)
+                known_at = Core::monotonic_now();
+            std::this_thread::sleep_for(s_restart_delay / 10);
+        }
+    }
+
+    std::size_t m_requests {0};
+};
+
+constexpr int s_late_requests = 40;
+
+}
+
+TEST_F(CrashingPartRules, SendsRequestsWithAPartThatCrashedFiveEnginesToThreeMoreAtMost)
+{
+    crash_engines_and_wait({"system:100,bad:50", "system:100,fine:50"});
+    auto const before = arrivals(has_bad_part);
+    int served = 0;
+    for (int count = 0; count < s_late_requests; ++count) {
+        auto const answer = send_prompt("system:100,bad:50");
+        EXPECT_GE(answer.status, 500);
+        EXPECT_NE(answer.status, 503);
+        EXPECT_FALSE(field_of(answer.head, "Retry-After"));
+        served += send_prompt("system:100,fine:50").is_whole ? 1 : 0;
+    }
+    EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
+    EXPECT_EQ(served, s_late_requests);
+}
+
+// No two prompts with the bad part have another shared part in common.
+TEST_F(CrashingPartRules, FindsThePartWhateverElseThePromptHolds)
+{
+    for (std::size_t number = 0; arrivals(has_bad_part) < s_known_crashes; ++number)
+        static_cast<void>(send_prompt(Core::concat("bad:50,other", number, ":30")));
+    std::this_thread::sleep_for(s_propagation_time);
+    auto const before = arrivals(has_bad_part);
+    for (int count = 0; count < s_late_requests; ++count) {
+        EXPECT_GE(send_prompt(Core::concat("bad:50,late", count, ":30")).status, 500);
+        EXPECT_TRUE(send_prompt(Core::concat("good:50,late", count, ":30")).is_whole);
+    }
+    EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
+}
+
+TEST_F(CrashingPartRules, FindsTwoPartsThatCrashEnginesAtTheSameTime)
+{
+    crash_engines_and_wait({"system:100,bad1:50", "system:100,bad2:50", "system:100,fine:50"});
+    auto const before = arrivals(has_bad_part);
+    for (int count = 0; count < s_late_requests; ++count) {
+        EXPECT_GE(send_prompt("system:100,bad1:50").status, 500);
+        EXPECT_GE(send_prompt("system:100,bad2:50").status, 500);
+        EXPECT_TRUE(send_prompt("system:100,fine:50").is_whole);
+    }
+    EXPECT_LE(arrivals(has_bad_part) - before, 2 * s_max_late_sends);
+}
+
+}
