--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include <absl/strings/str_join.h>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -61,14 +62,14 @@
 {
 }
 
-void CrashDetector::note_broken_answer(
-    BackendView const& server, Core::RequestDigest const& digest, Policy::Exposure exposure, Core::MonotonicTime now)
+void CrashDetector::note_broken_answer(BackendView const& server, Policy::CrashIdentity const& identity,
+    Policy::Exposure exposure, Core::MonotonicTime now)
 {
     // A leaving server ends with its open streams, which is no crash.
     if (!server.accepts_new_requests())
         return;
     auto const& instance = server.record().instance;
-    Policy::CrashWitness const witness {digest, server.life(), exposure, now};
+    Policy::CrashWitness const witness {identity.request, server.life(), exposure, now, identity.parts};
     switch (m_suspected_crashes.add(witness, now)) {
     case SuspectedCrashes::Step::ProbeServer:
         return probe_server(instance, server.record().address, witness.server.incarnation);
@@ -95,6 +96,15 @@
         count_witness(instance, witness, now);
 }
 
+namespace {
+
+void append_digest(std::string* text, Core::RequestDigest const& digest)
+{
+    text->append(digest.to_string());
+}
+
+}
+
 void CrashDetector::count_witness(
     std::string_view instance, Policy::CrashWitness const& witness, Core::MonotonicTime now)
 {
@@ -105,7 +115,8 @@
                     .add("server", instance)
                     .add("had_just_begun", witness.exposure == Policy::Exposure::Fresh)
                     .add("ms_ago", Core::elapsed(witness.crashed, now))
-                    .add("moments", m_ledger.count_crash_moments(witness.digest)));
+                    .add("parts", absl::StrJoin(witness.parts, ",", append_digest))
+                    .add("moments", m_ledger.count_crash_moments({witness.digest, witness.parts})));
 }
 
 void CrashDetector::tick(Core::MonotonicTime now)
--- a/Libraries/LibGateway/CrashDetector.h
+++ b/Libraries/LibGateway/CrashDetector.h
@@ -26,7 +26,8 @@
     [[nodiscard]] Policy::CrashLedger const& ledger() const { return m_ledger; }
 
     /// Records a broken answer of the server. One probe serves all answers that break at the same time.
-    void note_broken_answer(BackendView const&, Core::RequestDigest const&, Policy::Exposure, Core::MonotonicTime now);
+    void note_broken_answer(
+        BackendView const&, Policy::CrashIdentity const&, Policy::Exposure, Core::MonotonicTime now);
     /// Updates the ledger and logs conclusions of this and of other gateways. To be called often.
     void tick(Core::MonotonicTime now);
 
--- a/Libraries/LibGateway/CrashSharing.cpp
+++ b/Libraries/LibGateway/CrashSharing.cpp
@@ -18,6 +18,12 @@
     return std::string(digest.bytes());
 }
 
+bool are_valid_parts(google::protobuf::RepeatedPtrField<std::string> const& parts)
+{
+    return parts.size() <= static_cast<int>(Policy::CrashIdentity::s_max_parts)
+        && std::ranges::all_of(parts, [](auto const& part) { return part.size() == Core::RequestDigest::s_size; });
+}
+
 bool are_valid(DigestMessages const& digests)
 {
     return digests.size() <= s_max_digests && std::ranges::all_of(digests, [](auto const& digest_report) {
@@ -44,6 +50,16 @@
     return digests;
 }
 
+std::vector<Core::RequestDigest> read_parts(google::protobuf::RepeatedPtrField<std::string> const& parts)
+{
+    std::vector<Core::RequestDigest> digests;
+    for (auto const& part : parts) {
+        if (auto const digest = Core::RequestDigest::from_bytes(part))
+            digests.push_back(*digest);
+    }
+    return digests;
+}
+
 Policy::Exposure read_exposure(std::uint32_t exposure)
 {
     return exposure >= static_cast<std::uint32_t>(Policy::Exposure::Fresh) ? Policy::Exposure::Fresh
@@ -55,8 +71,9 @@
 bool CrashSharing::is_within_bounds(Message const& message)
 {
     bool const are_witnesses_valid = message.witnesses_size() <= s_max_digests
-        && std::ranges::all_of(message.witnesses(),
-            [](auto const& witness) { return witness.digest().size() == Core::RequestDigest::s_size; });
+        && std::ranges::all_of(message.witnesses(), [](auto const& witness) {
+               return witness.digest().size() == Core::RequestDigest::s_size && are_valid_parts(witness.parts());
+           });
     return are_witnesses_valid && are_valid(message.cleared()) && are_valid(message.quarantined());
 }
 
@@ -71,6 +88,8 @@
         written.set_service(witness.server.service);
         written.set_exposure(static_cast<std::uint32_t>(witness.exposure));
         written.set_age_ms(age_of(witness.crashed, now));
+        for (auto const& part : witness.parts)
+            written.add_parts(serialize(part));
     }
     write_digests(*message.mutable_cleared(), reports.cleared, now);
     write_digests(*message.mutable_quarantined(), reports.quarantined, now);
@@ -84,7 +103,7 @@
         if (!digest)
             continue;
         reports.witnesses.push_back({*digest, {witness.life(), witness.place(), witness.service()},
-            read_exposure(witness.exposure()), time_of(witness.age_ms(), now)});
+            read_exposure(witness.exposure()), time_of(witness.age_ms(), now), read_parts(witness.parts())});
     }
     reports.cleared = read_digests(message.cleared(), now);
     reports.quarantined = read_digests(message.quarantined(), now);
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -125,13 +125,13 @@
 bool RequestForwarder::is_quarantined(Core::MonotonicTime now) const
 {
     auto& ledger = m_context.crashes.ledger();
-    return ledger.count_quarantined() > 0 && ledger.is_quarantined(m_request.digest(), now);
+    return ledger.count_quarantined() > 0 && ledger.is_quarantined(crash_identity(m_request, m_context.dialect), now);
 }
 
 bool RequestForwarder::is_quarantine_pending(Core::MonotonicTime now) const
 {
     auto const& ledger = m_context.crashes.ledger();
-    return !ledger.is_empty() && ledger.is_suspected(m_request.digest(), now);
+    return !ledger.is_empty() && ledger.is_suspected(crash_identity(m_request, m_context.dialect), now);
 }
 
 void RequestForwarder::reject_quarantined()
@@ -483,7 +483,8 @@
     auto const head_received_at = m_attempt->head_received_at();
     auto const sent = m_attempt->started_at();
     count_unanswered_attempt();
-    m_context.crashes.note_broken_answer(m_attempt->server(), m_request.digest(), exposure(now), now);
+    m_context.crashes.note_broken_answer(
+        m_attempt->server(), crash_identity(m_request, m_context.dialect), exposure(now), now);
     if (m_context.usage != nullptr && m_request.is_stream() && !*m_is_usage_counted && !m_request.workspace.empty())
         m_context.unconfirmed_runs.add(m_choice.server, m_request.workspace, m_is_usage_counted, now);
     end_attempt(AttemptResult::Failure, now);
@@ -529,7 +530,8 @@
     // servers.
     auto const& ledger = m_context.crashes.ledger();
     if (!ledger.is_empty()
-        && ledger.count_crash_moments(m_request.digest()) >= m_context.settings.max_crash_moments_for_retry)
+        && ledger.count_crash_moments(crash_identity(m_request, m_context.dialect))
+            >= m_context.settings.max_crash_moments_for_retry)
         return false;
     if (m_context.budget_of(m_request.service).try_spend(now))
         return true;
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -52,6 +52,9 @@
     /// Time after the start of a request at a backend server during which a crash of the server may have been caused by
     /// the request. Includes some hundred milliseconds by which a busy gateway reads late.
     Core::Milliseconds recent_start_limit {1'000};
+    /// Time after the first event of a stream during which a part of its prompt may crash the server. Includes some
+    /// hundred milliseconds by which a busy gateway reads late.
+    Core::Milliseconds part_proof_time {500};
     /// Number of crash moments at which a request was running, without having completed since, from which on it is not
     /// retried.
     std::size_t max_crash_moments_for_retry {2};
@@ -201,6 +204,8 @@
     [[nodiscard]] AttemptResult result_of_error(Core::MonotonicTime now) const;
     /// Counts the request as started, once, for the first server that runs it, even if that server fails.
     void count_usage(Core::MonotonicTime started_at);
+    /// Clears the parts of the prompt of crashes once a server has been writing for long enough.
+    void note_progress(Core::MonotonicTime now);
     /// Clears the request of crashes: a server ran it to completion.
     void note_completed(Core::MonotonicTime now);
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
@@ -246,6 +251,8 @@
     HTTP::EventFramer m_events;
     std::optional<Core::MonotonicTime> m_first_event_at;
     std::optional<Core::MonotonicTime> m_last_event_at;
+    /// First event of the current attempt; unset after note_progress().
+    std::optional<Core::MonotonicTime> m_unproven_since;
     Core::Milliseconds m_longest_pause {0};
 };
 
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -93,6 +93,7 @@
     if (!events.empty()) {
         auto const tier = m_request.tier;
         note_event_version(attempt.server());
+        note_progress(now);
         if (attempt.server().note_alive())
             m_context.load.note_answering(attempt.server());
         if (!m_first_event_at) {
@@ -110,6 +111,10 @@
         }
         m_last_event_at = now;
         count_usage(now);
+        if (!attempt.has_events()) {
+            attempt.set_has_events();
+            m_unproven_since = now;
+        }
         if (attempt.load().unread_tokens > 0) {
             m_context.fleet.note_first_event(
                 m_request.service, attempt.load().unread_tokens, Core::elapsed(attempt.started_at(), now));
@@ -169,9 +174,17 @@
         throttle_reading(attempt);
 }
 
+void RequestForwarder::note_progress(Core::MonotonicTime now)
+{
+    if (!m_unproven_since || Core::elapsed(*m_unproven_since, now) < m_context.settings.part_proof_time)
+        return;
+    m_unproven_since.reset();
+    m_context.crashes.ledger().note_progress(crash_identity(m_request, m_context.dialect), now);
+}
+
 void RequestForwarder::note_completed(Core::MonotonicTime now)
 {
-    m_context.crashes.ledger().note_success(m_request.digest(), now);
+    m_context.crashes.ledger().note_success(crash_identity(m_request, m_context.dialect), now);
 }
 
 bool RequestForwarder::must_hide_response(HTTP::AnswerHead const& head) const
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -142,6 +142,19 @@
     return ids;
 }
 
+Policy::CrashIdentity crash_identity(RoutedRequest const& request, Dialect const& dialect)
+{
+    if (!request.cached_part_digests) {
+        request.cached_part_digests.emplace();
+        for (auto const& id : shared_part_ids(request, dialect)) {
+            // Targets begin with a slash, so that no request has the digest of a part.
+            if (request.cached_part_digests->size() < Policy::CrashIdentity::s_max_parts)
+                request.cached_part_digests->push_back(Core::RequestDigest::of("prompt-part", request.service, id));
+        }
+    }
+    return {request.digest(), *request.cached_part_digests};
+}
+
 std::uint32_t own_tokens(RoutedRequest const& request)
 {
     return request.prompt.empty() ? 0 : request.prompt.back().tokens;
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -5,6 +5,7 @@
 #include <LibEntry/Call.h>
 #include <LibGateway/Dialect.h>
 #include <LibHTTP/RequestParser.h>
+#include <LibPolicy/CrashFacts.h>
 #include <LibTable/Table.h>
 
 #include <cstdint>
@@ -66,6 +67,8 @@
         return *cached_digest;
     }
     mutable std::optional<Core::RequestDigest> cached_digest;
+    /// Digests of the parts of the prompt that other requests share, computed on demand by crash_identity().
+    mutable std::optional<std::vector<Core::RequestDigest>> cached_part_digests;
 
     [[nodiscard]] bool is_stream() const { return route->answer == Table::AnswerKind::EventStream; }
     /// Whether the caller has received a part of the stream and asks for the rest.
@@ -90,6 +93,9 @@
 /// Returns the ids of the parts of the prompt that other requests share, as the caller wrote them.
 [[nodiscard]] std::vector<std::string> shared_part_ids(RoutedRequest const&, Dialect const&);
 
+/// Returns what crashes of servers with this request are attributed to.
+[[nodiscard]] Policy::CrashIdentity crash_identity(RoutedRequest const&, Dialect const&);
+
 /// Returns the number of tokens in the last part.
 [[nodiscard]] std::uint32_t own_tokens(RoutedRequest const&);
 
--- a/Libraries/LibPolicy/CrashFacts.h
+++ b/Libraries/LibPolicy/CrashFacts.h
@@ -3,7 +3,9 @@
 #include <LibCore/RequestDigest.h>
 #include <LibCore/Time.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace GraniteField::Policy {
@@ -27,12 +29,31 @@
     Fresh = 2,
 };
 
+/// What crashes with a request at the server are attributed to: the request as a whole, and the parts that its prompt
+/// shares with other requests.
+struct CrashIdentity {
+    /// Parts that are evaluated; a crash is never attributed to further ones.
+    static constexpr std::size_t s_max_parts = 8;
+
+    CrashIdentity(Core::RequestDigest digest, std::vector<Core::RequestDigest> shared_parts = {})
+        : request(digest)
+        , parts(std::move(shared_parts))
+    {
+    }
+
+    Core::RequestDigest request;
+    /// In the order of the prompt.
+    std::vector<Core::RequestDigest> parts;
+};
+
 /// A request that was at a backend server when that crashed.
 struct CrashWitness {
     Core::RequestDigest digest;
     ServerIncarnation server;
     Exposure exposure {Exposure::Weak};
     Core::MonotonicTime crashed;
+    /// Shared parts of its prompt, in order.
+    std::vector<Core::RequestDigest> parts {};
 };
 
 /// A request was cleared or quarantined at that time.
--- a/Libraries/LibPolicy/CrashLedger.cpp
+++ b/Libraries/LibPolicy/CrashLedger.cpp
@@ -9,18 +9,58 @@
 
 constexpr std::size_t s_unexplained_crashes_per_point = 2;
 
+/// Calls `handle_subject` for the request and for each of its parts that is evaluated.
+void for_each_subject(CrashIdentity const& identity, auto handle_subject)
+{
+    handle_subject(identity.request);
+    for (std::size_t index = 0; index < std::min(identity.parts.size(), CrashIdentity::s_max_parts); ++index)
+        handle_subject(identity.parts[index]);
+}
+
 }
 
-bool CrashLedger::is_quarantined(Core::RequestDigest const& digest, Core::MonotonicTime now)
+bool CrashLedger::Presence::merge(Presence const& other)
 {
-    auto const found = m_quarantined.find(digest);
-    if (found == m_quarantined.end())
-        return false;
-    found->second.last_requested = now;
-    return true;
+    bool const is_stronger = other.exposure > exposure;
+    bool const is_later = other.exposure == exposure && other.crashed > crashed + s_clock_tolerance;
+    if (is_stronger || is_later) {
+        exposure = other.exposure;
+        crashed = other.crashed;
+    }
+    bool const is_outer_elsewhere = kind == SubjectKind::InnermostPart && other.kind == SubjectKind::OuterPart;
+    if (is_outer_elsewhere)
+        kind = SubjectKind::OuterPart;
+    auto const removed
+        = std::erase_if(companions, [&](auto const& companion) { return !other.has_companion(companion); });
+    return is_stronger || is_later || is_outer_elsewhere || removed > 0;
+}
+
+bool CrashLedger::is_quarantined(CrashIdentity const& identity, Core::MonotonicTime now)
+{
+    bool is_found = false;
+    for_each_subject(identity, [&](Core::RequestDigest const& subject) {
+        auto const found = m_quarantined.find(subject);
+        if (found == m_quarantined.end())
+            return;
+        found->second.last_requested = now;
+        is_found = true;
+    });
+    return is_found;
+}
+
+bool CrashLedger::is_suspected(CrashIdentity const& identity, Core::MonotonicTime now) const
+{
+    bool is_found = false;
+    for_each_subject(identity, [&](Core::RequestDigest const& subject) {
+        auto const [known, is_new] = m_suspicions.try_emplace(subject, false);
+        if (is_new)
+            known->second = is_subject_suspected(subject, now);
+        is_found = is_found || known->second;
+    });
+    return is_found;
 }
 
-bool CrashLedger::is_suspected(Core::RequestDigest const& digest, Core::MonotonicTime now) const
+bool CrashLedger::is_subject_suspected(Core::RequestDigest const& digest, Core::MonotonicTime now) const
 {
     auto const numbers = m_crashes_of.find(digest);
     if (numbers == m_crashes_of.end() || numbers->second.size() * 2 < s_points_to_quarantine)
@@ -42,9 +82,15 @@
     return addresses;
 }
 
-std::size_t CrashLedger::count_crash_moments(Core::RequestDigest const& digest) const
+std::size_t CrashLedger::count_crash_moments(CrashIdentity const& identity) const
 {
-    return evidence_of(digest, Core::MonotonicTime::max()).moments;
+    std::size_t moments = 0;
+    for_each_subject(identity, [&](Core::RequestDigest const& subject) {
+        auto const evidence = evidence_of(subject, Core::MonotonicTime::max());
+        if (!evidence.crashes.empty() && !is_popular_part(subject, evidence))
+            moments = std::max(moments, evidence.moments);
+    });
+    return moments;
 }
 
 void CrashLedger::report_success(Core::RequestDigest const& digest, Core::MonotonicTime now)
@@ -62,12 +108,31 @@
         schedule_report(m_pending_witnesses, witness, now);
 }
 
-bool CrashLedger::note_success(Core::RequestDigest const& digest, Core::MonotonicTime now)
+bool CrashLedger::note_success(CrashIdentity const& identity, Core::MonotonicTime now)
+{
+    bool const had_evidence = clear_subject(identity.request, now);
+    return clear_parts(identity, now) || had_evidence;
+}
+
+void CrashLedger::note_progress(CrashIdentity const& identity, Core::MonotonicTime now)
+{
+    clear_parts(identity, now);
+}
+
+bool CrashLedger::clear_parts(CrashIdentity const& identity, Core::MonotonicTime now)
 {
-    bool const has_evidence = m_crashes_of.contains(digest) || m_quarantined.contains(digest);
-    add_clearance({digest, now}, CrashConclusion::Source::Here);
+    bool had_evidence = false;
+    for (std::size_t index = 0; index < std::min(identity.parts.size(), CrashIdentity::s_max_parts); ++index)
+        had_evidence = clear_subject(identity.parts[index], now) || had_evidence;
+    return had_evidence;
+}
+
+bool CrashLedger::clear_subject(Core::RequestDigest const& subject, Core::MonotonicTime now)
+{
+    bool const has_evidence = m_crashes_of.contains(subject) || m_quarantined.contains(subject);
+    add_clearance({subject, now}, CrashConclusion::Source::Here);
     if (has_evidence)
-        report_success(digest, now);
+        report_success(subject, now);
     return has_evidence;
 }
 
@@ -90,25 +155,45 @@
 
 bool CrashLedger::add_witness(CrashWitness const& witness, Core::MonotonicTime now)
 {
-    report_success(witness.digest, now);
-    // The crash itself counts even if this request is cleared.
+    // The crash itself counts even if the request and its parts are cleared.
     auto const number = find_or_add_crash(witness.server, witness.crashed);
     auto& crash = m_crashes.at(number);
     // The earliest report is closest to the crash.
     crash.time = std::min(crash.time, witness.crashed);
-    auto const success = m_successes.find(witness.digest);
-    if (success && witness.crashed <= *success + s_clock_tolerance)
+    auto const part_count = std::min(witness.parts.size(), CrashIdentity::s_max_parts);
+    auto const end = witness.parts.begin() + static_cast<std::ptrdiff_t>(part_count);
+    Presence presence {SubjectKind::Request, witness.exposure, witness.crashed, {witness.parts.begin(), end}};
+    report_success(witness.digest, now);
+    bool is_new = add_presence(number, witness.digest, presence);
+    presence.kind = SubjectKind::InnermostPart;
+    while (!presence.companions.empty()) {
+        auto const part = presence.companions.back();
+        presence.companions.pop_back();
+        report_success(part, now);
+        is_new = add_presence(number, part, presence) || is_new;
+        presence.kind = SubjectKind::OuterPart;
+    }
+    return is_new;
+}
+
+bool CrashLedger::add_presence(CrashNumber number, Core::RequestDigest const& subject, Presence const& presence)
+{
+    auto const success = m_successes.find(subject);
+    if (success && presence.crashed <= *success + s_clock_tolerance)
         return false;
-    auto const known = crash.requests.find(witness.digest);
-    Presence const presence {witness.exposure, witness.crashed};
+    auto& subjects = m_crashes.at(number).subjects;
+    auto const known = subjects.find(subject);
     // The same report is received repeatedly, each time with an age that was rounded anew.
-    if (known != crash.requests.end() && known->second.covers(presence))
-        return false;
-    if (known == crash.requests.end() && crash.requests.size() >= s_max_requests_per_crash)
+    if (known != subjects.end() && !known->second.merge(presence))
         return false;
-    crash.requests[witness.digest] = presence;
-    m_crashes_of[witness.digest].insert(number);
-    m_last_unjudged = std::max(m_last_unjudged.value_or(witness.crashed), witness.crashed);
+    if (known == subjects.end()) {
+        if (subjects.size() >= s_max_subjects_per_crash)
+            return false;
+        subjects.emplace(subject, presence);
+    }
+    m_crashes_of[subject].insert(number);
+    m_suspicions.clear();
+    m_last_unjudged = std::max(m_last_unjudged.value_or(presence.crashed), presence.crashed);
     return true;
 }
 
@@ -135,9 +220,11 @@
     if (known && event.time <= *known + slack)
         return false;
     m_successes.note(event.digest, event.time);
+    m_suspicions.erase(event.digest);
     bool const had_evidence = m_crashes_of.contains(event.digest) || m_quarantined.contains(event.digest);
     if (!had_evidence)
         return true;
+    bool const is_notable = is_notable_clearance(event.digest);
     auto const conclusion = CrashConclusion {CrashConclusion::Kind::Cleared, source, event.digest,
         m_crashes_of.contains(event.digest) ? m_crashes_of[event.digest].size() : 0, count_crash_moments(event.digest),
         m_quarantined.contains(event.digest)};
@@ -145,12 +232,23 @@
     auto const entry = m_quarantined.find(event.digest);
     if (entry != m_quarantined.end() && entry->second.since <= event.time + s_clock_tolerance)
         m_quarantined.erase(entry);
-    m_conclusions.push_back(conclusion);
+    if (is_notable)
+        m_conclusions.push_back(conclusion);
     // Crashes of the cleared request may now be evidence against a single other one.
     m_last_unjudged = std::max(m_last_unjudged.value_or(event.time), event.time);
     return true;
 }
 
+bool CrashLedger::is_notable_clearance(Core::RequestDigest const& digest) const
+{
+    if (m_quarantined.contains(digest))
+        return true;
+    auto const& numbers = m_crashes_of.at(digest);
+    // Parts that many requests share are at every crash, and are cleared after every crash.
+    bool const is_request = m_crashes.at(*numbers.begin()).subjects.at(digest).kind == SubjectKind::Request;
+    return is_request || numbers.size() * 2 >= s_points_to_quarantine;
+}
+
 bool CrashLedger::add_quarantine(DigestEvent const& event, CrashConclusion::Source source, Core::MonotonicTime now)
 {
     auto const success = m_successes.find(event.digest);
@@ -164,6 +262,7 @@
     }
     auto const evidence = evidence_of(event.digest, Core::MonotonicTime::max());
     m_quarantined[event.digest] = {event.time, now, now};
+    m_suspicions.clear();
     m_conclusions.push_back(
         {CrashConclusion::Kind::Quarantined, source, event.digest, evidence.crashes.size(), evidence.moments});
     return true;
@@ -172,7 +271,7 @@
 void CrashLedger::forget_oldest_crash()
 {
     auto const crash = m_crashes.extract(m_crashes.begin());
-    for (auto const& [digest, presence] : crash.mapped().requests) {
+    for (auto const& [digest, presence] : crash.mapped().subjects) {
         auto const numbers = m_crashes_of.find(digest);
         numbers->second.erase(crash.key());
         if (numbers->second.empty())
@@ -187,8 +286,8 @@
         return;
     absl::erase_if(numbers->second, [&](auto number) {
         auto& crash = m_crashes.at(number);
-        bool const is_before = crash.requests.at(digest).crashed <= until;
-        return is_before && crash.requests.erase(digest) > 0;
+        bool const is_before = crash.subjects.at(digest).crashed <= until;
+        return is_before && crash.subjects.erase(digest) > 0;
     });
     if (numbers->second.empty())
         m_crashes_of.erase(numbers);
@@ -208,10 +307,39 @@
     });
 }
 
-bool CrashLedger::is_explained(Crash const& crash) const
+bool CrashLedger::is_explained_for(Core::RequestDigest const& subject, Crash const& crash) const
 {
-    return !m_quarantined.empty()
-        && std::ranges::any_of(crash.requests, [this](auto const& item) { return m_quarantined.contains(item.first); });
+    auto const explains = [&](Core::RequestDigest const& cause, Presence const& presence) {
+        return cause != subject && !(presence.kind == SubjectKind::Request && presence.has_companion(subject));
+    };
+    if (m_quarantined.size() < crash.subjects.size()) {
+        return std::ranges::any_of(m_quarantined, [&](auto const& item) {
+            auto const found = crash.subjects.find(item.first);
+            return found != crash.subjects.end() && explains(found->first, found->second);
+        });
+    }
+    return std::ranges::any_of(crash.subjects,
+        [&](auto const& item) { return m_quarantined.contains(item.first) && explains(item.first, item.second); });
+}
+
+bool CrashLedger::accompanies(
+    Core::RequestDigest const& companion, Core::RequestDigest const& subject, Crash const& crash)
+{
+    auto const found = crash.subjects.find(subject);
+    return found != crash.subjects.end() && found->second.has_companion(companion);
+}
+
+bool CrashLedger::accompanies(
+    Core::RequestDigest const& companion, Core::RequestDigest const& subject, Evidence const& evidence)
+{
+    return std::ranges::all_of(
+        evidence.crashes, [&](auto const* crash) { return accompanies(companion, subject, *crash); });
+}
+
+bool CrashLedger::is_popular_part(Core::RequestDigest const& subject, Evidence const& evidence) const
+{
+    return evidence.kind != SubjectKind::Request && !evidence.crashes.empty()
+        && succeeded_recently_before(subject, *evidence.crashes.back());
 }
 
 bool CrashLedger::succeeded_recently_before(Core::RequestDigest const& digest, Crash const& crash) const
@@ -226,20 +354,31 @@
     Core::MonotonicTime moment;
     unsigned points_of_moment = 0;
     for (auto const* crash : crashes) {
-        auto const found = crash->requests.find(digest);
-        if (found == crash->requests.end())
+        auto const found = crash->subjects.find(digest);
+        if (found == crash->subjects.end())
             continue;
+        auto const& presence = found->second;
+        evidence.kind = std::max(evidence.kind, presence.kind);
+        bool const is_part = presence.kind != SubjectKind::Request;
         bool const is_new_moment = evidence.crashes.empty() || crash->time - moment > s_same_moment;
         if (is_new_moment) {
             moment = crash->time;
             ++evidence.moments;
         }
-        if (is_new_moment || !succeeded_recently_before(digest, *crash))
+        bool const is_recent_success = succeeded_recently_before(digest, *crash);
+        if (is_new_moment || (!is_part && !is_recent_success))
             evidence.points += std::exchange(points_of_moment, 0U);
-        points_of_moment = std::max(points_of_moment, static_cast<unsigned>(found->second.exposure));
+        auto const points = static_cast<unsigned>(presence.exposure);
+        // Many requests share a part, so that it is at all servers which crash at once for another reason.
+        bool const adds_up = is_part && !is_recent_success;
+        points_of_moment = adds_up ? std::min(points_of_moment + points, s_max_points_of_moment)
+                                   : std::max(points_of_moment, points);
+        evidence.weight += points;
         evidence.crashes.push_back(crash);
     }
     evidence.points += points_of_moment;
+    if (evidence.kind == SubjectKind::Request)
+        evidence.weight = evidence.points;
     return evidence;
 }
 
@@ -251,7 +390,7 @@
     std::vector<Crash const*> crashes;
     for (auto const number : numbers->second) {
         auto const& crash = m_crashes.at(number);
-        if (crash.time <= until && !is_explained(crash))
+        if (crash.time <= until && !is_explained_for(digest, crash))
             crashes.push_back(&crash);
     }
     std::ranges::sort(crashes, {}, &Crash::time);
@@ -265,8 +404,8 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_crashes, [&](auto const& item) {
         auto const& crash = item.second;
         bool const is_other = crash.server.service == first.server.service && crash.time >= first.time
-            && crash.time <= until && !crash.requests.contains(digest);
-        return is_other && !is_explained(crash);
+            && crash.time <= until && !crash.subjects.contains(digest);
+        return is_other && !is_explained_for(digest, crash);
     }));
 }
 
@@ -275,17 +414,43 @@
 {
     absl::flat_hash_set<Core::RequestDigest> rivals;
     for (auto const* crash : evidence.crashes) {
-        for (auto const& [other, presence] : crash->requests)
+        for (auto const& [other, presence] : crash->subjects)
             rivals.insert(other);
     }
     rivals.erase(digest);
-    return std::ranges::none_of(rivals, [&](auto const& rival) {
-        auto const shared = score(rival, evidence.crashes).points;
-        bool const explains_as_much = shared + s_min_lead > evidence.points;
-        // Another request may explain these crashes and more although its presence at one of them is not known here.
-        bool const explains_more = 2 * shared >= evidence.points && evidence_of(rival, until).points >= evidence.points;
-        return explains_as_much || explains_more;
-    });
+    return std::ranges::none_of(
+        rivals, [&](auto const& rival) { return is_alternative(rival, digest, evidence, until); });
+}
+
+bool CrashLedger::is_alternative(Core::RequestDigest const& rival, Core::RequestDigest const& subject,
+    Evidence const& evidence, Core::MonotonicTime until) const
+{
+    auto const shared = score(rival, evidence.crashes);
+    bool const is_less_specific = accompanies(rival, subject, evidence);
+    if (is_less_specific || (is_popular_part(rival, shared) && !is_popular_part(subject, evidence)))
+        return false;
+    // A more specific part is judged first if it explains a good part of the crashes.
+    if (shared.kind != SubjectKind::Request && accompanies(subject, rival, shared))
+        return shared.weight * s_max_causes_of_outer_part >= evidence.weight;
+    // An outer part is at most crashes, whatever caused them.
+    if (shared.kind == SubjectKind::OuterPart && evidence.kind == SubjectKind::InnermostPart)
+        return shared.weight >= evidence.weight && evidence_of(rival, until).weight >= evidence.weight + 2 * s_min_lead;
+    bool const explains_as_much = shared.weight + s_min_lead > evidence.weight;
+    // Another subject may explain these crashes and more although its presence at one of them is not known here. Parts
+    // that many requests share are at most crashes, so that only one that is missing at hardly any is an alternative.
+    bool const is_part_concerned = shared.kind != SubjectKind::Request || evidence.kind != SubjectKind::Request;
+    bool const shares_enough
+        = is_part_concerned ? shared.weight + 2 * s_min_lead > evidence.weight : 2 * shared.weight >= evidence.weight;
+    return explains_as_much || (shares_enough && evidence_of(rival, until).weight >= evidence.weight);
+}
+
+unsigned CrashLedger::needed_points(Core::RequestDigest const& subject, Evidence const& evidence) const
+{
+    if (is_popular_part(subject, evidence))
+        return s_points_to_quarantine_popular_part;
+    if (evidence.kind != SubjectKind::OuterPart)
+        return s_points_to_quarantine;
+    return s_points_to_quarantine_outer_part;
 }
 
 bool CrashLedger::is_convincing(
@@ -299,7 +464,7 @@
     if (addresses.size() < s_min_addresses)
         return false;
     auto const extra = count_unexplained(digest, evidence, until) / s_unexplained_crashes_per_point;
-    auto const needed = s_points_to_quarantine + std::min<std::size_t>(extra, s_max_extra_points);
+    auto const needed = needed_points(digest, evidence) + std::min<std::size_t>(extra, s_max_extra_points);
     return evidence.points >= needed && has_sufficient_lead(digest, evidence, until);
 }
 
@@ -308,7 +473,7 @@
     auto const until = now - s_settling_time;
     auto const until_single_moment = now - s_single_moment_settling_time;
     std::optional<Core::RequestDigest> strongest;
-    unsigned most_points = 0;
+    unsigned most_weight = 0;
     for (auto const& [digest, numbers] : m_crashes_of) {
         // A crash counts at most two points.
         if (numbers.size() * 2 < s_points_to_quarantine || m_quarantined.contains(digest))
@@ -318,9 +483,9 @@
             = evidence.moments > 1 || (evidence.moments == 1 && evidence.crashes.back()->time <= until_single_moment);
         // Ties are broken by the digest, so that all gateways decide alike.
         bool const is_stronger
-            = evidence.points > most_points || (strongest && evidence.points == most_points && digest < *strongest);
+            = evidence.weight > most_weight || (strongest && evidence.weight == most_weight && digest < *strongest);
         if (has_settled && is_stronger && is_convincing(digest, evidence, until)) {
-            most_points = evidence.points;
+            most_weight = evidence.weight;
             strongest = digest;
         }
     }
@@ -335,6 +500,7 @@
 void CrashLedger::tick(Core::MonotonicTime now)
 {
     forget_old(now);
+    m_suspicions.clear();
     if (!m_last_unjudged)
         return;
     while (quarantine_one(now)) { }
--- a/Tests/Experiments/crashing_requests.cpp
+++ b/Tests/Experiments/crashing_requests.cpp
@@ -53,5 +53,13 @@
     compare("broken host", {.broken_hosts = 1});
     compare("three broken hosts", {.broken_hosts = 3});
     compare("deadly, broken host", {.crashing_requests = 1, .broken_hosts = 1});
+    compare("a part", {.crashing_parts = 1});
+    compare("a part, seldom", {.crashing_parts = 1, .part_arrivals_per_second = 0.3});
+    compare("a part, few others", {.crashing_parts = 1, .harmless_per_second = 2});
+    compare("two parts", {.crashing_parts = 2});
+    compare("two parts, few others", {.crashing_parts = 2, .harmless_per_second = 2});
+    compare("three parts", {.crashing_parts = 3});
+    compare("a part, own crashes", {.crashing_parts = 1, .spontaneous_crashes_per_second = 0.5});
+    compare("a part, domains", {.crashing_parts = 1, .domain_failure_period = Milliseconds(6'000)});
     return 0;
 }
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <thread>
 
 namespace GraniteField::Testing {
 
@@ -24,8 +25,10 @@
 
     using Predicate = std::function<bool(std::string const& request)>;
 
-    explicit CrashFixture(Predicate is_deadly)
+    /// Engines crash that long after they have started a deadly request.
+    explicit CrashFixture(Predicate is_deadly, Core::Milliseconds crash_delay = Core::Milliseconds(0))
         : m_is_deadly(std::move(is_deadly))
+        , m_crash_delay(crash_delay)
     {
         add_route("asked",
             {{"path-prefix", "/asked/"}, {"tries", "2"}, {"answer", "events"}, {"resumable", "yes"},
@@ -41,8 +44,10 @@
     {
         add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
             connection.write(stream_head_to(text));
-            if (m_is_deadly(text))
+            if (m_is_deadly(text)) {
+                std::this_thread::sleep_for(m_crash_delay);
                 return m_backends[number]->crash();
+            }
             connection.write(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
         });
     }
@@ -57,13 +62,26 @@
         return caller.read_answer();
     }
 
+    /// Restarts the engines that crashed a while ago. Their entries tell their new run from the one before.
     void restart_engines()
     {
+        bool has_restarted = false;
         for (auto const& backend : m_backends) {
             auto const crashed = backend->crashed();
-            if (crashed && Core::elapsed(*crashed, Core::monotonic_now()) >= s_restart_delay)
-                backend->restart();
+            if (!crashed || Core::elapsed(*crashed, Core::monotonic_now()) < s_restart_delay)
+                continue;
+            backend->restart();
+            auto const entry
+                = std::ranges::find(m_servers_list.servers, backend->entry().instance, &Entry::ServerEntry::instance);
+            if (entry == m_servers_list.servers.end())
+                continue;
+            entry->born += std::chrono::seconds(1);
+            has_restarted = true;
         }
+        if (!has_restarted)
+            return;
+        publish_servers();
+        wake_all();
     }
 
     /// Number of requests that have reached engines and match.
@@ -80,6 +98,7 @@
     }
 
     Predicate m_is_deadly;
+    Core::Milliseconds m_crash_delay;
     std::size_t m_next_gateway {0};
 };
 
--- a/Tests/LibGateway/CrashingPartRulesTest.cpp
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Text.h>
 
 #include <algorithm>
+#include <functional>
 #include <thread>
 
 namespace GraniteField::Testing {
@@ -16,9 +17,12 @@
 protected:
     /// Number of crashes after which a part must be known.
     static constexpr std::size_t s_known_crashes = 5;
+    static constexpr Core::Milliseconds s_crash_limit {6'000};
+    /// Engines read a prompt before they begin to write.
+    static constexpr Core::Milliseconds s_crash_delay {350};
 
     CrashingPartRules()
-        : CrashFixture(has_bad_part)
+        : CrashFixture(has_bad_part, s_crash_delay)
     {
     }
 
@@ -35,18 +39,28 @@
             Core::concat("Granitefield-Prompt-Parts: ", parts, ",own", number, ":10\r\n"));
     }
 
-    /// Sends the prompts in turn until the gateways have had their time to learn of five crashes under bad parts.
-    void crash_engines_and_wait(std::vector<std::string> const& prompts)
+    /// Calls `send_next` until five engines have crashed under bad parts, or the gateways find the parts before, and
+    /// then for the time in which all gateways must learn of it.
+    void crash_engines_and_wait(std::function<void()> const& send_next)
     {
-        std::optional<Core::MonotonicTime> known_at;
-        for (std::size_t count = 0; !known_at || Core::monotonic_now() < *known_at + s_propagation_time; ++count) {
-            static_cast<void>(send_prompt(prompts[count % prompts.size()]));
-            if (!known_at && arrivals(has_bad_part) >= s_known_crashes)
-                known_at = Core::monotonic_now();
+        auto const crashed_until = Core::monotonic_now() + s_crash_limit;
+        while (arrivals(has_bad_part) < s_known_crashes && Core::monotonic_now() < crashed_until)
+            send_next();
+        auto const known_at = Core::monotonic_now() + s_propagation_time;
+        while (Core::monotonic_now() < known_at) {
+            send_next();
             std::this_thread::sleep_for(s_restart_delay / 10);
         }
     }
 
+    /// Returns a function that sends the prompts in turn.
+    [[nodiscard]] std::function<void()> in_turn(std::vector<std::string> prompts)
+    {
+        return [this, prompts = std::move(prompts), next = std::size_t {0}]() mutable {
+            static_cast<void>(send_prompt(prompts[next++ % prompts.size()]));
+        };
+    }
+
     std::size_t m_requests {0};
 };
 
@@ -56,7 +70,7 @@
 
 TEST_F(CrashingPartRules, SendsRequestsWithAPartThatCrashedFiveEnginesToThreeMoreAtMost)
 {
-    crash_engines_and_wait({"system:100,bad:50", "system:100,fine:50"});
+    crash_engines_and_wait(in_turn({"system:100,bad:50", "system:100,fine:50"}));
     auto const before = arrivals(has_bad_part);
     int served = 0;
     for (int count = 0; count < s_late_requests; ++count) {
@@ -73,9 +87,8 @@
 // No two prompts with the bad part have another shared part in common.
 TEST_F(CrashingPartRules, FindsThePartWhateverElseThePromptHolds)
 {
-    for (std::size_t number = 0; arrivals(has_bad_part) < s_known_crashes; ++number)
-        static_cast<void>(send_prompt(Core::concat("bad:50,other", number, ":30")));
-    std::this_thread::sleep_for(s_propagation_time);
+    std::size_t number = 0;
+    crash_engines_and_wait([&] { static_cast<void>(send_prompt(Core::concat("bad:50,other", number++, ":30"))); });
     auto const before = arrivals(has_bad_part);
     for (int count = 0; count < s_late_requests; ++count) {
         EXPECT_GE(send_prompt(Core::concat("bad:50,late", count, ":30")).status, 500);
@@ -86,7 +99,7 @@
 
 TEST_F(CrashingPartRules, FindsTwoPartsThatCrashEnginesAtTheSameTime)
 {
-    crash_engines_and_wait({"system:100,bad1:50", "system:100,bad2:50", "system:100,fine:50"});
+    crash_engines_and_wait(in_turn({"system:100,bad1:50", "system:100,bad2:50", "system:100,fine:50"}));
     auto const before = arrivals(has_bad_part);
     for (int count = 0; count < s_late_requests; ++count) {
         EXPECT_GE(send_prompt("system:100,bad1:50").status, 500);
--- a/Tests/LibPolicy/CrashLedgerTest.cpp
+++ b/Tests/LibPolicy/CrashLedgerTest.cpp
@@ -35,6 +35,14 @@
             m_ledger.note_crash({digest_of(name), {m_incarnations, address, 1}, exposure, m_now}, m_now);
     }
 
+    void crash_with_parts(std::uint64_t address, std::string const& request, std::vector<std::string> const& parts)
+    {
+        CrashWitness witness {digest_of(request), {++m_incarnations, address, 1}, Exposure::Fresh, m_now};
+        for (auto const& part : parts)
+            witness.parts.push_back(digest_of(part));
+        m_ledger.note_crash(witness, m_now);
+    }
+
     void advance(Core::Milliseconds time)
     {
         for (auto const end = m_now + time; m_now < end; m_now += 50ms)
@@ -274,6 +282,73 @@
 // Without a quarantine one such request crashes a server 0.5 times per second for as long as it is sent. With the
 // ledger 979 of 1,000 other requests are served (20 seeds) and servers crash 5.4 times per minute, including the first
 // crashes.
+TEST_F(CrashLedgers, QuarantinesThePartThatAllCrashesShare)
+{
+    for (std::uint64_t address = 1; address <= 3; ++address) {
+        crash_with_parts(address, "new-" + std::to_string(address), {"system", "bad"});
+        m_ledger.note_progress({digest_of("sound"), {digest_of("system")}}, m_now + 1s);
+        advance(500ms);
+    }
+    advance(1s);
+    EXPECT_TRUE(m_ledger.is_quarantined({digest_of("another"), {digest_of("system"), digest_of("bad")}}, m_now));
+    EXPECT_FALSE(m_ledger.is_quarantined({digest_of("another"), {digest_of("system"), digest_of("fine")}}, m_now));
+}
+
+// Nothing tells the two parts apart; the first one is the one that more requests share.
+TEST_F(CrashLedgers, QuarantinesTheLaterOfTwoPartsThatAllCrashesShare)
+{
+    for (std::uint64_t address = 1; address <= 3; ++address) {
+        crash_with_parts(address, "new-" + std::to_string(address), {"system", "bad"});
+        advance(500ms);
+    }
+    advance(1s);
+    EXPECT_TRUE(is_quarantined("bad"));
+    EXPECT_FALSE(is_quarantined("system"));
+}
+
+TEST_F(CrashLedgers, QuarantinesAFirstPartThatCrashesServersWithAnyOtherPart)
+{
+    for (std::uint64_t address = 1; address <= 6; ++address) {
+        auto const number = std::to_string(address);
+        crash_with_parts(address, "new-" + number, {"bad", "other-" + number});
+        advance(500ms);
+    }
+    advance(1s);
+    EXPECT_TRUE(is_quarantined("bad"));
+    EXPECT_EQ(m_ledger.count_quarantined(), 1U);
+}
+
+TEST_F(CrashLedgers, DoesNotQuarantineAPopularPartAfterDomainFailures)
+{
+    for (int failure = 0; failure < 4; ++failure) {
+        m_ledger.note_progress({digest_of("sound"), {digest_of("system")}}, m_now);
+        advance(1s);
+        for (std::uint64_t address = 1; address <= 5; ++address)
+            crash_with_parts(address, "once-" + std::to_string(failure * 5 + static_cast<int>(address)), {"system"});
+        advance(5s);
+    }
+    EXPECT_EQ(m_ledger.count_quarantined(), 0U);
+}
+
+// Requests with the part share their first part and their caller with half of the others, which crashes keep from
+// completing.
+TEST(CrashSimulations, QuarantinesPartsButNoneOfSoundRequests)
+{
+    using Testing::CrashScenario;
+    std::vector<CrashScenario> const scenarios {{.crashing_parts = 1},
+        {.crashing_parts = 1, .part_arrivals_per_second = 0.3}, {.crashing_parts = 1, .harmless_per_second = 2},
+        {.crashing_parts = 2}, {.crashing_parts = 2, .harmless_per_second = 2},
+        {.crashing_parts = 1, .spontaneous_crashes_per_second = 0.5},
+        {.crashing_parts = 1, .domain_failure_period = 6s}};
+    for (std::size_t index = 0; index < scenarios.size(); ++index) {
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            auto const outcome = Testing::CrashSimulation<Testing::LedgerStrategy>(scenarios[index], seed).simulate();
+            EXPECT_LE(outcome.late_sends, 3) << "scenario " << index << " seed " << seed;
+            EXPECT_EQ(outcome.quarantined_harmless, 0) << "scenario " << index << " seed " << seed;
+        }
+    }
+}
+
 TEST(CrashSimulations, ServesOtherRequestsBesideACrashingOne)
 {
     int served = 0;
--- a/Tests/LibPolicy/CrashSimulation.h
+++ b/Tests/LibPolicy/CrashSimulation.h
@@ -15,20 +15,21 @@
 /// Strategy for detecting the requests that crash servers.
 template <typename T>
 concept QuarantineStrategy = requires(
-    T strategy, Policy::CrashWitness const& witness, Core::RequestDigest const& digest, Core::MonotonicTime now)
+    T strategy, Policy::CrashWitness const& witness, Policy::CrashIdentity const& identity, Core::MonotonicTime now)
 {
     strategy.note_crash(witness, now);
-    strategy.note_success(digest, now);
+    strategy.note_success(identity, now);
+    strategy.note_progress(identity, now);
     strategy.tick(now);
     {
-        strategy.is_quarantined(digest, now)
+        strategy.is_quarantined(identity, now)
         } -> std::same_as<bool>;
     /// Whether the request should be delayed until more is known.
     {
-        strategy.is_suspected(digest, now)
+        strategy.is_suspected(identity, now)
         } -> std::same_as<bool>;
     {
-        strategy.crashed_addresses(digest)
+        strategy.crashed_addresses(identity.request)
         } -> std::same_as<std::vector<std::uint64_t>>;
 };
 
@@ -39,14 +40,15 @@
     {
         m_crashes[witness.digest].insert(witness.server.incarnation);
     }
-    void note_success(Core::RequestDigest const& digest, Core::MonotonicTime) { m_crashes.erase(digest); }
+    void note_success(Policy::CrashIdentity const& identity, Core::MonotonicTime) { m_crashes.erase(identity.request); }
+    void note_progress(Policy::CrashIdentity const&, Core::MonotonicTime) { }
     void tick(Core::MonotonicTime) { }
-    bool is_quarantined(Core::RequestDigest const& digest, Core::MonotonicTime)
+    bool is_quarantined(Policy::CrashIdentity const& identity, Core::MonotonicTime)
     {
-        auto const found = m_crashes.find(digest);
+        auto const found = m_crashes.find(identity.request);
         return found != m_crashes.end() && found->second.size() >= 3;
     }
-    bool is_suspected(Core::RequestDigest const&, Core::MonotonicTime) { return false; }
+    bool is_suspected(Policy::CrashIdentity const&, Core::MonotonicTime) { return false; }
     std::vector<std::uint64_t> crashed_addresses(Core::RequestDigest const&) { return {}; }
 
 private:
@@ -62,16 +64,17 @@
         m_present[witness.server.incarnation].insert(witness.digest);
         m_crashes[witness.digest].insert(witness.server.incarnation);
     }
-    void note_success(Core::RequestDigest const& digest, Core::MonotonicTime)
+    void note_success(Policy::CrashIdentity const& identity, Core::MonotonicTime)
     {
-        for (auto const incarnation : m_crashes[digest])
-            m_present[incarnation].erase(digest);
-        m_crashes.erase(digest);
+        for (auto const incarnation : m_crashes[identity.request])
+            m_present[incarnation].erase(identity.request);
+        m_crashes.erase(identity.request);
     }
+    void note_progress(Policy::CrashIdentity const&, Core::MonotonicTime) { }
     void tick(Core::MonotonicTime) { }
-    bool is_quarantined(Core::RequestDigest const& digest, Core::MonotonicTime)
+    bool is_quarantined(Policy::CrashIdentity const& identity, Core::MonotonicTime)
     {
-        auto const found = m_crashes.find(digest);
+        auto const found = m_crashes.find(identity.request);
         if (found == m_crashes.end() || found->second.size() < 3)
             return false;
         double blame_sum = 0;
@@ -79,7 +82,7 @@
             blame_sum += 1.0 / static_cast<double>(m_present[incarnation].size());
         return blame_sum >= 1;
     }
-    bool is_suspected(Core::RequestDigest const&, Core::MonotonicTime) { return false; }
+    bool is_suspected(Policy::CrashIdentity const&, Core::MonotonicTime) { return false; }
     std::vector<std::uint64_t> crashed_addresses(Core::RequestDigest const&) { return {}; }
 
 private:
@@ -91,18 +94,22 @@
 class LedgerStrategy {
 public:
     void note_crash(Policy::CrashWitness const& witness, Core::MonotonicTime now) { m_ledger.note_crash(witness, now); }
-    void note_success(Core::RequestDigest const& digest, Core::MonotonicTime now)
+    void note_success(Policy::CrashIdentity const& identity, Core::MonotonicTime now)
     {
-        m_ledger.note_success(digest, now);
+        m_ledger.note_success(identity, now);
+    }
+    void note_progress(Policy::CrashIdentity const& identity, Core::MonotonicTime now)
+    {
+        m_ledger.note_progress(identity, now);
     }
     void tick(Core::MonotonicTime now) { m_ledger.tick(now); }
-    bool is_quarantined(Core::RequestDigest const& digest, Core::MonotonicTime now)
+    bool is_quarantined(Policy::CrashIdentity const& identity, Core::MonotonicTime now)
     {
-        return m_ledger.is_quarantined(digest, now);
+        return m_ledger.is_quarantined(identity, now);
     }
-    bool is_suspected(Core::RequestDigest const& digest, Core::MonotonicTime now)
+    bool is_suspected(Policy::CrashIdentity const& identity, Core::MonotonicTime now)
     {
-        return m_ledger.is_suspected(digest, now);
+        return m_ledger.is_suspected(identity, now);
     }
     std::vector<std::uint64_t> crashed_addresses(Core::RequestDigest const& digest)
     {
@@ -120,6 +127,12 @@
     double arrivals_per_second {3};
     /// Number of copies that arrive at once.
     int copies {1};
+    /// Number of prompt parts that crash every server that starts a request with them, and arrivals per second of
+    /// requests with each, no two of which are equal.
+    int crashing_parts {0};
+    double part_arrivals_per_second {3};
+    /// Harmless requests per second.
+    double harmless_per_second {25};
     /// Crashes per second at random servers that no request causes.
     double spontaneous_crashes_per_second {0};
     /// Interval at which a third of the servers crashes at one moment; 0 for never.
@@ -131,7 +144,8 @@
 };
 
 struct CrashOutcome {
-    /// Maximum over the crashing requests of the number of sends later than the contact time after the third crash.
+    /// Maximum over the crashing requests of the number of sends later than the contact time after the third crash; for
+    /// crashing parts after the fifth.
     int late_sends {0};
     /// Number of rejected sends of harmless requests, and number of harmless requests.
     int quarantined_harmless {0};
@@ -181,13 +195,14 @@
     static constexpr std::size_t s_servers = 9;
     static constexpr Milliseconds s_report_delay {150};
     static constexpr Milliseconds s_contact_time {3'000};
-    static constexpr double s_harmless_per_second = 25;
     static constexpr Milliseconds s_just_started {1'000};
+    static constexpr Milliseconds s_proof_time {500};
     static constexpr Milliseconds s_suspicion_retry_interval {25};
 
     struct Request {
-        Core::RequestDigest digest;
-        bool is_crashing {false};
+        Policy::CrashIdentity identity;
+        /// The request or the part that crashes servers, if any.
+        std::optional<Core::RequestDigest> crashing {};
         /// Remaining sends of this arrival, and remaining arrivals.
         int remaining_attempts {2};
         int remaining_arrivals {2};
@@ -196,6 +211,7 @@
         Request request;
         Time start;
         Time end;
+        bool is_proven {false};
     };
     struct Server {
         std::uint64_t incarnation {0};
@@ -216,6 +232,7 @@
     {
         return Milliseconds(std::uniform_int_distribution<int>(from, to)(m_generator));
     }
+    int draw_number(int largest) { return std::uniform_int_distribution<int>(0, largest)(m_generator); }
     bool occurs(double rate) { return draw(0, 1) < rate * std::chrono::duration<double>(s_step).count(); }
 
     static Core::RequestDigest digest_of(std::string_view kind, int number)
@@ -245,16 +262,27 @@
 
     void process_arrivals()
     {
-        if (occurs(s_harmless_per_second)) {
+        if (occurs(m_scenario.harmless_per_second)) {
             ++m_outcome.harmless;
             bool const is_popular = draw(0, 1) < m_scenario.popular_fraction;
-            send({is_popular ? digest_of("popular", 0) : digest_of("harmless", m_outcome.harmless), false});
+            auto const digest = is_popular ? digest_of("popular", 0) : digest_of("harmless", m_outcome.harmless);
+            if (m_scenario.crashing_parts > 0)
+                send({{digest, {digest_of("system", m_outcome.harmless % 2), digest_of("session", draw_number(9))}}});
+            else
+                send({digest});
+        }
+        for (int number = 0; number < m_scenario.crashing_parts; ++number) {
+            if (!occurs(m_scenario.part_arrivals_per_second))
+                continue;
+            // Shares its first part with every second harmless request.
+            auto const part = digest_of("part", number);
+            send({{digest_of("new", ++m_new_requests), {digest_of("system", 0), part}}, part});
         }
         for (int number = 0; number < m_scenario.crashing_requests; ++number) {
             if (!occurs(m_scenario.arrivals_per_second))
                 continue;
             for (int copy = 0; copy < m_scenario.copies; ++copy)
-                send({digest_of("deadly", number), true});
+                send({digest_of("deadly", number), digest_of("deadly", number)});
         }
         std::vector<DelayedRequest> due;
         std::erase_if(m_delayed, [&](auto const& item) {
@@ -269,22 +297,22 @@
 
     void send(Request request)
     {
-        if (m_strategy.is_suspected(request.digest, m_now)) {
+        if (m_strategy.is_suspected(request.identity, m_now)) {
             m_delayed.push_back({m_now + s_suspicion_retry_interval, request});
             return;
         }
-        if (m_strategy.is_quarantined(request.digest, m_now)) {
-            m_outcome.quarantined_harmless += request.is_crashing ? 0 : 1;
+        if (m_strategy.is_quarantined(request.identity, m_now)) {
+            m_outcome.quarantined_harmless += request.crashing ? 0 : 1;
             return;
         }
-        auto* const server = choose(request.digest);
+        auto* const server = choose(request.identity.request);
         if (server == nullptr)
             return retry_by_caller(request);
         --request.remaining_attempts;
-        if (request.is_crashing)
-            count_send(request.digest);
+        if (request.crashing)
+            count_send(*request.crashing);
         auto const start = m_now + draw_time(20, 150);
-        auto const duration = request.is_crashing ? draw_time(20, 100) : draw_time(300, 2'000);
+        auto const duration = request.crashing ? draw_time(20, 100) : draw_time(300, 2'000);
         server->runs.push_back({request, start, start + duration});
     }
 
@@ -317,7 +345,8 @@
     void count_send(Core::RequestDigest const& digest)
     {
         auto const& times = m_caused_crashes[digest];
-        if (times.size() >= 3 && m_now > times[2] + s_contact_time)
+        std::size_t const known_crashes = m_scenario.crashing_parts > 0 ? 5 : 3;
+        if (times.size() >= known_crashes && m_now > times[known_crashes - 1] + s_contact_time)
             ++m_late_sends[digest];
     }
 
@@ -345,8 +374,9 @@
         for (auto const& run : std::exchange(server.runs, {})) {
             bool const has_just_started = run.start <= m_now && m_now - run.start <= s_just_started;
             m_pending_reports.push_back({m_now + s_report_delay,
-                {run.request.digest, {server.incarnation, index, 1},
-                    has_just_started ? Policy::Exposure::Fresh : Policy::Exposure::Weak, m_now}});
+                {run.request.identity.request, {server.incarnation, index, 1},
+                    has_just_started ? Policy::Exposure::Fresh : Policy::Exposure::Weak, m_now,
+                    run.request.identity.parts}});
             if (run.request.remaining_attempts > 0)
                 m_delayed.push_back({m_now, run.request});
             else
@@ -361,18 +391,22 @@
             auto const has_started = [&](auto const& run) { return run.start <= m_now; };
             bool const is_broken = index < m_scenario.broken_hosts && std::ranges::any_of(server.runs, has_started);
             auto const crashing_run = std::ranges::find_if(
-                server.runs, [&](auto const& run) { return run.request.is_crashing && run.end <= m_now; });
+                server.runs, [&](auto const& run) { return run.request.crashing && run.end <= m_now; });
             if (crashing_run != server.runs.end())
-                m_caused_crashes[crashing_run->request.digest].push_back(m_now);
+                m_caused_crashes[*crashing_run->request.crashing].push_back(m_now);
             if (is_broken || crashing_run != server.runs.end()) {
                 crash(server);
                 continue;
             }
-            std::erase_if(server.runs, [&](auto const& run) {
+            std::erase_if(server.runs, [&](auto& run) {
+                if (!run.is_proven && m_now >= run.start + s_proof_time) {
+                    run.is_proven = true;
+                    m_strategy.note_progress(run.request.identity, m_now);
+                }
                 if (run.end > m_now)
                     return false;
                 ++m_outcome.served;
-                m_strategy.note_success(run.request.digest, m_now);
+                m_strategy.note_success(run.request.identity, m_now);
                 return true;
             });
         }
@@ -383,6 +417,7 @@
     Strategy m_strategy;
     Time m_now {s_start};
     std::uint64_t m_incarnations {0};
+    int m_new_requests {0};
     std::vector<Server> m_servers;
     std::vector<DelayedRequest> m_delayed;
     std::vector<PendingReport> m_pending_reports;
