LibHTTP, LibGateway: Bound events and chunk headers that never end

Backend servers in trouble may send bytes that are no answer without end. An event without an end, or the header of a chunk without one, was kept in memory until the time limit of the request.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -157,7 +157,7 @@
     m_last_received_at = Core::monotonic_now();
     m_input.append(s_buffer.data(), count);
     m_input.erase(0, m_parser.add(m_input));
-    if (m_parser.is_broken())
+    if (m_parser.is_broken() || m_input.size() > s_max_unparsed_bytes)
         return fail(Failure::Broken, "the received bytes are not a valid HTTP response");
     if (m_parser.has_head() && !m_head_received_at) {
         m_head_received_at = m_last_received_at;
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -88,6 +88,10 @@
 {
     auto const now = Core::monotonic_now();
     auto events = m_events.add(attempt.parser().take_body());
+    if (m_events.has_oversized_event()) {
+        attempt.cancel();
+        return handle_broken_attempt("the stream has an event without an end", now);
+    }
     if (!m_has_started_response)
         start_response(attempt.parser().head());
     if (!events.empty()) {
--- a/Libraries/LibHTTP/EventFramer.h
+++ b/Libraries/LibHTTP/EventFramer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,11 @@
     [[nodiscard]] std::optional<std::uint64_t> last_id() const { return m_last_id; }
     void set_last_id(std::uint64_t id) { m_last_id = id; }
 
+    /// Size of an event from which on its end is not waited for: such bytes are no event stream.
+    static constexpr std::size_t s_max_event_bytes = 1U << 20U;
+    /// Whether an event exceeds the limit.
+    [[nodiscard]] bool has_oversized_event() const { return m_partial.size() > s_max_event_bytes; }
+
     /// Whether part of an event waits for its end.
     [[nodiscard]] bool has_partial_event() const { return !m_partial.empty(); }
     /// Forgets the part of an event, for a stream that goes on elsewhere.
