--- a/Tests/LibGateway/CrashingPartRulesTest.cpp
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -97,6 +97,21 @@
     EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
 }
 
+// All gateways restarted at the same time; the store has kept the quarantine.
+TEST_F(CrashingPartRules, DoesNotSendPromptsWithAPartQuarantinedInTheStore)
+{
+    auto const digest = Core::RequestDigest::of("prompt-part", "svc", "bad");
+    m_store_quarantine.add_loaded({digest});
+    auto const is_quarantined_at
+        = [&](auto const& node) { return node->gateway.status().find(digest.to_string()) != std::string::npos; };
+    while (!std::ranges::all_of(m_nodes, is_quarantined_at))
+        std::this_thread::yield();
+    for (std::size_t count = 0; count < s_gateways; ++count)
+        EXPECT_EQ(send_prompt("system:100,bad:50").status, 502);
+    EXPECT_EQ(arrivals(has_bad_part), 0U);
+    EXPECT_TRUE(send_prompt("system:100,fine:50").is_whole);
+}
+
 TEST_F(CrashingPartRules, FindsTwoPartsThatCrashEnginesAtTheSameTime)
 {
     crash_engines_and_wait(in_turn({"system:100,bad1:50", "system:100,bad2:50", "system:100,fine:50"}));
