--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -70,13 +70,13 @@
     static constexpr unsigned s_points_to_quarantine = 6;
     /// The same for a part that is followed by other shared parts: one of these may be the cause.
     static constexpr unsigned s_points_to_quarantine_outer_part = 12;
+    /// The same for a part that was cleared shortly before.
+    static constexpr unsigned s_points_to_quarantine_popular_part = 20;
     /// Limit of the points of a part for the crashes of one moment.
     static constexpr unsigned s_max_points_of_moment = 4;
     /// Number of more specific parts that are taken for the causes of the crashes of an outer part instead of the part
     /// itself.
     static constexpr unsigned s_max_causes_of_outer_part = 4;
-    /// The same for a part with which a request completed shortly before.
-    static constexpr unsigned s_points_to_quarantine_popular_part = 20;
     /// Points by which the request must exceed any other request that was present at its crashes: one full crash.
     static constexpr unsigned s_min_lead = 2;
     /// Limit of the points needed in addition, one for every second crash of the service that the request does not
@@ -106,7 +106,7 @@
     /// Interval at which quarantined requests are reported for as long as they are quarantined, so that gateways that
     /// start or were cut off learn of them.
     static constexpr Core::Milliseconds s_refresh_interval {300};
-    /// Maximum number of reports of each kind in one datagram: together at most about 11 KB of the 64 KB that it can
+    /// Maximum number of reports of each kind in one datagram: together at most about 24 KB of the 64 KB that it can
     /// hold.
     static constexpr std::size_t s_max_reported = 100;
 
@@ -230,8 +230,8 @@
     void forget_oldest_crash();
     void forget_request(Core::RequestDigest const&, Core::MonotonicTime until);
     void forget_old(Core::MonotonicTime now);
-    /// Whether a quarantined subject explains the crash. A request explains it not for its parts: they may explain the
-    /// crashes of further requests as well.
+    /// Whether a quarantined subject explains the crash. For the parts of a request the request does not explain it, since
+    /// they may explain the crashes of further requests as well.
     [[nodiscard]] bool is_explained_for(Core::RequestDigest const&, Crash const&) const;
     /// Whether all requests with the subject that were at the crash have the companion as well.
     [[nodiscard]] static bool accompanies(
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -84,6 +84,16 @@
         wake_all();
     }
 
+    /// Passes on a quarantine that was loaded from the store, and waits until all gateways know it.
+    void load_quarantine(Core::RequestDigest const& digest)
+    {
+        m_store_quarantine.add_loaded({digest});
+        auto const is_quarantined_at
+            = [&](auto const& node) { return node->gateway.status().find(digest.to_string()) != std::string::npos; };
+        while (!std::ranges::all_of(m_nodes, is_quarantined_at))
+            std::this_thread::yield();
+    }
+
     /// Number of requests that have reached engines and match.
     [[nodiscard]] std::size_t arrivals(Predicate const& matches) const
     {
--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -133,12 +133,7 @@
 // All gateways restarted at the same time; the store has kept the quarantine.
 TEST_F(CrashRules, DoesNotSendRequestsQuarantinedInTheStore)
 {
-    auto const digest = Core::RequestDigest::of("/asked/case", "ws", "deadly");
-    m_store_quarantine.add_loaded({digest});
-    auto const is_quarantined_at
-        = [&](auto const& node) { return node->gateway.status().find(digest.to_string()) != std::string::npos; };
-    while (!std::ranges::all_of(m_nodes, is_quarantined_at))
-        std::this_thread::yield();
+    load_quarantine(Core::RequestDigest::of("/asked/case", "ws", "deadly"));
     for (std::size_t count = 0; count < s_gateways; ++count)
         EXPECT_EQ(send("deadly").status, 502);
     EXPECT_EQ(arrivals("deadly"), 0U);
--- a/Tests/LibGateway/CrashingPartRulesTest.cpp
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -100,12 +100,7 @@
 // All gateways restarted at the same time; the store has kept the quarantine.
 TEST_F(CrashingPartRules, DoesNotSendPromptsWithAPartQuarantinedInTheStore)
 {
-    auto const digest = Core::RequestDigest::of("prompt-part", "svc", "bad");
-    m_store_quarantine.add_loaded({digest});
-    auto const is_quarantined_at
-        = [&](auto const& node) { return node->gateway.status().find(digest.to_string()) != std::string::npos; };
-    while (!std::ranges::all_of(m_nodes, is_quarantined_at))
-        std::this_thread::yield();
+    load_quarantine(Core::RequestDigest::of("prompt-part", "svc", "bad"));
     for (std::size_t count = 0; count < s_gateways; ++count)
         EXPECT_EQ(send_prompt("system:100,bad:50").status, 502);
     EXPECT_EQ(arrivals(has_bad_part), 0U);
