--- a/Libraries/LibEntry/PeerMessages.cpp
+++ b/Libraries/LibEntry/PeerMessages.cpp
@@ -169,9 +169,9 @@
             = record.cold_ms() > 0 ? now + Core::Milliseconds(record.cold_ms()) : Core::MonotonicTime();
         auto const state
             = record.is_leaving() ? Table::BackendServerState::Leaving : Table::BackendServerState::Serving;
-        changes.changed.push_back({record.instance(), record.service(), *address, record.failure_domain(),
-            record.slots(), state, Platform::BirthTime(Core::Milliseconds(record.born_ms())), cold_until,
-            record.software_version()});
+        changes.changed.push_back(
+            {record.instance(), record.service(), *address, record.failure_domain(), record.slots(), state,
+                Platform::BirthTime(Core::Milliseconds(record.born_ms())), cold_until, record.software_version()});
     }
     return changes;
 }
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -230,8 +230,8 @@
     void forget_oldest_crash();
     void forget_request(Core::RequestDigest const&, Core::MonotonicTime until);
     void forget_old(Core::MonotonicTime now);
-    /// Whether a quarantined subject explains the crash. For the parts of a request the request does not explain it, since
-    /// they may explain the crashes of further requests as well.
+    /// Whether a quarantined subject explains the crash. For the parts of a request the request does not explain it,
+    /// since they may explain the crashes of further requests as well.
     [[nodiscard]] bool is_explained_for(Core::RequestDigest const&, Crash const&) const;
     /// Whether all requests with the subject that were at the crash have the companion as well.
     [[nodiscard]] static bool accompanies(
