--- a/Tests/LibGateway/StreamOriginSharingTest.cpp
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -103,7 +103,7 @@
     std::string begin(std::size_t number, StreamKey stream, std::size_t choice = 0)
     {
         auto& node = *m_nodes[number];
-        auto const version = node.versions.at(choice % node.versions.size());
+        auto version = node.versions.at(choice % node.versions.size());
         node.streams.note_begun(stream, {"svc", version}, m_now);
         send(node);
         return version;
@@ -113,7 +113,7 @@
     {
         auto& node = *m_nodes[number];
         while (true) {
-            auto const resolution = node.streams.resolve(stream, "svc", s_period, m_now);
+            auto resolution = node.streams.resolve(stream, "svc", s_period, m_now);
             send(node);
             if (resolution.status != Status::Pending)
                 return resolution;
