LibGateway: Clear a part of a prompt by the events of one attempt only

Callers could lose engines to a crashing part for longer than allowed: an engine that writes an event before it crashes set the start of the proof, and the first event of the retry on the next engine, over 0.5 s later, completed it. The part was cleared by two crashes.

Found by reading. The time of the first event now belongs to the attempt, and starts again after a stall of the gateway, in which events are read late.

--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -70,9 +70,9 @@
     [[nodiscard]] Core::MonotonicTime last_received_at() const { return m_last_received_at; }
     /// Time at which the head of the response arrived; nullopt before.
     [[nodiscard]] std::optional<Core::MonotonicTime> head_received_at() const { return m_head_received_at; }
-    /// Whether the server has sent an event of the stream.
-    [[nodiscard]] bool has_events() const { return m_has_events; }
-    void set_has_events() { m_has_events = true; }
+    /// Time at which the first event of the stream arrived in this attempt; nullopt before.
+    [[nodiscard]] std::optional<Core::MonotonicTime> first_event_at() const { return m_first_event_at; }
+    void set_first_event_at(Core::MonotonicTime time) { m_first_event_at = time; }
     /// Measures the server's silence from now on, after a stall of this process.
     void restart_silence_timer(Core::MonotonicTime now) { m_last_received_at = now; }
     [[nodiscard]] bool is_over() const { return m_is_over; }
@@ -104,7 +104,7 @@
     Core::MonotonicTime m_started_at;
     Core::MonotonicTime m_last_received_at;
     std::optional<Core::MonotonicTime> m_head_received_at;
-    bool m_has_events {false};
+    std::optional<Core::MonotonicTime> m_first_event_at;
     bool m_is_over {false};
     bool m_is_paused {false};
     std::size_t m_read_size {s_read_size};
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -576,8 +576,12 @@
 
 void RequestForwarder::note_process_stall(Core::MonotonicTime now)
 {
-    if (m_attempt)
-        m_attempt->restart_silence_timer(now);
+    if (!m_attempt)
+        return;
+    m_attempt->restart_silence_timer(now);
+    // Events that arrived during the stall are no proof that the server still runs.
+    if (m_attempt->first_event_at())
+        m_attempt->set_first_event_at(now);
 }
 
 bool RequestForwarder::is_stalled(Core::MonotonicTime now) const
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -205,7 +205,7 @@
     /// Counts the request as started, once, for the first server that runs it, even if that server fails.
     void count_usage(Core::MonotonicTime started_at);
     /// Clears the parts of the prompt of crashes once a server has been writing for long enough.
-    void note_progress(Core::MonotonicTime now);
+    void note_progress(BackendAttempt&, Core::MonotonicTime now);
     /// Clears the request of crashes: a server ran it to completion.
     void note_completed(Core::MonotonicTime now);
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
@@ -251,8 +251,7 @@
     HTTP::EventFramer m_events;
     std::optional<Core::MonotonicTime> m_first_event_at;
     std::optional<Core::MonotonicTime> m_last_event_at;
-    /// First event of the current attempt; unset after note_progress().
-    std::optional<Core::MonotonicTime> m_unproven_since;
+    bool m_has_cleared_parts {false};
     Core::Milliseconds m_longest_pause {0};
 };
 
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -97,7 +97,7 @@
     if (!events.empty()) {
         auto const tier = m_request.tier;
         note_event_version(attempt.server());
-        note_progress(now);
+        note_progress(attempt, now);
         if (attempt.server().note_alive())
             m_context.load.note_answering(attempt.server());
         if (!m_first_event_at) {
@@ -115,10 +115,6 @@
         }
         m_last_event_at = now;
         count_usage(now);
-        if (!attempt.has_events()) {
-            attempt.set_has_events();
-            m_unproven_since = now;
-        }
         if (attempt.load().unread_tokens > 0) {
             m_context.fleet.note_first_event(
                 m_request.service, attempt.load().unread_tokens, Core::elapsed(attempt.started_at(), now));
@@ -178,11 +174,13 @@
         throttle_reading(attempt);
 }
 
-void RequestForwarder::note_progress(Core::MonotonicTime now)
+void RequestForwarder::note_progress(BackendAttempt& attempt, Core::MonotonicTime now)
 {
-    if (!m_unproven_since || Core::elapsed(*m_unproven_since, now) < m_context.settings.part_proof_time)
+    if (!attempt.first_event_at())
+        attempt.set_first_event_at(now);
+    if (m_has_cleared_parts || Core::elapsed(*attempt.first_event_at(), now) < m_context.settings.part_proof_time)
         return;
-    m_unproven_since.reset();
+    m_has_cleared_parts = true;
     m_context.crashes.ledger().note_progress(crash_identity(m_request, m_context.dialect), now);
 }
 
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -5,6 +5,7 @@
 #include <LibCore/Text.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -43,8 +44,12 @@
     void add_engine(std::size_t number)
     {
         add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
+            std::this_thread::sleep_for(m_read_delay.load());
             connection.write(stream_head_to(text));
             if (m_is_deadly(text)) {
+                auto const last = static_cast<unsigned>(std::stoul(field_of(text, "Last-Event-ID").value_or("0")));
+                if (m_first_events == FirstEvents::BeforeCrashes)
+                    connection.write(chunk(event(last + 1)));
                 std::this_thread::sleep_for(m_crash_delay);
                 return m_backends[number]->crash();
             }
@@ -107,6 +112,14 @@
         return arrivals([body](auto const& text) { return body_of(text) == body; });
     }
 
+    /// Whether engines write an event before they crash.
+    enum class FirstEvents {
+        Never,
+        BeforeCrashes,
+    };
+    std::atomic<FirstEvents> m_first_events {FirstEvents::Never};
+    /// Time for which engines read a prompt.
+    std::atomic<Core::Milliseconds> m_read_delay {Core::Milliseconds(0)};
     Predicate m_is_deadly;
     Core::Milliseconds m_crash_delay;
     std::size_t m_next_gateway {0};
--- a/Tests/LibGateway/CrashingPartRulesTest.cpp
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -97,6 +97,19 @@
     EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
 }
 
+// Together, the events of the two attempts of a request last longer than a part needs to be cleared.
+TEST_F(CrashingPartRules, DoesNotClearAPartByTheEventsOfTwoAttempts)
+{
+    m_first_events = FirstEvents::BeforeCrashes;
+    m_read_delay = Core::Milliseconds(250);
+    crash_engines_and_wait(in_turn({"system:100,bad:50"}));
+    m_read_delay = Core::Milliseconds(0);
+    auto const before = arrivals(has_bad_part);
+    for (int count = 0; count < s_late_requests; ++count)
+        static_cast<void>(send_prompt("system:100,bad:50"));
+    EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
+}
+
 // All gateways restarted at the same time; the store has kept the quarantine.
 TEST_F(CrashingPartRules, DoesNotSendPromptsWithAPartQuarantinedInTheStore)
 {
