LibGateway: Ask all holders before a gateway that has just begun infers a version

A stream could go on at a guessed version: at a holder that had restarted with an old list of servers, while the other holder was gone. Three of four gateways asked answered, none of which holds announcements, and the old version was taken for the only one.

Found by reading. The proof needs one holder that has been running since; a gateway that has not may be a holder itself, so that all gateways asked must have answered then.

--- a/Libraries/LibGateway/StreamOriginSharing.cpp
+++ b/Libraries/LibGateway/StreamOriginSharing.cpp
@@ -13,10 +13,11 @@
 constexpr int s_max_versions = 8;
 constexpr auto s_max_items = static_cast<int>(StreamOriginSharing::s_max_streams);
 
-/// Number of gateways, of those asked, of which at least one is a holder.
-std::size_t needed_witnesses(std::size_t asked)
+/// Returns how many of the gateways asked must have been running throughout the period, so that a holder is among them
+/// and this gateway. `is_witness` says whether this gateway has been running throughout the period itself.
+std::size_t needed_witnesses(std::size_t asked, bool is_witness)
 {
-    return std::max<std::size_t>(1, asked > 0 ? asked - 1 : 0);
+    return is_witness ? std::max<std::size_t>(1, asked - std::min<std::size_t>(asked, 1)) : asked;
 }
 
 }
@@ -162,12 +163,12 @@
 StreamOriginSharing::Resolution StreamOriginSharing::infer(Lookup const& lookup, Core::MonotonicTime now) const
 {
     auto recent = m_versions.recent(lookup.service, lookup.period, now);
-    // A gateway that this one cannot ask may have begun the stream at a version that is not known here. It has
-    // announced it to the holders then, so one that was there throughout must have answered.
+    // A gateway that was not asked may have begun the stream at a version that is not known here. It announced the
+    // stream to the holders then, and one of them that has been running since must have answered.
     bool const is_alone = m_peers && m_peers->empty();
     auto const witnesses
         = std::ranges::count_if(lookup.answers, [](auto const& item) { return item.second.is_complete; });
-    if (!is_alone && static_cast<std::size_t>(witnesses) < needed_witnesses(lookup.asked.size()))
+    if (!is_alone && static_cast<std::size_t>(witnesses) < needed_witnesses(lookup.asked.size(), recent.is_complete))
         return {};
     for (auto const& [address, versions] : lookup.answers) {
         recent.versions.insert(versions.versions.begin(), versions.versions.end());
--- a/Tests/LibGateway/StreamOriginSharingTest.cpp
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -49,7 +49,7 @@
         StreamOriginSharing streams;
         Versions versions;
         bool is_alive {true};
-        /// Processes that do not receive news of servers act on an old list.
+        /// Whether changes of the list of servers do not reach the gateway.
         bool is_stale {false};
     };
 
@@ -271,6 +271,32 @@
     EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
 }
 
+// One holder restarts with an old list, and the other one is gone.
+TEST_F(StreamFleet, DoesNotGuessAtARestartedHolderWithoutTheOtherOne)
+{
+    constexpr std::size_t beginner = 2;
+    for (std::uint64_t key = 1; key <= 8; ++key) {
+        m_nodes.clear();
+        create(12, {"v1"});
+        advance(s_period);
+        for (std::size_t number = 0; number < m_nodes.size(); ++number)
+            m_nodes[number]->is_stale = number != beginner;
+        publish({"v2"});
+        begin(beginner, StreamKey(key));
+        advance(1s);
+        std::vector<std::size_t> holders;
+        for (std::size_t number = 0; number < m_nodes.size(); ++number) {
+            if (number != beginner && m_nodes[number]->streams.known_count() > 0)
+                holders.push_back(number);
+        }
+        ASSERT_EQ(holders.size(), StreamOriginSharing::s_holders);
+        m_versions = {"v1"};
+        restart(holders[0]);
+        m_nodes[holders[1]]->is_alive = false;
+        EXPECT_NE(resume(holders[0], StreamKey(key)).software_version, "v1");
+    }
+}
+
 // Releases and rollbacks, lists that arrive late, gateways killed and restarted, datagrams lost.
 RC_GTEST_FIXTURE_PROP(StreamFleet, NeverResolvesToAnotherVersion, (unsigned seed))
 {
