LibGateway: Take a stream with an empty Last-Event-ID for a new one

While two software versions serve, such a stream was refused as one whose version is unknown, although nothing of it had been received. An event stream's id is empty before its first event. Plain requests no longer choose their service by the field that resumes streams.

ServesANewStreamWithAnEmptyLastEventId: 503 before, 200 now.

--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -191,8 +191,9 @@
         return *error;
     request.id = request.head.fields.value_or(dialect.request_id, "");
     // A stream continues at the service that began it.
-    request.service
-        = pick_service(*request.route, std::string(request.head.fields.value_or(dialect.resumes, request.id)));
+    auto const stream_id = request.is_stream() ? request.head.fields.value_or(dialect.resumes, request.id)
+                                               : std::string_view(request.id);
+    request.service = pick_service(*request.route, std::string(stream_id));
     request.priority = engine_priority(request);
     set_deadlines(request, dialect);
     parse_prompt(request, dialect);
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -75,7 +75,8 @@
     [[nodiscard]] bool is_resumption(Dialect const& dialect) const
     {
         bool const names_stream = head.fields.find(dialect.resumes) != nullptr;
-        return is_stream() && (names_stream || head.fields.find(dialect.last_event_id) != nullptr);
+        // Event streams have an empty id before the first event (WHATWG HTML, section 9.2).
+        return is_stream() && (names_stream || !head.fields.value_or(dialect.last_event_id, "").empty());
     }
     /// Whether the request may be sent again after it may have run.
     [[nodiscard]] bool is_repeatable() const
--- a/Tests/LibGateway/StreamVersionRulesTest.cpp
+++ b/Tests/LibGateway/StreamVersionRulesTest.cpp
@@ -47,7 +47,8 @@
     void add_engine(std::string const& instance, std::string const& version)
     {
         add_backend(instance, [this, version](auto& connection, auto const& text, auto) {
-            auto const last = static_cast<unsigned>(std::stoul(field_of(text, "Last-Event-ID").value_or("0")));
+            auto const last_id = field_of(text, "Last-Event-ID").value_or("");
+            auto const last = last_id.empty() ? 0U : static_cast<unsigned>(std::stoul(last_id));
             auto const end = std::min(s_events, last + m_events_per_run);
             connection.write(stream_head_to(text));
             for (auto id = last + 1; id <= end; ++id)
@@ -233,6 +234,16 @@
     EXPECT_EQ(arrivals("v1") + arrivals("v2"), 0U);
 }
 
+TEST_F(StreamVersionRules, ServesANewStreamWithAnEmptyLastEventId)
+{
+    m_events_per_run = s_events;
+    add_engines(1, "v1");
+    add_engines(1, "v2");
+    publish_servers();
+    start_gateways(1);
+    EXPECT_EQ(ask(0, "/tries-1/", "s-1", "Last-Event-ID:\r\n").status, 200);
+}
+
 // The same instance, restarted at another version behind the same address.
 TEST_F(StreamVersionRules, DoesNotContinueAtAServerRebornAtAnotherVersion)
 {
