--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -47,7 +47,7 @@
 
     /// Maximum number of bytes per read.
     static constexpr std::size_t s_read_size = 64U << 10U;
-    /// Limit of the bytes that the parser keeps waiting for the rest of, such as a head or the header of a chunk.
+    /// Limit of the received bytes that the parser cannot read yet, such as an incomplete chunk header.
     static constexpr std::size_t s_max_unparsed_bytes = 128U << 10U;
 
     BackendAttempt(boost::asio::io_context&, std::shared_ptr<BackendView>, HTTP::BodyRule, Listener&);
--- a/Libraries/LibGateway/StreamOriginSharing.h
+++ b/Libraries/LibGateway/StreamOriginSharing.h
@@ -54,7 +54,7 @@
         Pending,
         /// A gateway knows the stream.
         Known,
-        /// Nobody knows the stream, and only one version has served since it can have begun.
+        /// No gateway knows the stream, and a single version has served since it can have begun.
         OnlyVersion,
         Unknown,
     };
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -67,7 +67,7 @@
         return caller.read_answer();
     }
 
-    /// Restarts the engines that crashed a while ago. Their entries tell their new run from the one before.
+    /// Restarts the engines whose restart is due. Their entries get a later start, which identifies the new run.
     void restart_engines()
     {
         bool has_restarted = false;
--- a/Tests/LibGateway/GatewayGroup.h
+++ b/Tests/LibGateway/GatewayGroup.h
@@ -37,7 +37,7 @@
     /// Ends a gateway without notice; the others still count it as a member.
     void kill_gateway(std::size_t number) { m_nodes.at(number).reset(); }
 
-    /// Tells the gateways that live of each other, and wakes them.
+    /// Makes the running gateways members of each other's load exchange, and wakes them.
     void connect_all()
     {
         std::vector<Entry::LoadMember> members;
--- a/Tests/LibPolicy/CrashLedgerTest.cpp
+++ b/Tests/LibPolicy/CrashLedgerTest.cpp
@@ -294,7 +294,7 @@
     EXPECT_FALSE(m_ledger.is_quarantined({digest_of("another"), {digest_of("system"), digest_of("fine")}}, m_now));
 }
 
-// Nothing tells the two parts apart; the first one is the one that more requests share.
+// The evidence against both parts is equal, and more sound requests share the first one.
 TEST_F(CrashLedgers, QuarantinesTheLaterOfTwoPartsThatAllCrashesShare)
 {
     for (std::uint64_t address = 1; address <= 3; ++address) {
