Tests/Judges, Tests/Soak: Judge repeated sends by what servers receive

No soak counted arrivals by service and window, servers of one try, the time passed on, or sends of what crashes servers; the budget had tests of its own count only.

RepeatedSendJudge and CrashSendJudge count what stand-in servers read, against the stated bounds, while the soak runs. BudgetSoak starts gateways with the deployed settings and the number of servers of either deployment; servers crash (also by requests and by parts), stall with what the kernel has accepted for them, fail and ask for backoff, gateways are killed, stopped, frozen and cut off. SpreadSoak and BudgetSoak share how a deployed gateway gets its settings (DeployedSettings.h).

--- a/Tests/Soak/SpreadSoak.cpp
+++ b/Tests/Soak/SpreadSoak.cpp
@@ -1,17 +1,12 @@
 #include "SpreadSoak.h"
 
-#include "SettingsTemplate.h"
+#include "DeployedSettings.h"
 
 #include <LibCore/Text.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <fcntl.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <netinet/in.h>
 
 namespace GraniteField::Testing {
 
@@ -27,7 +22,7 @@
 
 /// The users' bounds, as the template wants them; those of the run take the place of the first two.
 constexpr Core::Milliseconds s_contact_time {4'000};
-Json bounds()
+Json users_bounds()
 {
     return {{"contact_ms", s_contact_time.count()}, {"grace_s", 8}, {"budget_ratio", 0.2}, {"budget_slack", 100},
         {"budget_window_s", 10}, {"max_stretch_ms", 6'000}};
@@ -56,29 +51,6 @@
 /// Servers of a service that never leave in a series.
 constexpr std::size_t s_least_staying = 2;
 
-std::uint16_t free_udp_port()
-{
-    int const probe = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    static_cast<void>(::bind(probe, reinterpret_cast<sockaddr*>(&address), size));
-    ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(probe);
-    return ntohs(address.sin_port);
-}
-
-std::string local(std::uint16_t port)
-{
-    return Core::concat("127.0.0.1:", port);
-}
-
-Core::Address address_of(std::uint16_t port)
-{
-    return *Core::Address::from_string(local(port));
-}
-
 Json route(std::string const& name, std::string const& path, std::string const& service, bool needs_key)
 {
     auto route = GatewayFleet::route(name, path, "safe");
@@ -110,8 +82,8 @@
     }
     for (std::size_t index = 0; index < options.gateways; ++index) {
         auto& slot = m_slots.emplace_back();
-        slot.store = std::make_unique<FaultProxy>(address_of(m_fleet.platform_port()));
-        slot.peers = std::make_unique<FaultProxy>(address_of(m_fleet.platform_port()));
+        slot.store = std::make_unique<FaultProxy>(local_address(m_fleet.platform_port()));
+        slot.peers = std::make_unique<FaultProxy>(local_address(m_fleet.platform_port()));
         slot.peers->set_mode(FaultProxy::Mode::Refuse);
     }
     for (std::size_t index = 0; index < options.gateways; ++index)
@@ -127,23 +99,19 @@
     auto& slot = m_slots[index];
     Json seeds = Json::array();
     for (std::size_t seed = 0; seed < std::min(s_seeds, m_slots.size()); ++seed)
-        seeds.push_back(local(m_slots[seed].peers->port()));
+        seeds.push_back(local_text(m_slots[seed].peers->port()));
     bool const is_small = index % s_large_hosts != 0;
     if (m_options.processor_share > 0)
         slot.share = is_small ? m_options.processor_share : s_large_share;
     slot.peers->set_rate(is_small ? m_options.link_rate : 0);
     slot.store->set_rate(is_small ? m_options.link_rate : 0);
-    Json fields {{"node", Core::concat("g-", index)}, {"zone", s_domains.at(index % s_domains.size())},
-        {"region", "region"}, {"ip", "127.0.0.1"}, {"port_range", {0, draw_load_port()}}, {"bounds", bounds()},
-        {"listen", {{"front", local(0)}, {"ready", local(0)}, {"control", local(0)}}},
-        {"platform", {{"addr", local(slot.store->port())}}}, {"seeds", seeds}};
-    fields["bounds"]["apply_ms"] = m_options.apply_bound.count();
-    fields["bounds"]["drain_ms"] = m_options.leave_bound.count();
-    if (slot.share > 0)
-        fields["limits"]["cpu_share"] = slot.share;
-    slot.settings = Json::parse(fill_template(gateway_template(), fields));
+    auto bounds = users_bounds();
+    bounds["apply_ms"] = m_options.apply_bound.count();
+    bounds["drain_ms"] = m_options.leave_bound.count();
+    slot.settings = deployed_settings({Core::concat("g-", index), s_domains.at(index % s_domains.size()),
+        draw_load_port(), slot.store->port(), seeds, std::move(bounds), slot.share});
     // Other gateways reach it through its proxy only.
-    slot.settings["peers"]["advertised-address"] = local(slot.peers->port());
+    slot.settings["peers"]["advertised-address"] = local_text(slot.peers->port());
 }
 
 std::uint16_t SpreadSoak::draw_load_port()
@@ -173,11 +141,11 @@
     auto& slot = m_slots[index];
     slot.gateway = start_process(index);
     // The same ports in its next life, as on a host.
-    slot.settings["callers-address"] = local(slot.gateway.callers);
-    slot.settings["readiness-address"] = local(slot.gateway.readiness);
-    slot.settings["operator-address"] = local(slot.gateway.operators);
-    slot.settings["peers"]["address"] = local(slot.gateway.peers);
-    slot.peers->set_target(address_of(slot.gateway.peers));
+    slot.settings["callers-address"] = local_text(slot.gateway.callers);
+    slot.settings["readiness-address"] = local_text(slot.gateway.readiness);
+    slot.settings["operator-address"] = local_text(slot.gateway.operators);
+    slot.settings["peers"]["address"] = local_text(slot.gateway.peers);
+    slot.peers->set_target(local_address(slot.gateway.peers));
     slot.peers->set_mode(FaultProxy::Mode::Pass);
     slot.callers = slot.gateway.callers;
     slot.life = ++m_next_life;
--- /dev/null
+++ b/Tests/Soak/budget_soak.cpp
@@ -0,0 +1,71 @@
+// The soak of repeated sends by hand: `budget-soak --seed 1 --count 50 --length 25s --shape pwani-charts`. Prints a
+// line a seed, and exits with 1 when a promise was broken. Where GRANITEFIELD_TEST_LOGS names a directory, the
+// gateways' logs are kept there.
+#include "BudgetSoak.h"
+
+#include <LibHTTP/HttpClient.h>
+
+#include <csignal>
+#include <iostream>
+
+#include <tclap/CmdLine.h>
+
+using namespace GraniteField;
+
+int main(int argument_count, char** arguments)
+{
+    using Soak = Testing::BudgetSoak;
+    std::signal(SIGPIPE, SIG_IGN);
+    HTTP::initialize_http_client();
+    TCLAP::CmdLine command_line("Judges repeated sends of gateways under random faults.", ' ', "0.1.0");
+    TCLAP::ValueArg<unsigned> seed("", "seed", "The first seed.", false, 1, "N", command_line);
+    TCLAP::ValueArg<unsigned> count("", "count", "Seeds, one after the other.", false, 1, "N", command_line);
+    TCLAP::ValueArg<std::string> length("", "length", "Faults of each seed.", false, "20s", "TIME", command_line);
+    TCLAP::ValueArg<std::string> shape("", "shape", "The deployment.", false, "hrubec-pay", "NAME", command_line);
+    TCLAP::ValueArg<unsigned> callers("", "callers", "Callers.", false, 30, "N", command_line);
+    TCLAP::ValueArg<unsigned> gateways(
+        "", "gateways", "Gateways, if not the deployment's.", false, 0, "N", command_line);
+    TCLAP::ValueArg<double> share("", "share", "Share of a core of each gateway.", false, 0.19, "X", command_line);
+    TCLAP::ValueArg<std::string> stall("", "stall",
+        "Let all plain servers stall for that time instead of drawn faults.", false, "", "TIME", command_line);
+    command_line.parse(argument_count, arguments);
+    auto const duration = Core::parse_duration(length.getValue());
+    auto const stalled = stall.isSet() ? Core::parse_duration(stall.getValue()) : Core::Milliseconds(0);
+    if (!duration || !stalled) {
+        std::cerr << "budget-soak: a duration is written such as 8s\n";
+        return 2;
+    }
+    bool has_failed = false;
+    for (unsigned number = 0; number < count.getValue(); ++number) {
+        Soak::Options options;
+        options.seed = seed.getValue() + number;
+        options.length = *duration;
+        options.shape = shape.getValue() == "pwani-charts" ? Soak::s_pwani_charts : Soak::s_hrubec_pay;
+        if (gateways.isSet())
+            options.shape.gateways = gateways.getValue();
+        options.callers = callers.getValue();
+        options.processor_share = share.getValue();
+        Soak soak(options);
+        auto const report = stall.isSet() ? soak.run([&] {
+            soak.pass(std::chrono::seconds(3));
+            soak.stall_service(Soak::s_plain_service, *stalled);
+            soak.pass(*stalled + std::chrono::seconds(2));
+        })
+                                          : soak.run();
+        std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
+        for (auto const& [service, peak] : report.peaks)
+            std::cout << ' ' << service << '=' << peak.repeats << '/' << peak.allowed;
+        std::cout << " late=" << report.late_repeats << " backoffs=" << report.backoffs
+                  << " crashing=" << report.crashing_subjects << ';';
+        for (auto const& [answer, times] : report.answers)
+            std::cout << ' ' << answer << '=' << times;
+        for (auto const& [fault, times] : report.faults)
+            std::cout << ' ' << fault << '=' << times;
+        std::cout << '\n';
+        for (auto const& problem : report.problems)
+            std::cout << "  " << problem << '\n';
+        std::cout << std::flush;
+        has_failed = has_failed || !report.problems.empty();
+    }
+    return has_failed ? 1 : 0;
+}
