Tests/Soak: Script stalls and crashing requests, and restart servers at once

Servers of a supervisor start again at once, which drawn faults did not have; a script lets a service stall or crashing requests come alone.

--- a/Tests/Soak/BudgetSoak.cpp
+++ b/Tests/Soak/BudgetSoak.cpp
@@ -21,7 +21,7 @@
 constexpr std::array s_domains {"domain-a", "domain-b", "domain-c"};
 constexpr std::size_t s_seeds = 3;
 constexpr Core::Milliseconds s_pause_after_failure {50};
-constexpr Core::Milliseconds s_turn {20};
+constexpr Core::Milliseconds s_turn {4};
 /// Three reports of a server that is silent.
 constexpr Core::Milliseconds s_entry_lapse {3'600};
 constexpr unsigned s_requests_per_connection = 15;
@@ -41,6 +41,8 @@
     unsigned share;
 };
 
+/// Index of the kind of which deadly requests are.
+constexpr std::size_t s_deadly_kind = 2;
 /// As both deployments have them; the limits in time are those of the sheets.
 constexpr std::array s_kinds {Kind {"case", "/case-stream/", "stream", BudgetSoak::s_engine_service, 2, true,
                                   Core::Milliseconds(12'000), Core::Milliseconds(2'500), 24},
@@ -172,6 +174,13 @@
     return Core::Milliseconds(least_ms + m_random() % (most_ms - least_ms + 1));
 }
 
+Core::Milliseconds BudgetSoak::draw_restart_delay()
+{
+    // Half of the servers have a supervisor that starts them again at once.
+    bool const is_immediate = m_options.has_immediate_restarts || m_random() % 2 == 0;
+    return is_immediate ? Core::Milliseconds(0) : draw_time(20, 2'500);
+}
+
 BudgetBackend& BudgetSoak::draw_server()
 {
     return *m_servers[m_random() % m_servers.size()];
@@ -283,6 +292,18 @@
         server->stall_until(Core::monotonic_now() + length);
 }
 
+void BudgetSoak::send_deadly_requests(Core::Milliseconds length)
+{
+    m_sends_deadly_requests = true;
+    m_faults.begin("deadly requests", Core::monotonic_now() + length, [this] { m_sends_deadly_requests = false; });
+}
+
+void BudgetSoak::send_deadly_parts(Core::Milliseconds length)
+{
+    m_sends_deadly_parts = true;
+    m_faults.begin("deadly parts", Core::monotonic_now() + length, [this] { m_sends_deadly_parts = false; });
+}
+
 void BudgetSoak::begin_backoff()
 {
     auto const signals = draw_server().signals();
@@ -329,11 +350,9 @@
     case 8:
         return trouble_store();
     case 9:
-        m_sends_deadly_requests = true;
-        return m_faults.begin("deadly requests", until(3'000, 9'000), [this] { m_sends_deadly_requests = false; });
+        return send_deadly_requests(draw_time(3'000, 9'000));
     case 10:
-        m_sends_deadly_parts = true;
-        return m_faults.begin("deadly parts", until(3'000, 9'000), [this] { m_sends_deadly_parts = false; });
+        return send_deadly_parts(draw_time(3'000, 9'000));
     default:
         m_rate_factor = 2 + m_random() % 4;
         return m_faults.begin("burst", until(1'000, 4'000), [this] { m_rate_factor = 1; });
@@ -351,8 +370,7 @@
             auto const crashed = server->crashed();
             if (!crashed)
                 continue;
-            // Some supervisors start a process again at once.
-            auto const restart = restarts.try_emplace(server.get(), *crashed + draw_time(20, 2'500)).first->second;
+            auto const restart = restarts.try_emplace(server.get(), *crashed + draw_restart_delay()).first->second;
             if (now < restart)
                 continue;
             restarts.erase(server.get());
@@ -394,7 +412,8 @@
     for (unsigned used = 0; used < s_requests_per_connection && !m_should_stop; ++used) {
         auto const& kind = draw_kind(random);
         bool const is_stream = std::string_view(kind.kind) == "stream";
-        bool const is_deadly = kind.resumable && m_sends_deadly_requests && random() % 4 == 0;
+        // The same target, body and prompt each time, so that it is one request that comes again.
+        bool const is_deadly = &kind == &s_kinds[s_deadly_kind] && m_sends_deadly_requests && random() % 4 == 0;
         bool const has_deadly_part = kind.resumable && m_sends_deadly_parts && random() % 4 == 0;
         auto const id = Core::concat(gateway_name(gateway), "-", caller, "-", number++);
         auto const body = is_deadly ? std::string(BudgetBackend::s_deadly_request) : Core::concat("body ", id);
--- a/Tests/Soak/BudgetSoak.h
+++ b/Tests/Soak/BudgetSoak.h
@@ -45,6 +45,8 @@
         Core::Milliseconds pause {800};
         /// Share of a core that each gateway gets; 0 for all that it wants.
         double processor_share {0.19};
+        /// Whether each server that crashes is started again at once, as by a supervisor.
+        bool has_immediate_restarts {false};
         /// Whether faults are drawn. Without, only a script disturbs.
         bool has_faults {true};
     };
@@ -73,6 +75,9 @@
     void pass(Core::Milliseconds);
     /// All servers of the service stop reading for so long, and stay listed.
     void stall_service(std::string const& service, Core::Milliseconds);
+    /// Callers send one request, or requests with one part, that crash each server that begins them.
+    void send_deadly_requests(Core::Milliseconds);
+    void send_deadly_parts(Core::Milliseconds);
 
     static constexpr char const* s_engine_service = "engines";
     static constexpr char const* s_plain_service = "payments";
@@ -103,6 +108,7 @@
     void begin_backoff();
     void trouble_store();
     [[nodiscard]] Core::Milliseconds draw_time(unsigned least_ms, unsigned most_ms);
+    [[nodiscard]] Core::Milliseconds draw_restart_delay();
     [[nodiscard]] BudgetBackend& draw_server();
     [[nodiscard]] std::vector<BudgetBackend*> servers_of(std::string const& service);
     /// Disturbs a gateway until a drawn time has passed.
--- a/Tests/Soak/budget_soak.cpp
+++ b/Tests/Soak/budget_soak.cpp
@@ -28,6 +28,9 @@
     TCLAP::ValueArg<double> share("", "share", "Share of a core of each gateway.", false, 0.19, "X", command_line);
     TCLAP::ValueArg<std::string> stall("", "stall",
         "Let all plain servers stall for that time instead of drawn faults.", false, "", "TIME", command_line);
+    TCLAP::ValueArg<std::string> deadly("", "deadly",
+        "Crash servers that restart at once by requests or by parts instead of drawn faults.", false, "", "KIND",
+        command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     auto const stalled = stall.isSet() ? Core::parse_duration(stall.getValue()) : Core::Milliseconds(0);
@@ -45,13 +48,20 @@
             options.shape.gateways = gateways.getValue();
         options.callers = callers.getValue();
         options.processor_share = share.getValue();
+        options.has_immediate_restarts = deadly.isSet();
         Soak soak(options);
-        auto const report = stall.isSet() ? soak.run([&] {
+        auto const script = [&] {
             soak.pass(std::chrono::seconds(3));
-            soak.stall_service(Soak::s_plain_service, *stalled);
-            soak.pass(*stalled + std::chrono::seconds(2));
-        })
-                                          : soak.run();
+            if (stall.isSet())
+                soak.stall_service(Soak::s_plain_service, *stalled);
+            if (deadly.getValue() == "requests")
+                soak.send_deadly_requests(*duration);
+            if (deadly.getValue() == "parts")
+                soak.send_deadly_parts(*duration);
+            soak.pass(std::max<Core::Milliseconds>(*stalled, *duration) + std::chrono::seconds(2));
+        };
+        bool const has_script = stall.isSet() || deadly.isSet();
+        auto const report = has_script ? soak.run(script) : soak.run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [service, peak] : report.peaks)
             std::cout << ' ' << service << '=' << peak.repeats << '/' << peak.allowed;
