LibGateway: Log and count attempts that are abandoned before their server answered

Whether a repeat piled up at a server that does not read could not be seen: only an attempt that was replaced had a line (`stalled`), not one whose time limit passed or whose caller left, and no line told whether the server had answered it.

--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -15,6 +15,7 @@
         : m_registry(registry)
         , m_retries(registry.counter("granitefield_gateway_retries_total"))
         , m_denied_retries(registry.counter("granitefield_gateway_retries_denied_total"))
+        , m_unanswered(registry.counter("granitefield_gateway_unanswered_total"))
         , m_returning(registry.counter("granitefield_gateway_returning_total"))
         , m_unreachable(registry.counter("granitefield_gateway_unreachable_total"))
         , m_withdrawn(registry.counter("granitefield_gateway_withdrawn_total"))
@@ -72,6 +73,8 @@
 
     void note_retry() { m_retries.add(); }
     void note_denied_retry() { m_denied_retries.add(); }
+    /// Records an attempt that was abandoned before its server answered. The server may still read the request later.
+    void note_unanswered() { m_unanswered.add(); }
     void note_unreachable() { m_unreachable.add(); }
     /// An attempt was withdrawn before it was sent, since its server accepts no new requests any more.
     void note_withdrawn() { m_withdrawn.add(); }
@@ -101,6 +104,7 @@
     Observe::MetricRegistry& m_registry;
     Observe::Counter& m_retries;
     Observe::Counter& m_denied_retries;
+    Observe::Counter& m_unanswered;
     Observe::Counter& m_returning;
     Observe::Counter& m_unreachable;
     Observe::Counter& m_withdrawn;
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -405,6 +405,18 @@
         count_usage(m_attempt->started_at());
 }
 
+void RequestForwarder::note_abandoned_attempt(Core::MonotonicTime now)
+{
+    if (!m_attempt || !m_attempt->is_sent() || m_attempt->head_received_at())
+        return;
+    m_context.metrics.note_unanswered();
+    m_context.log.write(Observe::LogEvent("unanswered")
+                            .add("request", m_request.id)
+                            .add("server", m_attempt->server().record().instance)
+                            .add("send", m_send_count + 1)
+                            .add("sent_ms_ago", Core::elapsed(m_attempt->started_at(), now)));
+}
+
 BackendAttempt::Listener::ConnectedResult RequestForwarder::handle_connected(BackendAttempt&)
 {
     auto const now = Core::monotonic_now();
@@ -629,6 +641,7 @@
     m_may_have_run = true;
     m_tried_servers.insert(server);
     count_unanswered_attempt();
+    note_abandoned_attempt(now);
     end_attempt(AttemptResult::Failure, now);
     m_events.drop_partial_event();
     retry("the backend server stopped responding", now);
@@ -639,6 +652,7 @@
     if (m_attempt && m_attempt->is_sent()) {
         m_may_have_run = true;
         count_unanswered_attempt();
+        note_abandoned_attempt(now);
         end_attempt(m_first_event_at ? AttemptResult::Success : AttemptResult::Failure, now);
     }
     drop_unsent_attempt();
@@ -661,6 +675,7 @@
         return;
     m_context.metrics.note_cancelled();
     count_unanswered_attempt();
+    note_abandoned_attempt(Core::monotonic_now());
     if (m_attempt)
         m_attempt->cancel();
     finish(
@@ -674,6 +689,7 @@
         return;
     if (m_attempt) {
         m_may_have_run = m_may_have_run || m_attempt->is_sent();
+        note_abandoned_attempt(Core::monotonic_now());
         m_attempt->cancel();
     }
     if (m_has_started_response)
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -211,6 +211,8 @@
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
     /// whether a stream without an event ran is unknown.
     void count_unanswered_attempt();
+    /// Logs that the attempt is abandoned, unless its server has answered or nothing was sent.
+    void note_abandoned_attempt(Core::MonotonicTime now);
 
     void drop_unsent_attempt();
     /// Returns how long the server may be silent before the request is moved to another one.
