LibGateway: Do not clear a crashing request by a server's error

Cause: any whole response cleared its request and the parts of its prompt of all crashes, also a 500.

Now only responses below 500 clear; an error of the server says nothing about the request.

--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -202,7 +202,9 @@
     auto const& head = attempt.parser().head();
     bool const is_server_error = head.status >= Status::s_first_server_error;
     count_usage(m_request.is_stream() ? now : attempt.started_at());
-    note_completed(now);
+    // A failing server answers any request with an error, also those that crash servers.
+    if (!is_server_error)
+        note_completed(now);
     if (is_server_error && m_request.is_repeatable() && !m_has_started_response && may_retry(now)) {
         m_tried_servers.insert(attempt.server().record().instance);
         end_attempt(result_of_error(now), now);
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -45,6 +45,8 @@
     {
         add_backend(Core::concat("i-", number), [this, number](auto& connection, auto const& text, auto) {
             std::this_thread::sleep_for(m_read_delay.load());
+            if (m_error_period > 0 && m_is_deadly(text) && m_deadly_arrivals++ % m_error_period == 0)
+                return connection.write(answer_to(text, 500, "failed"));
             connection.write(stream_head_to(text));
             if (m_is_deadly(text)) {
                 auto const last = static_cast<unsigned>(std::stoul(field_of(text, "Last-Event-ID").value_or("0")));
@@ -120,6 +122,9 @@
     std::atomic<FirstEvents> m_first_events {FirstEvents::Never};
     /// Time for which engines read a prompt.
     std::atomic<Core::Milliseconds> m_read_delay {Core::Milliseconds(0)};
+    /// Engines answer every so many deadly requests with an error in place of a crash; 0 for none.
+    std::atomic<unsigned> m_error_period {0};
+    std::atomic<unsigned> m_deadly_arrivals {0};
     Predicate m_is_deadly;
     Core::Milliseconds m_crash_delay;
     std::size_t m_next_gateway {0};
--- a/Tests/LibGateway/CrashingPartRulesTest.cpp
+++ b/Tests/LibGateway/CrashingPartRulesTest.cpp
@@ -110,6 +110,16 @@
     EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
 }
 
+TEST_F(CrashingPartRules, DoesNotClearAPartByServerErrors)
+{
+    m_error_period = 3;
+    crash_engines_and_wait(in_turn({"system:100,bad:50", "system:100,fine:50"}));
+    auto const before = arrivals(has_bad_part);
+    for (int count = 0; count < s_late_requests; ++count)
+        static_cast<void>(send_prompt("system:100,bad:50"));
+    EXPECT_LE(arrivals(has_bad_part) - before, s_max_late_sends);
+}
+
 // All gateways restarted at the same time; the store has kept the quarantine.
 TEST_F(CrashingPartRules, DoesNotSendPromptsWithAPartQuarantinedInTheStore)
 {
