--- /dev/null
+++ b/Tests/Soak/BudgetSoakTest.cpp
@@ -0,0 +1,36 @@
+// A short run of the soak of repeated sends, with the shapes of both deployments.
+#include "BudgetSoak.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+namespace GraniteField::Testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class BudgetSoakSeeds : public ::testing::TestWithParam<BudgetSoak::Shape> {
+protected:
+    void SetUp() override { std::signal(SIGPIPE, SIG_IGN); }
+};
+
+}
+
+TEST_P(BudgetSoakSeeds, KeepEveryPromise)
+{
+    BudgetSoak::Options options;
+    options.seed = 5;
+    options.shape = GetParam();
+    options.length = 15s;
+    auto const report = BudgetSoak(options).run();
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_GT(report.peaks.at(BudgetSoak::s_engine_service).repeats, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    HrubecPayAndPwaniCharts, BudgetSoakSeeds, ::testing::Values(BudgetSoak::s_hrubec_pay, BudgetSoak::s_pwani_charts));
+
+}
