LibPolicy, LibGateway: Charge a repeated send until its server has read it

Cause: a repeat was charged to the window in which a gateway decided it, while the allowance counts arrivals. What a paused or starved server has not read stays in its kernel, also after the gateway has closed the connection. The charges left the window after 10 s, the requests did not, and the repeats of all windows arrived in the first second in which the server read again. The same holds for a repeat that waits for its connection.

A charge is now kept until the send has been read or is lost: a response head or a broken connection of the attempt itself; for an attempt that was abandoned without an answer, an answer of that address to a request that was sent later (connections are accepted in order), or a minute. It then counts for one window more. A budget so never has more arrivals outstanding than one window allows, however long a server stalls. `retry` logs the number of unsettled charges.

The new property of FleetRetryBudget fails with the unsettled charges left out.

--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -131,7 +131,7 @@
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
           m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams)
     , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_streams, m_crashes, usage, {},
-          m_admission, {}, 1, 0, log, m_metrics}
+          m_admission, {}, {}, 1, 0, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
@@ -388,6 +388,7 @@
     tick_runs(now);
     if (m_context.usage != nullptr)
         m_context.unconfirmed_runs.count_confirmed(*m_context.usage, now);
+    m_context.unread_sends.drop_expired(now);
     finish_expired_requests(now);
     m_context.held_bytes = 0;
     for (auto const& connection : m_connections) {
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -154,6 +154,7 @@
 void RequestForwarder::reject_quarantined_attempt()
 {
     m_may_have_run = true;
+    note_abandoned_attempt(Core::monotonic_now());
     drop_unsent_attempt();
     reject_quarantined();
 }
@@ -415,6 +416,8 @@
                             .add("server", m_attempt->server().record().instance)
                             .add("send", m_send_count + 1)
                             .add("sent_ms_ago", Core::elapsed(m_attempt->started_at(), now)));
+    if (!m_charges.empty())
+        m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
 }
 
 BackendAttempt::Listener::ConnectedResult RequestForwarder::handle_connected(BackendAttempt&)
@@ -491,6 +494,7 @@
 void RequestForwarder::handle_broken_attempt(std::string const& reason, Core::MonotonicTime now)
 {
     m_may_have_run = true;
+    m_charges.clear();
     m_tried_servers.insert(m_attempt->server().record().instance);
     auto const head_received_at = m_attempt->head_received_at();
     auto const sent = m_attempt->started_at();
@@ -545,8 +549,10 @@
         && ledger.count_crash_moments(crash_identity(m_request, m_context.dialect))
             >= m_context.settings.max_crash_moments_for_retry)
         return false;
-    if (m_context.budget_of(m_request.service).try_spend(now))
+    if (auto const charge = m_context.budget_of(m_request.service).try_spend(now)) {
+        m_charges.push_back(*charge);
         return true;
+    }
     m_context.metrics.note_denied_retry();
     return false;
 }
@@ -558,7 +564,8 @@
                             .add("request", m_request.id)
                             .add("why", why)
                             .add("sends", m_send_count)
-                            .add("budget", m_context.budget_of(m_request.service).balance()));
+                            .add("budget", m_context.budget_of(m_request.service).balance())
+                            .add("unsettled", m_context.budget_of(m_request.service).unsettled()));
     m_buffered_response.clear();
     dispatch(now);
 }
@@ -723,6 +730,7 @@
     if (m_is_over)
         return;
     m_is_over = true;
+    m_charges.clear();
     m_caller->set_on_disconnect(nullptr);
     log_end(outcome, status, reason);
 }
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -9,6 +9,7 @@
 #include <LibGateway/LoadExchange.h>
 #include <LibGateway/RoutedRequest.h>
 #include <LibGateway/UnconfirmedRuns.h>
+#include <LibGateway/UnreadSends.h>
 #include <LibHTTP/EventFramer.h>
 #include <LibObserve/EventLog.h>
 #include <LibPolicy/Admission.h>
@@ -20,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -90,6 +92,7 @@
     Policy::Admission& admission;
     /// Retry budgets by service.
     std::map<std::string, Policy::FleetRetryBudget> budgets;
+    UnreadSends unread_sends;
     std::size_t entry_count {1};
     /// Number of bytes buffered for callers: measured at the last tick, plus what was added since.
     std::size_t held_bytes {0};
@@ -211,7 +214,7 @@
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
     /// whether a stream without an event ran is unknown.
     void count_unanswered_attempt();
-    /// Logs that the attempt is abandoned, unless its server has answered or nothing was sent.
+    /// Records that the attempt is abandoned, unless its server has answered or nothing was sent.
     void note_abandoned_attempt(Core::MonotonicTime now);
 
     void drop_unsent_attempt();
@@ -239,6 +242,8 @@
     /// Instances that refused the connection or did not accept it in time.
     std::set<std::string> m_unreachable_servers;
     unsigned m_send_count {0};
+    /// Charges of the repeated sends that may be unread.
+    std::vector<Policy::RetryCharge> m_charges;
     unsigned m_failed_connects {0};
     /// Whether an attempt was withdrawn before it was sent.
     bool m_was_withdrawn {false};
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -18,6 +18,8 @@
 void RequestForwarder::handle_response_head(BackendAttempt& attempt)
 {
     auto const& head = attempt.parser().head();
+    m_charges.clear();
+    m_context.unread_sends.note_answered(attempt.server().record().address, attempt.started_at());
     // A 421 comes from another server that now has this address, so its signals do not apply to the chosen server.
     if (head.status == Status::s_misdirected || !is_response_to_request(head))
         return;
--- a/Libraries/LibPolicy/FleetRetryBudget.h
+++ b/Libraries/LibPolicy/FleetRetryBudget.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibPolicy/RetryCharge.h>
 
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
+#include <optional>
+#include <utility>
 
 namespace GraniteField::Policy {
 
@@ -24,6 +28,10 @@
 /// thread.
 ///
 /// A fault causes all retries at one moment, so a gateway may save up what its requests have earned.
+///
+/// The allowance limits arrivals at servers, while the budget sees sends. A send that its server has not read may
+/// arrive at any later time together with others, so its charge counts in every window until it is settled, and then
+/// for one window more.
 class FleetRetryBudget {
 public:
     /// Fraction of the allowance that is used, so that late arrivals and gateways that are not known yet stay within
@@ -36,27 +44,30 @@
         : m_allowance(allowance)
     {
     }
+    FleetRetryBudget(FleetRetryBudget&&) = default;
+    FleetRetryBudget& operator=(FleetRetryBudget&&) = default;
 
     void set_allowance(RetryAllowance allowance) { m_allowance = allowance; }
     void set_entry_count(std::size_t count) { m_entry_count = std::max(count, s_min_entries); }
 
     void note_first_send(Core::MonotonicTime now) { ++slice_at(now).first_sends; }
 
-    /// Spends one repeated send. Returns whether the budget allowed it.
-    [[nodiscard]] bool try_spend(Core::MonotonicTime now)
+    /// Charges one repeated send. Returns the charge, to be kept until the send has been read by its server or can't
+    /// be read any more; nullopt if the budget does not allow the send.
+    [[nodiscard]] std::optional<RetryCharge> try_spend(Core::MonotonicTime now)
     {
-        auto& slice = slice_at(now);
-        if (earned() >= 1) {
-            ++slice.spent;
-            return true;
-        }
+        static_cast<void>(slice_at(now));
+        if (earned() >= 1)
+            return RetryCharge(m_charges, RetryCharge::Source::Earned);
         refill(now);
         if (m_slack < 1)
-            return false;
+            return std::nullopt;
         m_slack -= 1;
-        return true;
+        return RetryCharge(m_charges, RetryCharge::Source::Slack);
     }
 
+    /// Number of repeated sends whose charges are not settled.
+    [[nodiscard]] std::size_t unsettled() const { return m_charges->earned + m_charges->slack; }
     /// Number of repeated sends that are available now.
     [[nodiscard]] double balance() const { return std::max(0.0, earned()) + m_slack; }
 
@@ -79,6 +90,7 @@
             m_window.pop_front();
         if (m_window.empty() || m_window.back().number < number)
             m_window.push_back({number, 0, 0});
+        m_window.back().spent += std::exchange(m_charges->settled, 0U);
         return m_window.back();
     }
 
@@ -88,7 +100,7 @@
     {
         if (m_window.empty())
             return 0;
-        double sum = 0;
+        double sum = -static_cast<double>(m_charges->earned) - m_charges->settled;
         for (auto const& slice : m_window) {
             bool const is_whole = slice.number > m_window.back().number - s_slices;
             sum += is_whole ? m_allowance.ratio * s_used_fraction * slice.first_sends : 0;
@@ -111,7 +123,8 @@
             m_last_refill = now;
         std::chrono::duration<double> const passed = now - m_last_refill;
         std::chrono::duration<double> const window = m_allowance.window;
-        m_slack = std::min(capacity(), m_slack + slack_share() * passed.count() / window.count());
+        auto const limit = std::max(0.0, capacity() - static_cast<double>(m_charges->slack));
+        m_slack = std::min(limit, m_slack + slack_share() * passed.count() / window.count());
         m_last_refill = now;
     }
 
@@ -121,6 +134,7 @@
     double m_slack {1};
     std::deque<Slice> m_window;
     Core::MonotonicTime m_last_refill;
+    std::shared_ptr<RetryCharges> m_charges {std::make_shared<RetryCharges>()};
 };
 
 }
--- a/Tests/LibGateway/GatewayPropertiesTest.cpp
+++ b/Tests/LibGateway/GatewayPropertiesTest.cpp
@@ -119,7 +119,9 @@
     using namespace std::chrono_literals;
     Policy::RetryAllowance const allowance {0.2, 54, 10s};
     auto const entries = *rc::gen::inRange<std::size_t>(1, 30);
-    std::vector<Policy::FleetRetryBudget> budgets(entries, Policy::FleetRetryBudget(allowance));
+    std::vector<Policy::FleetRetryBudget> budgets;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+        budgets.emplace_back(allowance);
     for (auto& budget : budgets)
         budget.set_entry_count(entries);
     std::deque<Core::MonotonicTime> requests;
@@ -172,6 +174,67 @@
     EXPECT_LE(budget.balance(), 1);
 }
 
+RC_GTEST_PROP(FleetRetryBudget, StaysWithinTheAllowanceWhenRepeatsArriveLate, ())
+{
+    using namespace std::chrono_literals;
+    Policy::RetryAllowance const allowance {0.2, 54, 10s};
+    constexpr std::size_t entries = 4;
+    std::vector<Policy::FleetRetryBudget> budgets;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+        budgets.emplace_back(allowance);
+    std::vector<Policy::RetryCharge> unread;
+    std::deque<Core::MonotonicTime> requests;
+    std::deque<Core::MonotonicTime> arrivals;
+    Core::MonotonicTime now {std::chrono::hours(1)};
+    for (int step = 0; step < 3'000; ++step) {
+        now += Core::Milliseconds(*rc::gen::inRange(0, 30));
+        auto& budget = budgets[*rc::gen::inRange<std::size_t>(0, entries)];
+        budget.note_first_send(now);
+        requests.push_back(now);
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            if (auto const charge = budget.try_spend(now))
+                unread.push_back(*charge);
+        }
+        // Servers read nothing for many seconds, and then all that has been sent.
+        if (*rc::gen::inRange(0, 1'500) == 0) {
+            arrivals.insert(arrivals.end(), unread.size(), now);
+            unread.clear();
+        }
+        while (!arrivals.empty() && arrivals.front() <= now - allowance.window)
+            arrivals.pop_front();
+        while (!requests.empty() && requests.front() <= now - allowance.window)
+            requests.pop_front();
+        auto const bound = allowance.ratio * static_cast<double>(requests.size()) + allowance.slack;
+        RC_ASSERT(static_cast<double>(arrivals.size()) <= bound);
+    }
+}
+
+TEST(FleetRetryBudget, ChargesAnUnreadRepeatUntilItIsSettled)
+{
+    using namespace std::chrono_literals;
+    Policy::FleetRetryBudget budget({0.2, 0, 10s});
+    Core::MonotonicTime now {std::chrono::hours(1)};
+    // Eight requests earn one repeat.
+    auto const send_requests = [&] {
+        for (int request = 0; request < 8; ++request)
+            budget.note_first_send(now);
+    };
+    send_requests();
+    auto earned = budget.try_spend(now);
+    auto const slack = budget.try_spend(now);
+    ASSERT_TRUE(earned && slack);
+    now += 30s;
+    send_requests();
+    EXPECT_FALSE(budget.try_spend(now));
+    earned.reset();
+    EXPECT_FALSE(budget.try_spend(now));
+    now += 9s;
+    EXPECT_FALSE(budget.try_spend(now));
+    now += 2s;
+    send_requests();
+    EXPECT_TRUE(budget.try_spend(now));
+}
+
 TEST(PrefixCacheModel, CountsUnsharedTokensAgainstTheCapacity)
 {
     PrefixCacheModel model;
