LibGateway: Write the remaining time when the connection is up

A server could be given time that its caller no longer has: the request, with the remaining time in its head, was written when a gateway began to connect and sent when the connection came up.

BackendAttempt now asks its listener for the request once it is connected, and one whose time has passed by then is not sent.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -47,9 +47,8 @@
     m_server->end_attempt(m_load);
 }
 
-void BackendAttempt::start(std::string request, Core::MonotonicTime now)
+void BackendAttempt::start(Core::MonotonicTime now)
 {
-    m_request = std::move(request);
     m_started_at = now;
     m_last_received_at = now;
     auto const& address = m_server->record().address;
@@ -93,8 +92,10 @@
 {
     if (error)
         return fail(Failure::NotSent, error.message());
-    if (m_listener->handle_connected(*this) == Listener::ConnectedResult::Withdrawn)
+    auto request = m_listener->handle_connected(*this);
+    if (!request)
         return;
+    m_request = std::move(*request);
     write();
     if (!m_is_over)
         read();
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -28,16 +28,10 @@
     /// Receives the events of an attempt, always from the event loop and never from within start().
     class Listener {
     public:
-        /// What happens to the request once the connection is established.
-        enum class ConnectedResult {
-            Send,
-            /// The attempt was cancelled; nothing is sent.
-            Withdrawn,
-        };
-
         virtual ~Listener() = default;
-        /// Called once when the connection is established, before the request is sent.
-        [[nodiscard]] virtual ConnectedResult handle_connected(BackendAttempt&) = 0;
+        /// Called once when the connection is established. Returns the request to send, or nullopt if the attempt was
+        /// cancelled. Connecting takes time, which the request must not give to the server once more.
+        [[nodiscard]] virtual std::optional<std::string> handle_connected(BackendAttempt&) = 0;
         /// Called once when the head of the response has arrived, before handle_response().
         virtual void handle_response_head(BackendAttempt&) = 0;
         /// Called when the head of the response or more of its body has arrived.
@@ -55,8 +49,8 @@
     BackendAttempt(BackendAttempt const&) = delete;
     BackendAttempt& operator=(BackendAttempt const&) = delete;
 
-    /// Connects, and sends the request once connected.
-    void start(std::string request, Core::MonotonicTime now);
+    /// Connects, and sends the request of the listener once connected.
+    void start(Core::MonotonicTime now);
     /// Closes the connection; the listener is not called any more.
     void cancel();
 
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -291,7 +291,7 @@
     m_context.fleet.note_sent(*m_choice.server, now);
     m_choice.server->prefixes().note_prefill(m_request.prompt);
     m_context.load.note_placement(*m_choice.server, shared_parts(m_request), own_tokens(m_request));
-    m_attempt->start(serialize_request(*m_choice.server, now), now);
+    m_attempt->start(now);
     m_context.log.write(Observe::LogEvent("dispatch")
                             .add("request", m_request.id)
                             .add("server", m_choice.server->record().instance)
@@ -420,14 +420,18 @@
         m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
 }
 
-BackendAttempt::Listener::ConnectedResult RequestForwarder::handle_connected(BackendAttempt&)
+std::optional<std::string> RequestForwarder::handle_connected(BackendAttempt& attempt)
 {
     auto const now = Core::monotonic_now();
     m_context.apply_server_list();
+    if (now >= m_request.deadline) {
+        handle_deadline(now);
+        return std::nullopt;
+    }
     if (may_send_attempt(now))
-        return ConnectedResult::Send;
+        return serialize_request(attempt.server(), now);
     withdraw_attempt(now);
-    return ConnectedResult::Withdrawn;
+    return std::nullopt;
 }
 
 bool RequestForwarder::may_send_attempt(Core::MonotonicTime now) const
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -130,7 +130,7 @@
     [[nodiscard]] RoutedRequest const& request() const { return m_request; }
 
 private:
-    [[nodiscard]] ConnectedResult handle_connected(BackendAttempt&) override;
+    [[nodiscard]] std::optional<std::string> handle_connected(BackendAttempt&) override;
     void handle_response_head(BackendAttempt&) override;
     void handle_response(BackendAttempt&) override;
     void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
--- a/Tests/LibGateway/AttemptRulesTest.cpp
+++ b/Tests/LibGateway/AttemptRulesTest.cpp
@@ -436,6 +436,22 @@
     EXPECT_EQ(counter("granitefield_gateway_withdrawn_total"), 1U);
 }
 
+// The kernel repeats the opening packet of a connection after a second.
+TEST_F(AttemptRules, GivesNoServerTheTimeThatItsConnectionTook)
+{
+    FullListener full;
+    add_route("brief", {{"path-prefix", "/brief/"}, {"time-limit", "2500ms"}});
+    m_settings.runs.connect_limit = Core::Milliseconds(5'000);
+    m_servers_list.servers.push_back(full.entry("i-0"));
+    start();
+    auto const caller = call(request("POST", "/brief/", "", "pay"));
+    while (nlohmann::json::parse(m_gateway->status())["backend-servers"][0]["open"] != 1)
+        continue;
+    full.make_room();
+    auto const received = full.next_received(Core::Milliseconds(4'000)).value_or("");
+    EXPECT_LE(std::stoi(field_of(received, "Granitefield-Remaining-Ms").value_or("2500")), 2'000);
+}
+
 TEST_F(AttemptRules, ChoosesAnotherServerOnceTheChosenOneLeavesWhileConnecting)
 {
     FullListener const full;
