--- a/Tests/Soak/BudgetSoak.cpp
+++ b/Tests/Soak/BudgetSoak.cpp
@@ -228,9 +228,7 @@
         });
     case 1:
     case 2:
-        m_shares.forget(process.id());
-        process.kill();
-        return disturb(index, "kill", draw_time(100, 2'500), [this, index] { start_gateway(index); });
+        return kill_gateway(index, draw_time(100, 2'500));
     case 3:
         process.terminate();
         return disturb(index, "stop", draw_time(3'000, 8'000), [this, index, &slot] {
@@ -246,6 +244,24 @@
     }
 }
 
+void BudgetSoak::kill_gateway(std::size_t index, Core::Milliseconds down)
+{
+    auto& process = *m_slots[index].gateway.process;
+    m_shares.forget(process.id());
+    process.kill();
+    disturb(index, "kill", down, [this, index] { start_gateway(index); });
+}
+
+void BudgetSoak::kill_gateways_in_turn(Core::Milliseconds pause, Core::Milliseconds length)
+{
+    auto const end = Core::monotonic_now() + length;
+    for (std::size_t index = 0; Core::monotonic_now() < end; index = (index + 1) % m_slots.size()) {
+        if (!m_slots[index].is_busy)
+            kill_gateway(index, s_turn);
+        pass(pause);
+    }
+}
+
 void BudgetSoak::cut_gateway(std::size_t index)
 {
     auto& slot = m_slots[index];
--- a/Tests/Soak/BudgetSoak.h
+++ b/Tests/Soak/BudgetSoak.h
@@ -75,6 +75,8 @@
     void pass(Core::Milliseconds);
     /// All servers of the service stop reading for so long, and stay listed.
     void stall_service(std::string const& service, Core::Milliseconds);
+    /// One gateway after the other is killed and started again at once, with that pause between two.
+    void kill_gateways_in_turn(Core::Milliseconds pause, Core::Milliseconds length);
     /// Callers send one request, or requests with one part, that crash each server that begins them.
     void send_deadly_requests(Core::Milliseconds);
     void send_deadly_parts(Core::Milliseconds);
@@ -102,6 +104,7 @@
     void draw_until_over();
     void begin_fault();
     void fault_gateway(std::size_t index);
+    void kill_gateway(std::size_t index, Core::Milliseconds down);
     void cut_gateway(std::size_t index);
     void fault_service();
     void crash_server(BudgetBackend&);
--- a/Tests/Soak/budget_soak.cpp
+++ b/Tests/Soak/budget_soak.cpp
@@ -31,10 +31,13 @@
     TCLAP::ValueArg<std::string> deadly("", "deadly",
         "Crash servers that restart at once by requests or by parts instead of drawn faults.", false, "", "KIND",
         command_line);
+    TCLAP::ValueArg<std::string> kills(
+        "", "kills", "Kill one gateway after the other in a script, with that pause.", false, "", "TIME", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     auto const stalled = stall.isSet() ? Core::parse_duration(stall.getValue()) : Core::Milliseconds(0);
-    if (!duration || !stalled) {
+    auto const pause = kills.isSet() ? Core::parse_duration(kills.getValue()) : Core::Milliseconds(0);
+    if (!duration || !stalled || !pause) {
         std::cerr << "budget-soak: a duration is written such as 8s\n";
         return 2;
     }
@@ -58,9 +61,13 @@
                 soak.send_deadly_requests(*duration);
             if (deadly.getValue() == "parts")
                 soak.send_deadly_parts(*duration);
-            soak.pass(std::max<Core::Milliseconds>(*stalled, *duration) + std::chrono::seconds(2));
+            if (kills.isSet())
+                soak.kill_gateways_in_turn(*pause, std::max(*stalled, *duration));
+            else
+                soak.pass(std::max(*stalled, *duration));
+            soak.pass(std::chrono::seconds(2));
         };
-        bool const has_script = stall.isSet() || deadly.isSet();
+        bool const has_script = stall.isSet() || deadly.isSet() || kills.isSet();
         auto const report = has_script ? soak.run(script) : soak.run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [service, peak] : report.peaks)
