LibGateway: Do not move a silent request to another silent server

Cause: a request whose server was silent was moved to any other server, also to one that had itself answered nothing since the gateway abandoned a request there. Such a repeat helps no caller and only waits unread. Now such a server is no alternative for a silent request until it answers something; servers that were not tried yet still are, and requests whose attempts failed otherwise go anywhere.

--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -241,6 +241,10 @@
 {
     auto servers = m_tried_servers;
     servers.insert(m_unreachable_servers.begin(), m_unreachable_servers.end());
+    // A request that was abandoned in silence gains nothing at another silent server.
+    if (m_was_abandoned)
+        m_context.fleet.add_servers_where(
+            [this](auto const& address) { return m_context.unread_sends.is_silent(address); }, servers);
     return servers;
 }
 
@@ -416,8 +420,7 @@
                             .add("server", m_attempt->server().record().instance)
                             .add("send", m_send_count + 1)
                             .add("sent_ms_ago", Core::elapsed(m_attempt->started_at(), now)));
-    if (!m_charges.empty())
-        m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
+    m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
 }
 
 std::optional<std::string> RequestForwarder::handle_connected(BackendAttempt& attempt)
@@ -638,6 +641,7 @@
     auto const silence = Core::elapsed(m_attempt->last_received_at(), now);
     bool const is_paused_for_caller = m_attempt->is_paused();
     auto const server = m_attempt->server().record().instance;
+    m_was_abandoned = true;
     auto excluded = excluded_servers();
     excluded.insert(server);
     bool const has_alternative = m_context.fleet.choose(m_request, excluded, now).server != nullptr;
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -247,6 +247,8 @@
     unsigned m_failed_connects {0};
     /// Whether an attempt was withdrawn before it was sent.
     bool m_was_withdrawn {false};
+    /// Whether a server was silent for so long that the request is moved, or would be.
+    bool m_was_abandoned {false};
     bool m_may_have_run {false};
     /// Whether the request was counted as started; shared with UnconfirmedRuns.
     std::shared_ptr<bool> m_is_usage_counted {std::make_shared<bool>(false)};
--- a/Tests/LibGateway/UnreadSendsTest.cpp
+++ b/Tests/LibGateway/UnreadSendsTest.cpp
@@ -34,7 +34,9 @@
     // Sent before, so it may have been read while the later request was not.
     m_sends.note_answered(m_stalled, at(500ms));
     EXPECT_EQ(m_charges->earned, 1U);
+    EXPECT_TRUE(m_sends.is_silent(m_stalled));
     m_sends.note_answered(m_stalled, at(2s));
+    EXPECT_FALSE(m_sends.is_silent(m_stalled));
     EXPECT_EQ(m_charges->earned, 0U);
     EXPECT_EQ(m_charges->settled, 1U);
 }
