LibGateway: Take a server for silent by what was received from it only

A server is silent now if nothing at all was received from it since a request was sent that it did not answer in time; charges are kept apart from that (UnreadSends).

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -156,6 +156,7 @@
     if (error)
         return fail(Failure::Broken, error.message());
     m_last_received_at = Core::monotonic_now();
+    m_server->note_received(m_last_received_at);
     m_input.append(s_buffer.data(), count);
     m_input.erase(0, m_parser.add(m_input));
     if (m_parser.is_broken() || m_input.size() > s_max_unparsed_bytes)
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -30,7 +30,7 @@
     public:
         virtual ~Listener() = default;
         /// Called once when the connection is established. Returns the request to send, or nullopt if the attempt was
-        /// cancelled. Connecting takes time, which the request must not give to the server once more.
+        /// cancelled. The request states the time that remains, so it is written only now.
         [[nodiscard]] virtual std::optional<std::string> handle_connected(BackendAttempt&) = 0;
         /// Called once when the head of the response has arrived, before handle_response().
         virtual void handle_response_head(BackendAttempt&) = 0;
--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -220,6 +220,14 @@
     }
 }
 
+void BackendFleet::add_silent_servers(std::set<std::string>& instances) const
+{
+    for (auto const& [instance, view] : m_servers) {
+        if (view->is_silent())
+            instances.insert(instance);
+    }
+}
+
 void BackendFleet::note_first_event(std::string const& service, std::uint32_t unread_tokens, Core::Milliseconds wait)
 {
     m_policy.engine_model(service).note_first_event(unread_tokens, wait);
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -13,7 +13,6 @@
 #include <LibPolicy/LimitShares.h>
 #include <LibPolicy/RateLimitFact.h>
 
-#include <concepts>
 #include <map>
 #include <memory>
 #include <set>
@@ -95,15 +94,8 @@
 
     /// Adds the instances at the given places (hashes of addresses).
     void add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const;
-    /// Adds the instances at the addresses that fulfil the condition.
-    template <std::predicate<Core::Address const&> Condition>
-    void add_servers_where(Condition const& condition, std::set<std::string>& instances) const
-    {
-        for (auto const& [instance, view] : m_servers) {
-            if (condition(view->record().address))
-                instances.insert(instance);
-        }
-    }
+    /// Adds the instances of servers that are silent.
+    void add_silent_servers(std::set<std::string>& instances) const;
 
     /// Whether any server of the service has stated a software version.
     [[nodiscard]] bool has_versions(std::string const& service) const { return m_versioned_services.contains(service); }
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -207,6 +207,13 @@
         return std::exchange(m_avoidance_count, 0U) > 0;
     }
 
+    /// Records that this gateway received bytes from the server.
+    void note_received(Core::MonotonicTime now) { m_last_received_at = now; }
+    /// Records that a request which was sent at that time is abandoned, since the server did not answer.
+    void note_unanswered(Core::MonotonicTime sent) { m_last_unanswered = std::max(m_last_unanswered, sent); }
+    /// Whether nothing was received from the server since a request was sent that it did not answer in time.
+    [[nodiscard]] bool is_silent() const { return m_last_unanswered > m_last_received_at; }
+
     /// Records that this or another gateway suspects the server to be dead. `gateways` is the number of gateways that
     /// may retry it: their retries are spread so that the result of the first one reaches the others before they retry.
     void note_suspected(std::size_t gateways, Core::MonotonicTime now)
@@ -285,6 +292,9 @@
     unsigned m_consecutive_failures {0};
     unsigned m_avoidance_count {0};
     std::optional<Core::MonotonicTime> m_suspected_since;
+    Core::MonotonicTime m_last_received_at;
+    /// Time at which the newest unanswered request was sent.
+    Core::MonotonicTime m_last_unanswered;
     Core::MonotonicTime m_avoided_since;
     Core::MonotonicTime m_avoided_until;
     std::chrono::duration<double, std::milli> m_mean_latency {0};
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -154,7 +154,7 @@
 void RequestForwarder::reject_quarantined_attempt()
 {
     m_may_have_run = true;
-    note_abandoned_attempt(Core::monotonic_now());
+    note_abandoned_attempt(AbandonReason::Unwanted, Core::monotonic_now());
     drop_unsent_attempt();
     reject_quarantined();
 }
@@ -241,10 +241,9 @@
 {
     auto servers = m_tried_servers;
     servers.insert(m_unreachable_servers.begin(), m_unreachable_servers.end());
-    // A request that was abandoned in silence gains nothing at another silent server.
-    if (m_was_abandoned)
-        m_context.fleet.add_servers_where(
-            [this](auto const& address) { return m_context.unread_sends.is_silent(address); }, servers);
+    // A request that waited for a silent server gains nothing at another one.
+    if (m_was_stalled)
+        m_context.fleet.add_silent_servers(servers);
     return servers;
 }
 
@@ -410,7 +409,7 @@
         count_usage(m_attempt->started_at());
 }
 
-void RequestForwarder::note_abandoned_attempt(Core::MonotonicTime now)
+void RequestForwarder::note_abandoned_attempt(AbandonReason reason, Core::MonotonicTime now)
 {
     if (!m_attempt || !m_attempt->is_sent() || m_attempt->head_received_at())
         return;
@@ -420,7 +419,10 @@
                             .add("server", m_attempt->server().record().instance)
                             .add("send", m_send_count + 1)
                             .add("sent_ms_ago", Core::elapsed(m_attempt->started_at(), now)));
-    m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
+    if (reason == AbandonReason::Silence)
+        m_attempt->server().note_unanswered(m_attempt->started_at());
+    if (!m_charges.empty())
+        m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
 }
 
 std::optional<std::string> RequestForwarder::handle_connected(BackendAttempt& attempt)
@@ -641,7 +643,7 @@
     auto const silence = Core::elapsed(m_attempt->last_received_at(), now);
     bool const is_paused_for_caller = m_attempt->is_paused();
     auto const server = m_attempt->server().record().instance;
-    m_was_abandoned = true;
+    m_was_stalled = true;
     auto excluded = excluded_servers();
     excluded.insert(server);
     bool const has_alternative = m_context.fleet.choose(m_request, excluded, now).server != nullptr;
@@ -656,7 +658,7 @@
     m_may_have_run = true;
     m_tried_servers.insert(server);
     count_unanswered_attempt();
-    note_abandoned_attempt(now);
+    note_abandoned_attempt(AbandonReason::Silence, now);
     end_attempt(AttemptResult::Failure, now);
     m_events.drop_partial_event();
     retry("the backend server stopped responding", now);
@@ -667,7 +669,7 @@
     if (m_attempt && m_attempt->is_sent()) {
         m_may_have_run = true;
         count_unanswered_attempt();
-        note_abandoned_attempt(now);
+        note_abandoned_attempt(AbandonReason::Silence, now);
         end_attempt(m_first_event_at ? AttemptResult::Success : AttemptResult::Failure, now);
     }
     drop_unsent_attempt();
@@ -690,7 +692,7 @@
         return;
     m_context.metrics.note_cancelled();
     count_unanswered_attempt();
-    note_abandoned_attempt(Core::monotonic_now());
+    note_abandoned_attempt(AbandonReason::Unwanted, Core::monotonic_now());
     if (m_attempt)
         m_attempt->cancel();
     finish(
@@ -704,7 +706,7 @@
         return;
     if (m_attempt) {
         m_may_have_run = m_may_have_run || m_attempt->is_sent();
-        note_abandoned_attempt(Core::monotonic_now());
+        note_abandoned_attempt(AbandonReason::Unwanted, Core::monotonic_now());
         m_attempt->cancel();
     }
     if (m_has_started_response)
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -214,8 +214,15 @@
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
     /// whether a stream without an event ran is unknown.
     void count_unanswered_attempt();
+    /// Reason why an attempt is abandoned.
+    enum class AbandonReason {
+        /// The server did not answer in time.
+        Silence,
+        /// The answer is not wanted any more.
+        Unwanted,
+    };
     /// Records that the attempt is abandoned, unless its server has answered or nothing was sent.
-    void note_abandoned_attempt(Core::MonotonicTime now);
+    void note_abandoned_attempt(AbandonReason, Core::MonotonicTime now);
 
     void drop_unsent_attempt();
     /// Returns how long the server may be silent before the request is moved to another one.
@@ -247,8 +254,8 @@
     unsigned m_failed_connects {0};
     /// Whether an attempt was withdrawn before it was sent.
     bool m_was_withdrawn {false};
-    /// Whether a server was silent for so long that the request is moved, or would be.
-    bool m_was_abandoned {false};
+    /// Whether a server was silent for longer than the stall limit.
+    bool m_was_stalled {false};
     bool m_may_have_run {false};
     /// Whether the request was counted as started; shared with UnconfirmedRuns.
     std::shared_ptr<bool> m_is_usage_counted {std::make_shared<bool>(false)};
--- a/Libraries/LibGateway/UnreadSends.h
+++ b/Libraries/LibGateway/UnreadSends.h
@@ -38,12 +38,6 @@
             drop_sent_before(found, sent);
     }
 
-    /// Whether the address has answered nothing since a request was sent there and abandoned.
-    [[nodiscard]] bool is_silent(Core::Address const& address) const
-    {
-        return !m_sends.empty() && m_sends.contains(address.to_string());
-    }
-
     void drop_expired(Core::MonotonicTime now)
     {
         for (auto place = m_sends.begin(); place != m_sends.end();)
--- a/Libraries/LibPolicy/FleetRetryBudget.h
+++ b/Libraries/LibPolicy/FleetRetryBudget.h
@@ -134,7 +134,7 @@
     double m_slack {1};
     std::deque<Slice> m_window;
     Core::MonotonicTime m_last_refill;
-    std::shared_ptr<RetryCharges> m_charges {std::make_shared<RetryCharges>()};
+    std::shared_ptr<RetryChargeCounts> m_charges {std::make_shared<RetryChargeCounts>()};
 };
 
 }
--- a/Libraries/LibPolicy/RetryCharge.h
+++ b/Libraries/LibPolicy/RetryCharge.h
@@ -6,8 +6,8 @@
 
 namespace GraniteField::Policy {
 
-/// Numbers of a budget's charges.
-struct RetryCharges {
+/// Counts of a budget's charges.
+struct RetryChargeCounts {
     /// Charges that are not settled, by what they were charged to.
     std::size_t earned {0};
     std::size_t slack {0};
@@ -15,8 +15,8 @@
     unsigned settled {0};
 };
 
-/// A repeated send that was charged to a retry budget. Copies stand for the same send; when the last one is gone, the
-/// charge is settled: the send has arrived, or will never arrive. Outlives its budget. For one thread.
+/// A repeated send that was charged to a retry budget. Copies stand for the same send. Destroying the last copy settles
+/// the charge: the send has arrived, or can't arrive any more. May outlive its budget. For one thread.
 class RetryCharge {
 public:
     enum class Source {
@@ -25,14 +25,14 @@
         Slack,
     };
 
-    RetryCharge(std::shared_ptr<RetryCharges> charges, Source source)
+    RetryCharge(std::shared_ptr<RetryChargeCounts> charges, Source source)
         : m_guard(std::make_shared<Guard>(std::move(charges), source))
     {
     }
 
 private:
     struct Guard {
-        Guard(std::shared_ptr<RetryCharges> charges, Source source)
+        Guard(std::shared_ptr<RetryChargeCounts> charges, Source source)
             : charges(std::move(charges))
             , source(source)
         {
@@ -46,7 +46,7 @@
         Guard(Guard const&) = delete;
         Guard& operator=(Guard const&) = delete;
 
-        std::shared_ptr<RetryCharges> charges;
+        std::shared_ptr<RetryChargeCounts> charges;
         Source source;
     };
 
--- a/Tests/LibGateway/BackendFleetTest.cpp
+++ b/Tests/LibGateway/BackendFleetTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,23 @@
 
 }
 
+TEST_F(ServerRuns, AreSilentUntilTheyAnswerAfterAnUnansweredRequest)
+{
+    apply_run(1'000);
+    auto const server = view();
+    EXPECT_FALSE(server->is_silent());
+    server->note_unanswered(s_start);
+    EXPECT_TRUE(server->is_silent());
+    std::set<std::string> silent;
+    m_fleet.add_silent_servers(silent);
+    EXPECT_EQ(silent, std::set<std::string> {"i-1"});
+    server->note_received(s_start + 1s);
+    EXPECT_FALSE(server->is_silent());
+    // It has answered since that request was sent.
+    server->note_unanswered(s_start + 500ms);
+    EXPECT_FALSE(server->is_silent());
+}
+
 TEST_F(ServerRuns, ResetsTheViewForTheNextRun)
 {
     apply_run(1'000);
--- a/Tests/LibGateway/UnreadSendsTest.cpp
+++ b/Tests/LibGateway/UnreadSendsTest.cpp
@@ -21,7 +21,7 @@
 
     Core::Address m_stalled {*Core::Address::from_string("127.0.0.1:1")};
     Core::Address m_other {*Core::Address::from_string("127.0.0.1:2")};
-    std::shared_ptr<Policy::RetryCharges> m_charges {std::make_shared<Policy::RetryCharges>()};
+    std::shared_ptr<Policy::RetryChargeCounts> m_charges {std::make_shared<Policy::RetryChargeCounts>()};
     UnreadSends m_sends;
 };
 
@@ -34,9 +34,7 @@
     // Sent before, so it may have been read while the later request was not.
     m_sends.note_answered(m_stalled, at(500ms));
     EXPECT_EQ(m_charges->earned, 1U);
-    EXPECT_TRUE(m_sends.is_silent(m_stalled));
     m_sends.note_answered(m_stalled, at(2s));
-    EXPECT_FALSE(m_sends.is_silent(m_stalled));
     EXPECT_EQ(m_charges->earned, 0U);
     EXPECT_EQ(m_charges->settled, 1U);
 }
