--- a/Tests/Judges/RepeatedSendJudgeTest.cpp
+++ b/Tests/Judges/RepeatedSendJudgeTest.cpp
@@ -19,7 +19,7 @@
 protected:
     std::string send(Core::Milliseconds time, std::size_t max_servers = 2)
     {
-        auto const id = Core::concat("g0-", m_sent++);
+        auto id = Core::concat("g0-", m_sent++);
         m_judge.note_request({id, "svc", at(time), 1s, max_servers});
         return id;
     }
--- a/Tests/Soak/BudgetSoak.cpp
+++ b/Tests/Soak/BudgetSoak.cpp
@@ -331,9 +331,13 @@
 void BudgetSoak::trouble_store()
 {
     static constexpr std::array s_outages {"busy", "reset", "silent"};
-    m_fleet.control({{"outage", s_outages.at(m_random() % s_outages.size())}});
-    m_faults.begin("store outage", Core::monotonic_now() + draw_time(500, 5'000), [this] {
+    auto const* const outage = s_outages.at(m_random() % s_outages.size());
+    m_fleet.control({{"outage", outage}});
+    auto const now = Core::monotonic_now();
+    auto const number = m_contact.begin_store(ContactBook::StoreTrouble::Away, outage, now);
+    m_faults.begin("store outage", now + draw_time(500, 5'000), [this, number] {
         m_fleet.control({{"outage", ""}});
+        m_contact.end_store(number, Core::monotonic_now());
     });
 }
 
