--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,6 +1,6 @@
 // New versions of the config add and take away keys: a tenant comes to hold more than 64 keys, and from then on the
 // gateway follows no version any more, so that a key that was taken away stays good.
-#include "../standins/standins.h"
+#include "../standins/standins.hpp"
 
 using namespace Review;
 
@@ -22,8 +22,8 @@
     return {{"version", version},
         {"routes",
             {{{"name", "r-status"}, {"host", "shop.example"}, {"path_prefix", "/status/"}, {"kind", "safe"},
-                {"timeout_ms", 5'000}, {"latency_slo_ms", 2'000}, {"prio", 0}, {"service", "status"},
-                {"attempts", 1}, {"no_auth", false}}}},
+                {"timeout_ms", 5'000}, {"latency_slo_ms", 2'000}, {"prio", 0}, {"service", "status"}, {"attempts", 1},
+                {"no_auth", false}}}},
         {"services", {{{"name", "status"}, {"health_path", "/health"}, {"max_conns", 110}, {"proto", "h1"}}}},
         {"limits",
             {{"max_header_bytes", 16'384}, {"max_body_bytes", 4'194'304}, {"header_timeout_ms", 3'000},
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [0-9]/case.cpp; do
-    number=${source%/case.cpp}
+for source in [0-9]/case.cc; do
+    number=${source%/case.cc}
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "${source}" -o "build/case${number}"
 done
--- a/review/standins/standins.h
+++ b/review/standins/standins.hpp
@@ -494,8 +494,8 @@
 
     [[nodiscard]] int port() const { return m_listener.port(); }
     [[nodiscard]] std::string const& id() const { return m_id; }
-    [[nodiscard]] Json entry(std::string const& service, std::string const& zone, std::string const& state = "ready",
-        int slots = 64) const
+    [[nodiscard]] Json entry(
+        std::string const& service, std::string const& zone, std::string const& state = "ready", int slots = 64) const
     {
         return {{"service", service}, {"addr", "127.0.0.1:" + std::to_string(port())}, {"zone", zone},
             {"version", "v1"}, {"slots", slots}, {"state", state}, {"cold_left_ms", 0}, {"seq", 1}};
@@ -521,8 +521,8 @@
             auto const id = request.field("X-Request-Id");
             auto const wanted = request.field("X-Expect-Instance");
             if (!wanted.empty() && wanted != m_id) {
-                if (!channel.send("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + m_id
-                        + "\r\nContent-Length: 0\r\n\r\n"))
+                if (!channel.send(
+                        "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n"))
                     return;
                 continue;
             }
