LibGateway: Do not call a gateway ready that cannot read the newest version

Callers were sent to a gateway that served an older version for good: it could not read the newest one at all, said so in a log line and answered the balancer 200.

Cause: readiness asked for a table, not for the newest one. Gateways that can read it, perhaps of a newer release, take the callers; where none can, the platform uses all of them, and the old version goes on being served.

--- a/Libraries/LibEntry/SharedTable.h
+++ b/Libraries/LibEntry/SharedTable.h
@@ -2,9 +2,11 @@
 
 #include <LibTable/Table.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -64,10 +66,26 @@
         return true;
     }
 
+    /// Notes that a version exists that this process cannot read; one that states no version follows the one in force.
+    void note_unreadable(std::optional<Core::TableVersion> version)
+    {
+        std::lock_guard const lock(m_mutex);
+        auto const in_force = m_table ? m_table->version() : Core::TableVersion();
+        m_unreadable_version = std::max(m_unreadable_version, version.value_or(in_force.next()));
+    }
+
+    /// Whether a version newer than the one in force exists that this process cannot read.
+    [[nodiscard]] bool is_outdated() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_table && m_table->version() < m_unreadable_version;
+    }
+
 private:
     mutable std::mutex m_mutex;
     std::shared_ptr<Table::Table const> m_table;
     TableSource m_source {TableSource::StoreList};
+    Core::TableVersion m_unreadable_version;
 };
 
 }
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -348,13 +348,16 @@
 
 bool GatewayServer::update_readiness()
 {
-    bool const is_ready = m_table != nullptr && m_fleet.listed_count() > 0 && !m_drain_started;
+    // Callers are better served by gateways that read the newest configuration. If none does, the platform uses all.
+    bool const is_outdated = m_shared_table.is_outdated();
+    bool const is_ready = m_table != nullptr && !is_outdated && m_fleet.listed_count() > 0 && !m_drain_started;
     if (is_ready == m_is_ready)
         return false;
     m_is_ready = is_ready;
     m_log.write(Observe::LogEvent("readiness")
                     .add("ready", is_ready)
                     .add("has_table", m_table != nullptr)
+                    .add("outdated", is_outdated)
                     .add("servers", m_fleet.listed_count())
                     .add("draining", m_drain_started.has_value()));
     return true;
--- a/Tests/Integration/AcceptedVersionTest.cpp
+++ b/Tests/Integration/AcceptedVersionTest.cpp
@@ -98,4 +98,17 @@
     EXPECT_EQ(ask_with_key(gateway, "/a/", "key-2"), 200);
 }
 
+// Guards against a gateway that calls itself ready while it can't put the newest version in force.
+TEST_F(AcceptedVersion, IsNotReadyWhileTheNewestCanNotBeRead)
+{
+    put_version(1, Json::array({keyed_route()}), Json::array({workspace("ws", Json::array({"key-1"}))}));
+    auto const gateway = start("g-1");
+    ASSERT_TRUE(wait_until([&] { return is_ready(gateway); }));
+    put("config", "main", {{"version", 2}, {"routes", "none"}});
+    EXPECT_TRUE(wait_until([&] { return !is_ready(gateway); }, s_in_force_limit));
+    EXPECT_EQ(ask_with_key(gateway, "/a/", "key-1"), 200);
+    put_version(3, Json::array({keyed_route()}), Json::array({workspace("ws", Json::array({"key-1"}))}));
+    EXPECT_TRUE(wait_until([&] { return is_ready(gateway); }, s_in_force_limit));
+}
+
 }
