LibTable, LibEntry, LibPlatform: Hold versions of the store's largest size in a small host's memory

With no limit of ours left, the store's value_bytes (1 MB) bounds a version. Measured with real processes at 0.19 of a core and against the 110 MB of the smaller front: on twelve such versions in a row took 261 MB (keys), 294 MB (workspaces) and 157 MB (routes) at one gateway, where the platform kills it at 110 MB and its requests are lost. With the limits lifted, 174,000 keys took 130 MB with one version after the other, and decoding them 205 ms of processor time, over a second at that share.

A watch whose answer passes 2 MB is replaced by a list, which has the last version only. Objects are moved out. Blocks from 1 MB on go back to the system when freed.

--- a/Libraries/LibCore/Compression.cpp
+++ b/Libraries/LibCore/Compression.cpp
@@ -29,6 +29,7 @@
     if (ZSTD_isError(size) != 0)
         throw std::bad_alloc();
     compressed.resize(size);
+    compressed.shrink_to_fit();
     return compressed;
 }
 
--- a/Libraries/LibEntry/TableHistory.h
+++ b/Libraries/LibEntry/TableHistory.h
@@ -2,6 +2,7 @@
 
 #include <LibTable/Table.h>
 
+#include <cstddef>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -13,6 +14,8 @@
 class TableHistory {
 public:
     static constexpr std::size_t s_max_steps = 64;
+    /// Bytes of text in all steps. Peers that are further behind receive the whole table.
+    static constexpr std::size_t s_max_bytes = 2U << 20U;
 
     /// Records the table in force.
     void note(std::shared_ptr<Table::Table const> table)
@@ -54,17 +57,31 @@
     struct Step {
         Core::TableVersion from;
         Table::Change edits;
+        std::size_t bytes {0};
     };
 
+    [[nodiscard]] static std::size_t bytes_of(Table::Change const& edits)
+    {
+        std::size_t bytes = edits.size() * sizeof(Table::Edit);
+        for (auto const& edit : edits)
+            bytes += edit.place.row.size() + edit.place.column.size() + (edit.value ? edit.value->size() : 0);
+        return bytes;
+    }
+
     void add_step(Table::Change edits)
     {
-        m_steps.push_back({m_current->version(), std::move(edits)});
-        if (m_steps.size() > s_max_steps)
+        auto const bytes = bytes_of(edits);
+        m_steps.push_back({m_current->version(), std::move(edits), bytes});
+        m_bytes += bytes;
+        while (m_steps.size() > s_max_steps || m_bytes > s_max_bytes) {
+            m_bytes -= m_steps.front().bytes;
             m_steps.pop_front();
+        }
     }
 
     std::shared_ptr<Table::Table const> m_current;
     std::deque<Step> m_steps;
+    std::size_t m_bytes {0};
 };
 
 }
--- a/Libraries/LibEntry/UpdateFrameCache.h
+++ b/Libraries/LibEntry/UpdateFrameCache.h
@@ -16,17 +16,24 @@
 public:
     /// Number of cached updates. Peers are one or a few versions behind, or have no version.
     static constexpr std::size_t s_max_frames = 8;
+    /// Bytes of all cached updates beside the first, so that a large table is not kept several times.
+    static constexpr std::size_t s_max_bytes = 4U << 20U;
 
     /// Stores a message. If it updates to a newer version than the stored ones, it replaces them.
     void store(Version from, Version to, zmq::message_t& frame)
     {
         if (to < m_target_version)
             return;
-        if (to > m_target_version)
+        if (to > m_target_version) {
             m_frames.clear();
+            m_bytes = 0;
+        }
         m_target_version = to;
-        if (m_frames.size() < s_max_frames)
-            m_frames[from].copy(frame);
+        bool const has_room = m_frames.size() < s_max_frames && m_bytes + frame.size() <= s_max_bytes;
+        if (m_frames.contains(from) || (!m_frames.empty() && !has_room))
+            return;
+        m_frames[from].copy(frame);
+        m_bytes += frame.size();
     }
 
     /// Returns the message that updates from `from` to `to`, sharing its bytes with the stored one.
@@ -42,6 +49,7 @@
 
 private:
     Version m_target_version;
+    std::size_t m_bytes {0};
     std::map<Version, zmq::message_t> m_frames;
 };
 
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -18,15 +18,20 @@
 
 namespace {
 
-/// More than any answer of the platform or of a daemon holds.
-constexpr std::size_t s_largest_body_bytes = 64U << 20U;
+/// A body that is being received.
+struct BodyReader {
+    std::string& body;
+    std::size_t largest {0};
+    bool is_too_large {false};
+};
 
 std::size_t take_body(char* data, std::size_t size, std::size_t count, void* user)
 {
-    auto& body = *static_cast<std::string*>(user);
-    if (body.size() + size * count > s_largest_body_bytes)
+    auto& reader = *static_cast<BodyReader*>(user);
+    reader.is_too_large = reader.body.size() + size * count > reader.largest;
+    if (reader.is_too_large)
         return 0;
-    body.append(data, size * count);
+    reader.body.append(data, size * count);
     return size * count;
 }
 
@@ -103,7 +108,8 @@
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connect_timeout.count()));
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, take_body);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+    BodyReader reader {response.body, request.largest_body};
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reader);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
     curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
@@ -122,6 +128,10 @@
     }
 
     auto const code = curl_easy_perform(handle);
+    if (reader.is_too_large)
+        throw BodyTooLarge(Core::concat(request.method, " ", request.url, ": the body is larger than ",
+                               request.largest_body, " bytes"),
+            Effect::Possible);
     if (code != CURLE_OK)
         throw RequestFailed(
             Core::concat(request.method, " ", request.url, ": ", curl_easy_strerror(code)), effect_of(code));
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -21,6 +22,9 @@
     Reset,
 };
 
+/// More than any answer of the platform or of a daemon holds.
+inline constexpr std::size_t s_largest_body_bytes = 64U << 20U;
+
 struct ClientRequest {
     std::string method {"GET"};
     std::string url;
@@ -29,6 +33,8 @@
     Core::Milliseconds connect_timeout {1000};
     Core::Milliseconds timeout {5000};
     ConnectionEnd end {ConnectionEnd::Orderly};
+    /// Bytes of the answer's body that are read at most.
+    std::size_t largest_body {s_largest_body_bytes};
 };
 
 struct ClientResponse {
@@ -58,6 +64,12 @@
     Effect m_effect;
 };
 
+/// The answer's body is larger than was asked for. The rest of it was not read.
+class BodyTooLarge : public RequestFailed {
+public:
+    using RequestFailed::RequestFailed;
+};
+
 /// A blocking HTTP client over one libcurl handle; it keeps its connection. For one thread.
 class HttpClient {
 public:
@@ -66,7 +78,7 @@
     HttpClient(HttpClient const&) = delete;
     HttpClient& operator=(HttpClient const&) = delete;
 
-    /// Throws RequestFailed when no whole answer came.
+    /// Throws RequestFailed when no whole answer came, and BodyTooLarge where its body is the reason.
     [[nodiscard]] ClientResponse send(ClientRequest const&);
 
     /// Makes the running and every later send() fail soon. May be called from any thread.
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace GraniteField::Platform {
 
@@ -18,6 +19,9 @@
 constexpr int s_conflict = 409;
 constexpr int s_gone = 410;
 constexpr int s_too_many_requests = 429;
+/// A watch returns each change since its revision. Where objects of a megabyte change several times, a list of their
+/// last versions takes less memory, since a parsed object takes ten times its text.
+constexpr std::size_t s_largest_watch_bytes = 2U << 20U;
 
 Json parse(std::string const& path, std::string const& body)
 {
@@ -32,10 +36,10 @@
 
 /// Decodes an answer; one of another form is no usable answer.
 template <typename Decoder>
-auto decode(std::string const& path, Json const& json, Decoder decoder)
+auto decode(std::string const& path, Json json, Decoder decoder)
 {
     try {
-        return decoder(json);
+        return decoder(std::move(json));
     } catch (Json::exception const& error) {
         throw PlatformUnavailable(Core::concat(path, ": the answer can't be read: ", error.what()));
     }
@@ -57,10 +61,11 @@
 {
 }
 
-HTTP::ClientResponse ObjectClient::call(
-    std::string method, std::string const& path, Core::Milliseconds timeout, std::string body)
+HTTP::ClientResponse ObjectClient::call(std::string method, std::string const& path, Core::Milliseconds timeout,
+    std::string body, std::size_t largest_answer)
 {
     HTTP::ClientRequest request;
+    request.largest_body = largest_answer;
     request.method = std::move(method);
     request.url = Core::concat("http://", m_store.to_string(), path);
     request.connect_timeout = m_call_timeout;
@@ -70,14 +75,16 @@
     request.body = std::move(body);
     try {
         return m_http.send(request);
+    } catch (HTTP::BodyTooLarge const&) {
+        throw;
     } catch (HTTP::RequestFailed const& failure) {
         throw PlatformUnavailable(failure.what());
     }
 }
 
-Json ObjectClient::read_json(std::string const& path, Core::Milliseconds timeout)
+Json ObjectClient::read_json(std::string const& path, Core::Milliseconds timeout, std::size_t largest_answer)
 {
-    auto const response = call("GET", path, timeout);
+    auto const response = call("GET", path, timeout, {}, largest_answer);
     if (response.status == s_gone)
         throw HistoryGone(path);
     if (response.status != s_ok)
@@ -120,7 +127,11 @@
 WatchAnswer ObjectClient::watch(std::string_view kind, StoreRevision revision, Core::Milliseconds wait)
 {
     auto const path = watch_path(kind, revision, wait);
-    return decode(path, read_json(path, wait + m_call_timeout), decode_watch);
+    try {
+        return decode(path, read_json(path, wait + m_call_timeout, s_largest_watch_bytes), decode_watch);
+    } catch (HTTP::BodyTooLarge const& error) {
+        throw HistoryGone(error.what());
+    }
 }
 
 ObjectVersion ObjectClient::write(std::string method, std::string const& path, std::string body)
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -5,6 +5,7 @@
 #include <LibHTTP/HttpClient.h>
 #include <LibPlatform/Objects.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,7 +29,7 @@
     bool list_next_page(std::string_view kind, std::optional<ObjectListing>& begun);
 
     /// What has changed behind the revision: waits for it as long as `wait` at most, and then has no events. Throws
-    /// PlatformUnavailable or HistoryGone.
+    /// PlatformUnavailable, or HistoryGone if the store no longer has the changes or they take too much memory.
     [[nodiscard]] WatchAnswer watch(std::string_view kind, StoreRevision, Core::Milliseconds wait);
 
     /// Writes an object that must not exist yet. Throws VersionConflict or PlatformUnavailable.
@@ -44,9 +45,10 @@
     void abort() { m_http.abort(); }
 
 private:
-    [[nodiscard]] HTTP::ClientResponse call(
-        std::string method, std::string const& path, Core::Milliseconds timeout, std::string body = {});
-    [[nodiscard]] Json read_json(std::string const& path, Core::Milliseconds timeout);
+    [[nodiscard]] HTTP::ClientResponse call(std::string method, std::string const& path, Core::Milliseconds timeout,
+        std::string body = {}, std::size_t largest_answer = HTTP::s_largest_body_bytes);
+    [[nodiscard]] Json read_json(
+        std::string const& path, Core::Milliseconds timeout, std::size_t largest_answer = HTTP::s_largest_body_bytes);
     ObjectVersion write(std::string method, std::string const& path, std::string body);
 
     Core::Address m_store;
--- a/Services/GraniteFieldD/main.cpp
+++ b/Services/GraniteFieldD/main.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -24,6 +25,8 @@
 
 constexpr char const* s_version = "0.1.0";
 constexpr int s_exit_usage = 2;
+/// Bytes from which a block of memory goes back to the system as soon as it is freed.
+constexpr int s_returned_block_bytes = 1 << 20;
 
 std::string read_file(std::string const& path)
 {
@@ -56,9 +59,18 @@
     return std::nullopt;
 }
 
+/// The allocator keeps freed blocks of up to 32 MB for later ones. A large configuration takes several such blocks for
+/// a moment on several threads, which would pass the memory of a small host.
+void return_large_blocks()
+{
+    if (mallopt(M_MMAP_THRESHOLD, s_returned_block_bytes) != 1)
+        LOG(WARNING) << "daemon: cannot set the size of the blocks that are returned to the system";
+}
+
 int run(Settings::DaemonSettings const& settings, Daemon::SettingsSource const& source)
 {
     auto const signals = block_signals();
+    return_large_blocks();
     // A caller or a backend server that hangs up must not end the daemon.
     std::signal(SIGPIPE, SIG_IGN);
     HTTP::initialize_http_client();
