LibGateway: Do not take a gateway whose peers have timed out for the only one

After the peers' timeout it had no members left, took itself for the only gateway, needed no witness, and inferred for a stream that it did not know the only version of its old list, while the stream had begun at another one on the other side.

A gateway is alone only if it has never had a peer.

Test, red before: StreamFleet.DoesNotGuessOnceItsPeersHaveTimedOut (both of its expectations failed).

--- a/Libraries/LibGateway/StreamOriginSharing.cpp
+++ b/Libraries/LibGateway/StreamOriginSharing.cpp
@@ -42,6 +42,7 @@
     m_peers.emplace();
     for (auto const& peer : members.peers)
         m_peers->push_back(peer.address);
+    m_has_had_peers = m_has_had_peers || !members.peers.empty();
 }
 
 void StreamOriginSharing::apply(Entry::ServerList const& list, Core::MonotonicTime now)
@@ -165,7 +166,9 @@
     auto recent = m_versions.recent(lookup.service, lookup.period, now);
     // A gateway that was not asked may have begun the stream at a version that is not known here. It announced the
     // stream to the holders then, and one of them that has been running since must have answered.
-    bool const is_alone = m_peers && m_peers->empty();
+    // Without peers there is nobody to ask. Peers that have timed out may be on the other side of a partition, where
+    // streams begin at versions that an old list does not have.
+    bool const is_alone = m_peers && m_peers->empty() && !m_has_had_peers;
     auto const witnesses
         = std::ranges::count_if(lookup.answers, [](auto const& item) { return item.second.is_complete; });
     if (!is_alone && static_cast<std::size_t>(witnesses) < needed_witnesses(lookup.asked.size(), recent.is_complete))
--- a/Libraries/LibGateway/StreamOriginSharing.h
+++ b/Libraries/LibGateway/StreamOriginSharing.h
@@ -122,6 +122,7 @@
     Policy::TokenBucket m_spare {s_spare_rate, s_spare_burst};
     /// Unset before discovery.
     std::optional<std::vector<std::string>> m_peers;
+    bool m_has_had_peers {false};
     std::deque<Announcement> m_announcements;
     /// Streams that this gateway began and has not announced, by service.
     std::map<std::string, std::deque<WithheldStream>> m_withheld;
--- a/Tests/LibGateway/StreamOriginSharingTest.cpp
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -271,6 +271,29 @@
     EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
 }
 
+// Guards against a stream joined from two versions at a gateway that was parted from the store and from its peers until
+// these timed out: it took itself for the only gateway, and its old list for complete.
+TEST_F(StreamFleet, DoesNotGuessOnceItsPeersHaveTimedOut)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    m_nodes[5]->is_stale = true;
+    m_nodes[5]->streams.set_members({});
+    publish({"v2"});
+    EXPECT_EQ(begin(2, StreamKey(1)), "v2");
+    EXPECT_EQ(resume(5, StreamKey(1)).status, Status::Unknown);
+    advance(2 * s_period);
+    EXPECT_EQ(begin(2, StreamKey(2)), "v2");
+    EXPECT_EQ(resume(5, StreamKey(2)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, ResolvesToTheOnlyVersionWhereThereWasNeverAnotherGateway)
+{
+    create(1, {"v1"});
+    advance(s_period);
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::OnlyVersion);
+}
+
 // One holder restarts with an old list, and the other one is gone.
 TEST_F(StreamFleet, DoesNotGuessAtARestartedHolderWithoutTheOtherOne)
 {
