LibGateway: Keep begun streams in the store for the case that all gateways are killed

Cause: at which software version a stream began is known to gateways only, and died with them. A new life refuses what it does not know, as it must.

While several versions of a service serve, each gateway writes the streams that began at it into an object of its own in the store, in batches: once a second at most, ten writes a second by the whole fleet, no call otherwise. The gateways that watch the store read all objects once at their start and announce the streams to those that are asked for them.

--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -48,7 +48,8 @@
     /// no new requests; null if none can be drained.
     GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
         Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&, Cluster::SharedDuty* usage = nullptr,
-        Cluster::SharedQuarantine* quarantine = nullptr, Entry::SharedDrains const* drains = nullptr);
+        Cluster::SharedQuarantine* quarantine = nullptr, Entry::SharedDrains const* drains = nullptr,
+        StreamArchive* archive = nullptr);
     ~GatewayServer();
     GatewayServer(GatewayServer const&) = delete;
     GatewayServer& operator=(GatewayServer const&) = delete;
--- a/Libraries/LibGateway/StreamOriginSharing.cpp
+++ b/Libraries/LibGateway/StreamOriginSharing.cpp
@@ -49,19 +49,23 @@
 {
     m_versions.apply(list, now);
     std::vector<std::string> services;
-    for (auto const& [service, streams] : m_withheld) {
+    for (auto const& [service, streams] : m_recent) {
         if (m_versions.has_several(service, now))
             services.push_back(service);
     }
     for (auto const& service : services)
-        announce_withheld(service);
+        announce_recent(service);
 }
 
-void StreamOriginSharing::announce_withheld(std::string const& service)
+void StreamOriginSharing::announce_recent(std::string const& service)
 {
-    auto const streams = m_withheld.extract(service);
-    for (auto const& withheld : streams.mapped())
-        schedule({withheld.stream});
+    auto const streams = m_recent.extract(service);
+    for (auto const& recent : streams.mapped()) {
+        if (!recent.is_announced)
+            schedule({recent.stream});
+        if (auto const* const origin = m_origins.find(recent.stream); m_archive != nullptr && origin != nullptr)
+            m_archive->add_begun(recent.stream, *origin);
+    }
 }
 
 void StreamOriginSharing::announce(StreamKey stream, StreamOrigin const& origin)
@@ -86,17 +90,21 @@
 void StreamOriginSharing::note_begun(StreamKey stream, StreamOrigin const& origin, Core::MonotonicTime now)
 {
     m_origins.note(stream, origin, now);
-    if (m_versions.has_several(origin.service, now))
+    if (m_versions.has_several(origin.service, now)) {
+        if (m_archive != nullptr)
+            m_archive->add_begun(stream, origin);
         return announce(stream, origin);
-    if (m_spare.wait_for(1, now).count() == 0) {
+    }
+    bool const is_announced = m_spare.wait_for(1, now).count() == 0;
+    if (is_announced) {
         m_spare.charge(1, now);
-        return announce(stream, origin);
+        announce(stream, origin);
     }
-    auto& withheld = m_withheld[origin.service];
-    withheld.push_back({stream, now});
-    while (Core::elapsed(withheld.front().begun, now) > s_withholding_time
-        || withheld.size() > StreamOrigins::s_max_streams)
-        withheld.pop_front();
+    auto& recent = m_recent[origin.service];
+    recent.push_back({stream, now, is_announced});
+    while (
+        Core::elapsed(recent.front().begun, now) > s_withholding_time || recent.size() > StreamOrigins::s_max_streams)
+        recent.pop_front();
 }
 
 std::vector<std::string> StreamOriginSharing::ranked_members(StreamKey stream, std::size_t count) const
@@ -238,9 +246,22 @@
     begun.add_streams(stream.value());
 }
 
+void StreamOriginSharing::apply_loaded(Core::MonotonicTime now)
+{
+    if (m_archive == nullptr)
+        return;
+    for (auto const& [stream, origin] : m_archive->take_loaded()) {
+        // The version has served recently, whether it is still listed or not.
+        m_versions.note_served(origin.service, origin.software_version, now);
+        m_origins.note(stream, origin, now);
+        schedule({stream});
+    }
+}
+
 void StreamOriginSharing::tick(Core::MonotonicTime now)
 {
     m_origins.forget_old(now);
+    apply_loaded(now);
     absl::erase_if(
         m_lookups, [now](auto const& item) { return Core::elapsed(item.second.started, now) > 2 * s_lookup_timeout; });
     if (!m_peers)
--- a/Libraries/LibGateway/StreamOriginSharing.h
+++ b/Libraries/LibGateway/StreamOriginSharing.h
@@ -4,6 +4,7 @@
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
 #include <LibGateway/OutgoingDatagram.h>
+#include <LibGateway/StreamArchive.h>
 #include <LibGateway/StreamOrigins.h>
 #include <LibGateway/VersionHistory.h>
 #include <LibPolicy/TokenBucket.h>
@@ -63,6 +64,12 @@
         std::string software_version;
     };
 
+    /// Streams are archived while several versions of their service serve; null for no archive.
+    explicit StreamOriginSharing(StreamArchive* archive = nullptr)
+        : m_archive(archive)
+    {
+    }
+
     void set_members(Entry::LoadMembers const&);
     /// Records the newest list of servers.
     void apply(Entry::ServerList const&, Core::MonotonicTime now);
@@ -91,9 +98,11 @@
         StreamKey stream;
         unsigned left {s_announcements};
     };
-    struct WithheldStream {
+    /// A stream that began while its service had a single version.
+    struct RecentStream {
         StreamKey stream;
         Core::MonotonicTime begun;
+        bool is_announced {false};
     };
     struct Lookup {
         std::string service;
@@ -112,11 +121,14 @@
     void announce(StreamKey, StreamOrigin const&);
     void schedule(Announcement);
     void send_to_holders(StreamKey, StreamOrigin const&);
-    /// Announces the streams that began while their service had a single version.
-    void announce_withheld(std::string const& service);
+    /// Announces and archives the streams that began while their service had a single version.
+    void announce_recent(std::string const& service);
     [[nodiscard]] Resolution infer(Lookup const&, Core::MonotonicTime now) const;
     static void add_begun(Message&, StreamKey, StreamOrigin const&);
+    /// Records streams of earlier lives of the fleet, and announces them.
+    void apply_loaded(Core::MonotonicTime now);
 
+    StreamArchive* m_archive;
     StreamOrigins m_origins;
     VersionHistory m_versions;
     Policy::TokenBucket m_spare {s_spare_rate, s_spare_burst};
@@ -124,8 +136,8 @@
     std::optional<std::vector<std::string>> m_peers;
     bool m_has_had_peers {false};
     std::deque<Announcement> m_announcements;
-    /// Streams that this gateway began and has not announced, by service.
-    std::map<std::string, std::deque<WithheldStream>> m_withheld;
+    /// Streams that began at this gateway while their service had a single version, by service.
+    std::map<std::string, std::deque<RecentStream>> m_recent;
     absl::flat_hash_map<StreamKey, Lookup> m_lookups;
     std::map<std::string, Message> m_messages;
 };
--- a/Libraries/LibGateway/VersionHistory.cpp
+++ b/Libraries/LibGateway/VersionHistory.cpp
@@ -24,6 +24,11 @@
     std::erase_if(m_services, [](auto const& item) { return item.second.empty(); });
 }
 
+void VersionHistory::note_served(std::string const& service, std::string const& version, Core::MonotonicTime now)
+{
+    m_services[service].try_emplace(version, Listing {false, now});
+}
+
 RecentVersions VersionHistory::recent(
     std::string const& service, Core::Milliseconds period, Core::MonotonicTime now) const
 {
--- a/Libraries/LibGateway/VersionHistory.h
+++ b/Libraries/LibGateway/VersionHistory.h
@@ -25,6 +25,8 @@
 
     /// Records a list of servers, which replaces the one before.
     void apply(Entry::ServerList const&, Core::MonotonicTime now);
+    /// Records that the version has served until recently, without a list.
+    void note_served(std::string const& service, std::string const& version, Core::MonotonicTime now);
 
     [[nodiscard]] RecentVersions recent(
         std::string const& service, Core::Milliseconds period, Core::MonotonicTime now) const;
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -12,6 +12,7 @@
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/WatchDuty.h>
 #include <LibGateway/GatewayServer.h>
+#include <LibGateway/StreamArchiveKeeper.h>
 #include <LibObserve/EventLog.h>
 #include <LibPlatform/ObjectCodec.h>
 #include <LibPlatform/ObjectFollower.h>
@@ -149,6 +150,26 @@
     Cluster::DutyThread<Keeper> m_thread;
 };
 
+/// Keeps the software versions of streams in the store, on a thread of its own.
+class StreamArchiveDuty {
+public:
+    StreamArchiveDuty(Settings::DaemonSettings const& settings, Gateway::StreamArchive& archive,
+        Entry::SharedMembership const& membership, Entry::WatchDuty& watching, Observe::EventLog& log)
+        : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout)
+        , m_keeper({settings.common.name, [&membership] { return membership.peer_count + std::size_t {1}; }}, archive,
+              m_store, log)
+        , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
+    {
+    }
+
+private:
+    using Keeper = Gateway::StreamArchiveKeeper<Platform::ObjectClient>;
+
+    Platform::ObjectClient m_store;
+    Keeper m_keeper;
+    Cluster::DutyThread<Keeper> m_thread;
+};
+
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
 void reload(SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
@@ -210,8 +231,9 @@
     if (duties)
         usage.emplace(duties->usage, incarnation, Core::monotonic_now());
     Cluster::SharedQuarantine quarantine;
+    Gateway::StreamArchive archive;
     Gateway::GatewayServer server(server_settings, table, servers, membership, duty, log, metrics,
-        usage ? &*usage : nullptr, &quarantine, watched_drains);
+        usage ? &*usage : nullptr, &quarantine, watched_drains, &archive);
     auto peer_settings = settings.gateway.peers;
     peer_settings.load_address = server.load_address();
     Entry::PeerExchange peers(peer_settings, context, table, drains, servers, membership,
@@ -263,6 +285,7 @@
         drains_follower.emplace(store, std::string(Platform::drains_kind()), drains_sink,
             Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Drains), log, metrics);
     std::optional<QuarantineDuty> quarantine_duty(std::in_place, settings.gateway.platform, quarantine, duty, log);
+    std::optional<StreamArchiveDuty> archive_duty(std::in_place, settings, archive, membership, duty, log);
     std::optional<UsageDuty> usage_duty;
     if (duties)
         usage_duty.emplace(settings, incarnation, *usage, duty, log, metrics);
@@ -271,6 +294,7 @@
     server.drain();
     usage_duty.reset();
     quarantine_duty.reset();
+    archive_duty.reset();
     server.wait_until_drained();
     log.write(Observe::LogEvent("stopped"));
 }
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -85,9 +85,11 @@
 
 void GatewayFleet::put_server(Entry::ServerEntry const& entry, std::string const& state) const
 {
-    put("servers", entry.instance,
-        {{"service", entry.service}, {"addr", entry.address.to_string()}, {"zone", "here"}, {"slots", 8},
-            {"state", state}});
+    Json spec {{"service", entry.service}, {"addr", entry.address.to_string()}, {"zone", "here"}, {"slots", 8},
+        {"state", state}};
+    if (!entry.software_version.empty())
+        spec["version"] = entry.software_version;
+    put("servers", entry.instance, spec);
 }
 
 void GatewayFleet::remove(std::string const& kind, std::string const& name) const
--- a/Tests/LibGateway/StreamOriginSharingTest.cpp
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -287,6 +287,52 @@
     EXPECT_EQ(resume(5, StreamKey(2)).status, Status::Unknown);
 }
 
+// All gateways start anew. One of them reads the archive; the others learn of its streams from that one.
+TEST_F(StreamFleet, KnowsArchivedStreamsAfterAllGatewaysWereKilled)
+{
+    create(12, {"v1", "v2"});
+    StreamArchive archive;
+    m_nodes[7]->streams = StreamOriginSharing(&archive);
+    connect(7);
+    archive.add_loaded({{StreamKey(1), {"svc", "v1"}}, {StreamKey(2), {"svc", "v2"}}});
+    advance(1s);
+    for (std::size_t number : {0U, 7U, 11U}) {
+        EXPECT_EQ(resume(number, StreamKey(1)).software_version, "v1");
+        EXPECT_EQ(resume(number, StreamKey(2)).software_version, "v2");
+        EXPECT_EQ(resume(number, StreamKey(3)).status, Status::Unknown);
+    }
+}
+
+// Guards against a version that has left before the new life, and that the archive alone remembers.
+TEST_F(StreamFleet, DoesNotGuessBesideAnArchivedVersion)
+{
+    create(1, {"v2"});
+    StreamArchive archive;
+    m_nodes[0]->streams = StreamOriginSharing(&archive);
+    connect(0);
+    apply_list(*m_nodes[0]);
+    advance(s_period / 2);
+    archive.add_loaded({{StreamKey(1), {"svc", "v1"}}});
+    advance(s_period / 2);
+    EXPECT_EQ(resume(0, StreamKey(1)).software_version, "v1");
+    EXPECT_EQ(resume(0, StreamKey(2)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, ArchivesStreamsWhileSeveralVersionsServe)
+{
+    create(2, {"v1"});
+    StreamArchive archive;
+    m_nodes[0]->streams = StreamOriginSharing(&archive);
+    connect(0);
+    apply_list(*m_nodes[0]);
+    for (std::uint64_t key = 0; key < 100; ++key)
+        begin(0, StreamKey(key));
+    EXPECT_TRUE(archive.take_begun().empty());
+    publish({"v1", "v2"});
+    begin(0, StreamKey(100));
+    EXPECT_EQ(archive.take_begun().size(), 101U);
+}
+
 TEST_F(StreamFleet, ResolvesToTheOnlyVersionWhereThereWasNeverAnotherGateway)
 {
     create(1, {"v1"});
