--- a/Libraries/LibTable/Table.cpp
+++ b/Libraries/LibTable/Table.cpp
@@ -372,9 +372,11 @@
 
 Workspace const* Table::find_workspace_by_key_hash(KeyHash const& key_hash) const
 {
-    for (auto const& key : std::ranges::equal_range(m_keys, prefix_of(key_hash), {}, &IndexedKey::hash_prefix)) {
-        auto const& workspace = m_workspaces.find(m_workspaces_in_order[key.workspace])->second;
-        if (workspace.key_hashes[key.position] == key_hash)
+    auto const prefix = prefix_of(key_hash);
+    auto key = std::ranges::lower_bound(m_keys, prefix, {}, &IndexedKey::hash_prefix);
+    for (; key != m_keys.end() && key->hash_prefix == prefix; ++key) {
+        auto const& workspace = m_workspaces.find(m_workspaces_in_order[key->workspace])->second;
+        if (workspace.key_hashes[key->position] == key_hash)
             return &workspace;
     }
     return nullptr;
