--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -36,6 +36,7 @@
 constexpr std::array s_versions {"v1", "v2"};
 /// Tries of a caller to resume one stream.
 constexpr unsigned s_resumptions = 3;
+constexpr Core::Milliseconds s_joint_kill_pause {3'000};
 
 /// Returns the id of the last whole event, or 0.
 unsigned last_event(std::string const& body)
@@ -82,6 +83,7 @@
     , m_leaving_random(options.seed + 2)
     , m_backoff_random(options.seed + 3)
     , m_release_random(options.seed + 4)
+    , m_joint_random(options.seed + 5)
     , m_ports(options.gateways)
 {
     change_configuration();
@@ -321,6 +323,21 @@
     begin("release", [] {});
 }
 
+void GatewaySoak::kill_all_gateways()
+{
+    constexpr unsigned longest_life_ms = 1'000;
+    auto const kills = 1 + m_joint_random() % 2;
+    for (unsigned number = 0; number < kills; ++number) {
+        for (auto& slot : m_slots)
+            slot.gateway.process->kill();
+        for (std::size_t index = 0; index < m_slots.size(); ++index)
+            start_gateway(index);
+        if (number + 1 < kills)
+            std::this_thread::sleep_for(Core::Milliseconds(m_joint_random() % longest_life_ms));
+    }
+    begin("joint kill", [] {});
+}
+
 void GatewaySoak::begin_backoff()
 {
     // Now and then of all servers at once.
@@ -537,6 +554,7 @@
     auto next_leaving = next_limit + s_leaving_pause;
     auto next_backoff = next_limit + s_backoff_pause;
     auto next_release = next_limit + s_release_pause;
+    auto next_joint_kill = next_limit + s_joint_kill_pause;
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
         if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_limit) {
@@ -555,6 +573,10 @@
             begin_release();
             next_release = Core::monotonic_now() + s_release_pause;
         }
+        if (m_options.joint_kills == JointKills::Yes && Core::monotonic_now() >= next_joint_kill) {
+            kill_all_gateways();
+            next_joint_kill = Core::monotonic_now() + s_joint_kill_pause;
+        }
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
     }
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -38,6 +38,12 @@
         Yes,
     };
 
+    /// Whether all gateways are killed at once now and then.
+    enum class JointKills {
+        No,
+        Yes,
+    };
+
     /// Whether servers are replaced by ones of other software versions, and callers resume their streams.
     enum class Releases {
         No,
@@ -56,6 +62,7 @@
         Signals signals {Signals::No};
         Prompts prompts {Prompts::No};
         Releases releases {Releases::No};
+        JointKills joint_kills {JointKills::No};
     };
 
     struct Report {
@@ -111,6 +118,8 @@
     void begin_leaving();
     void begin_backoff();
     void begin_release();
+    /// Kills all gateways at once, and at times the new ones again within a second.
+    void kill_all_gateways();
     /// Takes a stream that ended early up again at other gateways.
     void resume(Record&, std::mt19937&);
     void check_versions(Record const&);
@@ -136,6 +145,7 @@
     std::mt19937 m_leaving_random;
     std::mt19937 m_backoff_random;
     std::mt19937 m_release_random;
+    std::mt19937 m_joint_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -73,6 +73,19 @@
     EXPECT_GE(2 * report.went_on, report.resumed);
 }
 
+// All gateways are killed at once, again and again, while servers of three versions serve.
+TEST(SoakOfReleases, MixesNoSoftwareVersionsWhereAllGatewaysAreKilled)
+{
+    GatewaySoak::Options options;
+    options.seed = 43;
+    options.gateways = 4;
+    options.backends = 6;
+    options.length = Core::Milliseconds(10'000);
+    options.releases = GatewaySoak::Releases::Yes;
+    options.joint_kills = GatewaySoak::JointKills::Yes;
+    EXPECT_GE(play(options).resumed, 12U);
+}
+
 // A backend server is cut off while it rejects requests: no gateway receives its Retry-After.
 TEST(SoakOfSignals, BindsNoGatewayByAnAnswerThatWasLost)
 {
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -27,6 +27,7 @@
     TCLAP::SwitchArg prompts("", "prompts", "Let streams carry more prompts than can be read in time.", command_line);
     TCLAP::SwitchArg releases(
         "", "releases", "Replace backend servers by ones of other software versions as well.", command_line);
+    TCLAP::SwitchArg joint_kills("", "joint-kills", "Kill all gateways at once now and then.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
     if (!duration) {
@@ -39,10 +40,12 @@
         using Signals = Testing::GatewaySoak::Signals;
         using Prompts = Testing::GatewaySoak::Prompts;
         using Releases = Testing::GatewaySoak::Releases;
+        using JointKills = Testing::GatewaySoak::JointKills;
         Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
             backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No,
             signals.getValue() ? Signals::Yes : Signals::No, prompts.getValue() ? Prompts::Yes : Prompts::No,
-            releases.getValue() ? Releases::Yes : Releases::No};
+            releases.getValue() ? Releases::Yes : Releases::No,
+            joint_kills.getValue() ? JointKills::Yes : JointKills::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
