LibGateway, deploy: Write begun streams at a share of what the store bears

Cause: the fleet wrote ten times a second whatever its store bears, so that each of 22 gateways wrote every 2.2 s only.

--- a/Libraries/LibEntry/PlatformSettings.h
+++ b/Libraries/LibEntry/PlatformSettings.h
@@ -24,6 +24,8 @@
     /// Bounds of the delay between retries while the platform does not respond.
     Core::Milliseconds min_retry_delay {100};
     Core::Milliseconds max_retry_delay {5'000};
+    /// Writing calls that the store bears in a second, from all processes together.
+    double writes_per_second {100};
     /// Interval at which the host list is read.
     Core::Milliseconds host_interval {1'000};
     /// Interval at which an entry that does not watch checks whether it should.
--- a/Libraries/LibGateway/StreamArchiveKeeper.h
+++ b/Libraries/LibGateway/StreamArchiveKeeper.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -36,8 +37,8 @@
     /// to.
     static constexpr Core::Milliseconds s_loading_interval {200};
     static constexpr Core::Milliseconds s_loading_time {5'000};
-    /// Writes a second of all gateways together: a tenth of what the smallest store bears.
-    static constexpr std::size_t s_fleet_writes_per_second = 10;
+    /// Share of the writes that the store bears that all gateways together make for streams at most.
+    static constexpr double s_share_of_writes = 0.1;
     /// Callers resume a stream within its time limit. Exceeds the time limits of routes with streams.
     static constexpr Core::Milliseconds s_retention {60'000};
     /// Streams in an object, of 17 bytes each; far below the largest value of the store.
@@ -48,6 +49,8 @@
     struct Settings {
         /// Of the gateway, and so of its object. Its next life has the same.
         std::string name;
+        /// Writes that the store bears in a second.
+        double writes_per_second {100};
         /// Gateways that write.
         std::function<std::size_t()> gateway_count {[] { return std::size_t {1}; }};
         std::function<Core::MonotonicTime()> now {Core::monotonic_now};
@@ -98,9 +101,9 @@
 
     [[nodiscard]] Core::Milliseconds write_interval() const
     {
-        auto const count = static_cast<std::int64_t>(m_settings.gateway_count());
-        constexpr auto rate = static_cast<std::int64_t>(s_fleet_writes_per_second);
-        return std::max(s_interval, s_interval * count / rate);
+        auto const rate = m_settings.writes_per_second * s_share_of_writes;
+        auto const seconds = static_cast<double>(m_settings.gateway_count()) / rate;
+        return std::max(s_interval, Core::Milliseconds(std::llround(seconds * 1'000)));
     }
 
     void note_begun(Core::MonotonicTime now)
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -80,6 +80,7 @@
     if (reader.member("domain-drain-limit") != nullptr)
         reader.read("domain-drain-limit", platform.drain_limit.emplace(), 100ms, 10min);
     reader.read("longest-pause", platform.max_retry_delay, 100ms, 10min);
+    reader.read("writes-per-second", platform.writes_per_second, 1, 1'000'000);
     reader.read("host-interval", platform.host_interval, 50ms, 10min);
     reader.finish();
 }
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -156,8 +156,9 @@
     StreamArchiveDuty(Settings::DaemonSettings const& settings, Gateway::StreamArchive& archive,
         Entry::SharedMembership const& membership, Entry::WatchDuty& watching, Observe::EventLog& log)
         : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout)
-        , m_keeper({settings.common.name, [&membership] { return membership.peer_count + std::size_t {1}; }}, archive,
-              m_store, log)
+        , m_keeper({settings.common.name, settings.gateway.platform.writes_per_second,
+                       [&membership] { return membership.peer_count + std::size_t {1}; }},
+              archive, m_store, log)
         , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
     {
     }
--- a/Tests/LibGateway/StreamArchiveKeeperTest.cpp
+++ b/Tests/LibGateway/StreamArchiveKeeperTest.cpp
@@ -83,6 +83,7 @@
     std::map<std::string, Platform::Object> m_objects;
 };
 
+constexpr double s_writes_per_second = 100;
 StreamOrigin const s_first {"svc", "v1"};
 StreamOrigin const s_second {"svc", "v2"};
 
@@ -91,8 +92,9 @@
     /// One life of a gateway with its keeper.
     struct Life {
         Life(ArchivedStreams& test, std::string name, bool is_watching = true, std::size_t gateways = 1)
-            : keeper({std::move(name), [gateways] { return gateways; }, [&test] { return test.m_now; }}, archive,
-                test.m_store, log)
+            : keeper(
+                {std::move(name), s_writes_per_second, [gateways] { return gateways; }, [&test] { return test.m_now; }},
+                archive, test.m_store, log)
         {
             keeper.set_watching(is_watching);
         }
@@ -194,7 +196,8 @@
         life.archive.add_begun(StreamKey(key), s_first);
         m_now += life.keeper.step();
     }
-    auto const bound = StreamArchiveKeeper<FakeStore>::s_fleet_writes_per_second * time.count() / gateways;
+    constexpr auto fleet_rate = s_writes_per_second * StreamArchiveKeeper<FakeStore>::s_share_of_writes;
+    constexpr auto bound = static_cast<std::size_t>(fleet_rate * time.count() / gateways);
     EXPECT_LE(static_cast<std::size_t>(m_store.calls), bound + 1);
     EXPECT_GE(static_cast<std::size_t>(m_store.calls), bound / 2);
 }
