LibGateway: Write begun streams every 250 ms where the store bears it

A gateway now writes every 250 ms while streams begin, within the fleet's tenth of the store's writes, and looks once a second while none do.

--- a/Libraries/LibGateway/StreamArchiveKeeper.h
+++ b/Libraries/LibGateway/StreamArchiveKeeper.h
@@ -30,9 +30,11 @@
 class StreamArchiveKeeper {
 public:
     static constexpr std::string_view s_kind = "granitefield-streams";
-    /// Time between two steps, and shortest time between two writes of a gateway. Streams that begin within it are lost
-    /// if all gateways are killed.
-    static constexpr Core::Milliseconds s_interval {1'000};
+    /// Shortest time between two writes of a gateway, and time between two steps while streams begin. Streams that
+    /// begin within it are lost if all gateways are killed, and many last for two seconds only.
+    static constexpr Core::Milliseconds s_write_interval {250};
+    /// Time between two steps while no streams are kept.
+    static constexpr Core::Milliseconds s_idle_interval {1'000};
     /// Time between two steps right after the start, until this gateway has read the objects or others have had time
     /// to.
     static constexpr Core::Milliseconds s_loading_interval {200};
@@ -79,7 +81,9 @@
             write(now);
             m_backoff = s_min_backoff;
             bool const is_loading = !m_has_loaded && Core::elapsed(m_started, now) < s_loading_time;
-            return is_loading ? s_loading_interval : s_interval;
+            if (is_loading)
+                return s_loading_interval;
+            return m_streams.empty() ? s_idle_interval : s_write_interval;
         } catch (Platform::PlatformUnavailable const& error) {
             // The object may have been written or removed.
             m_object_version.reset();
@@ -103,7 +107,7 @@
     {
         auto const rate = m_settings.writes_per_second * s_share_of_writes;
         auto const seconds = static_cast<double>(m_settings.gateway_count()) / rate;
-        return std::max(s_interval, Core::Milliseconds(std::llround(seconds * 1'000)));
+        return std::max(s_write_interval, Core::Milliseconds(std::llround(seconds * 1'000)));
     }
 
     void note_begun(Core::MonotonicTime now)
