LibObserve, LibCore: Log a last line when a process ends by a fault

Threads get a name and a stack for signal handlers; a handler for SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT writes a line `crash` with signal, thread and the message of an exception that nothing catches, and the process ends by the same signal.

--- a/Libraries/LibCluster/DutyThread.h
+++ b/Libraries/LibCluster/DutyThread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Thread.h>
 #include <LibCore/Time.h>
 
 #include <algorithm>
@@ -34,7 +35,7 @@
     DutyThread(Duty& duty, std::function<bool()> is_watching)
         : m_duty(duty)
         , m_is_watching(std::move(is_watching))
-        , m_thread([this] { run(); })
+        , m_thread(Core::start_thread("duty", [this] { run(); }))
     {
     }
 
--- a/Libraries/LibEntry/HostFollower.cpp
+++ b/Libraries/LibEntry/HostFollower.cpp
@@ -1,5 +1,6 @@
 #include <LibEntry/HostFollower.h>
 
+#include <LibCore/Thread.h>
 #include <LibPlatform/ObjectCodec.h>
 
 #include <map>
@@ -18,7 +19,7 @@
     , m_metrics(metrics)
     , m_client(settings.address, settings.call_timeout)
     , m_backoff(settings.min_retry_delay, settings.max_retry_delay)
-    , m_thread([this] { run(); })
+    , m_thread(Core::start_thread("hosts", [this] { run(); }))
 {
 }
 
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include <LibEntry/PeerExchange.h>
 
+#include <LibCore/Thread.h>
 #include <LibEntry/PeerMessages.h>
 #include <LibProtocol/ProtocolVersion.h>
 
@@ -91,7 +92,7 @@
         || std::ranges::find(m_settings.seeds, advertised) != m_settings.seeds.end();
     if (!m_is_seed)
         m_next_member_request = s_first_member_request;
-    m_thread = std::thread([this] { run(); });
+    m_thread = Core::start_thread("peers", [this] { run(); });
 }
 
 PeerExchange::~PeerExchange()
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/Router.h>
 
+#include <LibCore/Thread.h>
+
 #include <algorithm>
 
 #include <glog/logging.h>
@@ -31,7 +33,7 @@
     , m_submissions(settings.ring_capacity)
 {
     publish_status();
-    m_thread = std::thread([this] { run(); });
+    m_thread = Core::start_thread("router", [this] { run(); });
 }
 
 Router::~Router()
--- a/Libraries/LibEntry/TableFollower.cpp
+++ b/Libraries/LibEntry/TableFollower.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/TableFollower.h>
 
+#include <LibCore/Thread.h>
+
 #include <glog/logging.h>
 
 namespace GraniteField::Entry {
@@ -15,7 +17,7 @@
     , m_client(settings.address, settings.call_timeout)
     , m_store(m_client)
     , m_backoff(settings.min_retry_delay, settings.max_retry_delay)
-    , m_thread([this] { run(); })
+    , m_thread(Core::start_thread("table", [this] { run(); }))
 {
 }
 
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/GatewayServer.h>
 
+#include <LibCore/Thread.h>
 #include <LibGateway/ErrorResponse.h>
 
 #include <algorithm>
@@ -144,7 +145,7 @@
     accept(m_caller_acceptor, *m_caller_handler);
     accept(m_readiness_acceptor, *m_readiness_handler);
     schedule_tick();
-    m_thread = std::thread([this] { m_loop.run(); });
+    m_thread = Core::start_thread("gateway", [this] { m_loop.run(); });
 }
 
 GatewayServer::~GatewayServer()
--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -1,6 +1,7 @@
 #include <LibObserve/EventLog.h>
 
 #include <LibCore/Text.h>
+#include <LibCore/Thread.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -82,18 +83,24 @@
 }
 
 EventLog::EventLog(
-    int descriptor, std::string host, Core::Incarnation incarnation, MetricRegistry& metrics, Output output)
+    int descriptor, std::string_view host, Core::Incarnation incarnation, MetricRegistry& metrics, Output output)
     : m_descriptor(descriptor)
+    , m_prefix(origin_of(host, incarnation))
     , m_lines(metrics.counter("granitefield_log_lines_total"))
     , m_dropped(metrics.counter("granitefield_log_lines_dropped_total"))
     , m_is_held(output == Output::Held)
+    , m_thread(Core::start_thread("log", [this] { run(); }))
 {
-    m_prefix = ",\"host\":";
-    append_quoted(m_prefix, host);
-    m_prefix += ",\"incarnation\":";
-    append_quoted(m_prefix, Core::to_hex(incarnation.value()));
-    m_prefix += ',';
-    m_thread = std::thread([this] { run(); });
+}
+
+std::string EventLog::origin_of(std::string_view host, Core::Incarnation incarnation)
+{
+    std::string text = ",\"host\":";
+    append_quoted(text, host);
+    text += ",\"incarnation\":";
+    append_quoted(text, Core::to_hex(incarnation.value()));
+    text += ',';
+    return text;
 }
 
 EventLog::~EventLog()
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -68,11 +68,14 @@
         Held,
     };
 
-    EventLog(int descriptor, std::string host, Core::Incarnation, MetricRegistry&, Output = Output::AtOnce);
+    EventLog(int descriptor, std::string_view host, Core::Incarnation, MetricRegistry&, Output = Output::AtOnce);
     ~EventLog();
     EventLog(EventLog const&) = delete;
     EventLog& operator=(EventLog const&) = delete;
 
+    /// The members that stand in each line between its time and its event.
+    [[nodiscard]] static std::string origin_of(std::string_view host, Core::Incarnation);
+
     void write(LogEvent const&, LogWeight = LogWeight::Notable);
     /// Writes the lines that were held, and those that follow. The destructor writes what is held as well.
     void begin_output();
--- a/Libraries/LibObserve/SpanExporter.cpp
+++ b/Libraries/LibObserve/SpanExporter.cpp
@@ -1,6 +1,7 @@
 #include <LibObserve/SpanExporter.h>
 
 #include <LibCore/Text.h>
+#include <LibCore/Thread.h>
 
 #include <nlohmann/json.hpp>
 
@@ -63,7 +64,7 @@
     , m_ring(s_ring_capacity)
     , m_sent(metrics.counter("granitefield_spans_sent_total"))
     , m_dropped(metrics.counter("granitefield_spans_dropped_total"))
-    , m_thread([this] { run(); })
+    , m_thread(Core::start_thread("spans", [this] { run(); }))
 {
 }
 
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/Backoff.h>
+#include <LibCore/Text.h>
+#include <LibCore/Thread.h>
 #include <LibCore/Time.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
@@ -95,7 +97,7 @@
         , m_failures(metrics.counter("granitefield_store_failures_total", {{"kind", m_kind}}))
         , m_client(m_settings.store, m_settings.call_timeout)
         , m_backoff(m_settings.shortest_pause, m_settings.longest_pause)
-        , m_thread([this] { run(); })
+        , m_thread(Core::start_thread(Core::concat("watch ", m_kind), [this] { run(); }))
     {
     }
 
--- a/Libraries/LibSide/EngineClient.cpp
+++ b/Libraries/LibSide/EngineClient.cpp
@@ -1,5 +1,6 @@
 #include <LibSide/EngineClient.h>
 
+#include <LibCore/Thread.h>
 #include <LibSide/RunningCall.h>
 
 #include <glog/logging.h>
@@ -24,7 +25,7 @@
     if (m_multi == nullptr)
         throw std::bad_alloc();
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, s_kept_connections);
-    m_thread = std::thread([this] { run(); });
+    m_thread = Core::start_thread("engine", [this] { run(); });
 }
 
 EngineClient::~EngineClient()
--- a/Libraries/LibSide/SideAuthority.cpp
+++ b/Libraries/LibSide/SideAuthority.cpp
@@ -1,6 +1,7 @@
 #include <LibSide/SideAuthority.h>
 
 #include <LibCore/Text.h>
+#include <LibCore/Thread.h>
 #include <LibSide/AuthorityLimits.h>
 #include <LibSide/Refusals.h>
 
@@ -46,7 +47,7 @@
     , m_spans(spans)
 {
     publish_status();
-    m_thread = std::thread([this] { run(); });
+    m_thread = Core::start_thread("authority", [this] { run(); });
 }
 
 SideAuthority::~SideAuthority()
--- a/Services/GraniteFieldD/EntryDaemon.cpp
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -9,10 +9,12 @@
 #include <LibEntry/Router.h>
 #include <LibEntry/SharedTable.h>
 #include <LibEntry/TableFollower.h>
+#include <LibObserve/CrashReport.h>
 
 #include <atomic>
 #include <memory>
 #include <thread>
+#include <unistd.h>
 
 #include <glog/logging.h>
 
@@ -39,6 +41,7 @@
 {
     auto const& common = settings.common;
     auto const incarnation = Core::draw_incarnation();
+    Observe::install_crash_report(STDERR_FILENO, common.name, incarnation);
     Observe::MetricRegistry metrics;
     Observe::DecisionRing decisions(common.decisions_kept);
     std::unique_ptr<Observe::SpanExporter> spans;
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -13,6 +13,7 @@
 #include <LibEntry/WatchDuty.h>
 #include <LibGateway/GatewayServer.h>
 #include <LibGateway/StreamArchiveKeeper.h>
+#include <LibObserve/CrashReport.h>
 #include <LibObserve/EventLog.h>
 #include <LibPlatform/ObjectCodec.h>
 #include <LibPlatform/ObjectFollower.h>
@@ -209,8 +210,9 @@
     auto const& common = settings.common;
     Observe::MetricRegistry metrics;
     Observe::DecisionRing decisions(common.decisions_kept);
-    Observe::EventLog log(
-        STDOUT_FILENO, common.name, Core::draw_incarnation(), metrics, Observe::EventLog::Output::Held);
+    auto const log_incarnation = Core::draw_incarnation();
+    Observe::EventLog log(STDOUT_FILENO, common.name, log_incarnation, metrics, Observe::EventLog::Output::Held);
+    Observe::install_crash_report(STDOUT_FILENO, common.name, log_incarnation);
 
     zmq::context_t context(s_io_threads);
     Entry::SharedTable table;
--- a/Services/GraniteFieldD/SideDaemon.cpp
+++ b/Services/GraniteFieldD/SideDaemon.cpp
@@ -3,10 +3,12 @@
 #include "Announcement.h"
 #include "OperatorServer.h"
 
+#include <LibObserve/CrashReport.h>
 #include <LibSide/SideAuthority.h>
 
 #include <memory>
 #include <thread>
+#include <unistd.h>
 
 #include <glog/logging.h>
 
@@ -39,6 +41,7 @@
 
     zmq::context_t context(s_io_threads);
     Side::SideAuthority authority(settings.side, context, metrics, decisions, spans.get());
+    Observe::install_crash_report(STDERR_FILENO, common.name, authority.incarnation());
 
     OperatorServer::Sources sources;
     sources.is_ready = [&authority] { return !authority.is_draining(); };
