LibCore, LibPlatform, platform: Parse each object of the store on its own, and bound its nesting

Callers saw: one odd entry among the servers ended every gateway that read it by SIGSEGV, again at each start (200,000 nested arrays or 60,000 nested objects, in any field). A number beyond a double, or half a surrogate pair, made the whole list unreadable: gateways followed it no more (`store-lost`), and one that started was never ready.

Cause: an answer was parsed as one tree, whose first parse was copied by recursion (`json.is_discarded() ? ... : json`), so that the depth of what another writer had put there decided over the stack of the thread. The parser gives up at the first number or text that it can't hold, and with it all other objects of the answer. The class: bytes of one writer are read together with those of others, without a bound before anything recurses.

Change: Core::split_json_object() and split_json_array() find the parts of an answer without parsing them, and each object's name, revision and spec are parsed alone; finalizers and status are not parsed at all. Core::parse_json() rejects a text of more than 64 levels before it builds a tree, and is the only parser left: the table's pages, settings, callers' bodies, log lines and the command line use it. A part of a spec that can't be parsed is discarded, so that a route of the configuration, a drain by its name and the records of duties hold; a server's entry with such a part names no server. Each odd object is logged once until it can be read or is gone, and counted in granitefield_store_objects_unreadable_total.

A caller's body with a number beyond a double raised another exception type than the ones that were caught (LibEntry); it gets 400 now.

JsonTest compares the splitter with the parser on random texts.

--- a/Libraries/LibEntry/CallInterpreter.cpp
+++ b/Libraries/LibEntry/CallInterpreter.cpp
@@ -1,6 +1,7 @@
 #include <LibEntry/CallInterpreter.h>
 
 #include <LibCore/Hashing.h>
+#include <LibCore/Json.h>
 #include <LibCore/Text.h>
 #include <LibSide/TicketBook.h>
 
@@ -19,8 +20,6 @@
 constexpr std::string_view s_services_prefix = "/services/";
 /// Number of bytes of the first message that are hashed as the prompt's prefix.
 constexpr std::size_t s_prefix_bytes = 2048;
-/// Maximum nesting depth of a JSON body, which protects the stack.
-constexpr int s_max_nesting = 64;
 
 ErrorAnswer bad_request(std::string code, std::string message, int status = 400)
 {
@@ -96,20 +95,13 @@
 
 std::variant<Json, ErrorAnswer> parse_object(std::string const& body)
 {
-    auto const check_depth = [](int depth, Json::parse_event_t, Json&) {
-        if (depth > s_max_nesting)
-            throw std::length_error("the body is nested too deeply");
-        return true;
-    };
     try {
-        auto json = Json::parse(body, check_depth);
+        auto json = Core::parse_json(body);
         if (json.is_object())
             return json;
         return bad_request("bad_json", "/: the body must be a JSON object");
-    } catch (Json::parse_error const& error) {
-        return bad_request("bad_json", Core::concat("at byte ", error.byte, ": the body is not JSON"));
-    } catch (std::length_error const& error) {
-        return bad_request("bad_json", error.what());
+    } catch (Core::JsonError const& error) {
+        return bad_request("bad_json", Core::concat("at byte ", error.byte(), ": ", error.what()));
     }
 }
 
--- a/Libraries/LibObserve/LogLines.h
+++ b/Libraries/LibObserve/LogLines.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/Json.h>
+
 #include <concepts>
 #include <istream>
 #include <string>
@@ -19,9 +21,13 @@
         auto const begin = text.find('{');
         if (begin == std::string::npos || text.find(part) == std::string::npos)
             continue;
-        auto line = nlohmann::json::parse(text.substr(begin), nullptr, false);
-        if (line.is_object() && line.contains("time") && line.contains("event"))
-            take(std::move(line));
+        try {
+            auto line = Core::parse_json(std::string_view(text).substr(begin));
+            if (line.is_object() && line.contains("time") && line.contains("event"))
+                take(std::move(line));
+        } catch (Core::JsonError const&) {
+            continue;
+        }
     }
 }
 
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -1,7 +1,7 @@
 #include <LibPlatform/ObjectClient.h>
 
+#include <LibCore/Json.h>
 #include <LibCore/Text.h>
-#include <LibCore/Utf8.h>
 #include <LibPlatform/ObjectCodec.h>
 
 #include <algorithm>
@@ -23,23 +23,14 @@
 /// last versions takes less memory, since a parsed object takes ten times its text.
 constexpr std::size_t s_largest_watch_bytes = 2U << 20U;
 
-Json parse(std::string const& path, std::string const& body)
-{
-    try {
-        // Another writer's object may hold bytes that are no text; all else in the answer is to be read.
-        auto json = Json::parse(body, nullptr, false);
-        return json.is_discarded() ? Json::parse(Core::replace_invalid_utf8(body)) : json;
-    } catch (Json::exception const& error) {
-        throw PlatformUnavailable(Core::concat(path, ": the answer is not JSON: ", error.what()));
-    }
-}
-
 /// Decodes an answer; one of another form is no usable answer.
 template <typename Decoder>
-auto decode(std::string const& path, Json json, Decoder decoder)
+auto decode(std::string const& path, std::string const& body, Decoder decoder)
 {
     try {
-        return decoder(std::move(json));
+        return decoder(body);
+    } catch (Core::JsonError const& error) {
+        throw PlatformUnavailable(Core::concat(path, ": the answer can't be read: ", error.what()));
     } catch (Json::exception const& error) {
         throw PlatformUnavailable(Core::concat(path, ": the answer can't be read: ", error.what()));
     }
@@ -82,14 +73,14 @@
     }
 }
 
-Json ObjectClient::read_json(std::string const& path, Core::Milliseconds timeout, std::size_t largest_answer)
+std::string ObjectClient::read_body(std::string const& path, Core::Milliseconds timeout, std::size_t largest_answer)
 {
-    auto const response = call("GET", path, timeout, {}, largest_answer);
+    auto response = call("GET", path, timeout, {}, largest_answer);
     if (response.status == s_gone)
         throw HistoryGone(path);
     if (response.status != s_ok)
         throw_unexpected(path, response.status);
-    return parse(path, response.body);
+    return std::move(response.body);
 }
 
 std::optional<Object> ObjectClient::read(std::string_view kind, std::string_view name)
@@ -100,7 +91,7 @@
         return std::nullopt;
     if (response.status != s_ok)
         throw_unexpected(path, response.status);
-    return decode(path, parse(path, response.body), decode_object);
+    return decode(path, response.body, decode_object);
 }
 
 ObjectListing ObjectClient::list(std::string_view kind)
@@ -113,7 +104,7 @@
 bool ObjectClient::list_next_page(std::string_view kind, std::optional<ObjectListing>& begun)
 {
     auto const path = list_path(kind, begun ? std::string_view(begun->last_name) : std::string_view());
-    auto page = decode(path, read_json(path, m_call_timeout), decode_list);
+    auto page = decode(path, read_body(path, m_call_timeout), decode_list);
     // A change between two pages is in the watch that goes on from the first page's revision.
     if (!begun)
         begun = ObjectListing {page.listing.revision, {}, {}, {}};
@@ -128,7 +119,7 @@
 {
     auto const path = watch_path(kind, revision, wait);
     try {
-        return decode(path, read_json(path, wait + m_call_timeout, s_largest_watch_bytes), decode_watch);
+        return decode(path, read_body(path, wait + m_call_timeout, s_largest_watch_bytes), decode_watch);
     } catch (HTTP::BodyTooLarge const& error) {
         throw HistoryGone(error.what());
     }
@@ -141,7 +132,7 @@
         throw VersionConflict("the object has another version");
     if (response.status != s_ok && response.status != s_created)
         throw_unexpected(path, response.status);
-    return decode(path, parse(path, response.body), decode_object).version;
+    return decode(path, response.body, decode_object).version;
 }
 
 ObjectVersion ObjectClient::create(std::string_view kind, std::string_view name, Json const& spec)
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -47,7 +47,7 @@
 private:
     [[nodiscard]] HTTP::ClientResponse call(std::string method, std::string const& path, Core::Milliseconds timeout,
         std::string body = {}, std::size_t largest_answer = HTTP::s_largest_body_bytes);
-    [[nodiscard]] Json read_json(
+    [[nodiscard]] std::string read_body(
         std::string const& path, Core::Milliseconds timeout, std::size_t largest_answer = HTTP::s_largest_body_bytes);
     ObjectVersion write(std::string method, std::string const& path, std::string body);
 
--- a/Libraries/LibPlatform/ObjectCodec.h
+++ b/Libraries/LibPlatform/ObjectCodec.h
@@ -8,9 +8,8 @@
 #include <string_view>
 
 /// The forms that the store's messages have on the wire. Declared here for the client, and defined by the adapter in
-/// `platform/`, which alone knows the names. Decoders throw Json::exception where a message has another form. They take
-/// messages by value: a configuration of a megabyte is parsed into many times that, and is moved out rather than
-/// copied.
+/// `platform/`, which alone knows the names. Decoders throw Core::JsonError or Json::exception where a message has
+/// another form. Each object is parsed on its own, so that one that can't be parsed spoils no other.
 namespace GraniteField::Platform {
 
 /// The kind of objects that the operators' configuration is, and the configuration's name.
@@ -29,7 +28,7 @@
 /// The body of a write; `expected` makes it conditional.
 [[nodiscard]] std::string encode_write(std::string_view name, std::optional<ObjectVersion> expected, Json const& spec);
 
-[[nodiscard]] Object decode_object(Json);
+[[nodiscard]] Object decode_object(std::string_view);
 
 /// One page of a list.
 struct ListPage {
@@ -37,8 +36,8 @@
     bool has_more {false};
 };
 
-[[nodiscard]] ListPage decode_list(Json);
-[[nodiscard]] WatchAnswer decode_watch(Json);
+[[nodiscard]] ListPage decode_list(std::string_view);
+[[nodiscard]] WatchAnswer decode_watch(std::string_view);
 
 /// An entry that was read just now. Throws Core::InvalidInput as well, when it names no address.
 [[nodiscard]] ServerEntry decode_server(Object const&, Core::MonotonicTime now);
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -24,7 +24,15 @@
 struct Object {
     std::string name;
     ObjectVersion version;
+    /// Parts that can't be parsed are discarded values.
     Json spec;
+    /// Why a part of the spec can't be parsed; empty if there is none.
+    std::string problem {};
+};
+
+enum class EventKind {
+    Changed,
+    Removed,
 };
 
 /// Something in an answer of the store that is no object of ours, and why. All else in the answer holds.
@@ -32,6 +40,7 @@
     /// Empty where not even that can be read.
     std::string name;
     std::string reason;
+    EventKind kind {EventKind::Changed};
 };
 
 struct ObjectListing {
@@ -42,11 +51,6 @@
     std::string last_name;
 };
 
-enum class EventKind {
-    Changed,
-    Removed,
-};
-
 struct StoreEvent {
     EventKind kind {EventKind::Changed};
     Object object;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -1,6 +1,8 @@
 #include <LibSettings/DaemonSettings.h>
 
 #include <LibCore/Hashing.h>
+#include <LibCore/Json.h>
+#include <LibCore/Text.h>
 #include <LibSettings/ObjectReader.h>
 
 #include <nlohmann/json.hpp>
@@ -255,9 +257,9 @@
     Core::Findings findings;
     Json json;
     try {
-        json = Json::parse(text);
-    } catch (Json::parse_error const& error) {
-        findings.add("byte " + std::to_string(error.byte), "the file is not JSON");
+        json = Core::parse_json(text);
+    } catch (Core::JsonError const& error) {
+        findings.add("byte " + std::to_string(error.byte()), Core::concat("the file is not JSON: ", error.what()));
         throw Core::InvalidInput(findings);
     }
     DaemonSettings settings;
--- a/Libraries/LibTable/TablePages.cpp
+++ b/Libraries/LibTable/TablePages.cpp
@@ -1,6 +1,7 @@
 #include <LibTable/TablePages.h>
 
 #include <LibCore/Hashing.h>
+#include <LibCore/Json.h>
 #include <LibCore/Text.h>
 
 #include <algorithm>
@@ -25,8 +26,8 @@
 Json parse(std::string_view text, std::string const& place)
 {
     try {
-        return Json::parse(text);
-    } catch (Json::exception const& error) {
+        return Core::parse_json(text);
+    } catch (Core::JsonError const& error) {
         reject(place, error.what());
     }
 }
@@ -154,8 +155,8 @@
         return;
     Json json;
     try {
-        json = Json::parse(text);
-    } catch (Json::exception const& error) {
+        json = Core::parse_json(text);
+    } catch (Core::JsonError const& error) {
         findings.add(name, error.what());
         return;
     }
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -264,8 +264,8 @@
                   .add("readiness", server.readiness_port())
                   .add("operator", operators.port())
                   .add("peers", peers.port()));
-    Platform::ConfigurationSink configuration_sink(table, tell_all, log);
-    Platform::ServersSink servers_sink(servers, tell_all, log);
+    Platform::ConfigurationSink configuration_sink(table, tell_all, log, metrics);
+    Platform::ServersSink servers_sink(servers, tell_all, log, metrics);
     auto store = follower_settings(settings.gateway.platform);
     auto const longest_wait = relied_on_wait(contact_time, apply_limit, store.watch_grace);
     store.longest_wait = [&membership, longest_wait] {
@@ -282,7 +282,7 @@
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Table), log, metrics);
     Platform::ObjectFollower const backend_servers(store, std::string(Platform::servers_kind()), servers_sink,
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Servers), log, metrics);
-    Platform::DrainsSink drains_sink(drains, tell_all, log);
+    Platform::DrainsSink drains_sink(drains, tell_all, log, metrics);
     std::optional<Platform::ObjectFollower<Platform::DrainsSink, Entry::WatchDuty::Follower>> drains_follower;
     if (drain_limit)
         drains_follower.emplace(store, std::string(Platform::drains_kind()), drains_sink,
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -66,6 +66,11 @@
     control({{"puts", Json::array({{{"kind", kind}, {"name", name}, {"spec", spec}}})}});
 }
 
+void GatewayFleet::put_text(std::string const& kind, std::string const& name, std::string const& spec_text) const
+{
+    control({{"puts", Json::array({{{"kind", kind}, {"name", name}, {"spec-text", spec_text}}})}});
+}
+
 Json GatewayFleet::route(std::string const& name, std::string const& prefix, std::string const& kind)
 {
     return {{"name", name}, {"host", "host.test"}, {"path_prefix", prefix}, {"kind", kind}, {"timeout_ms", 2000},
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -47,6 +47,8 @@
     /// Sets the store's switches; PlatformServer.h lists them.
     void control(Json const&) const;
     void put(std::string const& kind, std::string const& name, Json const& spec) const;
+    /// The same with a spec that need not be JSON.
+    void put_text(std::string const& kind, std::string const& name, std::string const& spec_text) const;
     /// A configuration with one route to the service `svc`, for repeatable requests.
     void put_configuration(unsigned version, std::string const& prefix) const;
     void put_server(Entry::ServerEntry const&, std::string const& state = "ready") const;
--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_join.h>
 
 namespace GraniteField::StandIns {
 
@@ -21,6 +25,11 @@
     return {status, "application/json", {}, json.dump()};
 }
 
+HTTP::ServerResponse text_answer(int status, std::string text)
+{
+    return {status, "application/json", {}, std::move(text)};
+}
+
 /// Closes the connection without an answer.
 HTTP::ServerResponse no_answer()
 {
@@ -117,12 +126,12 @@
     return request.query.contains("watch") ? watch(request, place.kind) : list(request, place.kind);
 }
 
-PlatformServer::Json PlatformServer::to_json(std::string const& name, Object const& object) const
+std::string PlatformServer::to_text(std::string const& name, Object const& object)
 {
-    return {{"metadata",
-                {{"name", name}, {"rev", object.revision}, {"create_revision", object.created},
-                    {"finalizers", Json::array()}, {"deleting", false}}},
-        {"spec", object.spec}, {"status", nullptr}};
+    Json const metadata {{"name", name}, {"rev", object.revision}, {"create_revision", object.created},
+        {"finalizers", Json::array()}, {"deleting", false}};
+    return Core::concat(R"({"metadata":)", metadata.dump(), R"(,"spec":)",
+        object.spec_text.empty() ? object.spec.dump() : object.spec_text, R"(,"status":null})");
 }
 
 HTTP::ServerResponse PlatformServer::read(HTTP::ServerRequest const&, Place const& place)
@@ -133,7 +142,7 @@
     auto const object = objects.find(place.name);
     if (object == objects.end())
         return {404, "text/plain", {}, ""};
-    return json_answer(200, to_json(place.name, object->second));
+    return text_answer(200, to_text(place.name, object->second));
 }
 
 HTTP::ServerResponse PlatformServer::list(HTTP::ServerRequest const& request, std::string const& kind)
@@ -143,10 +152,12 @@
     auto const& objects = m_objects[kind];
     auto const after = request.query.find("after_rev");
     auto next = after == request.query.end() ? objects.begin() : objects.upper_bound(after->second);
-    Json items = Json::array();
+    std::vector<std::string> items;
     for (; next != objects.end() && items.size() < m_switches.page_size; ++next)
-        items.push_back(to_json(next->first, next->second));
-    return json_answer(200, {{"items", items}, {"truncated", next != objects.end()}, {"store_revision", m_revision}});
+        items.push_back(to_text(next->first, next->second));
+    return text_answer(200,
+        Core::concat(R"({"items":[)", absl::StrJoin(items, ","), R"(],"truncated":)",
+            next != objects.end() ? "true" : "false", R"(,"store_revision":)", m_revision, "}"));
 }
 
 HTTP::ServerResponse PlatformServer::watch(HTTP::ServerRequest const& request, std::string const& kind)
@@ -166,15 +177,17 @@
             return no_answer();
         if (from < m_history_begin)
             return {410, "text/plain", {}, "the history is gone\n"};
-        Json events = Json::array();
+        std::vector<std::string> events;
         for (auto const& change : m_history) {
             if (change.kind == kind && change.revision > from && !m_switches.holds_watches
                 && !m_switches.has_deaf_watches)
-                events.push_back({{"tombstone", change.is_removal}, {"object", change.object}});
+                events.push_back(Core::concat(
+                    R"({"tombstone":)", change.is_removal ? "true" : "false", R"(,"object":)", change.object, "}"));
         }
         bool const is_over = Core::monotonic_now() >= limit && !m_switches.holds_watches;
         if (!events.empty() || is_over)
-            return json_answer(200, {{"events", events}, {"store_revision", m_revision}});
+            return text_answer(200,
+                Core::concat(R"({"events":[)", absl::StrJoin(events, ","), R"(],"store_revision":)", m_revision, "}"));
         m_changed.wait_until(
             lock, next_due_time(m_switches.holds_watches ? Core::monotonic_now() + s_longest_silence : limit));
     }
@@ -187,7 +200,7 @@
     return latest;
 }
 
-void PlatformServer::note_change(std::string const& kind, bool is_removal, Json object)
+void PlatformServer::note_change(std::string const& kind, bool is_removal, std::string object)
 {
     m_history.push_back({m_revision, kind, is_removal, std::move(object)});
     if (m_history.size() > s_kept_changes) {
@@ -197,18 +210,20 @@
     m_changed.notify_all();
 }
 
-void PlatformServer::put(std::string const& kind, std::string const& name, Json const& spec)
+void PlatformServer::put(
+    std::string const& kind, std::string const& name, Json const& spec, std::string const& spec_text)
 {
     auto& object = m_objects[kind][name];
     bool const is_new = object.revision == 0;
-    if (!is_new && object.spec == spec)
+    if (!is_new && object.spec == spec && object.spec_text == spec_text)
         return;
     ++m_revision;
     object.revision = m_revision;
     if (is_new)
         object.created = m_revision;
     object.spec = spec;
-    note_change(kind, false, to_json(name, object));
+    object.spec_text = spec_text;
+    note_change(kind, false, to_text(name, object));
 }
 
 bool PlatformServer::remove(std::string const& kind, std::string const& name)
@@ -218,9 +233,9 @@
     if (object == objects.end())
         return false;
     ++m_revision;
-    auto json = to_json(name, object->second);
+    auto text = to_text(name, object->second);
     objects.erase(object);
-    note_change(kind, true, std::move(json));
+    note_change(kind, true, std::move(text));
     return true;
 }
 
@@ -257,13 +272,13 @@
     auto& objects = m_objects[place.kind];
     auto const object = objects.find(name);
     if (is_new && object != objects.end())
-        return json_answer(409, to_json(name, object->second));
+        return text_answer(409, to_text(name, object->second));
     if (!is_new && object == objects.end())
         return {404, "text/plain", {}, ""};
     if (!is_new && metadata.contains("rev") && metadata.at("rev") != object->second.revision)
-        return json_answer(409, to_json(name, object->second));
+        return text_answer(409, to_text(name, object->second));
     put(place.kind, name, json.at("spec"));
-    return json_answer(200, to_json(name, objects.at(name)));
+    return text_answer(200, to_text(name, objects.at(name)));
 }
 
 HTTP::ServerResponse PlatformServer::control(HTTP::ServerRequest const& request)
@@ -291,7 +306,9 @@
     }
     auto const due = Core::monotonic_now() + Core::Milliseconds(json.value("lag-ms", 0));
     for (auto const& item : json.value("puts", Json::array())) {
-        m_due.emplace_back(due, [this, item] { put(item.at("kind"), item.at("name"), item.at("spec")); });
+        m_due.emplace_back(due, [this, item] {
+            put(item.at("kind"), item.at("name"), item.value("spec", Json()), item.value("spec-text", ""));
+        });
     }
     for (auto const& item : json.value("removals", Json::array()))
         m_due.emplace_back(due, [this, item] { static_cast<void>(remove(item.at("kind"), item.at("name"))); });
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -24,8 +24,8 @@
 /// `slow-ms`, `lose-answers` (so many writes take effect and get no answer), `late-writes-ms` (those writes are done so
 /// much later), `writes-per-second`, `reads-per-second` (0 for no limit), `page-size`, `forget-history` (watches are
 /// cut and must list again), `hold-watches` (watches hear nothing, nor do they end), `deaf-watches` (they hear nothing,
-/// and end in time with the store's revision), `puts` (objects by kind, name and spec, put after `lag-ms`) and
-/// `removals`. `GET /control/counts`.
+/// and end in time with the store's revision), `puts` (objects by kind, name and spec, put after `lag-ms`; with
+/// `spec-text` in place of `spec` the answers hold that text as it is) and `removals`. `GET /control/counts`.
 class PlatformServer {
 public:
     explicit PlatformServer(Core::Address const&);
@@ -40,6 +40,8 @@
         std::uint64_t revision {0};
         std::uint64_t created {0};
         Json spec;
+        /// Stands in answers in place of the spec if it is not empty.
+        std::string spec_text {};
     };
 
     /// A change, for watches.
@@ -47,7 +49,7 @@
         std::uint64_t revision {0};
         std::string kind;
         bool is_removal {false};
-        Json object;
+        std::string object;
     };
 
     struct Switches {
@@ -75,10 +77,10 @@
     [[nodiscard]] HTTP::ServerResponse watch(HTTP::ServerRequest const&, std::string const& kind);
     [[nodiscard]] HTTP::ServerResponse write(HTTP::ServerRequest const&, Place const&);
     [[nodiscard]] HTTP::ServerResponse apply(HTTP::ServerRequest const&, Place const&);
-    [[nodiscard]] Json to_json(std::string const& name, Object const&) const;
-    void put(std::string const& kind, std::string const& name, Json const& spec);
+    [[nodiscard]] static std::string to_text(std::string const& name, Object const&);
+    void put(std::string const& kind, std::string const& name, Json const& spec, std::string const& spec_text = {});
     bool remove(std::string const& kind, std::string const& name);
-    void note_change(std::string const& kind, bool is_removal, Json object);
+    void note_change(std::string const& kind, bool is_removal, std::string object);
     /// When work is due next, `latest` if none is due before.
     [[nodiscard]] Core::MonotonicTime next_due_time(Core::MonotonicTime latest) const;
     void do_due_work(Core::MonotonicTime now);
--- a/Tests/platform/ConfigurationSinkTest.cpp
+++ b/Tests/platform/ConfigurationSinkTest.cpp
@@ -34,7 +34,7 @@
     Observe::EventLog m_log {m_log_descriptor.number(), "gateway-1", Core::Incarnation(1), m_metrics};
     Entry::SharedTable m_table;
     unsigned m_news {0};
-    ConfigurationSink m_sink {m_table, [this] { ++m_news; }, m_log};
+    ConfigurationSink m_sink {m_table, [this] { ++m_news; }, m_log, m_metrics};
 };
 
 }
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -198,11 +198,10 @@
 
 TEST(DecodeList, WhatCanNotBeReadSpoilsNoOther)
 {
-    auto const json = Json::parse(R"({"store_revision": 9, "truncated": true, "items": [
+    auto const page = decode_list(R"({"store_revision": 9, "truncated": true, "items": [
         {"metadata": {"name": "a", "rev": 1}, "spec": {}}, 17, {"metadata": {"name": "b", "rev": "x"}},
         {"metadata": 5}, {"metadata": {"name": 6}}, {"metadata": {"name": "c", "rev": 2}, "spec": "text"},
         {"metadata": {"name": "d", "rev": {}}}]})");
-    auto const page = decode_list(json);
     ASSERT_EQ(page.listing.objects.size(), 2U);
     EXPECT_EQ(page.listing.objects[0].name, "a");
     EXPECT_EQ(page.listing.objects[1].name, "c");
@@ -211,6 +210,29 @@
     EXPECT_EQ(page.listing.last_name, "d");
 }
 
+TEST(DecodeList, AnUnreadableSpecSpoilsNoOther)
+{
+    auto const deep = std::string(200'000, '[') + std::string(200'000, ']');
+    auto const item = [](std::string const& name, std::string const& spec) {
+        return R"({"metadata":{"name":")" + name + R"(","rev":7,"finalizers":[[1e400]]},"spec":)" + spec
+            + R"(,"status":[1e400]})";
+    };
+    auto const sound = server_spec().dump();
+    auto const page
+        = decode_list(R"({"store_revision":9,"items":[)" + item("a", "{\"x\":" + deep + "}") + "," + item("b", sound)
+            + "," + item("c", R"({"x":1e400})") + "," + item("d", R"({"x":"\ud800"})") + "," + item("e", sound) + "]}");
+    ASSERT_EQ(page.listing.objects.size(), 5U);
+    for (auto const& object : page.listing.objects) {
+        bool const is_sound = object.name == "b" || object.name == "e";
+        EXPECT_EQ(object.problem.empty(), is_sound) << object.name;
+        EXPECT_EQ(object.version, ObjectVersion(7));
+        if (is_sound)
+            EXPECT_EQ(decode_server(object, s_now).instance, object.name);
+        else
+            EXPECT_THROW(static_cast<void>(decode_server(object, s_now)), Core::InvalidInput) << object.name;
+    }
+}
+
 // Any bytes in place of an entry: nothing but an exception comes of it, and the others are read.
 RC_GTEST_PROP(DecodeList, AnyObjectAmongOthersSpoilsNone, (std::vector<std::string> const& texts))
 {
@@ -225,7 +247,7 @@
         items.push_back({{"metadata", {{"name", "odd"}, {"rev", 1}}}, {"spec", spec}});
     }
     items.push_back({{"metadata", {{"name", "sound"}, {"rev", 1}}}, {"spec", server_spec()}});
-    auto const page = decode_list({{"store_revision", 1}, {"items", items}});
+    auto const page = decode_list(Json {{"store_revision", 1}, {"items", items}}.dump());
     std::size_t servers = 0;
     for (auto const& object : page.listing.objects) {
         try {
--- a/Utilities/granitefield-load/Scenario.cpp
+++ b/Utilities/granitefield-load/Scenario.cpp
@@ -1,5 +1,7 @@
 #include "Scenario.h"
 
+#include <LibCore/Json.h>
+#include <LibCore/Text.h>
 #include <LibSettings/ObjectReader.h>
 
 #include <nlohmann/json.hpp>
@@ -59,9 +61,9 @@
     Scenario scenario;
     Json json;
     try {
-        json = Json::parse(text);
-    } catch (Json::parse_error const& error) {
-        findings.add("byte " + std::to_string(error.byte), "the file is not JSON");
+        json = Core::parse_json(text);
+    } catch (Core::JsonError const& error) {
+        findings.add("byte " + std::to_string(error.byte()), Core::concat("the file is not JSON: ", error.what()));
         throw Core::InvalidInput(findings);
     }
     ObjectReader reader(json, "", findings);
--- a/Utilities/granitefield-load/main.cpp
+++ b/Utilities/granitefield-load/main.cpp
@@ -5,6 +5,7 @@
 #include "Schedule.h"
 
 #include <LibCore/Findings.h>
+#include <LibCore/Json.h>
 #include <LibHTTP/HttpClient.h>
 
 #include <fstream>
@@ -118,7 +119,7 @@
 {
     std::vector<nlohmann::json> results;
     for (auto const& path : paths)
-        results.push_back(nlohmann::json::parse(read_file(path)));
+        results.push_back(Core::parse_json(read_file(path)));
     if (results.empty())
         throw std::runtime_error("--before FILE or --after FILE is missing");
     return results;
--- a/Utilities/granitefield/FleetCommands.cpp
+++ b/Utilities/granitefield/FleetCommands.cpp
@@ -3,6 +3,7 @@
 #include "TextTable.h"
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/Json.h>
 #include <LibCore/RequestDigest.h>
 #include <LibCore/Text.h>
 #include <LibHTTP/HttpClient.h>
@@ -39,7 +40,7 @@
         try {
             auto const response = client.send(request);
             if (response.status == 200)
-                answer.json = Json::parse(response.body);
+                answer.json = Core::parse_json(response.body);
             else
                 answer.problem = Core::concat("status ", response.status, ": ", response.body);
         } catch (std::exception const& error) {
--- a/Utilities/granitefield/TableCommands.cpp
+++ b/Utilities/granitefield/TableCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "TextTable.h"
 
+#include <LibCore/Json.h>
 #include <LibCore/Text.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibPlatform/TableStore.h>
@@ -75,7 +76,7 @@
     auto const response = client.send(request);
     if (response.status != 200)
         throw std::runtime_error(Core::concat(daemon.to_string(), ": status ", response.status, ": ", response.body));
-    auto const json = Json::parse(response.body);
+    auto const json = Core::parse_json(response.body);
     auto table = Table::decode_table(json.at("table").get<std::string>());
     table.set_version(Core::TableVersion(json.at("version").get<std::uint64_t>()));
     return table;
