--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -233,6 +233,15 @@
     }
 }
 
+TEST(DecodeServer, LimitsAColdTimeBeyondAnyNumber)
+{
+    auto spec = server_spec();
+    spec["cold_left_ms"] = 1e300;
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).cold_until, s_now + std::chrono::minutes(10));
+    spec["cold_left_ms"] = -1e300;
+    EXPECT_EQ(decode_server({"i-1", {}, spec}, s_now).cold_until, Core::MonotonicTime());
+}
+
 // Any bytes in place of an entry: nothing but an exception comes of it, and the others are read.
 RC_GTEST_PROP(DecodeList, AnyObjectAmongOthersSpoilsNone, (std::vector<std::string> const& texts))
 {
