LibGateway, Services: Bound the objects that the keepers of streams and quarantines read

The same cause as in the followers' lists: the keepers list all objects of their kinds, whoever wrote them, and hold their trees until the last page. Objects of quarantined requests have a few bytes, those of streams at most 280 KB; larger ones are unreadable now.

--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -42,7 +42,7 @@
 /// A shorter wait would only cost calls.
 constexpr Core::Milliseconds s_shortest_watch_wait {500};
 
-/// Size of a server's or a drain's object; both have a few short fields. Anybody may write one of a megabyte.
+/// Size of the object of a server, a drain or a quarantined request, which have a few short fields.
 constexpr std::size_t s_largest_entry_bytes = 16U << 10U;
 
 /// Stands for the time within which a gateway that reaches the store is in step with it, where nobody says.
@@ -140,7 +140,7 @@
 public:
     QuarantineDuty(Entry::PlatformSettings const& platform, Cluster::SharedQuarantine& shared,
         Entry::WatchDuty& watching, Observe::EventLog& log)
-        : m_store(platform.address, platform.call_timeout)
+        : m_store(platform.address, platform.call_timeout, {.max_bytes = s_largest_entry_bytes})
         , m_keeper(shared, m_store, log)
         , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
     {
@@ -159,7 +159,8 @@
 public:
     StreamArchiveDuty(Settings::DaemonSettings const& settings, Gateway::StreamArchive& archive,
         Entry::SharedMembership const& membership, Entry::WatchDuty& watching, Observe::EventLog& log)
-        : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout)
+        : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout,
+            {.max_bytes = Keeper::s_max_object_bytes})
         , m_keeper({settings.common.name, settings.gateway.platform.writes_per_second,
                        [&membership] { return membership.peer_count + std::size_t {1}; }},
               archive, m_store, log)
--- a/Tests/Integration/OddObjectTest.cpp
+++ b/Tests/Integration/OddObjectTest.cpp
@@ -104,7 +104,7 @@
 
 TEST_F(OddObjects, OfTheLargestSizeFitASmallHost)
 {
-    constexpr int count = 60;
+    constexpr int count = 120;
     FakeBackend const backend("i-1", good());
     FakeBackend const next("i-2", good());
     set_domain_drains(Core::Milliseconds(5'000));
@@ -114,7 +114,7 @@
     control({{"page-size", 1}});
     auto const text = "[" + nested(1, "[", "]") + ",\"" + std::string(1'000'000, 'x') + "\"]";
     for (int number = 0; number < count; ++number) {
-        for (auto const* kind : {"servers", "config", "evacuations"})
+        for (auto const* kind : {"servers", "config", "evacuations", "granitefield-quarantine", "granitefield-streams"})
             put_text(kind, Core::concat("odd-", number), text);
     }
     auto const gateway = start("g-1");
