--- a/Tests/Soak/GatewaySoak.cpp
+++ b/Tests/Soak/GatewaySoak.cpp
@@ -1,5 +1,7 @@
 #include "GatewaySoak.h"
 
+#include "OddObjects.h"
+
 #include <LibCore/Text.h>
 
 #include <array>
@@ -37,6 +39,9 @@
 /// Tries of a caller to resume one stream.
 constexpr unsigned s_resumptions = 3;
 constexpr Core::Milliseconds s_joint_kill_pause {3'000};
+constexpr Core::Milliseconds s_odd_pause {100};
+constexpr std::array s_odd_kinds {
+    "servers", "servers", "config", "evacuations", "granitefield-quarantine", "granitefield-streams"};
 
 /// Returns the id of the last whole event, or 0.
 unsigned last_event(std::string const& body)
@@ -84,6 +89,7 @@
     , m_backoff_random(options.seed + 3)
     , m_release_random(options.seed + 4)
     , m_joint_random(options.seed + 5)
+    , m_odd_random(options.seed + 6)
     , m_ports(options.gateways)
 {
     change_configuration();
@@ -338,6 +344,34 @@
     begin("joint kill", [] {});
 }
 
+void GatewaySoak::begin_odd_bytes()
+{
+    static auto const s_objects = odd_entries();
+    if (m_odd_random() % 4 == 0) {
+        auto& backend = *m_backends[m_odd_random() % m_backends.size()];
+        backend.set_mood(SoakBackend::Mood::CutsHeads);
+        auto const end = Core::monotonic_now() + Core::Milliseconds(m_odd_random() % 800);
+        return m_faults.begin("heads cut", end, [&backend] { backend.set_mood(SoakBackend::Mood::Well); });
+    }
+    auto const& object = s_objects.at(m_odd_random() % s_objects.size());
+    std::string const kind = s_odd_kinds.at(m_odd_random() % s_odd_kinds.size());
+    m_fleet.put_text(kind, object.name, object.spec);
+    ++m_report.odd_objects;
+    auto const end = Core::monotonic_now() + Core::Milliseconds(m_odd_random() % 2'000);
+    m_faults.begin("odd object", end, [this, kind, &object] { m_fleet.remove(kind, object.name); });
+}
+
+void GatewaySoak::check_processes()
+{
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        auto& process = *m_slots[index].gateway.process;
+        if (process.is_running())
+            continue;
+        note_problem(Core::concat("gateway ", index, " ended by itself with ", process.wait()));
+        start_gateway(index);
+    }
+}
+
 void GatewaySoak::begin_backoff()
 {
     // Now and then of all servers at once.
@@ -555,6 +589,7 @@
     auto next_backoff = next_limit + s_backoff_pause;
     auto next_release = next_limit + s_release_pause;
     auto next_joint_kill = next_limit + s_joint_kill_pause;
+    auto next_odd = next_limit;
     while (Core::monotonic_now() < end) {
         m_faults.heal_due(Core::monotonic_now());
         if (m_options.signals == Signals::Yes && Core::monotonic_now() >= next_limit) {
@@ -577,10 +612,16 @@
             kill_all_gateways();
             next_joint_kill = Core::monotonic_now() + s_joint_kill_pause;
         }
+        if (m_options.odd_bytes == OddBytes::Yes && Core::monotonic_now() >= next_odd) {
+            begin_odd_bytes();
+            next_odd = Core::monotonic_now() + s_odd_pause;
+        }
+        check_processes();
         begin_fault();
         std::this_thread::sleep_for(Core::Milliseconds(m_random() % 250));
     }
     m_faults.heal_all();
+    check_processes();
     m_report.faults = m_faults.counts();
     check_recovery();
     m_should_stop = true;
@@ -589,6 +630,7 @@
     if (has_drains())
         check_draining();
     check_leaving();
+    check_processes();
     for (auto const& record : m_records)
         check(record);
     for (auto& finding : m_judges.findings())
--- a/Tests/Soak/GatewaySoak.h
+++ b/Tests/Soak/GatewaySoak.h
@@ -50,6 +50,12 @@
         Yes,
     };
 
+    /// Whether another writer leaves odd objects in the store, and servers stop inside the heads of their answers.
+    enum class OddBytes {
+        No,
+        Yes,
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {5'000};
@@ -63,6 +69,7 @@
         Prompts prompts {Prompts::No};
         Releases releases {Releases::No};
         JointKills joint_kills {JointKills::No};
+        OddBytes odd_bytes {OddBytes::No};
     };
 
     struct Report {
@@ -79,6 +86,8 @@
         /// Streams that callers resumed, and those of them that got further events.
         std::size_t resumed {0};
         std::size_t went_on {0};
+        /// Odd objects that were put into the store.
+        std::size_t odd_objects {0};
     };
 
     explicit GatewaySoak(Options);
@@ -118,6 +127,9 @@
     void begin_leaving();
     void begin_backoff();
     void begin_release();
+    void begin_odd_bytes();
+    /// Notes gateways that have ended by themselves, and starts them again.
+    void check_processes();
     /// Kills all gateways at once, and at times the new ones again within a second.
     void kill_all_gateways();
     /// Takes a stream that ended early up again at other gateways.
@@ -146,6 +158,7 @@
     std::mt19937 m_backoff_random;
     std::mt19937 m_release_random;
     std::mt19937 m_joint_random;
+    std::mt19937 m_odd_random;
     RunLog m_runs;
     SignalJudges m_judges;
     GatewayFleet m_fleet;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -71,6 +71,8 @@
         Full,
         /// It runs the request and answers with bytes that are no answer, or too few.
         Garbles,
+        /// It runs the request and closes the connection inside the head of its answer.
+        CutsHeads,
     };
 
     SoakBackend(std::string name, RunLog& runs, SignalJudges& judges)
@@ -160,6 +162,10 @@
             return connection.write(id.back() % 2 == 0
                     ? "HTTP/7 what\r\n\r\n"
                     : Core::concat("HTTP/1.1 200 OK\r\n", head, "Content-Length: 900\r\n\r\nshort"));
+        if (mood == Mood::CutsHeads) {
+            auto const cut = Core::concat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", head, "\r\n");
+            return connection.write(std::string_view(cut).substr(0, Core::hash_bytes(id) % (cut.size() - 1)));
+        }
         bool const is_stream = request.find("-stream/") != std::string::npos;
         auto const tokens = std::stoul(field_of(request, "X-Token-Count").value_or("0"));
         std::this_thread::sleep_for(s_work_time + Core::Milliseconds(tokens / s_tokens_per_ms));
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -73,6 +73,17 @@
     EXPECT_GE(2 * report.went_on, report.resumed);
 }
 
+TEST(SoakOfOddBytes, EndsNoGatewayAndPassesOnNoCutAnswer)
+{
+    GatewaySoak::Options options;
+    options.seed = 51;
+    options.gateways = 4;
+    options.length = Core::Milliseconds(15'000);
+    options.drains = GatewaySoak::Drains::Yes;
+    options.odd_bytes = GatewaySoak::OddBytes::Yes;
+    EXPECT_GT(play(options).odd_objects, 20U);
+}
+
 // All gateways are killed at once, again and again, while servers of three versions serve.
 TEST(SoakOfReleases, MixesNoSoftwareVersionsWhereAllGatewaysAreKilled)
 {
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -27,6 +27,8 @@
     TCLAP::SwitchArg prompts("", "prompts", "Let streams carry more prompts than can be read in time.", command_line);
     TCLAP::SwitchArg releases(
         "", "releases", "Replace backend servers by ones of other software versions as well.", command_line);
+    TCLAP::SwitchArg odd_bytes(
+        "", "odd-bytes", "Leave odd objects in the store, and cut answers inside their heads as well.", command_line);
     TCLAP::SwitchArg joint_kills("", "joint-kills", "Kill all gateways at once now and then.", command_line);
     command_line.parse(argument_count, arguments);
     auto const duration = Core::parse_duration(length.getValue());
@@ -41,11 +43,13 @@
         using Prompts = Testing::GatewaySoak::Prompts;
         using Releases = Testing::GatewaySoak::Releases;
         using JointKills = Testing::GatewaySoak::JointKills;
+        using OddBytes = Testing::GatewaySoak::OddBytes;
         Testing::GatewaySoak::Options const options {seed.getValue() + number, *duration, gateways.getValue(),
             backends.getValue(), callers.getValue(), drains.getValue() ? Drains::Yes : Drains::No,
             signals.getValue() ? Signals::Yes : Signals::No, prompts.getValue() ? Prompts::Yes : Prompts::No,
             releases.getValue() ? Releases::Yes : Releases::No,
-            joint_kills.getValue() ? JointKills::Yes : JointKills::No};
+            joint_kills.getValue() ? JointKills::Yes : JointKills::No,
+            odd_bytes.getValue() ? OddBytes::Yes : OddBytes::No};
         auto const report = Testing::GatewaySoak(options).run();
         std::cout << "seed " << options.seed << ": " << (report.problems.empty() ? "kept" : "BROKEN") << ';';
         for (auto const& [answer, times] : report.answers)
@@ -55,6 +59,8 @@
                       << " backoffs=" << report.backoffs;
         if (releases.getValue())
             std::cout << " resumed=" << report.resumed << " went on=" << report.went_on;
+        if (odd_bytes.getValue())
+            std::cout << " odd objects=" << report.odd_objects;
         std::cout << '\n';
         for (auto const& problem : report.problems)
             std::cout << "  " << problem << '\n';
