LibHTTP: Define the end of an answer of which nothing came

Other operators saw a 200 with an empty body, framed as whole, after a server had closed inside its answer's head. The gateway's own parser does not do that: AnswerParserTest cuts answers in 16 framings at every byte of interim heads, head, chunk headers and trailer, fed whole and byte by byte, and none counts as whole. ResponseFramingTest does the same through a gateway, with closes and resets: requests that may be repeated get the other server's answer, others 502, and a stream that has begun goes on elsewhere or ends cut.

One case was right by luck only. A connection that closes before the first byte (also behind an interim answer) led to put_eof() in a state for which Beast asserts: a build with assertions ended there ("Assertion `got_some()' failed", seen with -UNDEBUG), and one without marked the message as complete and neither whole nor broken. It is broken now. (With assertions Beast ends as well when "0\r\n\r" has come of the last chunk, basic_parser.ipp:688; builds without them read on rightly.)

--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -87,9 +87,12 @@
 {
     if (m_state->is_broken || is_complete())
         return;
+    auto& parser = m_state->message->parser;
     boost::system::error_code error;
-    m_state->message->parser.put_eof(error);
-    if (error)
+    // Beast does not define the end of a message of which nothing came.
+    if (parser.got_some())
+        parser.put_eof(error);
+    if (error || !parser.got_some())
         m_state->is_broken = true;
 }
 
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
+#include <mutex>
 
 namespace GraniteField::Testing {
 
@@ -22,8 +24,82 @@
 constexpr std::size_t s_endless_bytes = 8U << 20U;
 constexpr std::size_t s_block_bytes = 64U << 10U;
 
+enum class Cut {
+    Close,
+    Reset,
+};
+
+/// Returns the heads of answers in each framing. The last fields decide whether a server ran the request.
+std::vector<std::string> heads_to(std::string const& request)
+{
+    auto const id = field_of(request, "Granitefield-Request").value_or("");
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n";
+    auto const head = Core::concat(
+        "HTTP/1.1 200 OK\r\nGranitefield-Answer: sig-1\r\nContent-Length: 0\r\nGranitefield-Request: ", id, "\r\n\r\n");
+    auto const refusal = Core::concat(
+        "HTTP/1.1 503 X\r\nContent-Length: 0\r\nGranitefield-Request: ", id, "\r\nGranitefield-Not-Run: 1\r\n\r\n");
+    return {stream_head_to(request), open_head_to(request), head, interim + head, refusal};
+}
+
 class ResponseFraming : public GatewayFixture {
 protected:
+    static constexpr std::size_t s_head_kinds = 5;
+    /// Every request is repeated, up to two times.
+    static constexpr double s_retries_per_request = 4;
+
+    /// Adds servers that answer the first `begun` sends of a request with one event, then one send with a cut head, and
+    /// then well.
+    void add_cutting_backends(std::size_t begun)
+    {
+        m_settings.runs.retries.ratio = s_retries_per_request;
+        for (auto const* name : {"i-1", "i-2", "i-3"}) {
+            add_backend(name, [this, begun](auto& connection, auto const& text, auto) {
+                auto const send = next_send(field_of(text, "Granitefield-Request").value_or(""));
+                if (send < begun)
+                    return connection.write(stream_head_to(text) + chunk(event(1)));
+                if (send > begun)
+                    return write_rest_of_stream(connection, text);
+                auto const head = heads_to(text)[m_head_kind];
+                m_is_last_cut = m_length + 1 >= head.size();
+                connection.write(head.substr(0, m_length));
+                if (m_cut == Cut::Reset)
+                    connection.reset();
+            });
+        }
+        start();
+    }
+
+    static void write_rest_of_stream(FakeConnection& connection, std::string const& text)
+    {
+        auto const last = std::stoul(field_of(text, "Last-Event-ID").value_or("0"));
+        connection.write(stream_head_to(text));
+        for (auto id = static_cast<unsigned>(last) + 1; id <= 3; ++id)
+            connection.write(chunk(event(id)));
+        connection.write("0\r\n\r\n");
+    }
+
+    std::size_t next_send(std::string const& id)
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_sends[id]++;
+    }
+
+    /// Calls for the answer to a request of its own, with each kind of head cut at each byte.
+    void for_each_cut(Cut cut, std::string const& target, std::function<void(RawCaller::Answer const&)> const& judge)
+    {
+        m_cut = cut;
+        for (m_head_kind = 0; m_head_kind < s_head_kinds; ++m_head_kind) {
+            m_is_last_cut = false;
+            for (m_length = 0; !m_is_last_cut; ++m_length) {
+                SCOPED_TRACE(Core::concat("head ", m_head_kind.load(), ", ", m_length.load(), " bytes"));
+                auto const body = Core::concat("ask ", ++m_count);
+                judge(
+                    answer_of(Core::concat("POST ", target, " HTTP/1.1\r\nHost: host.test\r\nGranitefield-Request: r-",
+                        m_count, "\r\nContent-Length: ", body.size(), "\r\n\r\n", body)));
+            }
+        }
+    }
+
     /// Adds two servers of which the one that is asked first answers with `write_bad`, and the other one well.
     void add_bad_and_good(std::function<void(FakeConnection&, std::string const&)> write_bad)
     {
@@ -31,11 +107,7 @@
             add_backend(name, [this, write_bad](auto& connection, auto const& text, auto) {
                 if (m_asked++ == 0)
                     return write_bad(connection, text);
-                auto const last = std::stoul(field_of(text, "Last-Event-ID").value_or("0"));
-                connection.write(stream_head_to(text));
-                for (auto id = static_cast<unsigned>(last) + 1; id <= 3; ++id)
-                    connection.write(chunk(event(id)));
-                connection.write("0\r\n\r\n");
+                write_rest_of_stream(connection, text);
             });
         }
         start();
@@ -52,6 +124,13 @@
         return sum;
     }
 
+    std::mutex m_mutex;
+    std::map<std::string, std::size_t> m_sends;
+    unsigned m_count {0};
+    Cut m_cut {Cut::Close};
+    std::atomic<std::size_t> m_head_kind {0};
+    std::atomic<std::size_t> m_length {0};
+    std::atomic<bool> m_is_last_cut {false};
     std::atomic<int> m_asked {0};
     std::atomic<std::size_t> m_taken {0};
 };
@@ -124,4 +203,50 @@
     EXPECT_LT(m_taken, s_endless_bytes);
 }
 
+TEST_F(ResponseFraming, RetriesAfterAHeadThatIsCutAtAnyByte)
+{
+    add_cutting_backends(0);
+    for (auto const cut : {Cut::Close, Cut::Reset}) {
+        for (auto const* target : {"/safe/", "/resumable/"})
+            for_each_cut(cut, target, [](auto const& answer) {
+                EXPECT_EQ(answer.status, 200);
+                EXPECT_TRUE(answer.is_whole);
+                EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+            });
+    }
+}
+
+TEST_F(ResponseFraming, DoesNotConfirmARequestWhoseHeadIsCutAtAnyByte)
+{
+    add_cutting_backends(0);
+    for (auto const cut : {Cut::Close, Cut::Reset}) {
+        for (auto const* target : {"/plain/", "/stream/"})
+            for_each_cut(cut, target, [](auto const& answer) {
+                EXPECT_EQ(answer.status, 502);
+                EXPECT_TRUE(answer.is_whole);
+            });
+    }
+}
+
+TEST_F(ResponseFraming, ContinuesAStreamAfterAHeadThatIsCutAtAnyByte)
+{
+    add_route("thrice", {{"path-prefix", "/thrice/"}, {"tries", "3"}, {"answer", "events"}, {"resumable", "yes"}});
+    add_cutting_backends(1);
+    for (auto const cut : {Cut::Close, Cut::Reset})
+        for_each_cut(cut, "/thrice/", [](auto const& answer) {
+            EXPECT_TRUE(answer.is_whole);
+            EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+        });
+}
+
+TEST_F(ResponseFraming, DoesNotEndAStreamWithAHeadThatIsCutAtAnyByte)
+{
+    add_cutting_backends(1);
+    for (auto const cut : {Cut::Close, Cut::Reset})
+        for_each_cut(cut, "/resumable/", [](auto const& answer) {
+            EXPECT_FALSE(answer.is_whole);
+            EXPECT_EQ(answer.body, event(1));
+        });
+}
+
 }
--- /dev/null
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace GraniteField::Testing {
+
+/// An answer of a server in each of its framings (RFC 9112, section 6.3), for tests that cut it at every byte.
+struct AnswerSample {
+    std::string name;
+    std::string method;
+    /// Interim answers and the head, up to and with the empty line.
+    std::string head;
+    std::string rest;
+    /// Whether the closing connection is the body's only end.
+    bool ends_with_connection {false};
+
+    [[nodiscard]] std::string text() const { return head + rest; }
+    /// Whether the first bytes have the whole body, also if the empty line behind the last chunk lacks its line feed.
+    /// RFC 9112, section 8: a chunked body without its last chunk is incomplete.
+    [[nodiscard]] bool has_whole_body(std::size_t length) const
+    {
+        bool const is_chunked = rest.ends_with("\r\n\r\n");
+        return is_whole(length) || (is_chunked && length + 1 == text().size());
+    }
+    /// Whether the first bytes of the answer, and the end of the connection in order, are a whole answer.
+    [[nodiscard]] bool is_whole(std::size_t length) const
+    {
+        return ends_with_connection ? length >= head.size() : length == text().size();
+    }
+};
+
+[[nodiscard]] inline std::vector<AnswerSample> answer_samples()
+{
+    std::string const interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string const hints = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\nLink: </a>\r\n\r\n";
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    return {
+        {"length", "GET", ok + "Content-Length: 4\r\nX-Last: 1\r\n\r\n", "body"},
+        {"no body", "POST", ok + "Content-Length: 0\r\nX-Last: 1\r\n\r\n", ""},
+        {"chunks", "POST", ok + "Transfer-Encoding: chunked\r\nX-Last: 1\r\n\r\n",
+            "3;a=b\r\nbod\r\n1\r\ny\r\n0\r\nX-Trailer: 1\r\n\r\n"},
+        {"no chunks", "GET", ok + "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n"},
+        {"events", "POST", ok + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "a\r\nid: 1\ndata\r\n5\r\n: 1\n\n\r\n0\r\n\r\n"},
+        {"close", "POST", ok + "Connection: close\r\nX-Last: 1\r\n\r\n", "body", true},
+        {"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\nX-Last: 1\r\n\r\n", "body", true},
+        {"HEAD", "HEAD", ok + "Content-Length: 4\r\nX-Last: 1\r\n\r\n", ""},
+        {"HEAD without length", "HEAD", ok + "X-Last: 1\r\n\r\n", ""},
+        {"204", "DELETE", "HTTP/1.1 204 No Content\r\nX-Last: 1\r\n\r\n", ""},
+        {"304", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\nX-Last: 1\r\n\r\n", ""},
+        {"no reason", "GET", "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\n", "body"},
+        {"error", "POST", "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\nX-Last: 1\r\n\r\n", ""},
+        {"interim", "POST", interim + ok + "Content-Length: 0\r\n\r\n", ""},
+        {"interim with a length", "POST", hints + ok + "X-Last: 1\r\n\r\n", "body", true},
+        {"two interim", "POST", interim + hints + ok + "Content-Length: 4\r\nX-Last: 1\r\n\r\n", "body"},
+    };
+}
+
+}
