LibHTTP: Do not take a request for answered whose answer was cut inside its head

A store or a billing service that closed inside its answer's head was taken to have answered: HttpClient returned a response with the status line's status and an empty body. A usage report counted as accepted and an object as removed after "HTTP/1.1 200 OK" and a close.

HeadLines notes the empty line that ends the final head; interim answers have heads of their own. Without it send() throws RequestFailed with a possible effect. The response's fields are the final head's now; those of interim answers and trailers were among them.

--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Text.h>
 
+#include <LibHTTP/HeadLines.h>
 #include <LibHTTP/HeaderList.h>
 
 #include <atomic>
@@ -37,11 +38,7 @@
 
 std::size_t take_header(char* data, std::size_t size, std::size_t count, void* user)
 {
-    auto& headers = *static_cast<Headers*>(user);
-    std::string_view const line(data, size * count);
-    auto const colon = line.find(':');
-    if (colon != std::string_view::npos)
-        headers[Core::to_lower(line.substr(0, colon))] = Core::trim(line.substr(colon + 1));
+    static_cast<HeadLines*>(user)->add({data, size * count});
     return size * count;
 }
 
@@ -111,7 +108,8 @@
     BodyReader reader {response.body, request.largest_body};
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reader);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, take_header);
-    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+    HeadLines head;
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &head);
     curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
     curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, check_abort);
     curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_state->is_aborted);
@@ -135,6 +133,11 @@
     if (code != CURLE_OK)
         throw RequestFailed(
             Core::concat(request.method, " ", request.url, ": ", curl_easy_strerror(code)), effect_of(code));
+    if (!head.is_complete())
+        throw RequestFailed(
+            Core::concat(request.method, " ", request.url, ": the connection was closed inside the answer's head"),
+            Effect::Possible);
+    response.headers = head.fields();
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<int>(status);
