LibSide: Do not take an answer that was cut inside its head for whole

Through a relay, a server that closed inside its answer's head made a 200, 204, 304 or 503 with an empty body, framed as whole.

libcurl reports no error for such a close, and RunningCall took an answer for whole as soon as a line `Content-Length` had come, or for HEAD, 204 and 304 with the status line. An interim answer's `Content-Length` counted as well, so that a body without an end of its own was whole when its connection closed, and fields of trailers counted as the head's. The head is evaluated once, when its empty line has come; an end before it is a broken call, which the entry repeats where it may, and else answers with 502.

On a kept connection no byte of an earlier answer gets into a later one; libcurl repeats a call by itself only before the first line of the answer has come.

--- a/Libraries/LibSide/RunningCall.cpp
+++ b/Libraries/LibSide/RunningCall.cpp
@@ -75,24 +75,25 @@
 
 std::size_t RunningCall::take_header(char* data, std::size_t size, std::size_t count, void* user)
 {
-    static_cast<RunningCall*>(user)->take_header_line({data, size * count});
+    auto& call = *static_cast<RunningCall*>(user);
+    bool const was_complete = call.m_head.is_complete();
+    call.m_head.add({data, size * count});
+    if (!was_complete && call.m_head.is_complete())
+        call.read_head();
     return size * count;
 }
 
-void RunningCall::take_header_line(std::string_view line)
+void RunningCall::read_head()
 {
-    auto const colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return;
-    auto const name = Core::to_lower(line.substr(0, colon));
-    auto const value = Core::trim(line.substr(colon + 1));
-    if (name == "content-type") {
-        m_content_type = std::string(value);
-        m_is_event_stream = Core::starts_with_ignoring_case(value, "text/event-stream");
+    auto const& fields = m_head.fields();
+    if (auto const type = fields.find("content-type"); type != fields.end()) {
+        m_content_type = type->second;
+        m_is_event_stream = Core::starts_with_ignoring_case(m_content_type, "text/event-stream");
     }
     // RFC 9112, section 6.3: only these two tell a whole body from one that was cut off.
-    if (name == "content-length" || (name == "transfer-encoding" && Core::ends_with_ignoring_case(value, "chunked")))
-        m_has_framed_end = true;
+    auto const coding = fields.find("transfer-encoding");
+    bool const is_chunked = coding != fields.end() && Core::ends_with_ignoring_case(coding->second, "chunked");
+    m_has_framed_end = is_chunked || fields.contains("content-length");
 }
 
 int RunningCall::status() const
@@ -185,6 +186,10 @@
         end.message = curl_easy_strerror(code);
         return end;
     }
+    if (!m_head.is_complete()) {
+        end.message = "the backend server closed the connection inside its answer's head";
+        return end;
+    }
     bool const is_bodiless = m_call.method == "HEAD" || status() == 204 || status() == 304;
     if (!m_has_framed_end && !is_bodiless) {
         end.message = "the backend server's answer does not say where it ends";
--- a/Libraries/LibSide/RunningCall.h
+++ b/Libraries/LibSide/RunningCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHTTP/EventStream.h>
+#include <LibHTTP/HeadLines.h>
 #include <LibHTTP/HeaderList.h>
 #include <LibSide/EngineClient.h>
 
@@ -33,7 +34,8 @@
     static std::size_t take_header(char*, std::size_t, std::size_t, void*);
     static std::size_t take_body(char*, std::size_t, std::size_t, void*);
     void set_options();
-    void take_header_line(std::string_view);
+    /// Reads what the complete head says about the body.
+    void read_head();
     [[nodiscard]] bool hand_on(std::string_view);
     [[nodiscard]] int status() const;
     [[nodiscard]] bool has_sent_bytes() const;
@@ -43,6 +45,7 @@
     std::string m_url;
     HTTP::HeaderList m_headers;
     CURL* m_handle;
+    HTTP::HeadLines m_head;
     HTTP::EventStreamScanner m_scanner;
     /// The beginning of an event of which the rest has not come. Only whole events are handed on, so that a
     /// suspended stream goes on at the start of one.
