--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -115,6 +115,11 @@
 [[nodiscard]] std::string stream_head_to(std::string const& request);
 [[nodiscard]] std::string chunk(std::string const& text);
 [[nodiscard]] std::string event(unsigned id);
+/// More than any reader keeps of one event, or of a head.
+inline constexpr std::size_t s_endless_bytes = 8U << 20U;
+/// Writes the block until the peer closes the connection or has taken the bytes above; returns how much it took.
+[[nodiscard]] std::size_t write_without_end(FakeConnection&, std::string const& block);
+
 /// Returns the response of a backend server that did not run the request.
 [[nodiscard]] std::string refusal_to(std::string const& request, int status);
 
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -20,8 +20,6 @@
         field_of(request, "Granitefield-Request").value_or(""), "\r\nGranitefield-Answer: sig-1\r\n\r\n");
 }
 
-/// More than a gateway keeps of one event, or of a head.
-constexpr std::size_t s_endless_bytes = 8U << 20U;
 constexpr std::size_t s_block_bytes = 64U << 10U;
 
 enum class Cut {
@@ -113,17 +111,6 @@
         start();
     }
 
-    /// Writes the block until the gateway closes the connection; returns how much it took.
-    static std::size_t write_without_end(FakeConnection& connection, std::string const& block)
-    {
-        std::size_t sum = 0;
-        while (sum < s_endless_bytes && !connection.wait_until_closed(Core::Milliseconds(1))) {
-            connection.write(block);
-            sum += block.size();
-        }
-        return sum;
-    }
-
     std::mutex m_mutex;
     std::map<std::string, std::size_t> m_sends;
     unsigned m_count {0};
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -16,6 +16,8 @@
 
 using Testing::AnswerSample;
 
+constexpr std::size_t s_field_bytes = 64U << 10U;
+
 enum class Cut {
     Close,
     Reset,
@@ -106,4 +108,15 @@
     EXPECT_EQ(answer->headers.at("x-final"), "1");
 }
 
+TEST_F(HttpClientAnswers, FailWhenTheirHeadNeverEnds)
+{
+    std::atomic<std::size_t> sent {0};
+    Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+        connection.write("HTTP/1.1 200 OK\r\n");
+        sent = Testing::write_without_end(connection, "X-Field: " + std::string(s_field_bytes, 'x') + "\r\n");
+    });
+    EXPECT_FALSE(answer_to("GET", server));
+    EXPECT_LT(sent, Testing::s_endless_bytes);
+}
+
 }
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -19,6 +19,8 @@
 constexpr int s_longest_wait_ms = 10'000;
 constexpr std::string_view s_earlier_type = "text/earlier";
 
+constexpr std::size_t s_field_bytes = 64U << 10U;
+
 enum class Cut {
     Close,
     Reset,
@@ -124,4 +126,17 @@
         check(sample, Cut::Close, true);
 }
 
+TEST_F(EngineClientCalls, AreBrokenWhenTheirHeadNeverEnds)
+{
+    std::atomic<std::size_t> sent {0};
+    Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+        connection.write("HTTP/1.1 200 OK\r\n");
+        sent = Testing::write_without_end(connection, "X-Field: " + std::string(s_field_bytes, 'x') + "\r\n");
+    });
+    connect(server);
+    EXPECT_EQ(answer_to("GET").end, CallEnd::Broken);
+    EXPECT_LT(sent, Testing::s_endless_bytes);
+    m_client.reset();
+}
+
 }
