LibEntry: Do not end when a peer states an address that can't be connected to

One announcement with an odd address ended the process that read it: ZeroMQ's connect throws at texts such as "nowhere", "a:b:c" and "127.0.0.1", the exception left the thread that exchanges messages with peers, and nothing had checked what the peer stated. A gateway that had noted the record would have told others of it as well.

A record is noted only if its address is an IP number with a port; others count in granitefield_peer_messages_rejected_total, with a log line.

Before, PeerExchange.DoesNotEndWhenAPeerStatesAnAddressThatCannotBeConnectedTo: "terminate called after throwing an instance of 'zmq::error_t', what(): Invalid argument". Of the 9 texts, ZeroMQ takes port 0, port 99999 and ":1" without a word.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -260,12 +260,23 @@
     }
 }
 
+void PeerExchange::note_peer(Message::PeerRecord const& record, Core::MonotonicTime now)
+{
+    // ZeroMQ throws at other texts, and this gateway would pass them on to its peers.
+    auto const address = Core::Address::from_string(record.address());
+    if (address && address->port() != 0)
+        return m_view.note(from_message(record, now));
+    m_rejected_messages.add();
+    LOG_EVERY_N(ERROR, 10) << "peers: rejected the peer '" << record.name() << "': '" << record.address()
+                           << "' is not an address by IP number such as 127.0.0.1:7000";
+}
+
 void PeerExchange::handle_announce(Message::Announce const& announce, PeerOrigin const& origin)
 {
     auto const now = Core::monotonic_now();
-    m_view.note(from_message(announce.sender(), now));
+    note_peer(announce.sender(), now);
     for (auto const& record : announce.known())
-        m_view.note(from_message(record, now));
+        note_peer(record, now);
     auto const own = versions();
     StateVersions const sender_versions {Core::TableVersion(announce.table_version()),
         DrainsVersion(announce.drains_version()), ListRevision(announce.servers_revision())};
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -101,6 +101,8 @@
     void receive(zmq::socket_t&, std::string const& address);
     /// `frame` holds the serialized envelope.
     void handle(Envelope const&, zmq::message_t& frame, PeerOrigin const&);
+    /// Ignores a record whose address can't be connected to.
+    void note_peer(granitefield::protocol::PeerRecord const&, Core::MonotonicTime now);
     void handle_announce(granitefield::protocol::Announce const&, PeerOrigin const&);
     void handle_pull(granitefield::protocol::Pull const&, PeerOrigin const&);
     void handle_table(granitefield::protocol::TableUpdate const&, zmq::message_t& frame);
--- a/Tests/LibEntry/PeerExchangeTest.cpp
+++ b/Tests/LibEntry/PeerExchangeTest.cpp
@@ -115,13 +115,13 @@
         m_socket.connect(node.address().to_endpoint());
     }
 
-    void announce(unsigned version)
+    void announce(unsigned version, std::string const& address = "127.0.0.1:1")
     {
         auto envelope = make_envelope();
         auto& sender = *envelope.mutable_announce()->mutable_sender();
         sender.set_name(m_name);
         sender.set_group("here");
-        sender.set_address("127.0.0.1:1");
+        sender.set_address(address);
         sender.set_is_platform_reachable(true);
         envelope.mutable_announce()->set_table_version(version);
         send(envelope);
@@ -219,6 +219,19 @@
     EXPECT_TRUE(wait_until([&] { return node.has(2); }, s_apply_limit / 2));
 }
 
+TEST(PeerExchange, DoesNotEndWhenAPeerStatesAnAddressThatCannotBeConnectedTo)
+{
+    zmq::context_t context(1);
+    Node node(context, "node", {});
+    FakePeer peer(context, node, "odd");
+    for (auto const* address : {"nowhere", "127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", "a:b:c", "[::1]:0", ":1",
+             "127.0.0.1:1;127.0.0.1:2", "inproc://x"})
+        peer.announce(0, address);
+    FakePeer good(context, node, "good");
+    good.announce(0);
+    EXPECT_TRUE(wait_until([&] { return node.knows(1); }, s_apply_limit));
+}
+
 // Guards the size of an update. With sheet, row and column named at each cell, 1,400 new routes took 0.76 MB, which is
 // 0.6 s on a small host's link for each peer that pulls them, and up to five pull at once. One step may take a quarter
 // of the limit.
