LibSide: Pass on an answer whose Content-Type is not UTF-8

Through a relay, the caller of a server that answered with `Content-Type: text/<byte 0xff>` got nothing: no head within the test's 60 s, while both processes took 77 s of processor time in these 60 s.

The type travels in a text field of a message. protobuf writes bytes that are not UTF-8 there and does not read them: the entry dropped the first part of the answer as unreadable, asked for it again at once, and got the same bytes. Such bytes are replaced by question marks before they get into a message; the caller gets the answer with that type.

Before, BadInput.AContentTypeOfTheBackendServerThatIsNotUtf8: "result.status Which is: 0" after 60.4 s, and over 3 million log lines "String field 'granitefield.protocol.Chunk.content_type' contains invalid UTF-8 data". BadInputTest's server for one answer is FakeBackend now; its other checks are as they were.

--- a/Libraries/LibSide/RunningCall.cpp
+++ b/Libraries/LibSide/RunningCall.cpp
@@ -1,6 +1,7 @@
 #include <LibSide/RunningCall.h>
 
 #include <LibCore/Text.h>
+#include <LibCore/Utf8.h>
 
 namespace GraniteField::Side {
 
@@ -87,7 +88,8 @@
 {
     auto const& fields = m_head.fields();
     if (auto const type = fields.find("content-type"); type != fields.end()) {
-        m_content_type = type->second;
+        // Entries can't read a message whose text is not UTF-8, and ask for it again without end.
+        m_content_type = Core::replace_invalid_utf8(type->second);
         m_is_event_stream = Core::starts_with_ignoring_case(m_content_type, "text/event-stream");
     }
     // RFC 9112, section 6.3: only these two tell a whole body from one that was cut off.
--- a/Tests/Integration/BadInputTest.cpp
+++ b/Tests/Integration/BadInputTest.cpp
@@ -1,5 +1,6 @@
 // Bad input wherever a byte enters a daemon: a clear error, nothing lost, no crash. The daemons are real
 // processes; what comes in is random from a fixed seed.
+#include "FakeBackend.h"
 #include "Fleet.h"
 
 #include <LibCore/Compression.h>
@@ -84,6 +85,16 @@
         return envelope.SerializeAsString();
     }
 
+    /// Calls while the backend server is one that answers a single request with these bytes.
+    CallerAnswer complete_with(std::string const& answer, bool is_stream)
+    {
+        FakeBackend const server("once", [&](auto& connection, auto const&, std::size_t) { connection.write(answer); });
+        auto& proxy = *m_fleet.backend("llm-1").engine_proxy;
+        proxy.set_target(server.entry().address);
+        proxy.reset_connections();
+        return m_fleet.complete("clerk", "x", 5, is_stream, 0, {{"Granitefield-Repeatable", "no"}});
+    }
+
     void send_to(std::uint16_t port, std::function<std::string()> const& make, int count)
     {
         zmq::context_t context;
@@ -199,35 +210,24 @@
     for (std::string const& answer : {std::string("no HTTP at all\r\n\r\n"),
              std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {}\n\n"),
              std::string("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")}) {
-        int const listener = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-        ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-        ASSERT_EQ(::listen(listener, 4), 0);
-        socklen_t size = sizeof address;
-        ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-        std::thread server([listener, answer] {
-            int const client = ::accept(listener, nullptr, nullptr);
-            std::array<char, 4096> buffer {};
-            [[maybe_unused]] auto const got = ::recv(client, buffer.data(), buffer.size(), 0);
-            [[maybe_unused]] auto const sent = ::send(client, answer.data(), answer.size(), MSG_NOSIGNAL);
-            ::close(client);
-        });
-        backend.engine_proxy->set_target(
-            *Core::Address::from_string("127.0.0.1:" + std::to_string(ntohs(address.sin_port))));
-        backend.engine_proxy->reset_connections();
-        auto const result = m_fleet.complete("clerk", "x", 5, true, 0, {{"Granitefield-Repeatable", "no"}});
+        auto const result = complete_with(answer, true);
         EXPECT_NE(result.outcome(), "done") << result.body;
         EXPECT_NE(result.outcome(), "not-run") << result.body;
-        server.join();
-        ::close(listener);
     }
     backend.engine_proxy->set_target(*Core::Address::from_string("127.0.0.1:" + std::to_string(engine_port)));
     backend.engine_proxy->reset_connections();
     expect_served();
 }
 
+TEST_F(BadInput, AContentTypeOfTheBackendServerThatIsNotUtf8)
+{
+    auto const result
+        = complete_with("HTTP/1.1 200 OK\r\nContent-Type: text/\xff\r\nContent-Length: 4\r\n\r\nbody", false);
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "body");
+    EXPECT_EQ(result.outcome(), "done");
+}
+
 TEST_F(BadInput, ATableThatIsNoTable)
 {
     auto const platform = m_fleet.platform_address();
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -139,4 +139,14 @@
     m_client.reset();
 }
 
+TEST_F(EngineClientCalls, HaveAContentTypeThatMessagesCanCarry)
+{
+    Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/\xff; a=\xc3\xa9\r\nContent-Length: 0\r\n\r\n");
+    });
+    connect(server);
+    EXPECT_EQ(answer_to("GET").content_type, "text/?; a=\xc3\xa9");
+    m_client.reset();
+}
+
 }
