LibEntry: Refuse a call whose method, target or Content-Type is not UTF-8

Through a relay, the caller got 503 with "the side process did not receive the request" after some 2 s, whatever it tried again: protobuf does not read such bytes in a text field, so the side process dropped the call as malformed and each attempt waited in vain.

The entry answers 400, `bad_encoding`, not run. Keys and classes are looked up by their bytes and need no check.

--- a/Libraries/LibEntry/CallInterpreter.cpp
+++ b/Libraries/LibEntry/CallInterpreter.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Hashing.h>
 #include <LibCore/Json.h>
 #include <LibCore/Text.h>
+#include <LibCore/Utf8.h>
 #include <LibSide/TicketBook.h>
 
 #include <optional>
@@ -34,6 +35,17 @@
     return found->second;
 }
 
+/// Side processes can't read a message whose text is not UTF-8.
+std::optional<ErrorAnswer> check_encoding(RawCall const& raw)
+{
+    auto const content_type = header(raw, "content-type").value_or("");
+    for (std::string_view const text : {raw.method, raw.target, content_type}) {
+        if (Core::replace_invalid_utf8(text) != text)
+            return bad_request("bad_encoding", "the method, the target and the header Content-Type must be UTF-8");
+    }
+    return std::nullopt;
+}
+
 std::optional<ErrorAnswer> bind_workspace(Call& call, RawCall const& raw, Table::Table const& table)
 {
     auto const authorization = header(raw, "authorization").value_or("");
@@ -198,6 +210,8 @@
     call.content_type = header(raw, "content-type").value_or("");
     call.table_version = table.version();
     call.body = std::move(raw.body);
+    if (auto error = check_encoding(raw))
+        return *error;
     if (auto error = bind_workspace(call, raw, table))
         return *error;
     if (auto error = bind_target(call, raw, table))
--- a/Tests/Integration/BadInputTest.cpp
+++ b/Tests/Integration/BadInputTest.cpp
@@ -228,6 +228,19 @@
     EXPECT_EQ(result.outcome(), "done");
 }
 
+TEST_F(BadInput, CallersBytesThatAreNotUtf8)
+{
+    std::vector<std::string> const key {
+        "Authorization: Bearer " + std::string(Fleet::s_key), "Granitefield-Class: clerk"};
+    auto const body = R"({"model": "test-model", "messages": [{"role": "user", "content": "tag=a tokens=2"}]})";
+    auto with_type = key;
+    with_type.emplace_back("Content-Type: text/\xff");
+    auto const answer = send_request(m_fleet.entry().caller_port, "POST", "/v1/chat/completions", body, with_type);
+    EXPECT_EQ(answer.status, 400) << answer.body;
+    EXPECT_EQ(answer.outcome(), "not-run");
+    expect_served();
+}
+
 TEST_F(BadInput, ATableThatIsNoTable)
 {
     auto const platform = m_fleet.platform_address();
--- a/Tests/LibEntry/CallInterpreterTest.cpp
+++ b/Tests/LibEntry/CallInterpreterTest.cpp
@@ -84,6 +84,14 @@
     raw.headers.erase("authorization");
     EXPECT_EQ(code_of(raw), "missing_key");
     EXPECT_EQ(code_of(make_raw_call("/v1/chat/completions", std::string(100'000, '['))), "bad_json");
+    EXPECT_EQ(code_of(make_raw_call("/services/pay/\xff", "")), "bad_encoding");
+    raw = make_raw_call("/services/pay/x", "");
+    raw.headers["content-type"] = "text/\xc3";
+    EXPECT_EQ(code_of(raw), "bad_encoding");
+    raw.headers["content-type"] = "text/\xc3\xa9";
+    EXPECT_EQ(code_of(raw), "");
+    raw.method = "G\xffT";
+    EXPECT_EQ(code_of(raw), "bad_encoding");
 }
 
 RC_GTEST_PROP(CallInterpreter, AcceptsOrRejectsArbitraryInput,
