LibCore, Services: Wait for a port that is held

A daemon that starts while another process still listens on one of its ports ended at once, with exit 1 and nothing in its log. A predecessor that is still finishing its requests, or any other process on the port, thus turned a restart into a series of starts that end: callers got refused connections, and whoever counts ends counted each of them.

Cause: each listener was bound once, and its failure left run_gateway(), run_entry() or run_side() as an exception. The class is a condition of the environment that passes and is treated as a fault of the process.

Now Core::ListenRetry binds again every 100 ms, in all roles and for all listeners, also where no interface has the address yet. The wait is reported at once on standard error, and as listen-waiting and listen-begun in the log, which stays held behind the announcement. SIGTERM ends the wait orderly; SIGHUP begins the start over with the settings as they are then, since the address itself may be what was wrong. The operators' port is not needed to serve: a daemon starts without it and takes it when it is free. Nothing shares a port: SO_REUSEPORT is not set, and a listener that exists still makes bind() fail.

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -4,7 +4,8 @@
 #include <LibHTTP/Microhttpd.h>
 #include <LibSide/TicketBook.h>
 
-#include <stdexcept>
+#include <cerrno>
+#include <system_error>
 
 #include <glog/logging.h>
 #include <unistd.h>
@@ -35,17 +36,24 @@
     , m_router(router)
     , m_table(table)
     , m_metrics(metrics)
+{
+    m_daemon = m_settings.listen.listen(m_settings.address, [this] { return listen(); });
+}
+
+MHD_Daemon* CallerServer::listen()
 {
     HTTP::BindAddress const bind_address(m_settings.address);
     unsigned const flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | bind_address.flags();
-    m_daemon = MHD_start_daemon(flags, m_settings.address.port(), nullptr, nullptr, handle, this, MHD_OPTION_SOCK_ADDR,
-        bind_address.socket_address(), MHD_OPTION_THREAD_POOL_SIZE, m_settings.threads, MHD_OPTION_CONNECTION_LIMIT,
-        m_settings.max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, s_connection_memory_bytes,
-        MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(m_settings.idle_timeout.count()),
-        MHD_OPTION_URI_LOG_CALLBACK, begin_connection, this, MHD_OPTION_NOTIFY_COMPLETED, end_request, this,
-        MHD_OPTION_END);
-    if (m_daemon == nullptr)
-        throw std::runtime_error("can't listen on " + m_settings.address.to_string());
+    errno = 0;
+    auto* daemon = MHD_start_daemon(flags, m_settings.address.port(), nullptr, nullptr, handle, this,
+        MHD_OPTION_SOCK_ADDR, bind_address.socket_address(), MHD_OPTION_THREAD_POOL_SIZE, m_settings.threads,
+        MHD_OPTION_CONNECTION_LIMIT, m_settings.max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        s_connection_memory_bytes, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(m_settings.idle_timeout.count()), MHD_OPTION_URI_LOG_CALLBACK, begin_connection, this,
+        MHD_OPTION_NOTIFY_COMPLETED, end_request, this, MHD_OPTION_END);
+    if (daemon == nullptr)
+        throw std::system_error(errno, std::generic_category(), "can't listen on " + m_settings.address.to_string());
+    return daemon;
 }
 
 CallerServer::~CallerServer()
--- a/Libraries/LibEntry/CallerServer.h
+++ b/Libraries/LibEntry/CallerServer.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Address.h>
 #include <LibCore/Identifiers.h>
+#include <LibCore/ListenRetry.h>
 #include <LibEntry/Router.h>
 #include <LibEntry/SharedTable.h>
 
@@ -20,6 +21,7 @@
 public:
     struct Settings {
         Core::Address address;
+        Core::ListenRetry listen;
         unsigned threads {4};
         unsigned max_connections {20'000};
         std::size_t max_body_bytes {4U << 20U};
@@ -39,6 +41,7 @@
 private:
     struct Connection;
 
+    [[nodiscard]] MHD_Daemon* listen();
     static MHD_Result handle(
         void*, MHD_Connection*, char const*, char const*, char const*, char const*, std::size_t*, void**);
     static void* begin_connection(void*, char const*, MHD_Connection*);
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -79,8 +79,10 @@
     m_listener.set(zmq::sockopt::sndhwm, s_high_water_mark);
     m_listener.set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
     m_listener.set(zmq::sockopt::ipv6, m_settings.address.is_ipv6());
-    m_listener.bind(bind_endpoint(m_settings.address));
-    auto const endpoint = m_listener.get(zmq::sockopt::last_endpoint).substr(std::string_view("tcp://").size());
+    auto const endpoint = m_settings.listen.listen(m_settings.address, [this] {
+        m_listener.bind(bind_endpoint(m_settings.address));
+        return m_listener.get(zmq::sockopt::last_endpoint).substr(std::string_view("tcp://").size());
+    });
     auto const bound = Core::Address::from_string(endpoint);
     if (!bound)
         throw std::runtime_error("cannot parse the address that the peer listener is bound to");
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibCore/ListenRetry.h>
 #include <LibCore/RunningTime.h>
 #include <LibCore/Time.h>
 #include <LibCore/WakeEvent.h>
@@ -44,6 +45,7 @@
         /// Processor time available to the host, in thousandths of a core; 0 if unknown.
         unsigned processor_permille {0};
         Core::Address address;
+        Core::ListenRetry listen;
         /// Address at which other entries reach this one, if it differs, for example behind network address
         /// translation.
         std::optional<Core::Address> advertised_address;
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -52,15 +52,18 @@
     return {boost::asio::ip::make_address(address.host()), address.port()};
 }
 
-boost::asio::ip::tcp::acceptor make_acceptor(boost::asio::io_context& loop, Core::Address const& address)
+boost::asio::ip::tcp::acceptor make_acceptor(
+    boost::asio::io_context& loop, Core::Address const& address, Core::ListenRetry const& retry)
 {
-    boost::asio::ip::tcp::acceptor acceptor(loop);
     auto const endpoint = endpoint_of(address);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen(s_backlog);
-    return acceptor;
+    return retry.listen(address, [&] {
+        boost::asio::ip::tcp::acceptor acceptor(loop);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(s_backlog);
+        return acceptor;
+    });
 }
 
 }
@@ -131,13 +134,14 @@
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
     , m_streams(archive)
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
-          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams)
+          m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams,
+          m_settings.listen)
     , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_streams, m_crashes, usage, {},
           m_admission, {}, {}, 1, 0, log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
-    , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers))
-    , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness))
+    , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers, m_settings.listen))
+    , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness, m_settings.listen))
     , m_timer(m_loop)
 {
     m_context.apply_server_list = [this] { apply_server_list(); };
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibCore/ListenRetry.h>
 #include <LibCore/StallDetector.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/SharedMembership.h>
@@ -34,6 +35,7 @@
         /// Address of the readiness endpoint for the platform's load balancer.
         Core::Address readiness;
         std::string readiness_path {"/readyz"};
+        Core::ListenRetry listen;
         BackendFleet::Settings fleet;
         ForwardingSettings runs;
         Dialect dialect;
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -22,7 +22,7 @@
 LoadExchange::LoadExchange(boost::asio::io_context& loop, std::optional<Core::Address> const& address,
     BackendFleet& fleet, CrashSharing crashes, DutySharing* duties, Entry::SharedMembership const& membership,
     Entry::WatchDuty& duty, Observe::EventLog& log, Observe::MetricRegistry& metrics, DemandSharing* demand,
-    StreamOriginSharing* streams)
+    StreamOriginSharing* streams, Core::ListenRetry const& retry)
     : m_membership(membership)
     , m_duty(duty)
     , m_log(log)
@@ -38,8 +38,7 @@
         return;
     }
     Udp::endpoint const endpoint(boost::asio::ip::make_address(address->host()), address->port());
-    m_socket.open(endpoint.protocol());
-    m_socket.bind(endpoint);
+    m_socket = retry.listen(*address, [&] { return Udp::socket(loop, endpoint); });
     m_socket.non_blocking(true);
     DatagramReader::enable_arrival_times(m_socket.native_handle());
     wait_for_datagrams();
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibCore/ListenRetry.h>
 #include <LibCore/Time.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/WatchDuty.h>
@@ -28,7 +29,8 @@
     /// `streams` where they do not share the versions of streams.
     LoadExchange(boost::asio::io_context&, std::optional<Core::Address> const&, BackendFleet&, CrashSharing,
         DutySharing* duties, Entry::SharedMembership const&, Entry::WatchDuty&, Observe::EventLog&,
-        Observe::MetricRegistry&, DemandSharing* demand = nullptr, StreamOriginSharing* streams = nullptr);
+        Observe::MetricRegistry&, DemandSharing* demand = nullptr, StreamOriginSharing* streams = nullptr,
+        Core::ListenRetry const& = Core::ListenRetry());
 
     /// Records a prompt sent to the server. `parts` may be shared with other prompts; `own_tokens` is the length of the
     /// rest.
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -2,7 +2,8 @@
 
 #include <LibHTTP/Microhttpd.h>
 
-#include <stdexcept>
+#include <cerrno>
+#include <system_error>
 
 namespace GraniteField::HTTP {
 
@@ -86,11 +87,12 @@
     BindAddress const bind_address(address);
     unsigned const flags
         = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL | bind_address.flags();
+    errno = 0;
     m_state->daemon
         = MHD_start_daemon(flags, address.port(), nullptr, nullptr, answer, &m_state->handler, MHD_OPTION_SOCK_ADDR,
             bind_address.socket_address(), MHD_OPTION_NOTIFY_COMPLETED, forget_call, nullptr, MHD_OPTION_END);
     if (m_state->daemon == nullptr)
-        throw std::runtime_error("can't listen on " + address.to_string());
+        throw std::system_error(errno, std::generic_category(), "can't listen on " + address.to_string());
 }
 
 HttpServer::~HttpServer()
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -33,7 +33,7 @@
 public:
     using Handler = std::function<ServerResponse(ServerRequest const&)>;
 
-    /// Listens at once; throws std::runtime_error when the address can't be had.
+    /// Listens at once; throws std::system_error when the address can't be had.
     HttpServer(Core::Address const&, Handler);
     ~HttpServer();
     HttpServer(HttpServer const&) = delete;
--- a/Libraries/LibObserve/CrashReport.cpp
+++ b/Libraries/LibObserve/CrashReport.cpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <sys/prctl.h>
 #include <unistd.h>
+#include <utility>
 
 namespace GraniteField::Observe {
 
@@ -152,7 +153,7 @@
 {
     // Neither is ever destroyed: a fault may also come while the process ends.
     [[maybe_unused]] static auto const* const s_stack = new Core::SignalStack;
-    s_origin = new std::string(EventLog::origin_of(host, incarnation));
+    delete std::exchange(s_origin, new std::string(EventLog::origin_of(host, incarnation)));
     s_descriptor = descriptor;
     std::set_terminate(handle_terminate);
     struct sigaction action { };
--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -137,6 +137,13 @@
     m_signal.notify_all();
 }
 
+void EventLog::discard_held()
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_is_held)
+        m_pending.clear();
+}
+
 std::string EventLog::take_batch()
 {
     std::unique_lock lock(m_mutex);
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -79,6 +79,8 @@
     void write(LogEvent const&, LogWeight = LogWeight::Notable);
     /// Writes the lines that were held, and those that follow. The destructor writes what is held as well.
     void begin_output();
+    /// Removes the lines that are held, for a start that begins over.
+    void discard_held();
 
 private:
     void run();
--- a/Libraries/LibSide/EntryLinks.cpp
+++ b/Libraries/LibSide/EntryLinks.cpp
@@ -6,7 +6,7 @@
 
 namespace GraniteField::Side {
 
-EntryLinks::EntryLinks(zmq::context_t& context, Core::Address const& address)
+EntryLinks::EntryLinks(zmq::context_t& context, Core::Address const& address, Core::ListenRetry const& retry)
     : m_socket(context, zmq::socket_type::router)
 {
     m_socket.set(zmq::sockopt::linger, 0);
@@ -17,9 +17,11 @@
     m_socket.set(zmq::sockopt::router_mandatory, true);
     m_socket.set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
     m_socket.set(zmq::sockopt::ipv6, address.is_ipv6());
-    m_socket.bind(address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint());
-    auto const bound = Core::Address::from_string(
-        m_socket.get(zmq::sockopt::last_endpoint).substr(std::string_view("tcp://").size()));
+    auto const endpoint = retry.listen(address, [&] {
+        m_socket.bind(address.port() == 0 ? "tcp://" + address.host() + ":*" : address.to_endpoint());
+        return m_socket.get(zmq::sockopt::last_endpoint).substr(std::string_view("tcp://").size());
+    });
+    auto const bound = Core::Address::from_string(endpoint);
     if (!bound)
         throw std::runtime_error("the bound address can't be read");
     m_port = bound->port();
--- a/Libraries/LibSide/EntryLinks.h
+++ b/Libraries/LibSide/EntryLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibCore/ListenRetry.h>
 #include <Messages.pb.h>
 
 #include <cstdint>
@@ -22,7 +23,7 @@
 class EntryLinks {
 public:
     /// Throws zmq::error_t when the address can't be had.
-    EntryLinks(zmq::context_t&, Core::Address const&);
+    EntryLinks(zmq::context_t&, Core::Address const&, Core::ListenRetry const&);
 
     [[nodiscard]] std::optional<Received> receive();
     /// False when the entry is not connected or its queue is full. The entry asks again for what it misses.
--- a/Libraries/LibSide/SideAuthority.cpp
+++ b/Libraries/LibSide/SideAuthority.cpp
@@ -35,7 +35,7 @@
     : m_settings(std::move(settings))
     , m_incarnation(Core::draw_incarnation())
     , m_started(Core::monotonic_now())
-    , m_links(context, m_settings.link_address)
+    , m_links(context, m_settings.link_address, m_settings.listen)
     , m_engine(m_settings.engine, m_wake)
     , m_queue(m_settings.discipline, m_settings.limits)
     , m_tickets(m_incarnation, m_settings.tickets)
--- a/Libraries/LibSide/SideAuthority.h
+++ b/Libraries/LibSide/SideAuthority.h
@@ -32,6 +32,7 @@
     std::string backend_server;
     std::string service;
     Core::Address link_address;
+    Core::ListenRetry listen;
     EngineClient::Settings engine;
     Policy::QueueLimits limits;
     /// The backend server goes on with a cancelled stream when it is asked to.
--- a/Services/GraniteFieldD/EntryDaemon.cpp
+++ b/Services/GraniteFieldD/EntryDaemon.cpp
@@ -37,7 +37,7 @@
 
 }
 
-void run_entry(Settings::DaemonSettings const& settings, std::function<void()> const& wait_for_stop)
+void run_entry(Settings::DaemonSettings const& settings, SignalWait const& wait_for_signal)
 {
     auto const& common = settings.common;
     auto const incarnation = Core::draw_incarnation();
@@ -56,25 +56,30 @@
     auto router_settings = settings.entry.router;
     router_settings.links.link.own_incarnation = incarnation;
     Entry::Router router(router_settings, context, table, drains, membership, metrics, decisions, spans.get());
+    auto const events = listen_events(wait_for_signal);
+    auto peer_settings = settings.entry.peers;
+    peer_settings.listen = Core::ListenRetry(events);
     Entry::PeerExchange peers(
-        settings.entry.peers, context, table, drains, servers, membership, {[&router] { router.wake(); }}, metrics);
+        peer_settings, context, table, drains, servers, membership, {[&router] { router.wake(); }}, metrics);
     auto const tell_all = [&router, &peers] {
         router.wake();
         peers.wake();
     };
     Entry::TableFollower const table_follower(settings.entry.platform, table, peers, tell_all, metrics);
     Entry::HostFollower const host_follower(settings.entry.platform, drains, peers, tell_all, metrics);
-    Entry::CallerServer callers(settings.entry.callers, incarnation, router, table, metrics);
+    auto caller_settings = settings.entry.callers;
+    caller_settings.listen = Core::ListenRetry(events);
+    Entry::CallerServer callers(caller_settings, incarnation, router, table, metrics);
 
     std::atomic<bool> is_stopping {false};
     OperatorServer::Sources sources;
     sources.is_ready = [&] { return !is_stopping && table.current() != nullptr && router.has_backends(); };
     sources.status = [&router] { return router.status(); };
-    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions, events);
 
     announce({{"role", "entry"}, {"callers", callers.port()}, {"operator", operators.port()}, {"peers", peers.port()}});
     LOG(INFO) << "daemon: entry " << common.name << " takes callers on port " << callers.port();
-    wait_for_stop();
+    wait_for_stop(wait_for_signal);
 
     LOG(INFO) << "daemon: stopping as planned";
     is_stopping = true;
--- a/Services/GraniteFieldD/EntryDaemon.h
+++ b/Services/GraniteFieldD/EntryDaemon.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <LibSettings/DaemonSettings.h>
+#include "Signals.h"
 
-#include <functional>
+#include <LibSettings/DaemonSettings.h>
 
 namespace GraniteField::Daemon {
 
-/// Runs an entry until `wait_for_stop` returns, then stops as planned: shows that it is not ready, closes
-/// the listener, and lets what is in flight end.
-void run_entry(Settings::DaemonSettings const&, std::function<void()> const& wait_for_stop);
+/// Runs an entry until it is told to stop, then stops as planned: shows that it is not ready, closes the listener, and
+/// lets what is in flight end. Throws StartInterrupted.
+void run_entry(Settings::DaemonSettings const&, SignalWait const&);
 
 }
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -225,6 +225,8 @@
     Entry::SharedMembership membership;
     auto server_settings = settings.gateway.server;
     server_settings.dialect = Platform::platform_dialect();
+    auto const events = listen_events(wait_for_signal, &log);
+    server_settings.listen = Core::ListenRetry(events);
     auto const contact_time = settings.gateway.platform.contact_time.value_or(s_contact_time);
     auto const& drain_limit = settings.gateway.platform.drain_limit;
     auto const table_limit = settings.gateway.platform.apply_limit.value_or(Entry::WatchDuty::s_apply_limit);
@@ -243,6 +245,7 @@
         usage ? &*usage : nullptr, &quarantine, watched_drains, &archive);
     auto peer_settings = settings.gateway.peers;
     peer_settings.load_address = server.load_address();
+    peer_settings.listen = server_settings.listen;
     Entry::PeerExchange peers(peer_settings, context, table, drains, servers, membership,
         {[&server] { server.wake(); }, [&duty](bool is_elected) { duty.set_elected(is_elected); },
             [&duty] { return duty.follows_store(); },
@@ -258,7 +261,7 @@
     sources.actions["GET /table"] = [&table](auto const&) { return show_table(table); };
     sources.actions["POST /quarantine/release"]
         = [&server](auto const& request) { return release_request(request, server); };
-    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions, events);
     announce({{"role", "gateway"}, {"callers", server.caller_port()}, {"readiness", server.readiness_port()},
                  {"operator", operators.port()}, {"peers", peers.port()}},
         log);
--- a/Services/GraniteFieldD/GatewayDaemon.h
+++ b/Services/GraniteFieldD/GatewayDaemon.h
@@ -1,20 +1,14 @@
 #pragma once
 
+#include "Signals.h"
+
 #include <LibSettings/DaemonSettings.h>
 
 #include <filesystem>
 #include <functional>
-#include <optional>
 
 namespace GraniteField::Daemon {
 
-/// What a signal asks for.
-enum class Signal {
-    Stop,
-    /// The settings file may have changed.
-    Reload,
-};
-
 /// The file that a daemon's settings are read from.
 struct SettingsSource {
     std::function<Settings::DaemonSettings()> read;
@@ -22,10 +16,7 @@
     std::function<std::filesystem::file_time_type()> changed_at;
 };
 
-/// Waits for a signal; nothing when the limit is over first.
-using SignalWait = std::function<std::optional<Signal>(Core::Milliseconds limit)>;
-
-/// Runs a gateway until it is told to stop, and lets it finish what is in flight.
+/// Runs a gateway until it is told to stop, and lets it finish what is in flight. Throws StartInterrupted.
 void run_gateway(Settings::DaemonSettings const&, SignalWait const&, SettingsSource const&);
 
 }
--- a/Services/GraniteFieldD/OperatorServer.cpp
+++ b/Services/GraniteFieldD/OperatorServer.cpp
@@ -1,6 +1,7 @@
 #include "OperatorServer.h"
 
 #include <LibCore/Text.h>
+#include <LibCore/Thread.h>
 
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
@@ -28,13 +29,50 @@
 
 }
 
-OperatorServer::OperatorServer(
-    Core::Address const& address, Sources sources, Observe::MetricRegistry& metrics, Observe::DecisionRing& decisions)
-    : m_sources(std::move(sources))
+OperatorServer::OperatorServer(Core::Address const& address, Sources sources, Observe::MetricRegistry& metrics,
+    Observe::DecisionRing& decisions, Core::ListenRetry::Events const& events)
+    : m_address(address)
+    , m_sources(std::move(sources))
     , m_metrics(metrics)
     , m_decisions(decisions)
-    , m_server(address, [this](auto const& request) { return handle(request); })
+    , m_port(address.port())
 {
+    try {
+        listen();
+    } catch (std::exception const& error) {
+        events.on_waiting(m_address, error.what());
+        m_thread = Core::start_thread("operators", [this, events] { wait_to_listen(events); });
+    }
+}
+
+OperatorServer::~OperatorServer()
+{
+    m_pause.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void OperatorServer::listen()
+{
+    m_server.emplace(m_address, [this](auto const& request) { return handle(request); });
+    m_port = m_server->port();
+}
+
+void OperatorServer::wait_to_listen(Core::ListenRetry::Events const& events)
+{
+    auto const start = Core::monotonic_now();
+    while (true) {
+        m_pause.wait(Core::ListenRetry::s_interval);
+        if (m_pause.is_stopped())
+            return;
+        try {
+            listen();
+            return events.on_listening(m_address, Core::elapsed(start, Core::monotonic_now()));
+        } catch (std::exception const&) {
+            // The reason was reported when the wait began.
+            continue;
+        }
+    }
 }
 
 HTTP::ServerResponse OperatorServer::decisions_about(std::string const& text) const
--- a/Services/GraniteFieldD/SideDaemon.cpp
+++ b/Services/GraniteFieldD/SideDaemon.cpp
@@ -30,7 +30,7 @@
 
 }
 
-void run_side(Settings::DaemonSettings const& settings, std::function<void()> const& wait_for_stop)
+void run_side(Settings::DaemonSettings const& settings, SignalWait const& wait_for_signal)
 {
     auto const& common = settings.common;
     Observe::MetricRegistry metrics;
@@ -40,7 +40,10 @@
         spans = std::make_unique<Observe::SpanExporter>(*common.trace_collector, "granitefield-side", metrics);
 
     zmq::context_t context(s_io_threads);
-    Side::SideAuthority authority(settings.side, context, metrics, decisions, spans.get());
+    auto const events = listen_events(wait_for_signal);
+    auto side_settings = settings.side;
+    side_settings.listen = Core::ListenRetry(events);
+    Side::SideAuthority authority(side_settings, context, metrics, decisions, spans.get());
     Observe::install_crash_report(STDERR_FILENO, common.name, authority.incarnation());
 
     OperatorServer::Sources sources;
@@ -54,10 +57,10 @@
         authority.undrain();
         return HTTP::ServerResponse {200, "text/plain", {}, "taking new work\n"};
     };
-    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions);
+    OperatorServer const operators(common.operator_address, std::move(sources), metrics, decisions, events);
 
     announce({{"role", "side"}, {"link", authority.port()}, {"operator", operators.port()}});
-    wait_for_stop();
+    wait_for_stop(wait_for_signal);
 
     LOG(INFO) << "daemon: stopping as planned";
     authority.drain();
--- a/Services/GraniteFieldD/SideDaemon.h
+++ b/Services/GraniteFieldD/SideDaemon.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <LibSettings/DaemonSettings.h>
+#include "Signals.h"
 
-#include <functional>
+#include <LibSettings/DaemonSettings.h>
 
 namespace GraniteField::Daemon {
 
-/// Runs the side process of a backend server until `wait_for_stop` returns, then stops as planned: takes no
-/// new work, sends waiting work back to its entries, and lets what runs end.
-void run_side(Settings::DaemonSettings const&, std::function<void()> const& wait_for_stop);
+/// Runs the side process of a backend server until it is told to stop, then stops as planned: takes no new work, sends
+/// waiting work back to its entries, and lets what runs end. Throws StartInterrupted.
+void run_side(Settings::DaemonSettings const&, SignalWait const&);
 
 }
--- a/Services/GraniteFieldD/main.cpp
+++ b/Services/GraniteFieldD/main.cpp
@@ -67,7 +67,20 @@
         LOG(WARNING) << "daemon: cannot set the size of the blocks that are returned to the system";
 }
 
-int run(Settings::DaemonSettings const& settings, Daemon::SettingsSource const& source)
+void run_role(Settings::DaemonSettings const& settings, Daemon::SignalWait const& wait_for_signal,
+    Daemon::SettingsSource const& source)
+{
+    switch (settings.role) {
+    case Settings::Role::Entry:
+        return Daemon::run_entry(settings, wait_for_signal);
+    case Settings::Role::Side:
+        return Daemon::run_side(settings, wait_for_signal);
+    case Settings::Role::Gateway:
+        return Daemon::run_gateway(settings, wait_for_signal, source);
+    }
+}
+
+void run(Settings::DaemonSettings settings, Daemon::SettingsSource const& source)
 {
     auto const signals = block_signals();
     return_large_blocks();
@@ -79,29 +92,16 @@
         timespec const time {seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
         return signal_of(sigtimedwait(&signals, nullptr, &time));
     };
-    // Entries and side processes read their settings once.
-    auto const wait_for_stop = [&wait_for_signal] {
-        constexpr Core::Milliseconds interval {60'000};
-        while (true) {
-            auto const signal = wait_for_signal(interval);
-            if (signal == Daemon::Signal::Stop)
+    while (true) {
+        try {
+            run_role(settings, wait_for_signal, source);
+            return;
+        } catch (Daemon::StartInterrupted const& interruption) {
+            if (interruption.signal == Daemon::Signal::Stop)
                 return;
-            if (signal == Daemon::Signal::Reload)
-                LOG(WARNING) << "daemon: this role reads its settings only at its start";
+            settings = source.read();
         }
-    };
-    switch (settings.role) {
-    case Settings::Role::Entry:
-        Daemon::run_entry(settings, wait_for_stop);
-        break;
-    case Settings::Role::Side:
-        Daemon::run_side(settings, wait_for_stop);
-        break;
-    case Settings::Role::Gateway:
-        Daemon::run_gateway(settings, wait_for_signal, source);
-        break;
     }
-    return 0;
 }
 
 }
@@ -127,7 +127,8 @@
         auto const settings = source.read();
         if (should_check.getValue())
             return 0;
-        return run(settings, source);
+        run(settings, source);
+        return 0;
     } catch (Core::InvalidInput const& error) {
         std::cerr << error.what() << '\n';
         return s_exit_usage;
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -23,6 +23,11 @@
 }
 
 GatewayFleet::Gateway GatewayFleet::start(std::string const& name, Json const& peer_addresses, std::uint16_t store)
+{
+    return start_with(make_settings(name, peer_addresses, store));
+}
+
+Json GatewayFleet::make_settings(std::string const& name, Json const& peer_addresses, std::uint16_t store) const
 {
     Json settings {{"role", "gateway"}, {"name", name}, {"failure-domain", "here"}, {"region", "r"},
         {"operator-address", "127.0.0.1:0"}, {"callers-address", "127.0.0.1:0"}, {"readiness-address", "127.0.0.1:0"},
@@ -36,18 +41,33 @@
         settings["duties"] = m_duties;
     if (m_drain_limit)
         settings["platform"]["domain-drain-limit"] = Core::format_duration(*m_drain_limit);
-    return start_with(settings);
+    return settings;
 }
 
 GatewayFleet::Gateway GatewayFleet::start_with(Json const& settings)
+{
+    return wait_for_announcement(launch(settings));
+}
+
+std::unique_ptr<Process> GatewayFleet::launch(Json const& settings, Process::Errors errors)
+{
+    return std::make_unique<Process>(program_path("Services/granitefieldd"),
+        std::vector<std::string> {"--settings", write_settings(settings)}, errors);
+}
+
+std::string GatewayFleet::write_settings(Json const& settings)
 {
     auto const name = settings.at("name").get<std::string>();
     m_settings[name] = settings;
-    auto const path = (m_directory / (name + ".json")).string();
+    auto path = (m_directory / (name + ".json")).string();
     std::ofstream(path) << settings.dump();
+    return path;
+}
+
+GatewayFleet::Gateway GatewayFleet::wait_for_announcement(std::unique_ptr<Process> process)
+{
     Gateway gateway;
-    gateway.process = std::make_unique<Process>(
-        program_path("Services/granitefieldd"), std::vector<std::string> {"--settings", path});
+    gateway.process = std::move(process);
     auto const ports = gateway.process->wait_for_announcement();
     gateway.callers = ports.at("callers");
     gateway.readiness = ports.at("readiness");
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -34,6 +34,16 @@
     /// Starts a gateway with these settings, which name it.
     Gateway start_with(Json const& settings);
 
+    /// The settings that start() uses.
+    [[nodiscard]] Json make_settings(
+        std::string const& name, Json const& peer_addresses = Json::array(), std::uint16_t store = 0) const;
+    /// Starts a gateway without waiting for its announcement.
+    [[nodiscard]] std::unique_ptr<Process> launch(
+        Json const& settings, Process::Errors errors = Process::Errors::Inherited);
+    /// Writes the settings file of the gateway that they name, and returns its path.
+    std::string write_settings(Json const& settings);
+    [[nodiscard]] static Gateway wait_for_announcement(std::unique_ptr<Process>);
+
     /// Gateways that start from now on report usage; these are their settings for it.
     void set_duties(Json duties) { m_duties = std::move(duties); }
 
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -38,7 +38,7 @@
     return ends;
 }
 
-pid_t spawn(std::string const& program, std::vector<std::string>& arguments, int input, int output)
+pid_t spawn(std::string const& program, std::vector<std::string>& arguments, int input, int output, int errors = -1)
 {
     std::vector<char*> argument_pointers {const_cast<char*>(program.c_str())};
     for (auto& argument : arguments)
@@ -49,6 +49,8 @@
     if (input >= 0)
         posix_spawn_file_actions_adddup2(&actions, input, STDIN_FILENO);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    if (errors >= 0)
+        posix_spawn_file_actions_adddup2(&actions, errors, STDERR_FILENO);
     pid_t id = -1;
     auto const result = posix_spawn(&id, program.c_str(), &actions, nullptr, argument_pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -57,6 +59,19 @@
     return id;
 }
 
+/// Appends what can be read within the time.
+void append_available(int descriptor, Core::Milliseconds patience, std::string& text)
+{
+    std::array<char, 4096> buffer {};
+    pollfd item {descriptor, POLLIN, 0};
+    while (::poll(&item, 1, static_cast<int>(patience.count())) > 0) {
+        auto const got = ::read(descriptor, buffer.data(), buffer.size());
+        if (got <= 0)
+            break;
+        text.append(buffer.data(), static_cast<std::size_t>(got));
+    }
+}
+
 int exit_code_of(int status)
 {
     return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
@@ -69,15 +84,21 @@
     return std::string(GRANITEFIELD_BINARY_DIRECTORY) + "/" + name;
 }
 
-Process::Process(std::string const& program, std::vector<std::string> arguments)
+Process::Process(std::string const& program, std::vector<std::string> arguments, Errors errors)
 {
     auto const ends = make_pipe();
     if (std::getenv(s_logs_variable) != nullptr)
         ::fcntl(ends[0], F_SETPIPE_SZ, s_kept_output_bytes);
-    m_id = spawn(program, arguments, -1, ends[1]);
+    std::array<int, 2> error_ends {-1, -1};
+    if (errors == Errors::Kept)
+        error_ends = make_pipe();
+    m_id = spawn(program, arguments, -1, ends[1], error_ends[1]);
     m_log_id = m_id;
     ::close(ends[1]);
     m_output = ends[0];
+    if (errors == Errors::Kept)
+        ::close(error_ends[1]);
+    m_errors = error_ends[0];
 }
 
 Process::Process(Process&& other) noexcept
@@ -85,6 +106,8 @@
     , m_log_id(std::exchange(other.m_log_id, -1))
     , m_output(std::exchange(other.m_output, -1))
     , m_printed(std::move(other.m_printed))
+    , m_errors(std::exchange(other.m_errors, -1))
+    , m_reported(std::move(other.m_reported))
     , m_exit_code(other.m_exit_code)
 {
 }
@@ -95,6 +118,8 @@
     std::swap(m_log_id, other.m_log_id);
     std::swap(m_output, other.m_output);
     std::swap(m_printed, other.m_printed);
+    std::swap(m_errors, other.m_errors);
+    std::swap(m_reported, other.m_reported);
     std::swap(m_exit_code, other.m_exit_code);
     return *this;
 }
@@ -108,6 +133,8 @@
     }
     if (m_output >= 0)
         ::close(m_output);
+    if (m_errors >= 0)
+        ::close(m_errors);
 }
 
 nlohmann::json Process::wait_for_announcement()
@@ -131,14 +158,7 @@
 
 void Process::take_output(Core::Milliseconds patience)
 {
-    std::array<char, 4096> buffer {};
-    pollfd descriptor {m_output, POLLIN, 0};
-    while (::poll(&descriptor, 1, static_cast<int>(patience.count())) > 0) {
-        auto const got = ::read(m_output, buffer.data(), buffer.size());
-        if (got <= 0)
-            break;
-        m_printed.append(buffer.data(), static_cast<std::size_t>(got));
-    }
+    append_available(m_output, patience, m_printed);
 }
 
 void Process::keep_output()
@@ -156,6 +176,12 @@
     return m_printed.find(text) != std::string::npos;
 }
 
+bool Process::has_reported(std::string_view text)
+{
+    append_available(m_errors, Core::Milliseconds(0), m_reported);
+    return m_reported.find(text) != std::string::npos;
+}
+
 void Process::send_signal(int number) const
 {
     // kill() takes -1, the id of an ended program, for every process.
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -17,8 +17,15 @@
 /// announcement is kept there in a file of its own, so that a failure that shows once can be traced.
 class Process {
 public:
+    /// Where the program's standard error goes.
+    enum class Errors {
+        Inherited,
+        /// Kept for has_reported().
+        Kept,
+    };
+
     /// Starts the program, with its log going to a file in the test's directory.
-    Process(std::string const& program, std::vector<std::string> arguments);
+    Process(std::string const& program, std::vector<std::string> arguments, Errors = Errors::Inherited);
     ~Process();
     Process(Process&&) noexcept;
     Process& operator=(Process&&) noexcept;
@@ -30,6 +37,8 @@
 
     /// Whether the program has printed the text since its announcement; takes what it has printed by now.
     [[nodiscard]] bool has_printed(std::string_view text);
+    /// Whether the program has written the text to its standard error, which must be kept.
+    [[nodiscard]] bool has_reported(std::string_view text);
 
     void terminate() const;
     /// Has the program read its settings again (SIGHUP).
@@ -54,6 +63,8 @@
     pid_t m_log_id {-1};
     int m_output {-1};
     std::string m_printed;
+    int m_errors {-1};
+    std::string m_reported;
     int m_exit_code {0};
 };
 
