Services: Wait for settings that are half-written, and see each change

The settings file was read once at the start: one that was half-written or missing at that moment ended the process, with exit 2 or 1, and the next start as well where the file took longer. At a reload such a file was rejected, and what was whole a moment later was never taken where both have the same time of change: only that was compared, and without a signal nothing else told of the change.

While a gateway runs the content is compared, every 2 s as before, so that the resolution of the file system's clock doesn't matter. Signals are blocked as main()'s first step: SIGTERM or SIGHUP during the start waits for its turn, where SIGHUP ended the process before.

--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -178,10 +178,10 @@
 
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
-void reload(SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
+void reload(SettingsFile& file, Gateway::GatewayServer& server, Observe::EventLog& log)
 {
     try {
-        auto const settings = source.read();
+        auto const settings = file.read();
         server.reload(settings.gateway.server);
         log.write(Observe::LogEvent("reload").add("outcome", "done"));
     } catch (std::exception const& error) {
@@ -190,26 +190,20 @@
 }
 
 /// Waits until the process is told to stop, and reads the settings again when their file changes.
-void follow_signals(
-    SignalWait const& wait, SettingsSource const& source, Gateway::GatewayServer& server, Observe::EventLog& log)
+void follow_signals(SignalWait const& wait, SettingsFile& file, Gateway::GatewayServer& server, Observe::EventLog& log)
 {
-    auto seen = source.changed_at();
     while (true) {
         auto const signal = wait(s_settings_interval);
         if (signal == Signal::Stop)
             return;
-        auto const changed_at = source.changed_at();
-        if (signal != Signal::Reload && changed_at == seen)
-            continue;
-        seen = changed_at;
-        reload(source, server, log);
+        if (signal == Signal::Reload)
+            reload(file, server, log);
     }
 }
 
 }
 
-void run_gateway(
-    Settings::DaemonSettings const& settings, SignalWait const& wait_for_signal, SettingsSource const& source)
+void run_gateway(Settings::DaemonSettings const& settings, SignalWait const& wait_for_signal, SettingsFile& file)
 {
     auto const& common = settings.common;
     Observe::MetricRegistry metrics;
@@ -302,7 +296,7 @@
     std::optional<UsageDuty> usage_duty;
     if (duties)
         usage_duty.emplace(settings, incarnation, *usage, duty, log, metrics);
-    follow_signals(wait_for_signal, source, server, log);
+    follow_signals(wait_for_signal, file, server, log);
     log.write(Observe::LogEvent("stop"));
     server.drain();
     usage_duty.reset();
--- a/Services/GraniteFieldD/Signals.h
+++ b/Services/GraniteFieldD/Signals.h
@@ -16,7 +16,7 @@
     Reload,
 };
 
-/// Waits for a signal; nothing when the limit is over first.
+/// Waits for a signal. When the limit is over first, Reload if the settings file has changed without one, else nothing.
 using SignalWait = std::function<std::optional<Signal>(Core::Milliseconds limit)>;
 
 /// Thrown when a signal arrives while the daemon still waits for an address to listen on.
--- a/Services/GraniteFieldD/main.cpp
+++ b/Services/GraniteFieldD/main.cpp
@@ -1,19 +1,16 @@
 // granitefieldd: the daemon, in the role that its settings name.
 #include "EntryDaemon.h"
 #include "GatewayDaemon.h"
+#include "SettingsFile.h"
 #include "SideDaemon.h"
 
 #include <LibHTTP/HttpClient.h>
-#include <LibSettings/DaemonSettings.h>
 
 #include <csignal>
 #include <ctime>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <malloc.h>
 #include <optional>
-#include <sstream>
 #include <string>
 
 #include <glog/logging.h>
@@ -28,16 +25,6 @@
 /// Bytes from which a block of memory goes back to the system as soon as it is freed.
 constexpr int s_returned_block_bytes = 1 << 20;
 
-std::string read_file(std::string const& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        throw std::runtime_error("can't read " + path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Blocks the signals that the daemon heeds in all threads, so that one can wait for them.
 sigset_t block_signals()
 {
@@ -67,8 +54,8 @@
         LOG(WARNING) << "daemon: cannot set the size of the blocks that are returned to the system";
 }
 
-void run_role(Settings::DaemonSettings const& settings, Daemon::SignalWait const& wait_for_signal,
-    Daemon::SettingsSource const& source)
+void run_role(
+    Settings::DaemonSettings const& settings, Daemon::SignalWait const& wait_for_signal, Daemon::SettingsFile& file)
 {
     switch (settings.role) {
     case Settings::Role::Entry:
@@ -76,38 +63,53 @@
     case Settings::Role::Side:
         return Daemon::run_side(settings, wait_for_signal);
     case Settings::Role::Gateway:
-        return Daemon::run_gateway(settings, wait_for_signal, source);
+        return Daemon::run_gateway(settings, wait_for_signal, file);
     }
 }
 
-void run(Settings::DaemonSettings settings, Daemon::SettingsSource const& source)
+/// Settings that can't be taken leave the start with those from before.
+Settings::DaemonSettings read_again(Daemon::SettingsFile& file, Settings::DaemonSettings const& before)
+{
+    try {
+        return file.read();
+    } catch (std::exception const& error) {
+        LOG(WARNING) << "daemon: the new settings are rejected: " << error.what();
+        return before;
+    }
+}
+
+void run(Daemon::SettingsFile& file, sigset_t const& signals)
 {
-    auto const signals = block_signals();
     return_large_blocks();
     // A caller or a backend server that hangs up must not end the daemon.
     std::signal(SIGPIPE, SIG_IGN);
-    HTTP::initialize_http_client();
-    auto const wait_for_signal = [&signals](Core::Milliseconds limit) {
+    Daemon::SignalWait const wait_for_signal = [&signals, &file](Core::Milliseconds limit) {
         auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
         timespec const time {seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
-        return signal_of(sigtimedwait(&signals, nullptr, &time));
+        auto const signal = signal_of(sigtimedwait(&signals, nullptr, &time));
+        return !signal && file.take_change() ? Daemon::Signal::Reload : signal;
     };
+    auto settings = file.wait_and_read(wait_for_signal);
+    if (!settings)
+        return;
+    HTTP::initialize_http_client();
     while (true) {
         try {
-            run_role(settings, wait_for_signal, source);
+            run_role(*settings, wait_for_signal, file);
             return;
         } catch (Daemon::StartInterrupted const& interruption) {
             if (interruption.signal == Daemon::Signal::Stop)
                 return;
-            settings = source.read();
+            settings = read_again(file, *settings);
         }
     }
 }
-
 }
 
 int main(int argument_count, char** arguments)
 {
+    // A signal during the start must wait as well.
+    auto const signals = block_signals();
     google::InitGoogleLogging(arguments[0]);
     FLAGS_logtostderr = true;
     try {
@@ -118,16 +120,11 @@
         TCLAP::SwitchArg should_check(
             "", "check", "Only check the settings: prints what is wrong and exits with 2, or with 0.", command_line);
         command_line.parse(argument_count, arguments);
-        Daemon::SettingsSource source;
-        source.read = [&settings_path] { return Settings::parse_settings(read_file(settings_path.getValue())); };
-        source.changed_at = [&settings_path] {
-            std::error_code ignored;
-            return std::filesystem::last_write_time(settings_path.getValue(), ignored);
-        };
-        auto const settings = source.read();
+        Daemon::SettingsFile file(settings_path.getValue());
         if (should_check.getValue())
-            return 0;
-        run(settings, source);
+            static_cast<void>(file.read());
+        else
+            run(file, signals);
         return 0;
     } catch (Core::InvalidInput const& error) {
         std::cerr << error.what() << '\n';
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -51,8 +51,13 @@
 
 std::unique_ptr<Process> GatewayFleet::launch(Json const& settings, Process::Errors errors)
 {
-    return std::make_unique<Process>(program_path("Services/granitefieldd"),
-        std::vector<std::string> {"--settings", write_settings(settings)}, errors);
+    return launch_from(write_settings(settings), errors);
+}
+
+std::unique_ptr<Process> GatewayFleet::launch_from(std::string const& path, Process::Errors errors)
+{
+    return std::make_unique<Process>(
+        program_path("Services/granitefieldd"), std::vector<std::string> {"--settings", path}, errors);
 }
 
 std::string GatewayFleet::write_settings(Json const& settings)
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -40,6 +40,9 @@
     /// Starts a gateway without waiting for its announcement.
     [[nodiscard]] std::unique_ptr<Process> launch(
         Json const& settings, Process::Errors errors = Process::Errors::Inherited);
+    /// The same with a settings file of the test's own.
+    [[nodiscard]] static std::unique_ptr<Process> launch_from(
+        std::string const& path, Process::Errors errors = Process::Errors::Inherited);
     /// Writes the settings file of the gateway that they name, and returns its path.
     std::string write_settings(Json const& settings);
     [[nodiscard]] static Gateway wait_for_announcement(std::unique_ptr<Process>);
--- a/Tests/Integration/StartTest.cpp
+++ b/Tests/Integration/StartTest.cpp
@@ -3,8 +3,10 @@
 
 #include <LibCore/Text.h>
 
-#include <array>
+#include <filesystem>
+#include <fstream>
 #include <system_error>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -184,4 +186,64 @@
     EXPECT_FALSE(process->wait_for_announcement().empty());
 }
 
+TEST_F(Start, DoesNotEndWhileItsSettingsAreHalfWrittenOrMissing)
+{
+    auto const settings = make_settings("g-1");
+    auto const path = write_settings(settings);
+    auto const whole = settings.dump();
+    for (std::string const& text : {whole.substr(0, whole.size() / 2), std::string()}) {
+        std::ofstream(path) << text;
+        auto const process = launch_from(path, Process::Errors::Kept);
+        ASSERT_TRUE(reports(*process, "waiting for the settings"));
+        std::ofstream(path) << whole;
+        EXPECT_FALSE(process->wait_for_announcement().empty());
+    }
+    std::filesystem::remove(path);
+    auto const process = launch_from(path, Process::Errors::Kept);
+    ASSERT_TRUE(reports(*process, "waiting for the settings"));
+    std::ofstream(path) << whole;
+    EXPECT_FALSE(process->wait_for_announcement().empty());
+}
+
+TEST_F(Start, EndsOrderlyWhenToldToStopWhileItsSettingsAreMissing)
+{
+    auto const path = (directory() / "missing.json").string();
+    auto const process = launch_from(path, Process::Errors::Kept);
+    ASSERT_TRUE(reports(*process, "waiting for the settings"));
+    process->terminate();
+    EXPECT_EQ(process->wait(), 0);
+}
+
+TEST_F(Start, TakesSettingsThatWereHalfWrittenAtTheReloadAndHaveTheSameTimeOfChange)
+{
+    auto settings = make_settings("g-1");
+    auto const gateway = start_with(settings);
+    auto const path = write_settings(settings);
+    auto const half = settings.dump().substr(0, settings.dump().size() / 2);
+    std::ofstream(path) << half;
+    gateway.process->hang_up();
+    ASSERT_TRUE(wait_until([&] { return gateway.process->has_printed(R"("outcome":"rejected")"); }));
+    auto const changed_at = std::filesystem::last_write_time(path);
+    settings["drain-notice"] = "200ms";
+    write_settings(settings);
+    std::filesystem::last_write_time(path, changed_at);
+    EXPECT_TRUE(wait_until([&] { return gateway.process->has_printed(R"("outcome":"done")"); }));
+}
+
+TEST_F(Start, DoesNotEndByAReloadOfValuesThatAreOutOfRange)
+{
+    auto settings = make_settings("g-1");
+    auto const gateway = start_with(settings);
+    for (Json const& value : {Json("-5s"), Json(1e300), Json(nullptr), Json("99999999999999999999s")}) {
+        settings["drain-limit"] = value;
+        write_settings(settings);
+        gateway.process->hang_up();
+    }
+    std::filesystem::remove(directory() / "g-1.json");
+    gateway.process->hang_up();
+    ASSERT_TRUE(wait_until([&] { return gateway.process->has_printed("can't read"); }));
+    EXPECT_TRUE(gateway.process->is_running());
+    EXPECT_FALSE(is_ready(gateway));
+}
+
 }
