LibEntry, LibPlatform: Log an unreadable server's entry once in the entry role as well

An entry that follows the list of servers logged each odd one at every read, each second, and read entries of any size. It counts, bounds and logs them as gateways do now; UnreadableNames is shared by both.

--- a/Libraries/LibEntry/HostFollower.cpp
+++ b/Libraries/LibEntry/HostFollower.cpp
@@ -10,6 +10,13 @@
 
 namespace GraniteField::Entry {
 
+namespace {
+
+/// Bytes of a name in a log line.
+constexpr std::size_t s_longest_logged_name = 200;
+
+}
+
 HostFollower::HostFollower(PlatformSettings const& settings, SharedDrains& drains, PeerExchange& peers,
     std::function<void()> on_update, Observe::MetricRegistry& metrics)
     : m_interval(settings.host_interval)
@@ -17,7 +24,7 @@
     , m_peers(peers)
     , m_on_update(std::move(on_update))
     , m_metrics(metrics)
-    , m_client(settings.address, settings.call_timeout)
+    , m_client(settings.address, settings.call_timeout, {.max_bytes = Platform::s_max_entry_bytes})
     , m_backoff(settings.min_retry_delay, settings.max_retry_delay)
     , m_thread(Core::start_thread("hosts", [this] { run(); }))
 {
@@ -45,6 +52,15 @@
     }
 }
 
+void HostFollower::note_unreadable(std::string_view name, std::string_view reason)
+{
+    m_metrics.counter("granitefield_store_objects_unreadable_total", {{"kind", std::string(Platform::servers_kind())}})
+        .add();
+    if (m_unreadable.add(name))
+        LOG(ERROR) << "hosts: the backend server " << name.substr(0, s_longest_logged_name)
+                   << " in the platform's store is invalid: " << reason;
+}
+
 void HostFollower::read_list()
 {
     auto const listing = m_client.list(Platform::servers_kind());
@@ -59,11 +75,13 @@
             ++servers_by_host[server.address.host()];
             if (server.state == Table::BackendServerState::Leaving)
                 leaving.push_back(std::move(server));
+            m_unreadable.remove(object.name);
         } catch (std::exception const& error) {
-            LOG(ERROR) << "hosts: the backend server " << object.name
-                       << " in the platform's store is invalid: " << error.what();
+            note_unreadable(object.name, error.what());
         }
     }
+    for (auto const& object : listing.unreadable)
+        note_unreadable(object.name, object.reason);
     for (auto const& server : leaving) {
         drains.hosts.insert(server.address.to_string());
         // A host's only backend server leaves together with the host's side process.
--- a/Libraries/LibEntry/HostFollower.h
+++ b/Libraries/LibEntry/HostFollower.h
@@ -5,6 +5,7 @@
 #include <LibEntry/PlatformSettings.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibPlatform/ObjectClient.h>
+#include <LibPlatform/UnreadableNames.h>
 
 #include <functional>
 #include <thread>
@@ -26,6 +27,8 @@
 private:
     void run();
     void read_list();
+    /// Counts an entry that can't be read, and logs it once.
+    void note_unreadable(std::string_view name, std::string_view reason);
 
     Core::Milliseconds m_interval;
     SharedDrains& m_drains;
@@ -33,6 +36,7 @@
     std::function<void()> m_on_update;
     Observe::MetricRegistry& m_metrics;
     Platform::ObjectClient m_client;
+    Platform::UnreadableNames m_unreadable;
     Core::Backoff m_backoff;
     std::thread m_thread;
 };
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -53,6 +53,9 @@
     std::string name {};
 };
 
+/// Size of an object that has a few short fields: of a server, a drain or a quarantined request.
+inline constexpr std::size_t s_max_entry_bytes = 16U << 10U;
+
 struct ObjectListing {
     StoreRevision revision;
     std::vector<Object> objects;
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -42,9 +42,6 @@
 /// A shorter wait would only cost calls.
 constexpr Core::Milliseconds s_shortest_watch_wait {500};
 
-/// Size of the object of a server, a drain or a quarantined request, which have a few short fields.
-constexpr std::size_t s_largest_entry_bytes = 16U << 10U;
-
 /// Stands for the time within which a gateway that reaches the store is in step with it, where nobody says.
 constexpr Core::Milliseconds s_contact_time {3'000};
 
@@ -140,7 +137,7 @@
 public:
     QuarantineDuty(Entry::PlatformSettings const& platform, Cluster::SharedQuarantine& shared,
         Entry::WatchDuty& watching, Observe::EventLog& log)
-        : m_store(platform.address, platform.call_timeout, {.max_bytes = s_largest_entry_bytes})
+        : m_store(platform.address, platform.call_timeout, {.max_bytes = Platform::s_max_entry_bytes})
         , m_keeper(shared, m_store, log)
         , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
     {
@@ -283,7 +280,7 @@
     configuration_store.filter.name = Platform::configuration_name();
     Platform::ObjectFollower const configuration(configuration_store, std::string(Platform::configuration_kind()),
         configuration_sink, Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Table), log, metrics);
-    store.filter.max_bytes = s_largest_entry_bytes;
+    store.filter.max_bytes = Platform::s_max_entry_bytes;
     Platform::ObjectFollower const backend_servers(store, std::string(Platform::servers_kind()), servers_sink,
         Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Servers), log, metrics);
     Platform::DrainsSink drains_sink(drains, tell_all, log, metrics);
--- a/Tests/Integration/LeavingTest.cpp
+++ b/Tests/Integration/LeavingTest.cpp
@@ -1,6 +1,7 @@
 // Promises: a backend server that is leaving receives no new work after a few seconds, and a planned stop
 // cuts no request that is in flight.
 #include "Callers.h"
+#include "OddObjects.h"
 
 #include <gtest/gtest.h>
 
@@ -87,6 +88,21 @@
     });
 }
 
+TEST_F(Leaving, ByAHostListThatHoldsOddEntries)
+{
+    for (auto const& odd : odd_entries()) {
+        m_fleet.control_platform(
+            {{"puts", Json::array({{{"kind", "servers"}, {"name", odd.name}, {"spec-text", odd.spec}}})}});
+    }
+    auto const address = "127.0.0.1:" + std::to_string(m_fleet.backend("llm-1").link_proxy->port());
+    expect_no_new_work_after([&] {
+        Json const entry {
+            {"service", "llm"}, {"addr", address}, {"zone", "ba-hall-a"}, {"slots", 4}, {"state", "draining"}};
+        m_fleet.control_platform({{"puts", Json::array({{{"kind", "servers"}, {"name", "i-1"}, {"spec", entry}}})}});
+    });
+    EXPECT_TRUE(m_fleet.entry().process->is_running());
+}
+
 TEST_F(Leaving, APlannedStopOfASideProcessIsNoticedByNobody)
 {
     Callers callers(6, [this](unsigned caller, unsigned number) { return call(caller, number); });
