LibPolicy: Bound the rate limits from which send times are computed

A server that states a limit near the largest double (1.8e308 requests per second; any finite number is taken) made the length of a term infinite, and casting infinity and NaN to clock ticks is undefined: here next_send() lay 290 years before now, other processors give other values. No wrong answer to a caller was seen; the send counted as due at once.

The rate is bounded on both sides before anything is divided by it. 1e9 requests per second limit nothing, and their intervals are whole nanoseconds.

Before, LimitShares.SendsNowAtARateThatNoIntervalCanHold: "Expected: (next) >= (now)" at the largest double (2.0e308 and above are no doubles; 1e308 was right).

--- a/Libraries/LibPolicy/LimitShares.cpp
+++ b/Libraries/LibPolicy/LimitShares.cpp
@@ -18,6 +18,8 @@
 /// Lower limits, including 0, are treated as this one, in requests per second: only an answer shows that a limit has
 /// ended.
 constexpr double s_min_rate = 0.1;
+/// Higher rates limit nothing, and intervals must stay representable.
+constexpr double s_max_rate = 1e9;
 /// Burst of a sender, expressed as the time in which its share allows that many requests.
 constexpr Seconds s_burst_time {0.5};
 /// Minimum length of a term.
@@ -51,7 +53,7 @@
 
 LimitShares::Division LimitShares::divide(double rate) const
 {
-    auto const bounded_rate = std::max(rate, s_min_rate);
+    auto const bounded_rate = std::clamp(rate, s_min_rate, s_max_rate);
     Division division;
     division.senders = senders_for(bounded_rate, m_ranks.count());
     division.interval = Seconds(static_cast<double>(division.senders) / bounded_rate);
--- a/Tests/LibPolicy/LimitSharesTest.cpp
+++ b/Tests/LibPolicy/LimitSharesTest.cpp
@@ -1,6 +1,8 @@
 // Guards against gateways that together exceed a rate limit.
 #include "LimitSimulation.h"
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 namespace GraniteField::Policy {
@@ -106,4 +108,20 @@
     }
 }
 
+TEST(LimitShares, SendsNowAtARateThatNoIntervalCanHold)
+{
+    Core::MonotonicTime const now(std::chrono::hours(100));
+    for (double const rate : {1e6, 1e9, 1e12, 1e100, 1e300, 1e308, std::numeric_limits<double>::max()}) {
+        LimitShares shares;
+        shares.set_gateways(1, {2, 3});
+        SharedRateLimit const limit {rate, now - std::chrono::hours(1)};
+        for (int send = 0; send < 100; ++send) {
+            auto const next = shares.next_send(7, limit, now);
+            EXPECT_GE(next, now) << rate;
+            EXPECT_LE(next, now + std::chrono::milliseconds(1)) << rate;
+            shares.note_sent(7, limit, now);
+        }
+    }
+}
+
 }
