Tests: Check that messages of peers with values out of their range don't end a process

1,000 messages from a fixed seed: announcements with odd names, addresses and ages, pulls of any revision, drains, edits of every column with values no column takes, updates larger than a message may be once decompressed, and servers without slots or born at the end of time. The process goes on serving tables afterwards.

--- a/Tests/LibEntry/PeerExchangeTest.cpp
+++ b/Tests/LibEntry/PeerExchangeTest.cpp
@@ -6,19 +6,24 @@
 // gateway read and decoded the whole table from the store, on the same processor that was to process the reply of the
 // peer. In a simulation without faults, 15 of 24 small hosts read from the store 0.8 to 1.9 s after the change, and the
 // last one had it 2.4 s after the first; with another 1,400 routes these were 18 hosts and 3.2 s.
+#include <LibCore/Compression.h>
 #include <LibCore/Text.h>
 #include <LibEntry/PeerExchange.h>
+#include <LibEntry/PeerMessages.h>
 #include <LibObserve/Metrics.h>
 #include <LibProtocol/ProtocolVersion.h>
 
 #include <Peers.pb.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <zmq.hpp>
@@ -153,7 +158,6 @@
         return size;
     }
 
-private:
     static Message::PeerEnvelope make_envelope()
     {
         Message::PeerEnvelope envelope;
@@ -167,10 +171,115 @@
         m_socket.send(zmq::buffer(bytes), zmq::send_flags::none);
     }
 
+private:
     std::string m_name;
     zmq::socket_t m_socket;
 };
 
+/// Messages that can be parsed, with values out of their range.
+class OddMessages {
+public:
+    Message::PeerEnvelope next()
+    {
+        auto envelope = FakePeer::make_envelope();
+        switch (m_random() % 5) {
+        case 0:
+            fill_announce(*envelope.mutable_announce());
+            break;
+        case 1:
+            envelope.mutable_pull()->set_table_version(number());
+            envelope.mutable_pull()->set_drains_version(number());
+            envelope.mutable_pull()->set_servers_revision(number());
+            break;
+        case 2:
+            envelope.mutable_drains()->set_version(++m_version);
+            envelope.mutable_drains()->add_hosts(text());
+            envelope.mutable_drains()->add_failure_domains(text());
+            break;
+        case 3:
+            fill_table(*envelope.mutable_table());
+            break;
+        default:
+            fill_servers(*envelope.mutable_servers());
+        }
+        return envelope;
+    }
+
+private:
+    std::uint64_t number()
+    {
+        constexpr std::array<std::uint64_t, 6> numbers {0, 1, 2, 1ULL << 31U, 1ULL << 63U, ~0ULL};
+        return numbers.at(m_random() % numbers.size());
+    }
+
+    std::string text()
+    {
+        static std::vector<std::string> const s_texts {"", "a", "here", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:1",
+            "[::1]:1", "-1", "1e400", "nan", "99999999999999999999", "0ms", "-5s", "1e300s", "yes", "svc:1,svc:0",
+            "svc:18446744073709551616", ":", ",", std::string(1'000, 'x'), std::string(1, '\0')};
+        return s_texts.at(m_random() % s_texts.size());
+    }
+
+    void fill_announce(Message::Announce& announce)
+    {
+        for (auto* record : {announce.mutable_sender(), announce.add_known(), announce.add_known()}) {
+            record->set_name(text());
+            record->set_group(text());
+            record->set_address(text());
+            record->set_age_ms(static_cast<std::uint32_t>(number()));
+            record->set_load_address(text());
+            record->set_processor_permille(static_cast<std::uint32_t>(number()));
+        }
+        announce.set_table_version(m_random() % 100);
+        announce.set_drains_version(number());
+        announce.set_servers_revision(m_random() % 100);
+        announce.set_wants_members(m_random() % 2 == 0);
+    }
+
+    void fill_table(Message::TableUpdate& update)
+    {
+        static std::vector<std::string> const s_columns {"", "kind", "model", "tier", "first-token", "token-gap",
+            "give-up", "weight", "floor", "late", "key-hash", "host", "path-prefix", "class", "services", "key",
+            "time-limit", "tries", "repeatable", "answer", "resumable", "service", "side", "state", "unreadable"};
+        Message::TableEdits edits;
+        for (auto count = m_random() % 5; count > 0; --count) {
+            auto& edit = *edits.add_edits();
+            edit.set_sheet(static_cast<std::uint32_t>(m_random() % 8));
+            edit.set_row(text());
+            edit.set_column(s_columns.at(m_random() % s_columns.size()));
+            edit.set_value(text());
+        }
+        update.set_to_version(++m_version);
+        auto const bytes = m_random() % 4 == 0 ? std::string(Protocol::s_largest_message_bytes + 1, '\0')
+                                               : edits.SerializeAsString();
+        update.set_compressed_edits(Core::compress(bytes));
+    }
+
+    void fill_servers(Message::ServersUpdate& update)
+    {
+        ServerList list;
+        list.revision = ListRevision(++m_version);
+        for (auto count = m_random() % 4; count > 0; --count) {
+            ServerEntry server;
+            server.instance = text();
+            server.service = text();
+            server.address = *Core::Address::from_string("127.0.0.1:0");
+            server.slots = static_cast<unsigned>(number());
+            server.born = Platform::BirthTime(Core::Milliseconds(static_cast<std::int64_t>(number())));
+            list.servers.push_back(server);
+        }
+        update = to_message(difference(ServerList(), list), Core::monotonic_now());
+        if (m_random() % 4 == 0)
+            update.set_compressed_servers(text());
+    }
+
+    std::mt19937 m_random {20261205};
+    /// Rises, so that no update is ignored as an old one.
+    unsigned m_version {0};
+};
+
+constexpr unsigned s_odd_messages = 1'000;
+
 /// Longer than the delay of the announcement to a new neighbour, so that afterwards only changes are announced, as
 /// between gateways that have long been connected.
 constexpr Core::Milliseconds s_settling_time {400};
@@ -232,6 +341,21 @@
     EXPECT_TRUE(wait_until([&] { return node.knows(1); }, s_apply_limit));
 }
 
+TEST(PeerExchange, DoesNotEndAtMessagesWithValuesOutOfTheirRange)
+{
+    zmq::context_t context(1);
+    Node node(context, "node", {});
+    FakePeer peer(context, node, "odd");
+    OddMessages messages;
+    for (unsigned count = 0; count < s_odd_messages; ++count)
+        peer.send(messages.next());
+    FakePeer good(context, node, "good");
+    good.pull_since(0);
+    node.apply(table_with_routes(1, s_odd_messages + 1));
+    good.pull_since(0);
+    EXPECT_GT(good.wait_for(Message::PeerEnvelope::kTable), 0U);
+}
+
 // Guards the size of an update. With sheet, row and column named at each cell, 1,400 new routes took 0.76 MB, which is
 // 0.6 s on a small host's link for each peer that pulls them, and up to five pull at once. One step may take a quarter
 // of the limit.
