--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Thread.h>
 #include <LibEntry/PeerMessages.h>
+#include <LibProtocol/Poll.h>
 #include <LibProtocol/ProtocolVersion.h>
 
 #include <algorithm>
@@ -191,7 +192,7 @@
         {nullptr, m_wake.descriptor(), ZMQ_POLLIN, 0}, {m_listener.handle(), 0, ZMQ_POLLIN, 0}};
     for (auto const& [address, connection] : m_connections)
         items.push_back({connection.socket->handle(), 0, ZMQ_POLLIN, 0});
-    zmq::poll(items, m_running.interval());
+    Protocol::poll(items, m_running.interval());
     m_wake.drain();
     receive(m_listener, {});
     for (auto const& [address, connection] : m_connections)
--- a/Libraries/LibEntry/Router.cpp
+++ b/Libraries/LibEntry/Router.cpp
@@ -1,6 +1,7 @@
 #include <LibEntry/Router.h>
 
 #include <LibCore/Thread.h>
+#include <LibProtocol/Poll.h>
 
 #include <algorithm>
 
@@ -88,7 +89,7 @@
             m_poll_items.push_back({link->socket().handle(), 0, ZMQ_POLLIN, 0});
         m_poll_generation = m_links.generation();
     }
-    zmq::poll(m_poll_items, s_tick_interval);
+    Protocol::poll(m_poll_items, s_tick_interval);
     m_wake.drain();
 }
 
--- a/Libraries/LibSide/SideAuthority.cpp
+++ b/Libraries/LibSide/SideAuthority.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Text.h>
 #include <LibCore/Thread.h>
+#include <LibProtocol/Poll.h>
 #include <LibSide/AuthorityLimits.h>
 #include <LibSide/Refusals.h>
 
@@ -119,7 +120,7 @@
         {m_links.socket().handle(), 0, ZMQ_POLLIN, 0},
         {nullptr, m_wake.descriptor(), ZMQ_POLLIN, 0},
     }};
-    zmq::poll(items.data(), items.size(), timeout);
+    Protocol::poll(items.data(), items.size(), timeout);
     m_wake.drain();
 }
 
--- a/Tests/LibEntry/PeerExchangeTest.cpp
+++ b/Tests/LibEntry/PeerExchangeTest.cpp
@@ -17,7 +17,9 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <random>
@@ -26,6 +28,7 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 #include <zmq.hpp>
 
 namespace GraniteField::Entry {
@@ -379,6 +382,32 @@
     EXPECT_LE(whole, largest);
 }
 
+TEST(PeerExchange, GoesOnAfterASignalThatInterruptsItsWait)
+{
+    struct sigaction action { };
+    struct sigaction previous { };
+    static std::atomic<int> s_handled;
+    action.sa_handler = [](int) { ++s_handled; };
+    sigaction(SIGUSR1, &action, &previous);
+    zmq::context_t context(1);
+    Node node(context, "node", {});
+    sigset_t signals;
+    sigset_t before;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGUSR1);
+    // Of this process only the thread of the exchange takes the signal.
+    pthread_sigmask(SIG_BLOCK, &signals, &before);
+    for (int count = 1; count <= 20; ++count) {
+        ::kill(::getpid(), SIGUSR1);
+        ASSERT_TRUE(wait_until([&] { return s_handled >= count; }, s_apply_limit));
+    }
+    FakePeer sound(context, node, "sound");
+    sound.announce(1);
+    EXPECT_TRUE(wait_until([&] { return node.knows(1); }, s_apply_limit));
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    sigaction(SIGUSR1, &previous, nullptr);
+}
+
 // A watcher decodes whole tables: 4,000 routes take 52 ms of processor time, which is 0.6 s on a host with 0.09 of a
 // core and 0.1 s on one with half a core.
 TEST(WatcherChoice, PrefersHostsWithMoreProcessorTime)
