LibEntry: Connect to peers once there are descriptors again

A gateway opens a ZeroMQ socket for each neighbour that it learns of. Where the process has no descriptor left at that moment, which callers' idle connections bring about, the constructor throws EMFILE in the thread of the peer exchange, and the process ended by SIGABRT.

The failure is now logged and the next tick, 0.1 s later, tries again.

PeerExchange.ConnectsOnceThereAreDescriptorsAgain, before: "terminate called after throwing an instance of 'zmq::error_t', what(): Too many open files", three of three runs; after: passes, five runs with the whole of PeerExchangeTest. PeersTest passes.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -151,10 +151,11 @@
         m_membership.peer_count = m_view.count();
         m_membership.has_found_peers = m_view.count() > 0 || is_connected();
         m_peer_count.set(static_cast<std::int64_t>(m_view.count()));
-        if (std::exchange(m_applied_generation, m_view.generation()) != m_view.generation()) {
+        bool const has_changed = std::exchange(m_applied_generation, m_view.generation()) != m_view.generation();
+        if (has_changed)
             m_membership.set_load_members(m_view.load_members());
+        if (std::exchange(m_must_connect, false) || has_changed)
             update_connections();
-        }
         m_pulls.note_newest_known(m_events.newest_known());
         pull_if_due(now);
         announce_if_due(now);
@@ -455,19 +456,32 @@
         connection.is_wanted = true;
         if (connection.socket)
             continue;
-        connection.socket = std::make_unique<zmq::socket_t>(m_context, zmq::socket_type::dealer);
-        connection.socket->set(zmq::sockopt::linger, 0);
-        connection.socket->set(zmq::sockopt::heartbeat_ivl, static_cast<int>(s_probe_interval.count()));
-        connection.socket->set(zmq::sockopt::immediate, true);
-        connection.socket->set(zmq::sockopt::sndhwm, s_high_water_mark);
-        connection.socket->set(zmq::sockopt::rcvhwm, s_high_water_mark);
-        connection.socket->set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
-        connection.socket->connect("tcp://" + address);
+        connection.socket = connect(address);
         // Announce soon to the new neighbour.
         m_next_announcement
             = std::min(m_next_announcement, Core::monotonic_now() + m_settings.initial_announce_interval);
     }
-    std::erase_if(m_connections, [](auto const& item) { return !item.second.is_wanted; });
+    std::erase_if(m_connections, [](auto const& item) { return !item.second.is_wanted || !item.second.socket; });
+}
+
+std::unique_ptr<zmq::socket_t> PeerExchange::connect(std::string const& address)
+{
+    try {
+        auto socket = std::make_unique<zmq::socket_t>(m_context, zmq::socket_type::dealer);
+        socket->set(zmq::sockopt::linger, 0);
+        socket->set(zmq::sockopt::heartbeat_ivl, static_cast<int>(s_probe_interval.count()));
+        socket->set(zmq::sockopt::immediate, true);
+        socket->set(zmq::sockopt::sndhwm, s_high_water_mark);
+        socket->set(zmq::sockopt::rcvhwm, s_high_water_mark);
+        socket->set(zmq::sockopt::maxmsgsize, Protocol::s_largest_message_bytes);
+        socket->connect("tcp://" + address);
+        return socket;
+    } catch (zmq::error_t const& error) {
+        // Most likely out of file descriptors. The next tick tries again.
+        LOG_EVERY_N(WARNING, 100) << "peers: cannot connect to " << address << ": " << error.what();
+        m_must_connect = true;
+        return nullptr;
+    }
 }
 
 Core::Milliseconds PeerExchange::steady_announce_interval() const
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -121,6 +121,8 @@
     /// it was made; for peers that receive a cached update later they are too long, which is safe.
     [[nodiscard]] zmq::message_t make_update_frame(ListRevision, std::shared_ptr<ServerList const> const&);
     void update_connections();
+    /// Returns null if the socket can't be had now.
+    [[nodiscard]] std::unique_ptr<zmq::socket_t> connect(std::string const& address);
     void update_election(Core::MonotonicTime now);
     /// Whether any connection to a neighbour or a seed is up.
     [[nodiscard]] bool is_connected() const;
@@ -173,6 +175,8 @@
     /// Running time at which this gateway next requests members.
     std::optional<Core::Milliseconds> m_next_member_request;
     bool m_is_seed {false};
+    /// A connection could not be made at the last tick.
+    bool m_must_connect {false};
     std::atomic<bool> m_is_platform_reachable {true};
     std::atomic<bool> m_should_watch {true};
     Core::WakeEvent m_wake;
--- a/Tests/LibEntry/PeerExchangeTest.cpp
+++ b/Tests/LibEntry/PeerExchangeTest.cpp
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <zmq.hpp>
 
@@ -408,6 +409,30 @@
     sigaction(SIGUSR1, &previous, nullptr);
 }
 
+TEST(PeerExchange, ConnectsOnceThereAreDescriptorsAgain)
+{
+    zmq::context_t context(1);
+    Node node(context, "node", {});
+    Node other(context, "other", {});
+    node.apply(table_with_routes(1, 1));
+    FakePeer peer(context, node, "other");
+    peer.announce(1);
+    ASSERT_TRUE(wait_until([&] { return node.knows(1); }, s_apply_limit));
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    auto lowered = limit;
+    lowered.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &lowered);
+    peer.announce(1, other.address().to_string());
+    // The second answer comes after the tick that has seen the announcement.
+    for (int count = 0; count < 2; ++count) {
+        peer.pull_since(0);
+        EXPECT_GT(peer.wait_for(Message::PeerEnvelope::kTable), 0U);
+    }
+    setrlimit(RLIMIT_NOFILE, &limit);
+    EXPECT_TRUE(wait_until([&] { return other.knows(1); }, s_apply_limit));
+}
+
 // A watcher decodes whole tables: 4,000 routes take 52 ms of processor time, which is 0.6 s on a host with 0.09 of a
 // core and 0.1 s on one with half a core.
 TEST(WatcherChoice, PrefersHostsWithMoreProcessorTime)
