LibGateway: Do not infer a stream's version without the store

Callers saw: streams that began at servers of a new version, broke, and were resumed at a gateway that was cut off, went on at a server of the old version (ORDER).

Cause: a stream that no gateway knows was continued at "the only version" if enough of the gateways asked had been running long enough and knew one version. That they run does not show that their lists of servers are current. Where all that answer were cut off together from the store and from the gateway that began the stream, or where a gateway found no peers and lost the store, an absence in old lists counted as knowledge.

The fix: before a version is inferred, the store is asked what has changed since the list here, in a call that begins after the resumption arrived. The stream began before that, so that its version is in the list or in the answer. Versions in the answer count as served, also those that had left and are back (DoesNotGuessOnceARolledBackVersionIsBack is red without the change in VersionHistory).

--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -119,7 +119,7 @@
 GatewayServer::GatewayServer(Settings settings, Entry::SharedTable const& table, Entry::SharedServers const& servers,
     Entry::SharedMembership const& membership, Entry::WatchDuty& duty, Observe::EventLog& log,
     Observe::MetricRegistry& registry, Cluster::SharedDuty* usage, Cluster::SharedQuarantine* quarantine,
-    Entry::SharedDrains const* drains, StreamArchive* archive)
+    Entry::SharedDrains const* drains, StreamArchive* archive, ListConfirmation* confirmation)
     : m_settings(std::move(settings))
     , m_shared_table(table)
     , m_shared_servers(servers)
@@ -132,7 +132,7 @@
     , m_fleet(m_settings.fleet, log)
     , m_crashes(m_loop, log, m_metrics, quarantine)
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
-    , m_streams(archive)
+    , m_streams(archive, confirmation)
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
           m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams,
           m_settings.listen)
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -51,7 +51,7 @@
     GatewayServer(Settings, Entry::SharedTable const&, Entry::SharedServers const&, Entry::SharedMembership const&,
         Entry::WatchDuty&, Observe::EventLog&, Observe::MetricRegistry&, Cluster::SharedDuty* usage = nullptr,
         Cluster::SharedQuarantine* quarantine = nullptr, Entry::SharedDrains const* drains = nullptr,
-        StreamArchive* archive = nullptr);
+        StreamArchive* archive = nullptr, ListConfirmation* confirmation = nullptr);
     ~GatewayServer();
     GatewayServer(GatewayServer const&) = delete;
     GatewayServer& operator=(GatewayServer const&) = delete;
--- a/Libraries/LibGateway/StreamOriginSharing.cpp
+++ b/Libraries/LibGateway/StreamOriginSharing.cpp
@@ -48,6 +48,7 @@
 void StreamOriginSharing::apply(Entry::ServerList const& list, Core::MonotonicTime now)
 {
     m_versions.apply(list, now);
+    m_list_revision = list.revision;
     std::vector<std::string> services;
     for (auto const& [service, streams] : m_recent) {
         if (m_versions.has_several(service, now))
@@ -133,22 +134,19 @@
             return {};
         return {Status::Known, origin->software_version};
     }
-    auto const found = m_lookups.find(stream);
+    auto found = m_lookups.find(stream);
     if (found == m_lookups.end()) {
         if (m_lookups.size() >= s_max_lookups)
             return {};
-        Lookup lookup {service, period, now, now, ranked_members(stream, s_asked), {}};
-        if (lookup.asked.empty())
-            return infer(lookup, now);
-        query(stream, lookup, now);
-        m_lookups.emplace(stream, std::move(lookup));
-        return {Status::Pending, {}};
+        Lookup lookup {service, period, now, now, ranked_members(stream, s_asked), {}, {}};
+        found = m_lookups.emplace(stream, std::move(lookup)).first;
     }
     auto& lookup = found->second;
     bool const is_answered = lookup.answers.size() == lookup.asked.size();
     if (is_answered || Core::elapsed(lookup.started, now) >= s_lookup_timeout) {
-        auto resolution = infer(lookup, now);
-        m_lookups.erase(found);
+        auto resolution = infer_confirmed(lookup, now);
+        if (resolution.status != Status::Pending)
+            m_lookups.erase(found);
         return resolution;
     }
     if (now >= lookup.next_query)
@@ -156,6 +154,39 @@
     return {Status::Pending, {}};
 }
 
+StreamOriginSharing::Resolution StreamOriginSharing::infer_confirmed(Lookup& lookup, Core::MonotonicTime now)
+{
+    take_confirmations(now);
+    auto resolution = infer(lookup, now);
+    // The stream began before the lookup. A list that is confirmed as of a later time has all versions that it can have
+    // begun at, also if this gateway and all that answered were cut off or stood still before.
+    if (resolution.status == Status::Unknown || is_list_confirmed(lookup.started))
+        return resolution;
+    if (!lookup.confirming_since)
+        lookup.confirming_since = now;
+    if (m_confirmation == nullptr || Core::elapsed(*lookup.confirming_since, now) >= s_confirmation_timeout)
+        return {};
+    m_confirmation->request(lookup.started);
+    return {Status::Pending, {}};
+}
+
+void StreamOriginSharing::take_confirmations(Core::MonotonicTime now)
+{
+    if (m_confirmation == nullptr)
+        return;
+    for (auto& result : m_confirmation->take_results()) {
+        for (auto const& [service, version] : result.served)
+            m_versions.note_served(service, version, now);
+        if (!m_confirmed || result.as_of > m_confirmed->as_of)
+            m_confirmed = std::move(result);
+    }
+}
+
+bool StreamOriginSharing::is_list_confirmed(Core::MonotonicTime as_of) const
+{
+    return m_confirmed && m_confirmed->as_of >= as_of && m_confirmed->revision <= m_list_revision;
+}
+
 void StreamOriginSharing::query(StreamKey stream, Lookup& lookup, Core::MonotonicTime now)
 {
     lookup.next_query = now + s_query_interval;
@@ -262,8 +293,9 @@
 {
     m_origins.forget_old(now);
     apply_loaded(now);
-    absl::erase_if(
-        m_lookups, [now](auto const& item) { return Core::elapsed(item.second.started, now) > 2 * s_lookup_timeout; });
+    absl::erase_if(m_lookups, [now](auto const& item) {
+        return Core::elapsed(item.second.started, now) > 2 * (s_lookup_timeout + s_confirmation_timeout);
+    });
     if (!m_peers)
         return;
     auto const due = std::min(m_announcements.size(), s_max_streams);
--- a/Libraries/LibGateway/StreamOriginSharing.h
+++ b/Libraries/LibGateway/StreamOriginSharing.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibEntry/SharedMembership.h>
 #include <LibEntry/SharedServers.h>
+#include <LibGateway/ListConfirmation.h>
 #include <LibGateway/OutgoingDatagram.h>
 #include <LibGateway/StreamArchive.h>
 #include <LibGateway/StreamOrigins.h>
@@ -29,7 +30,8 @@
 ///
 /// A gateway announces a stream with its first event to the few gateways that rendezvous hashing assigns to the stream.
 /// The gateway at which the caller resumes it asks these. Announcements are rationed while one version serves: a stream
-/// that nobody knows then began at the only version. With several versions it is never guessed.
+/// that nobody knows then began at the only version, if the store confirms that this gateway knows all versions. With
+/// several versions it is never guessed.
 /// docs/design/stream-versions.md compares the alternatives. No I/O and no clock.
 class StreamOriginSharing {
 public:
@@ -42,6 +44,8 @@
     static constexpr std::size_t s_asked = 4;
     static constexpr Core::Milliseconds s_query_interval {100};
     static constexpr Core::Milliseconds s_lookup_timeout {400};
+    /// Time for which a lookup waits for the store to confirm the list of servers.
+    static constexpr Core::Milliseconds s_confirmation_timeout {600};
     /// Announcements per second of streams of services with a single version.
     static constexpr double s_spare_rate = 8;
     static constexpr double s_spare_burst = 40;
@@ -64,9 +68,11 @@
         std::string software_version;
     };
 
-    /// Streams are archived while several versions of their service serve; null for no archive.
-    explicit StreamOriginSharing(StreamArchive* archive = nullptr)
+    /// Streams are archived while several versions of their service serve; null for no archive. Without `confirmation`
+    /// no version is inferred.
+    explicit StreamOriginSharing(StreamArchive* archive = nullptr, ListConfirmation* confirmation = nullptr)
         : m_archive(archive)
+        , m_confirmation(confirmation)
     {
     }
 
@@ -110,6 +116,8 @@
         Core::MonotonicTime started;
         Core::MonotonicTime next_query;
         std::vector<std::string> asked;
+        /// When the confirmation of the list of servers was requested.
+        std::optional<Core::MonotonicTime> confirming_since;
         /// Answers of gateways that do not know the stream, by address.
         std::map<std::string, RecentVersions> answers;
     };
@@ -124,11 +132,19 @@
     /// Announces and archives the streams that began while their service had a single version.
     void announce_recent(std::string const& service);
     [[nodiscard]] Resolution infer(Lookup const&, Core::MonotonicTime now) const;
+    /// Returns the inferred version once the list of servers is known to be newer than the lookup.
+    [[nodiscard]] Resolution infer_confirmed(Lookup&, Core::MonotonicTime now);
+    void take_confirmations(Core::MonotonicTime now);
+    [[nodiscard]] bool is_list_confirmed(Core::MonotonicTime as_of) const;
     static void add_begun(Message&, StreamKey, StreamOrigin const&);
     /// Records streams of earlier lives of the fleet, and announces them.
     void apply_loaded(Core::MonotonicTime now);
 
     StreamArchive* m_archive;
+    ListConfirmation* m_confirmation;
+    /// The newest one; its versions are in the history.
+    std::optional<ListConfirmation::Result> m_confirmed;
+    Entry::ListRevision m_list_revision;
     StreamOrigins m_origins;
     VersionHistory m_versions;
     Policy::TokenBucket m_spare {s_spare_rate, s_spare_burst};
--- a/Libraries/LibGateway/VersionHistory.cpp
+++ b/Libraries/LibGateway/VersionHistory.cpp
@@ -26,7 +26,7 @@
 
 void VersionHistory::note_served(std::string const& service, std::string const& version, Core::MonotonicTime now)
 {
-    m_services[service].try_emplace(version, Listing {false, now});
+    m_services[service][version].last_listed = now;
 }
 
 RecentVersions VersionHistory::recent(
--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -116,6 +116,8 @@
     '104|Libraries/LibGateway/StreamOriginSharing.cpp|s/ \&\& !m_has_had_peers;/;/|StreamOriginSharingTest|*PeersHaveTimedOut*'
     '100|Libraries/LibGateway/RequestForwarder.cpp|s/return serialize_request(attempt.server(), now);/return serialize_request(attempt.server(), attempt.started_at());/|AttemptRulesTest|*ConnectionTook*'
     '101|Libraries/LibGateway/UnreadSends.h|s/return send.sent < time;/return send.sent < time + s_max_age;/|UnreadSendsTest|*LaterRequest*'
+    '105|Libraries/LibGateway/StreamOriginSharing.cpp|s/ is_list_confirmed(lookup.started))/ true)/|StreamOriginSharingTest|*CutOff*'
+    '106|Libraries/LibGateway/StreamOriginSharing.cpp|s/m_confirmed->as_of >= as_of/m_confirmed->as_of >= as_of - s_withholding_time/|StreamOriginSharingTest|*EarlierConfirmation*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor_interval != 0/true/|AdmissionTest|*AdmitsSomeRequests*'
 )
 
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -7,11 +7,13 @@
 #include <LibCluster/QuarantineKeeper.h>
 #include <LibCluster/UsageReporter.h>
 #include <LibCore/Hashing.h>
+#include <LibCore/Thread.h>
 #include <LibEntry/PeerExchange.h>
 #include <LibEntry/PeerView.h>
 #include <LibEntry/SharedDrains.h>
 #include <LibEntry/WatchDuty.h>
 #include <LibGateway/GatewayServer.h>
+#include <LibGateway/ListConfirmer.h>
 #include <LibGateway/StreamArchiveKeeper.h>
 #include <LibObserve/CrashReport.h>
 #include <LibObserve/EventLog.h>
@@ -22,6 +24,7 @@
 #include <algorithm>
 #include <atomic>
 #include <exception>
+#include <thread>
 #include <unistd.h>
 
 #include <platform/Decoders.h>
@@ -173,6 +176,36 @@
     Cluster::DutyThread<Keeper> m_thread;
 };
 
+/// Confirms the list of servers at the store on demand, on a thread of its own.
+class ListConfirmationDuty {
+public:
+    ListConfirmationDuty(Entry::PlatformSettings const& platform, Gateway::ListConfirmation& confirmation,
+        Entry::SharedServers const& servers, Observe::EventLog& log, Observe::MetricRegistry& metrics)
+        : m_confirmation(confirmation)
+        , m_store(platform.address, platform.call_timeout)
+        , m_confirmer({std::string(Platform::servers_kind()),
+                          [](auto const& object) { return Platform::decode_server(object, Core::monotonic_now()); }},
+              confirmation, servers, m_store, log, metrics)
+        , m_thread(Core::start_thread("confirm", [this] { m_confirmer.run(); }))
+    {
+    }
+
+    ~ListConfirmationDuty()
+    {
+        m_confirmation.stop();
+        m_store.abort();
+        m_thread.join();
+    }
+    ListConfirmationDuty(ListConfirmationDuty const&) = delete;
+    ListConfirmationDuty& operator=(ListConfirmationDuty const&) = delete;
+
+private:
+    Gateway::ListConfirmation& m_confirmation;
+    Platform::ObjectClient m_store;
+    Gateway::ListConfirmer<Platform::ObjectClient> m_confirmer;
+    std::thread m_thread;
+};
+
 /// Reads the settings again. What holds for the running process is taken over; a file that can't be read changes
 /// nothing.
 void reload(SettingsFile& file, Gateway::GatewayServer& server, Observe::EventLog& log)
@@ -232,8 +265,9 @@
         usage.emplace(duties->usage, incarnation, Core::monotonic_now());
     Cluster::SharedQuarantine quarantine;
     Gateway::StreamArchive archive;
+    Gateway::ListConfirmation confirmation;
     Gateway::GatewayServer server(server_settings, table, servers, membership, duty, log, metrics,
-        usage ? &*usage : nullptr, &quarantine, watched_drains, &archive);
+        usage ? &*usage : nullptr, &quarantine, watched_drains, &archive, &confirmation);
     auto peer_settings = settings.gateway.peers;
     peer_settings.load_address = server.load_address();
     peer_settings.listen = server_settings.listen;
@@ -290,6 +324,8 @@
             Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Drains), log, metrics);
     std::optional<QuarantineDuty> quarantine_duty(std::in_place, settings.gateway.platform, quarantine, duty, log);
     std::optional<StreamArchiveDuty> archive_duty(std::in_place, settings, archive, membership, duty, log);
+    std::optional<ListConfirmationDuty> confirmation_duty(
+        std::in_place, settings.gateway.platform, confirmation, servers, log, metrics);
     std::optional<UsageDuty> usage_duty;
     if (duties)
         usage_duty.emplace(settings, incarnation, *usage, duty, log, metrics);
@@ -299,6 +335,7 @@
     usage_duty.reset();
     quarantine_duty.reset();
     archive_duty.reset();
+    confirmation_duty.reset();
     server.wait_until_drained();
     log.write(Observe::LogEvent("stopped"));
 }
--- a/Tests/LibGateway/StreamOriginSharingTest.cpp
+++ b/Tests/LibGateway/StreamOriginSharingTest.cpp
@@ -25,6 +25,8 @@
 constexpr Core::Milliseconds s_period {20'000};
 /// Time within which most callers resume a stream.
 constexpr Core::Milliseconds s_usual_delay {5'000};
+/// Time for which gateways are cut off or stand still.
+constexpr Core::Milliseconds s_cut_time {5'000};
 
 using Versions = std::vector<std::string>;
 
@@ -46,11 +48,18 @@
 protected:
     struct Node {
         std::string address;
-        StreamOriginSharing streams;
+        std::unique_ptr<ListConfirmation> confirmation {std::make_unique<ListConfirmation>()};
+        StreamOriginSharing streams {nullptr, confirmation.get()};
         Versions versions;
+        std::uint64_t revision {0};
         bool is_alive {true};
-        /// Whether changes of the list of servers do not reach the gateway.
+        /// Whether changes of the list of servers do not reach the gateway, or later than answers of the store.
         bool is_stale {false};
+        /// Whether the process stands still. What it receives meanwhile waits for it.
+        bool is_frozen {false};
+        /// Gateways of different parts do not reach each other.
+        int part {0};
+        bool has_store {true};
     };
 
     void create(std::size_t count, Versions const& versions)
@@ -79,14 +88,52 @@
         m_versions = versions;
         ++m_revision;
         for (auto& node : m_nodes) {
-            if (node->is_alive && !node->is_stale)
+            if (node->is_alive && !node->is_stale && !node->is_frozen)
                 apply_list(*node);
         }
     }
 
+    /// Cuts gateways off from the store and from all others.
+    void part(std::vector<std::size_t> const& numbers)
+    {
+        for (auto const number : numbers) {
+            m_nodes[number]->part = 1;
+            m_nodes[number]->is_stale = true;
+            m_nodes[number]->has_store = false;
+        }
+    }
+
+    void freeze(std::vector<std::size_t> const& numbers)
+    {
+        for (auto const number : numbers)
+            m_nodes[number]->is_frozen = true;
+    }
+
+    /// A second version joins while gateways stand still, and a stream begins there at a gateway that ends.
+    void release_during_stall(std::vector<std::size_t> const& numbers)
+    {
+        create(3, {"v1"});
+        advance(s_period);
+        freeze(numbers);
+        publish({"v1", "v2"});
+        ASSERT_EQ(begin(2, StreamKey(1), 1), "v2");
+        m_nodes[2]->is_alive = false;
+        advance(s_cut_time);
+    }
+
+    /// The gateways go on, and receive the list of servers later than the datagrams that waited.
+    void thaw(std::vector<std::size_t> const& numbers)
+    {
+        for (auto const number : numbers) {
+            m_nodes[number]->is_frozen = false;
+            m_nodes[number]->is_stale = true;
+        }
+    }
+
     void apply_list(Node& node)
     {
         node.versions = m_versions;
+        node.revision = m_revision;
         node.streams.apply(list_of(m_versions, m_revision), m_now);
     }
 
@@ -99,6 +146,15 @@
         apply_list(*m_nodes[number]);
     }
 
+    /// Starts a gateway that finds no peers.
+    void restart_alone(std::size_t number)
+    {
+        auto& node = *m_nodes[number];
+        node.streams = StreamOriginSharing(nullptr, node.confirmation.get());
+        node.streams.set_members({});
+        apply_list(node);
+    }
+
     /// Begins a stream at that gateway, at one of the versions that it knows.
     std::string begin(std::size_t number, StreamKey stream, std::size_t choice = 0)
     {
@@ -126,19 +182,44 @@
         for (auto const& [address, message] : from.streams.take_messages()) {
             EXPECT_TRUE(StreamOriginSharing::is_within_bounds(message));
             ++m_datagrams;
+            if (find(address).part != from.part)
+                continue;
             if (std::uniform_real_distribution<double>(0, 1)(m_random) >= m_loss)
                 m_in_flight.push_back({from.address, address, message});
         }
     }
 
+    Node& find(std::string const& address)
+    {
+        return **std::ranges::find(m_nodes, address, [](auto const& node) { return node->address; });
+    }
+
     void deliver()
     {
-        for (auto const& item : std::exchange(m_in_flight, {})) {
-            auto const target = std::ranges::find(m_nodes, item.to, [](auto const& node) { return node->address; });
-            if (!(*target)->is_alive)
+        for (auto& item : std::exchange(m_in_flight, {})) {
+            auto& target = find(item.to);
+            if (!target.is_alive)
+                continue;
+            if (target.is_frozen) {
+                m_in_flight.push_back(std::move(item));
+                continue;
+            }
+            target.streams.receive(item.message, item.from, m_now);
+            send(target);
+        }
+    }
+
+    /// The store answers gateways that reach it.
+    void confirm_lists()
+    {
+        for (auto& node : m_nodes) {
+            bool const reaches_store = node->is_alive && !node->is_frozen && node->has_store;
+            if (!reaches_store || !node->confirmation->take_request())
                 continue;
-            (*target)->streams.receive(item.message, item.from, m_now);
-            send(**target);
+            ListConfirmation::Result result {m_now, Entry::ListRevision(node->revision), {}};
+            for (auto const& version : m_versions)
+                result.served.push_back({"svc", version});
+            node->confirmation->confirm(result);
         }
     }
 
@@ -146,10 +227,11 @@
     {
         for (auto const end = m_now + duration; m_now < end; m_now += s_step) {
             deliver();
+            confirm_lists();
             if (Core::elapsed(s_start, m_now).count() % s_tick.count() != 0)
                 continue;
             for (auto& node : m_nodes) {
-                if (!node->is_alive)
+                if (!node->is_alive || node->is_frozen)
                     continue;
                 node->streams.tick(m_now);
                 send(*node);
@@ -292,7 +374,7 @@
 {
     create(12, {"v1", "v2"});
     StreamArchive archive;
-    m_nodes[7]->streams = StreamOriginSharing(&archive);
+    m_nodes[7]->streams = StreamOriginSharing(&archive, m_nodes[7]->confirmation.get());
     connect(7);
     archive.add_loaded({{StreamKey(1), {"svc", "v1"}}, {StreamKey(2), {"svc", "v2"}}});
     advance(1s);
@@ -308,7 +390,7 @@
 {
     create(1, {"v2"});
     StreamArchive archive;
-    m_nodes[0]->streams = StreamOriginSharing(&archive);
+    m_nodes[0]->streams = StreamOriginSharing(&archive, m_nodes[0]->confirmation.get());
     connect(0);
     apply_list(*m_nodes[0]);
     advance(s_period / 2);
@@ -322,7 +404,7 @@
 {
     create(2, {"v1"});
     StreamArchive archive;
-    m_nodes[0]->streams = StreamOriginSharing(&archive);
+    m_nodes[0]->streams = StreamOriginSharing(&archive, m_nodes[0]->confirmation.get());
     connect(0);
     apply_list(*m_nodes[0]);
     for (std::uint64_t key = 0; key < 100; ++key)
@@ -366,6 +448,164 @@
     }
 }
 
+TEST_F(StreamFleet, DoesNotGuessAtAGatewayThatWasCutOff)
+{
+    create(4, {"v1"});
+    advance(s_period);
+    part({0});
+    publish({"v1", "v2"});
+    advance(s_cut_time);
+    ASSERT_EQ(begin(1, StreamKey(1), 1), "v2");
+    m_nodes[1]->is_alive = false;
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+    // In touch with its peers again before it has the new list.
+    m_nodes[0]->part = 0;
+    EXPECT_EQ(resume(0, StreamKey(1)).software_version, "v2");
+}
+
+// Guards against a stream joined from two versions where the only gateway that answers was cut off as well.
+TEST_F(StreamFleet, DoesNotGuessWhereAllThatAnswerWereCutOff)
+{
+    for (auto const delay : {s_step, s_cut_time}) {
+        m_nodes.clear();
+        create(3, {"v1"});
+        advance(s_period);
+        part({0, 1});
+        publish({"v1", "v2"});
+        advance(delay);
+        ASSERT_EQ(begin(2, StreamKey(1), 1), "v2");
+        EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+        m_nodes[2]->is_alive = false;
+        EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+    }
+}
+
+TEST_F(StreamFleet, DoesNotGuessInTheHalfOfAFleetThatWasCutOff)
+{
+    create(12, {"v1"});
+    advance(s_period);
+    part({0, 1, 2, 3, 4, 5});
+    publish({"v1", "v2"});
+    advance(s_cut_time);
+    for (std::uint64_t key = 1; key <= 200; ++key) {
+        ASSERT_EQ(begin(6 + key % 6, StreamKey(key), 1), "v2");
+        EXPECT_EQ(resume(key % 6, StreamKey(key)).status, Status::Unknown) << key;
+    }
+}
+
+// A peer that timed out during the cut is no member any more, so that its silence does not show.
+TEST_F(StreamFleet, DoesNotGuessWhereAPeerTimedOutDuringACut)
+{
+    create(3, {"v1"});
+    advance(s_period);
+    part({0, 1});
+    Entry::LoadMembers members;
+    members.peers.push_back({m_nodes[1]->address, "here", 100, 1});
+    m_nodes[0]->streams.set_members(members);
+    publish({"v1", "v2"});
+    advance(s_cut_time);
+    ASSERT_EQ(begin(2, StreamKey(1), 1), "v2");
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessAtAGatewayThatStoodStill)
+{
+    release_during_stall({0});
+    thaw({0});
+    EXPECT_EQ(resume(0, StreamKey(1)).software_version, "v2");
+}
+
+TEST_F(StreamFleet, DoesNotGuessWhereAllThatAnswerStoodStill)
+{
+    release_during_stall({0, 1});
+    thaw({0, 1});
+    EXPECT_EQ(resume(0, StreamKey(1)).software_version, "v2");
+}
+
+// Guards against a stream joined from two versions where the buffers of gateways that stood still overflowed.
+TEST_F(StreamFleet, DoesNotGuessWhereAllThatAnswerStoodStillAndLostDatagrams)
+{
+    release_during_stall({0, 1});
+    m_in_flight.clear();
+    thaw({0, 1});
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+}
+
+// Guards against a gateway that started while it was cut off from all peers and took itself for the only one.
+TEST_F(StreamFleet, DoesNotGuessAtAGatewayThatStartedWhileItWasCutOff)
+{
+    create(2, {"v1"});
+    part({0});
+    restart_alone(0);
+    advance(2 * s_period);
+    publish({"v1", "v2"});
+    ASSERT_EQ(begin(1, StreamKey(1), 1), "v2");
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+}
+
+// A list that the store has confirmed counts once it is applied here.
+TEST_F(StreamFleet, DoesNotGuessBeforeTheConfirmedListIsApplied)
+{
+    create(1, {"v1"});
+    advance(s_period);
+    m_nodes[0]->has_store = false;
+    auto& streams = m_nodes[0]->streams;
+    EXPECT_EQ(streams.resolve(StreamKey(1), "svc", s_period, m_now).status, Status::Pending);
+    m_nodes[0]->confirmation->confirm({m_now, Entry::ListRevision(m_revision + 1), {}});
+    EXPECT_EQ(streams.resolve(StreamKey(1), "svc", s_period, m_now).status, Status::Pending);
+    publish({"v1", "v2"});
+    EXPECT_EQ(streams.resolve(StreamKey(1), "svc", s_period, m_now).status, Status::Unknown);
+}
+
+// A rolled back version joins again, which only the store's answer says.
+TEST_F(StreamFleet, DoesNotGuessOnceARolledBackVersionIsBack)
+{
+    create(1, {"v1", "v2"});
+    publish({"v1"});
+    advance(2 * s_period);
+    ASSERT_EQ(resume(0, StreamKey(1)).status, Status::OnlyVersion);
+    m_nodes[0]->is_stale = true;
+    publish({"v1", "v2"});
+    EXPECT_EQ(resume(0, StreamKey(2)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessByAnEarlierConfirmation)
+{
+    create(3, {"v1"});
+    advance(s_period);
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::OnlyVersion);
+    part({0, 1});
+    publish({"v1", "v2"});
+    advance(s_step);
+    ASSERT_EQ(begin(2, StreamKey(2), 1), "v2");
+    EXPECT_EQ(resume(0, StreamKey(2)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessWithTheStoreAndWithoutPeers)
+{
+    create(3, {"v1"});
+    advance(s_period);
+    m_nodes[0]->part = 1;
+    publish({"v1", "v2"});
+    ASSERT_EQ(begin(2, StreamKey(1), 1), "v2");
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+}
+
+TEST_F(StreamFleet, DoesNotGuessWithPeersAndWithoutTheStore)
+{
+    create(3, {"v1"});
+    advance(s_period);
+    m_nodes[0]->is_stale = true;
+    m_nodes[0]->has_store = false;
+    publish({"v1", "v2"});
+    m_loss = 1;
+    ASSERT_EQ(begin(2, StreamKey(1), 1), "v2");
+    advance(1s);
+    m_nodes[2]->is_alive = false;
+    m_loss = 0;
+    EXPECT_EQ(resume(0, StreamKey(1)).status, Status::Unknown);
+}
+
 // Releases and rollbacks, lists that arrive late, gateways killed and restarted, datagrams lost.
 RC_GTEST_FIXTURE_PROP(StreamFleet, NeverResolvesToAnotherVersion, (unsigned seed))
 {
