LibObserve, LibPlatform, LibCluster, LibEntry: Go on after a round that throws

The threads that follow the store and that keep duties (usage, quarantine, streams) caught the exceptions that their authors expected: any other one left the thread and ended the process by SIGABRT, at each watch that read the same entry and at each start. What got there is an object that a sink can't take, an answer over the client's limit (BodyTooLarge of a list), a conflict from a call that expects none, or no memory for one answer.

Each of these threads repeats its task and begins a round from the store, so that nothing half-done is carried over: a follower lists anew, a keeper keeps what it hasn't written. An exception that nobody expected is now logged (unexpected-failure, with thread and message, once while the message stays), counted by thread (granitefield_unexpected_failures_total), and the next round comes after the backoff, or 0.5 s. The event loop of the gateway, the router, the peer exchange and the side authority have no such guard: a handler that throws leaves state half-changed there, and the crash line is worth more than to go on.

HostFollower, of entries, has the same catch without a test of its own.

--- a/Libraries/LibCluster/DutyThread.h
+++ b/Libraries/LibCluster/DutyThread.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Thread.h>
 #include <LibCore/Time.h>
+#include <LibObserve/UnexpectedFailures.h>
 
 #include <algorithm>
 #include <atomic>
@@ -32,9 +33,10 @@
     /// Minimum time between two steps.
     static constexpr Core::Milliseconds s_min_pause {5};
 
-    DutyThread(Duty& duty, std::function<bool()> is_watching)
+    DutyThread(Duty& duty, std::function<bool()> is_watching, Observe::UnexpectedFailures failures)
         : m_duty(duty)
         , m_is_watching(std::move(is_watching))
+        , m_failures(std::move(failures))
         , m_thread(Core::start_thread("duty", [this] { run(); }))
     {
     }
@@ -59,16 +61,31 @@
     void run()
     {
         while (!m_is_stopped) {
-            m_duty.set_watching(m_is_watching());
-            auto const pause = std::max(s_min_pause, m_duty.step());
+            auto const pause = std::max(s_min_pause, step());
             std::unique_lock lock(m_mutex);
             m_signal.wait_for(lock, pause, [this] { return m_is_stopped.load(); });
         }
-        m_duty.release();
+        try {
+            m_duty.release();
+        } catch (std::exception const& error) {
+            m_failures.note(error);
+        }
+    }
+
+    [[nodiscard]] Core::Milliseconds step()
+    {
+        try {
+            m_duty.set_watching(m_is_watching());
+            return m_duty.step();
+        } catch (std::exception const& error) {
+            m_failures.note(error);
+            return Observe::UnexpectedFailures::s_pause;
+        }
     }
 
     Duty& m_duty;
     std::function<bool()> m_is_watching;
+    Observe::UnexpectedFailures m_failures;
     std::mutex m_mutex;
     std::condition_variable m_signal;
     std::atomic<bool> m_is_stopped {false};
--- a/Libraries/LibEntry/HostFollower.cpp
+++ b/Libraries/LibEntry/HostFollower.cpp
@@ -45,8 +45,11 @@
                 read_list();
             m_backoff.reset();
             m_backoff.wait(m_interval);
-        } catch (Platform::PlatformUnavailable const&) {
+        } catch (std::exception const& error) {
+            if (m_backoff.is_stopped())
+                return;
             m_metrics.counter("granitefield_host_list_failures_total").add();
+            LOG_EVERY_N(WARNING, 10) << "hosts: cannot read the list from the platform: " << error.what();
             m_backoff.wait_after_failure();
         }
     }
--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -6,6 +6,7 @@
 #include <LibCore/Time.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
+#include <LibObserve/UnexpectedFailures.h>
 #include <LibPlatform/ObjectClient.h>
 
 #include <algorithm>
@@ -96,6 +97,7 @@
         , m_lists(metrics.counter("granitefield_store_calls_total", {{"call", "list"}, {"kind", m_kind}}))
         , m_watches(metrics.counter("granitefield_store_calls_total", {{"call", "watch"}, {"kind", m_kind}}))
         , m_failures(metrics.counter("granitefield_store_failures_total", {{"kind", m_kind}}))
+        , m_unexpected(Core::concat("watch ", m_kind), log, metrics)
         , m_client(m_settings.store, m_settings.call_timeout, m_settings.filter)
         , m_backoff(m_settings.shortest_pause, m_settings.longest_pause)
         , m_thread(Core::start_thread(Core::concat("watch ", m_kind), [this] { run(); }))
@@ -158,6 +160,9 @@
                 handle_failure(error, m_settings.longest_pause_over_rate);
             } catch (PlatformUnavailable const& error) {
                 handle_failure(error, m_settings.longest_pause);
+            } catch (std::exception const& error) {
+                m_unexpected.note(error);
+                handle_failure(PlatformUnavailable(error.what()), m_settings.longest_pause);
             }
         }
     }
@@ -285,6 +290,7 @@
     Observe::Counter& m_lists;
     Observe::Counter& m_watches;
     Observe::Counter& m_failures;
+    Observe::UnexpectedFailures m_unexpected;
     ObjectClient m_client;
     Core::Backoff m_backoff;
     /// From where the next watch goes on, and what later watches have claimed.
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -107,7 +107,9 @@
         , m_recipient(settings.gateway.duties->address, log)
         , m_reporter(lease_settings(settings), incarnation, order_of(settings.common.name), Core::monotonic_now, usage,
               m_store, m_recipient, log, metrics)
-        , m_thread(m_reporter, [&watching] { return watching.follows_store(); })
+        , m_thread(
+              m_reporter, [&watching] { return watching.follows_store(); },
+              Observe::UnexpectedFailures("usage", log, metrics))
     {
     }
 
@@ -139,10 +141,12 @@
 class QuarantineDuty {
 public:
     QuarantineDuty(Entry::PlatformSettings const& platform, Cluster::SharedQuarantine& shared,
-        Entry::WatchDuty& watching, Observe::EventLog& log)
+        Entry::WatchDuty& watching, Observe::EventLog& log, Observe::MetricRegistry& metrics)
         : m_store(platform.address, platform.call_timeout, {.max_bytes = Platform::s_max_entry_bytes})
         , m_keeper(shared, m_store, log)
-        , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
+        , m_thread(
+              m_keeper, [&watching] { return watching.follows_store(); },
+              Observe::UnexpectedFailures("quarantine", log, metrics))
     {
     }
 
@@ -158,13 +162,16 @@
 class StreamArchiveDuty {
 public:
     StreamArchiveDuty(Settings::DaemonSettings const& settings, Gateway::StreamArchive& archive,
-        Entry::SharedMembership const& membership, Entry::WatchDuty& watching, Observe::EventLog& log)
+        Entry::SharedMembership const& membership, Entry::WatchDuty& watching, Observe::EventLog& log,
+        Observe::MetricRegistry& metrics)
         : m_store(settings.gateway.platform.address, settings.gateway.platform.call_timeout,
             {.max_bytes = Keeper::s_max_object_bytes})
         , m_keeper({settings.common.name, settings.gateway.platform.writes_per_second,
                        [&membership] { return membership.peer_count + std::size_t {1}; }},
               archive, m_store, log)
-        , m_thread(m_keeper, [&watching] { return watching.follows_store(); })
+        , m_thread(
+              m_keeper, [&watching] { return watching.follows_store(); },
+              Observe::UnexpectedFailures("streams", log, metrics))
     {
     }
 
@@ -322,8 +329,9 @@
     if (drain_limit)
         drains_follower.emplace(store, std::string(Platform::drains_kind()), drains_sink,
             Entry::WatchDuty::Follower(duty, Entry::WatchElection::Watch::Drains), log, metrics);
-    std::optional<QuarantineDuty> quarantine_duty(std::in_place, settings.gateway.platform, quarantine, duty, log);
-    std::optional<StreamArchiveDuty> archive_duty(std::in_place, settings, archive, membership, duty, log);
+    std::optional<QuarantineDuty> quarantine_duty(
+        std::in_place, settings.gateway.platform, quarantine, duty, log, metrics);
+    std::optional<StreamArchiveDuty> archive_duty(std::in_place, settings, archive, membership, duty, log, metrics);
     std::optional<ListConfirmationDuty> confirmation_duty(
         std::in_place, settings.gateway.platform, confirmation, servers, log, metrics);
     std::optional<UsageDuty> usage_duty;
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -176,6 +176,18 @@
     EXPECT_TRUE(wait_until([&] { return m_sink.has(2); }));
 }
 
+TEST_F(Follower, GoesOnAfterAnObjectThatItsSinkCannotTake)
+{
+    start();
+    auto const put_spec
+        = [this](Json const& spec) { control({{"puts", {{{"kind", "config"}, {"name", "odd"}, {"spec", spec}}}}}); };
+    put_spec({{"version", "no number"}});
+    auto& failures = m_metrics.counter("granitefield_unexpected_failures_total", {{"thread", "watch config"}});
+    ASSERT_TRUE(wait_until([&] { return failures.value() > 0; }));
+    put_spec({{"version", 2}});
+    EXPECT_TRUE(wait_until([&] { return m_sink.has(2); }));
+}
+
 TEST_F(Follower, OneCallThatFailsIsNoLostStore)
 {
     start();
