LibObserve, Services: Show memory and descriptors of the process

Whether a process ended for its memory or ran out of descriptors could only be told from its host. The operators' /metrics now gives both as gauges that are read when they are asked for; without a request they cost nothing.

--- a/Services/GraniteFieldD/OperatorServer.cpp
+++ b/Services/GraniteFieldD/OperatorServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Text.h>
 #include <LibCore/Thread.h>
+#include <LibObserve/ProcessUsage.h>
 
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
@@ -94,8 +95,10 @@
         return plain(200, "alive\n");
     if (request.path == "/readyz")
         return m_sources.is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n");
-    if (request.path == "/metrics")
+    if (request.path == "/metrics") {
+        Observe::update_process_usage(m_metrics);
         return {200, "text/plain; version=0.0.4", {}, m_metrics.to_text()};
+    }
     if (request.path == "/status")
         return {200, "application/json", {}, m_sources.status()};
     if (request.path == "/decisions")
--- a/Tests/Integration/StartTest.cpp
+++ b/Tests/Integration/StartTest.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <system_error>
 #include <utility>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -186,6 +187,20 @@
     EXPECT_FALSE(process->wait_for_announcement().empty());
 }
 
+TEST_F(Start, ShowsMemoryAndDescriptorsOfTheProcess)
+{
+    constexpr std::uint64_t min_resident_bytes = 1U << 20U;
+    auto const gateway = start("g-1");
+    EXPECT_GT(metric(gateway, "granitefield_process_resident_bytes"), min_resident_bytes);
+    auto const before = metric(gateway, "granitefield_process_open_descriptors");
+    constexpr std::size_t connection_count = 20;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    while (callers.size() < connection_count)
+        callers.push_back(std::make_unique<RawCaller>(gateway.callers));
+    EXPECT_TRUE(wait_until(
+        [&] { return metric(gateway, "granitefield_process_open_descriptors") > before + connection_count / 2; }));
+}
+
 TEST_F(Start, DoesNotEndWhileItsSettingsAreHalfWrittenOrMissing)
 {
     auto const settings = make_settings("g-1");
