LibGateway: Bound the memory that is held for callers

A gateway of 110 MB whose callers sent requests of the largest allowed size was killed for its memory in a burst, and the 18 or 19 requests that servers were running ended with a closed connection. None of them may be sent twice, and nothing had been refused before.

Cause: memory that grows with what others send was neither counted nor bounded. A body was held from its first byte to the end of the request, also once it could not be sent again, and a second time while it was written. Responses that are buffered until they are complete and parts of events were not counted either, connections kept the capacity of their largest input, and what was counted only made windows smaller.

Now - MemoryAccount counts the bytes of connection buffers, request bodies (reserved by Content-Length, or as they arrive) and buffered responses; a MemoryCharge leaves the account with its owner, - a body exists once: the attempt writes head and body from two buffers and shares the body with the request, which releases it once it was written and cannot be sent again, - half of the memory is for callers. A request that would exceed it is refused with 503 and Retry-After when its head arrives, or when a chunked body exceeds it, so before it can have run. Lower tiers leave up to a quarter to the tiers above them, - a closing connection waits for a caller that still sends, at most the idle timeout, so that a reset does not discard the refusal at the caller, - idle connections keep 4 KB of input capacity, EventFramer only what the partial event needs, and the readiness port takes no large bodies, - granitefield_gateway_held_bytes{use}, granitefield_gateway_memory_refusals_total and the log event refused-for-memory tell what is held and refused.

Tests with an empty body pass {} in place of "", and the handler of CallerConnectionTest got the two new functions; no check has changed.

Not covered: the number of connections (accept still competes with outgoing connections for descriptors), heads of open requests (16 KB each at most), and the table and lists themselves.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -104,8 +104,13 @@
 void BackendAttempt::write()
 {
     Error error;
-    while (m_written < m_request.size()) {
-        auto const rest = boost::asio::buffer(m_request.data() + m_written, m_request.size() - m_written);
+    std::string_view const head = m_request.head;
+    auto const body = m_request.body.text();
+    while (m_written < head.size() + body.size()) {
+        auto const head_rest = head.substr(std::min(m_written, head.size()));
+        auto const body_rest = body.substr(m_written - std::min(m_written, head.size()));
+        std::array const rest {boost::asio::buffer(head_rest.data(), head_rest.size()),
+            boost::asio::buffer(body_rest.data(), body_rest.size())};
         m_written += m_socket.write_some(rest, error);
         if (error == boost::asio::error::would_block) {
             m_socket.async_wait(
@@ -117,13 +122,13 @@
         }
         // A server may respond and close before it has read the whole request; its response is valid.
         if (error && m_written > 0)
-            return;
+            break;
         if (error)
             return fail(Failure::NotSent, error.message());
     }
-    m_request.clear();
-    m_request.shrink_to_fit();
+    m_request = {};
     m_written = std::max<std::size_t>(m_written, 1);
+    m_listener->handle_sent(*this);
 }
 
 void BackendAttempt::read()
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibGateway/BackendView.h>
+#include <LibGateway/RequestBody.h>
 #include <LibHTTP/AnswerParser.h>
 
 #include <memory>
@@ -25,13 +26,21 @@
         Broken,
     };
 
+    /// A request as it is written to the server.
+    struct OutgoingRequest {
+        std::string head;
+        RequestBody body;
+    };
+
     /// Receives the events of an attempt, always from the event loop and never from within start().
     class Listener {
     public:
         virtual ~Listener() = default;
         /// Called once when the connection is established. Returns the request to send, or nullopt if the attempt was
         /// cancelled. The request states the time that remains, so it is written only now.
-        [[nodiscard]] virtual std::optional<std::string> handle_connected(BackendAttempt&) = 0;
+        [[nodiscard]] virtual std::optional<OutgoingRequest> handle_connected(BackendAttempt&) = 0;
+        /// Called once when the request was written, or cannot be written further.
+        virtual void handle_sent(BackendAttempt&) = 0;
         /// Called once when the head of the response has arrived, before handle_response().
         virtual void handle_response_head(BackendAttempt&) = 0;
         /// Called when the head of the response or more of its body has arrived.
@@ -91,7 +100,7 @@
     std::shared_ptr<BackendView> m_server;
     HTTP::AnswerParser m_parser;
     Listener* m_listener;
-    std::string m_request;
+    OutgoingRequest m_request;
     std::size_t m_written {0};
     std::string m_input;
     ServerLoad m_load;
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -16,11 +16,13 @@
 /// Number of buffered bytes after the current request above which reading pauses until the request is answered.
 constexpr std::size_t s_max_buffered_input = 64U << 10U;
 constexpr std::size_t s_read_size = 64U << 10U;
+/// Capacity for input that a connection keeps between requests.
+constexpr std::size_t s_max_idle_input = 4U << 10U;
 /// Number of written bytes from which they are released. Releasing moves the rest of the buffer, so it is done in large
 /// steps; without it, the whole response of a caller that never catches up would accumulate.
 constexpr std::size_t s_min_dropped_bytes = 64U << 10U;
-/// Time that a closing connection waits for the caller to close its side, so that a reset does not discard written
-/// data.
+/// Time without a received byte that a closing connection waits for the caller to close its side, so that a reset does
+/// not discard written data.
 constexpr Core::Milliseconds s_closing_timeout {1'000};
 
 std::string_view reason_phrase(int status)
@@ -40,6 +42,7 @@
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, Handler& handler)
     : m_socket(std::move(socket))
     , m_handler(handler)
+    , m_buffer_charge(handler.memory(), MemoryUse::CallerBuffers)
     , m_last_activity(Core::monotonic_now())
 {
 }
@@ -82,15 +85,16 @@
             close();
         return;
     }
+    m_last_activity = Core::monotonic_now();
     if (m_state == State::Closing)
         return read();
-    m_last_activity = Core::monotonic_now();
     if (!m_has_request_started && m_state == State::Reading) {
         m_has_request_started = true;
         m_request_started_at = m_last_activity;
     }
     m_input.append(s_buffer.data(), count);
     process_input();
+    m_buffer_charge.set(held_bytes());
     read();
 }
 
@@ -103,24 +107,50 @@
     m_input.erase(0, m_parser->add(m_input));
     if (m_parser->problem() != HTTP::RequestProblem::None)
         return refuse(m_parser->problem());
+    if (!m_parser->has_head() || !reserve_body())
+        return;
     if (!m_parser->is_complete())
         return send_continue();
+    hand_over_request();
+}
+
+void CallerConnection::hand_over_request()
+{
     auto head = std::move(m_parser->head());
-    auto body = std::move(m_parser->body());
+    RequestBody body(std::move(m_parser->body()), std::move(*m_body_charge));
     m_parser.reset();
+    m_body_charge.reset();
+    if (m_input.empty() && m_input.capacity() > s_max_idle_input)
+        m_input.shrink_to_fit();
     m_has_checked_expect = false;
     m_state = State::Responding;
-    m_is_head_request = head.method == "HEAD";
-    m_caller_keeps_open = head.keeps_connection();
-    m_minor_version = head.minor_version;
     auto const received = m_request_started_at;
     m_has_request_started = false;
     m_handler.handle_request(shared_from_this(), std::move(head), std::move(body), received);
 }
 
+bool CallerConnection::reserve_body()
+{
+    auto const& head = m_parser->head();
+    if (!m_body_charge) {
+        m_is_head_request = head.method == "HEAD";
+        m_caller_keeps_open = head.keeps_connection();
+        m_minor_version = head.minor_version;
+        m_body_charge.emplace(m_handler.memory(), MemoryUse::RequestBodies);
+    }
+    auto const bytes = m_parser->body().capacity();
+    if (bytes > m_body_charge->bytes() && !m_handler.admit_body(*this, head, bytes - m_body_charge->bytes())) {
+        m_parser.reset();
+        m_body_charge.reset();
+        return false;
+    }
+    m_body_charge->set(bytes);
+    return true;
+}
+
 void CallerConnection::send_continue()
 {
-    if (m_has_checked_expect || !m_parser->has_head())
+    if (m_has_checked_expect)
         return;
     m_has_checked_expect = true;
     if (!HTTP::has_token(m_parser->head().fields.value_or("Expect", ""), "100-continue"))
@@ -133,7 +163,7 @@
 {
     m_handler.note_bad_request(problem);
     m_state = State::Responding;
-    m_caller_keeps_open = false;
+    close_after_response();
     m_input.clear();
     send_response(HTTP::status_of(problem), {}, "");
 }
@@ -224,8 +254,15 @@
 
 void CallerConnection::write()
 {
-    if (m_is_closed || m_is_waiting_to_write)
+    if (m_is_closed)
         return;
+    if (!m_is_waiting_to_write)
+        write_output();
+    m_buffer_charge.set(held_bytes());
+}
+
+void CallerConnection::write_output()
+{
     Error error;
     while (m_written < m_output.size()) {
         auto const rest = boost::asio::buffer(m_output.data() + m_written, m_output.size() - m_written);
@@ -290,9 +327,12 @@
 void CallerConnection::start_closing()
 {
     m_state = State::Closing;
+    m_closing_since = Core::monotonic_now();
+    m_parser.reset();
+    m_body_charge.reset();
     Error ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    m_input.clear();
+    m_input = {};
     read();
 }
 
@@ -318,7 +358,8 @@
     auto const& limits = m_handler.limits();
     switch (m_state) {
     case State::Closing:
-        if (Core::elapsed(m_last_activity, now) > s_closing_timeout)
+        if (Core::elapsed(m_last_activity, now) > s_closing_timeout
+            || Core::elapsed(m_closing_since, now) > limits.idle_timeout)
             close();
         return;
     case State::Finishing:
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibGateway/RequestBody.h>
 #include <LibHTTP/RequestParser.h>
 
 #include <cstddef>
@@ -34,8 +35,13 @@
     public:
         virtual ~Handler() = default;
         virtual void handle_request(
-            std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received)
+            std::shared_ptr<CallerConnection>, HTTP::RequestHead, RequestBody, Core::MonotonicTime received)
             = 0;
+        /// Whether there is memory for this many more bytes of a request's body. If not, the handler has answered the
+        /// request, whose body is not read.
+        [[nodiscard]] virtual bool admit_body(CallerConnection&, HTTP::RequestHead const&, std::size_t bytes) = 0;
+        /// Account of the memory that connections hold.
+        [[nodiscard]] virtual MemoryAccount& memory() = 0;
         /// Returns the limits in force.
         [[nodiscard]] virtual Limits const& limits() const = 0;
         /// Whether responses ask callers to close the connection.
@@ -63,6 +69,8 @@
 
     /// Sets a callback for the case that the caller disconnects before its response is complete.
     void set_on_disconnect(std::function<void()> callback) { m_on_disconnect = std::move(callback); }
+    /// Closes the connection after the response.
+    void close_after_response() { m_caller_keeps_open = false; }
     /// Sends a complete response.
     void send_response(int status, HTTP::FieldList const& fields, std::string_view body);
     /// Starts a response whose body follows in append().
@@ -92,10 +100,15 @@
     void read();
     void receive();
     void process_input();
+    /// Passes a complete request to the handler.
+    void hand_over_request();
+    /// Reserves memory for the body of the request. Returns whether the request may be read on.
+    [[nodiscard]] bool reserve_body();
     /// Sends "100 Continue" to a caller that expects it (RFC 9110, section 10.1.1).
     void send_continue();
     void refuse(HTTP::RequestProblem);
     void write();
+    void write_output();
     void wait_to_write();
     void handle_response_written();
     /// Releases the output that was written.
@@ -112,8 +125,11 @@
     bool m_is_reading {false};
     bool m_is_waiting_to_write {false};
 
+    MemoryCharge m_buffer_charge;
     std::string m_input;
     std::optional<HTTP::RequestParser> m_parser;
+    /// Memory reserved for the body of the current request; nullopt before its head has arrived.
+    std::optional<MemoryCharge> m_body_charge;
     /// Whether a byte of the current request has arrived.
     bool m_has_request_started {false};
     bool m_has_checked_expect {false};
@@ -128,6 +144,7 @@
     std::size_t m_written {0};
     /// Time of the last successful write.
     Core::MonotonicTime m_last_write;
+    Core::MonotonicTime m_closing_since;
     std::function<void()> m_on_disconnect;
 };
 
--- a/Libraries/LibGateway/DeferredRequests.h
+++ b/Libraries/LibGateway/DeferredRequests.h
@@ -8,7 +8,6 @@
 #include <cstddef>
 #include <list>
 #include <memory>
-#include <string>
 #include <utility>
 #include <vector>
 
@@ -18,7 +17,7 @@
 struct DeferredRequest {
     std::shared_ptr<CallerConnection> caller;
     HTTP::RequestHead head;
-    std::string body;
+    RequestBody body;
     Core::MonotonicTime received;
     /// Time at which it is refused if no suitable table has arrived.
     Core::MonotonicTime deadline;
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/GatewayServer.h>
 
+#include <LibCore/Hashing.h>
 #include <LibCore/Thread.h>
 #include <LibGateway/ErrorResponse.h>
 
@@ -20,6 +21,11 @@
 constexpr Core::Milliseconds s_idle_tick_interval {250};
 constexpr Core::Milliseconds s_status_timeout {1'000};
 constexpr int s_backlog = 512;
+/// Readiness probes have no use for a body.
+constexpr std::size_t s_max_probe_body = 1U << 10U;
+/// Time until a request that found no memory may find some: bodies are released as servers take or answer requests.
+constexpr Core::Milliseconds s_memory_retry_after {500};
+constexpr Core::Milliseconds s_memory_retry_spread {1'000};
 /// Time reserved at the end of a drain, so that the last answers are sent before the process is killed.
 constexpr Core::Milliseconds s_drain_reserve {400};
 /// Multiple of its class's first-token target within which an answer that is not a stream is expected.
@@ -75,11 +81,16 @@
     {
     }
 
-    void handle_request(std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body,
+    void handle_request(std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, RequestBody body,
         Core::MonotonicTime received) override
     {
         m_server.start_run(std::move(caller), std::move(head), std::move(body), received);
     }
+    [[nodiscard]] bool admit_body(CallerConnection& caller, HTTP::RequestHead const& head, std::size_t bytes) override
+    {
+        return m_server.admit_body(caller, head, bytes);
+    }
+    [[nodiscard]] MemoryAccount& memory() override { return m_server.m_memory.account(); }
     [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_server.m_limits; }
     [[nodiscard]] bool is_draining() const override { return m_server.m_drain_started.has_value(); }
     void note_bad_request(HTTP::RequestProblem problem) override
@@ -101,19 +112,21 @@
     }
 
     void handle_request(
-        std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string, Core::MonotonicTime) override
+        std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, RequestBody, Core::MonotonicTime) override
     {
         if (head.target != m_server.m_settings.readiness_path)
             return caller->send_response(404, {}, "");
         caller->send_response(m_server.m_is_ready ? 200 : 503, {}, "");
     }
+    [[nodiscard]] bool admit_body(CallerConnection&, HTTP::RequestHead const&, std::size_t) override { return true; }
+    [[nodiscard]] MemoryAccount& memory() override { return m_server.m_memory.account(); }
     [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_limits; }
     [[nodiscard]] bool is_draining() const override { return false; }
     void note_bad_request(HTTP::RequestProblem) override { }
 
 private:
     GatewayServer& m_server;
-    CallerConnection::Limits m_limits;
+    CallerConnection::Limits m_limits {.request = {.body_bytes = s_max_probe_body}};
 };
 
 GatewayServer::GatewayServer(Settings settings, Entry::SharedTable const& table, Entry::SharedServers const& servers,
@@ -128,6 +141,7 @@
     , m_duty(duty)
     , m_log(log)
     , m_registry(registry)
+    , m_memory(log, registry)
     , m_metrics(registry)
     , m_fleet(m_settings.fleet, log)
     , m_crashes(m_loop, log, m_metrics, quarantine)
@@ -137,7 +151,7 @@
           m_duty_sharing ? &*m_duty_sharing : nullptr, membership, duty, log, registry, &m_demand_sharing, &m_streams,
           m_settings.listen)
     , m_context {m_loop, m_settings.runs, m_settings.dialect, m_fleet, m_load, m_streams, m_crashes, usage, {},
-          m_admission, {}, {}, 1, 0, log, m_metrics}
+          m_admission, {}, {}, 1, m_memory.account(), log, m_metrics}
     , m_caller_handler(std::make_unique<CallerHandler>(*this))
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers, m_settings.listen))
@@ -146,6 +160,7 @@
 {
     m_context.apply_server_list = [this] { apply_server_list(); };
     m_admission.set_settings(m_settings.runs.admission);
+    m_memory.set_limit(m_settings.runs.memory_limit);
     accept(m_caller_acceptor, *m_caller_handler);
     accept(m_readiness_acceptor, *m_readiness_handler);
     schedule_tick();
@@ -178,8 +193,30 @@
     });
 }
 
+MemoryGuard::Rank GatewayServer::rank_of(HTTP::RequestHead const& head) const
+{
+    auto const read = route_request(head, {}, m_table, m_settings.dialect, Core::monotonic_now());
+    auto const lowest = m_table ? m_table->lowest_tier_in_use() : Table::s_lowest_tier;
+    auto const* request = std::get_if<RoutedRequest>(&read);
+    return {request == nullptr ? lowest : request->tier, lowest};
+}
+
+bool GatewayServer::admit_body(CallerConnection& caller, HTTP::RequestHead const& head, std::size_t bytes)
+{
+    if (m_memory.admits(bytes, [&] { return rank_of(head); }))
+        return true;
+    std::string const id(head.fields.value_or(m_settings.dialect.request_id, ""));
+    m_memory.note_refused(id, bytes);
+    auto const spread = s_memory_retry_spread * (Core::hash_bytes(id) % 1'000) / 1'000;
+    caller.close_after_response();
+    refuse(caller, id,
+        {503, "memory", "this gateway has no memory for the request", Entry::Outcome::NotRun,
+            s_memory_retry_after + spread});
+    return false;
+}
+
 void GatewayServer::start_run(
-    std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, std::string body, Core::MonotonicTime received)
+    std::shared_ptr<CallerConnection> caller, HTTP::RequestHead head, RequestBody body, Core::MonotonicTime received)
 {
     apply_updates();
     if (defer_until_table(caller, head, body, received))
@@ -208,7 +245,7 @@
 }
 
 bool GatewayServer::defer_until_table(std::shared_ptr<CallerConnection> const& caller, HTTP::RequestHead& head,
-    std::string& body, Core::MonotonicTime received)
+    RequestBody& body, Core::MonotonicTime received)
 {
     auto const now = Core::monotonic_now();
     if (m_table || m_drain_started || m_deferred_requests.is_full())
@@ -399,11 +436,9 @@
         m_context.unconfirmed_runs.count_confirmed(*m_context.usage, now);
     m_context.unread_sends.drop_expired(now);
     finish_expired_requests(now);
-    m_context.held_bytes = 0;
-    for (auto const& connection : m_connections) {
+    for (auto const& connection : m_connections)
         connection->tick(now);
-        m_context.held_bytes += connection->held_bytes();
-    }
+    m_memory.publish();
     std::erase_if(m_connections, [](auto const& connection) { return connection->is_closed(); });
     if (m_drain_started)
         tick_drain(now);
@@ -444,6 +479,7 @@
         m_settings.drain_limit = settings.drain_limit;
         m_context.settings = settings.runs;
         m_admission.set_settings(settings.runs.admission);
+        m_memory.set_limit(settings.runs.memory_limit);
         m_fleet.set_settings(settings.fleet);
     });
 }
@@ -513,7 +549,7 @@
     status["drained-domains"] = m_fleet.drains().failure_domains;
     status["drains-version"] = m_fleet.drains().version.value();
     status["known-gateways"] = m_members ? nlohmann::json(m_members->peers.size()) : nlohmann::json();
-    status["held-bytes"] = m_context.held_bytes;
+    status["held-bytes"] = m_memory.account().total();
     status["admission"] = m_admission_monitor.status(m_table.get(), now);
     status["known-streams"] = m_streams.known_count();
     status["quarantined"] = quarantine_status(m_crashes.ledger(), now);
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -9,6 +9,7 @@
 #include <LibEntry/SharedTable.h>
 #include <LibGateway/AdmissionMonitor.h>
 #include <LibGateway/DeferredRequests.h>
+#include <LibGateway/MemoryGuard.h>
 #include <LibGateway/RequestForwarder.h>
 
 #include <atomic>
@@ -83,11 +84,13 @@
     using Acceptor = boost::asio::ip::tcp::acceptor;
 
     void accept(Acceptor&, CallerConnection::Handler&);
-    void start_run(
-        std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string body, Core::MonotonicTime received);
+    void start_run(std::shared_ptr<CallerConnection>, HTTP::RequestHead, RequestBody, Core::MonotonicTime received);
+    /// Whether there is memory for this many more bytes of a request's body. If not, the request is refused.
+    [[nodiscard]] bool admit_body(CallerConnection&, HTTP::RequestHead const&, std::size_t bytes);
+    [[nodiscard]] MemoryGuard::Rank rank_of(HTTP::RequestHead const&) const;
     /// Defers a request if there is no table to interpret it. Returns whether it was deferred.
     [[nodiscard]] bool defer_until_table(
-        std::shared_ptr<CallerConnection> const&, HTTP::RequestHead&, std::string& body, Core::MonotonicTime received);
+        std::shared_ptr<CallerConnection> const&, HTTP::RequestHead&, RequestBody&, Core::MonotonicTime received);
     /// Time until which a request may be deferred.
     [[nodiscard]] Core::MonotonicTime deferral_deadline(HTTP::RequestHead const&, Core::MonotonicTime received) const;
     /// Defers a request that the current table does not allow. Returns whether it was deferred.
@@ -125,6 +128,8 @@
     Entry::WatchDuty& m_duty;
     Observe::EventLog& m_log;
     Observe::MetricRegistry& m_registry;
+    /// Outlives the connections that the loop's handlers keep alive.
+    MemoryGuard m_memory;
     boost::asio::io_context m_loop {1};
     GatewayMetrics m_metrics;
     BackendFleet m_fleet;
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -27,6 +27,10 @@
 /// it.
 constexpr int s_time_limits_per_stream = 4;
 
+/// Size of a body from which on it is released early. Computing the digest first, which needs the body, is not worth it
+/// for smaller ones.
+constexpr std::size_t s_min_released_body = 64U << 10U;
+
 }
 
 Policy::FleetRetryBudget& ForwardingContext::budget_of(std::string const& service)
@@ -42,6 +46,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_caller(std::move(caller))
+    , m_response_charge(context.memory, MemoryUse::BufferedResponses)
 {
     m_caller->set_on_disconnect([this] { handle_caller_disconnect(); });
 }
@@ -205,7 +210,7 @@
     if (!m_context.admission.settings().has_return_line)
         return 0;
     auto const caller = Core::hash_bytes(m_request.head.target, Core::hash_bytes(m_request.workspace));
-    return static_cast<Policy::ReturnLine::Fingerprint>(Core::hash_bytes(m_request.body, caller));
+    return static_cast<Policy::ReturnLine::Fingerprint>(Core::hash_bytes(m_request.body.text(), caller));
 }
 
 double RequestForwarder::request_fraction() const
@@ -323,7 +328,7 @@
         m_send_count == 0 ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
 }
 
-std::string RequestForwarder::serialize_request(BackendView const& server, Core::MonotonicTime now) const
+std::string RequestForwarder::serialize_head(BackendView const& server, Core::MonotonicTime now) const
 {
     auto const& dialect = m_context.dialect;
     auto const& head = m_request.head;
@@ -340,7 +345,6 @@
     auto const connection = head.fields.value_or("Connection", "");
     bool const is_resumed = m_first_event_at.has_value();
     auto text = Core::concat(head.method, " ", head.target, " HTTP/1.1\r\n");
-    text.reserve(text.size() + m_request.body.size() + 1024);
     for (auto const& field : head.fields.all()) {
         if (is_dropped(field.name) || HTTP::is_connection_field(field.name, connection))
             continue;
@@ -364,10 +368,27 @@
     if (has_body)
         Core::append(&text, "Content-Length: ", m_request.body.size(), "\r\n");
     text += "Connection: close\r\n\r\n";
-    text += m_request.body;
     return text;
 }
 
+bool RequestForwarder::may_be_sent_again() const
+{
+    if (m_send_count + 1 >= m_request.route->tries)
+        return false;
+    // A server that answers with success has run the request.
+    bool const has_run = m_attempt->head_received_at() && Status::is_success(m_attempt->parser().head().status);
+    return m_request.is_repeatable() || !has_run;
+}
+
+void RequestForwarder::release_unneeded_body()
+{
+    bool const is_large = m_request.body.size() >= s_min_released_body;
+    if (!is_large || may_be_sent_again())
+        return;
+    static_cast<void>(m_request.digest());
+    m_request.body.release();
+}
+
 RequestForwarder::AttemptResult RequestForwarder::result_of_error(Core::MonotonicTime now) const
 {
     return m_attempt->server().backoff().is_in_force(now) ? AttemptResult::Rejected : AttemptResult::Failure;
@@ -425,7 +446,7 @@
         m_context.unread_sends.add(m_attempt->server().record().address, m_attempt->started_at(), m_charges);
 }
 
-std::optional<std::string> RequestForwarder::handle_connected(BackendAttempt& attempt)
+std::optional<BackendAttempt::OutgoingRequest> RequestForwarder::handle_connected(BackendAttempt& attempt)
 {
     auto const now = Core::monotonic_now();
     m_context.apply_server_list();
@@ -434,7 +455,7 @@
         return std::nullopt;
     }
     if (may_send_attempt(now))
-        return serialize_request(attempt.server(), now);
+        return BackendAttempt::OutgoingRequest {serialize_head(attempt.server(), now), m_request.body};
     withdraw_attempt(now);
     return std::nullopt;
 }
@@ -513,7 +534,7 @@
     if (m_context.usage != nullptr && m_request.is_stream() && !*m_is_usage_counted && !m_request.workspace.empty())
         m_context.unconfirmed_runs.add(m_choice.server, m_request.workspace, m_is_usage_counted, now);
     end_attempt(AttemptResult::Failure, now);
-    m_buffered_response.clear();
+    drop_buffered_response();
     m_context.log.write(
         Observe::LogEvent("broken")
             .add("request", m_request.id)
@@ -549,7 +570,7 @@
 {
     // The current attempt is added to m_send_count when it ends.
     auto const sends = m_send_count + (m_attempt ? 1 : 0);
-    if (sends >= m_request.route->tries || now >= m_request.deadline)
+    if (sends >= m_request.route->tries || now >= m_request.deadline || m_request.body.is_released())
         return false;
     // Retries of a request that crashes servers would exhaust the retry budget for other requests that ran on the same
     // servers.
@@ -575,7 +596,7 @@
                             .add("sends", m_send_count)
                             .add("budget", m_context.budget_of(m_request.service).balance())
                             .add("unsettled", m_context.budget_of(m_request.service).unsettled()));
-    m_buffered_response.clear();
+    drop_buffered_response();
     dispatch(now);
 }
 
@@ -743,6 +764,8 @@
     m_charges.clear();
     m_caller->set_on_disconnect(nullptr);
     log_end(outcome, status, reason);
+    m_request.body.release();
+    drop_buffered_response();
 }
 
 void RequestForwarder::log_end(Outcome outcome, int status, std::string_view reason)
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -7,6 +7,7 @@
 #include <LibGateway/CrashDetector.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/LoadExchange.h>
+#include <LibGateway/MemoryGuard.h>
 #include <LibGateway/RoutedRequest.h>
 #include <LibGateway/UnconfirmedRuns.h>
 #include <LibGateway/UnreadSends.h>
@@ -47,6 +48,9 @@
     /// reduced caller window. Slow readers must not use up the memory needed for other callers.
     std::size_t held_limit {64U << 20U};
     std::size_t reduced_caller_window {16U << 10U};
+    /// Number of bytes held for all callers together, the bodies of requests included, above which new requests are
+    /// refused.
+    std::size_t memory_limit {128U << 20U};
     /// Retry-After for requests that did not run, unless a backend server's backoff gives a better value.
     Core::Milliseconds retry_after {300};
     Policy::RetryAllowance retries;
@@ -94,14 +98,19 @@
     std::map<std::string, Policy::FleetRetryBudget> budgets;
     UnreadSends unread_sends;
     std::size_t entry_count {1};
-    /// Number of bytes buffered for callers: measured at the last tick, plus what was added since.
-    std::size_t held_bytes {0};
+    MemoryAccount& memory;
     Observe::EventLog& log;
     GatewayMetrics& metrics;
     /// Applies the newest list of backend servers, which another thread may have stored since the last event.
     std::function<void()> apply_server_list {[] {}};
 
-    [[nodiscard]] bool is_short_of_memory() const { return held_bytes > settings.held_limit; }
+    /// Whether responses take up too much memory. The bodies of requests have no part in it, since smaller windows for
+    /// responses would not release them.
+    [[nodiscard]] bool is_short_of_memory() const
+    {
+        return memory.held_for(MemoryUse::CallerBuffers) + memory.held_for(MemoryUse::BufferedResponses)
+            > settings.held_limit;
+    }
     [[nodiscard]] Policy::FleetRetryBudget& budget_of(std::string const& service);
 };
 
@@ -130,7 +139,8 @@
     [[nodiscard]] RoutedRequest const& request() const { return m_request; }
 
 private:
-    [[nodiscard]] std::optional<std::string> handle_connected(BackendAttempt&) override;
+    [[nodiscard]] std::optional<BackendAttempt::OutgoingRequest> handle_connected(BackendAttempt&) override;
+    void handle_sent(BackendAttempt&) override { release_unneeded_body(); }
     void handle_response_head(BackendAttempt&) override;
     void handle_response(BackendAttempt&) override;
     void handle_failure(BackendAttempt&, BackendAttempt::Failure, std::string const& reason) override;
@@ -157,7 +167,11 @@
     /// Returns the delay to send as Retry-After for a request that can be sent at this time.
     [[nodiscard]] Core::Milliseconds retry_delay(EarliestSend const&, Core::MonotonicTime now) const;
     void log_rejection(Policy::Rejection const&) const;
-    [[nodiscard]] std::string serialize_request(BackendView const&, Core::MonotonicTime now) const;
+    /// Returns the head of the request as the server receives it.
+    [[nodiscard]] std::string serialize_head(BackendView const&, Core::MonotonicTime now) const;
+    /// Releases a large body once the request cannot be sent again.
+    void release_unneeded_body();
+    [[nodiscard]] bool may_be_sent_again() const;
 
     /// Returns the servers that this request must not be sent to.
     [[nodiscard]] std::set<std::string> excluded_servers() const;
@@ -195,6 +209,9 @@
     [[nodiscard]] HTTP::FieldList forwarded_fields(HTTP::AnswerHead const&) const;
     [[nodiscard]] bool must_hide_response(HTTP::AnswerHead const&) const;
     void send_buffered_response(BackendAttempt&);
+    void drop_buffered_response();
+    /// Counts what is held of an incomplete response.
+    void update_response_charge();
     /// Result of an attempt for the estimate of its server's health.
     enum class AttemptResult {
         Success,
@@ -264,6 +281,7 @@
 
     bool m_has_started_response {false};
     std::string m_buffered_response;
+    MemoryCharge m_response_charge;
     HTTP::EventFramer m_events;
     std::optional<Core::MonotonicTime> m_first_event_at;
     std::optional<Core::MonotonicTime> m_last_event_at;
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -18,6 +18,7 @@
 void RequestForwarder::handle_response_head(BackendAttempt& attempt)
 {
     auto const& head = attempt.parser().head();
+    release_unneeded_body();
     m_charges.clear();
     m_context.unread_sends.note_answered(attempt.server().record().address, attempt.started_at());
     // A 421 comes from another server that now has this address, so its signals do not apply to the chosen server.
@@ -90,6 +91,7 @@
 {
     auto const now = Core::monotonic_now();
     auto events = m_events.add(attempt.parser().take_body());
+    update_response_charge();
     if (m_events.has_oversized_event()) {
         attempt.cancel();
         return handle_broken_attempt("the stream has an event without an end", now);
@@ -122,10 +124,7 @@
                 m_request.service, attempt.load().unread_tokens, Core::elapsed(attempt.started_at(), now));
             attempt.server().note_read(attempt.load());
         }
-        auto const unsent_bytes = m_caller->pending_bytes();
         m_caller->append(events);
-        // Recomputed at each tick; large amounts may be added between two ticks.
-        m_context.held_bytes += std::max(unsent_bytes, m_caller->pending_bytes()) - unsent_bytes;
         if (m_is_over)
             return;
     }
@@ -160,6 +159,7 @@
 {
     auto const now = Core::monotonic_now();
     m_buffered_response += attempt.parser().take_body();
+    update_response_charge();
     if (attempt.parser().is_complete())
         return send_buffered_response(attempt);
     auto const buffer_limit
@@ -172,6 +172,7 @@
             m_request.tier, std::chrono::duration_cast<Core::Microseconds>(now - m_request.received));
     }
     m_caller->append(std::exchange(m_buffered_response, {}));
+    update_response_charge();
     if (!m_is_over)
         throttle_reading(attempt);
 }
@@ -229,6 +230,17 @@
     finish(Outcome::Done, head.status, "answered");
 }
 
+void RequestForwarder::drop_buffered_response()
+{
+    m_buffered_response = {};
+    update_response_charge();
+}
+
+void RequestForwarder::update_response_charge()
+{
+    m_response_charge.set(m_buffered_response.capacity() + m_events.held_bytes());
+}
+
 HTTP::FieldList RequestForwarder::forwarded_fields(HTTP::AnswerHead const& head) const
 {
     HTTP::FieldList fields;
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -182,7 +182,7 @@
     return Core::Milliseconds(std::min(*remaining, max_timeout_ms));
 }
 
-std::variant<RoutedRequest, ErrorAnswer> route_request(HTTP::RequestHead head, std::string body,
+std::variant<RoutedRequest, ErrorAnswer> route_request(HTTP::RequestHead head, RequestBody body,
     std::shared_ptr<Table::Table const> table, Dialect const& dialect, Core::MonotonicTime received)
 {
     if (table == nullptr)
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibEntry/Call.h>
 #include <LibGateway/Dialect.h>
+#include <LibGateway/RequestBody.h>
 #include <LibHTTP/RequestParser.h>
 #include <LibPolicy/CrashFacts.h>
 #include <LibTable/Table.h>
@@ -31,7 +32,8 @@
     /// As the caller sent it; may be empty.
     std::string id;
     HTTP::RequestHead head;
-    std::string body;
+    /// Released once the request cannot be sent again.
+    RequestBody body;
 
     /// Keeps the rows below alive.
     std::shared_ptr<Table::Table const> table;
@@ -59,11 +61,11 @@
     std::uint32_t max_output_tokens {0};
 
     /// Returns a digest that is equal for repetitions of the same request. Computed on demand, since most requests
-    /// never need it.
+    /// never need it, but before the body is released.
     [[nodiscard]] Core::RequestDigest const& digest() const
     {
         if (!cached_digest)
-            cached_digest = Core::RequestDigest::of(head.target, workspace, body);
+            cached_digest = Core::RequestDigest::of(head.target, workspace, body.text());
         return *cached_digest;
     }
     mutable std::optional<Core::RequestDigest> cached_digest;
@@ -105,7 +107,7 @@
 
 /// Returns the request with its table rows, or the error response that rejects it. `table` is null before the first
 /// table arrives.
-[[nodiscard]] std::variant<RoutedRequest, Entry::ErrorAnswer> route_request(HTTP::RequestHead, std::string body,
+[[nodiscard]] std::variant<RoutedRequest, Entry::ErrorAnswer> route_request(HTTP::RequestHead, RequestBody,
     std::shared_ptr<Table::Table const> table, Dialect const&, Core::MonotonicTime received);
 
 }
--- a/Libraries/LibHTTP/EventFramer.cpp
+++ b/Libraries/LibHTTP/EventFramer.cpp
@@ -59,7 +59,8 @@
             m_last_id = id;
         whole += event;
     }
-    m_partial.erase(0, m_partial.size() - rest.size());
+    // A copy of its own size: a string keeps the capacity of its largest content.
+    m_partial = std::string(rest);
     return whole;
 }
 
--- a/Libraries/LibHTTP/EventFramer.h
+++ b/Libraries/LibHTTP/EventFramer.h
@@ -25,6 +25,8 @@
     /// Whether an event exceeds the limit.
     [[nodiscard]] bool has_oversized_event() const { return m_partial.size() > s_max_event_bytes; }
 
+    /// Number of bytes allocated for an event whose end has not arrived.
+    [[nodiscard]] std::size_t held_bytes() const { return m_partial.capacity(); }
     /// Whether part of an event waits for its end.
     [[nodiscard]] bool has_partial_event() const { return !m_partial.empty(); }
     /// Forgets the part of an event, for a stream that goes on elsewhere.
--- a/Libraries/LibHTTP/RequestParser.cpp
+++ b/Libraries/LibHTTP/RequestParser.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/BeastParser.h>
 
+#include <charconv>
 #include <optional>
 
 namespace GraniteField::HTTP {
@@ -44,6 +45,15 @@
     return has_host && head.target.starts_with('/') && is_framing_clear(head);
 }
 
+/// Returns the value of Content-Length, or 0.
+std::size_t stated_length(RequestHead const& head)
+{
+    std::size_t length = 0;
+    auto const text = head.fields.value_or("Content-Length", "");
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
 }
 
 int status_of(RequestProblem problem)
@@ -87,7 +97,11 @@
         bool take_head()
         {
             has_head = true;
-            return is_head_valid(head);
+            if (!is_head_valid(head))
+                return false;
+            // The parser has checked the length against the limit.
+            body.reserve(stated_length(head));
+            return true;
         }
         void take_body(std::string_view text) { body += text; }
     };
--- a/Libraries/LibHTTP/RequestParser.h
+++ b/Libraries/LibHTTP/RequestParser.h
@@ -56,6 +56,7 @@
     [[nodiscard]] bool is_complete() const;
     [[nodiscard]] RequestProblem problem() const;
     [[nodiscard]] RequestHead& head();
+    /// The body as far as it has arrived, with capacity for the length that the head states.
     [[nodiscard]] std::string& body();
 
 private:
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -15,9 +15,11 @@
 namespace {
 
 constexpr std::uint64_t s_largest_count = 1'000'000;
-/// A quarter of a process's memory is for what callers have not taken: the rest is the table, the servers, what is
-/// known of other gateways, and what the kernel counts towards the process.
+/// A quarter of a process's memory is for what callers have not taken, and half of it for all that is held for callers,
+/// the bodies of requests included. The rest is the table, the servers, what is known of other gateways, and what the
+/// kernel counts towards the process.
 constexpr std::size_t s_held_bytes_of_a_megabyte = (1U << 20U) / 4;
+constexpr std::size_t s_memory_limit_of_a_megabyte = (1U << 20U) / 2;
 
 void read_common(ObjectReader& reader, CommonSettings& common)
 {
@@ -121,6 +123,7 @@
     reader.read_number("most-connects", server.runs.max_connects, 1, 64);
     reader.read("hold-limit", server.runs.hold_limit, 0ms, 60s);
     reader.read_number("held-limit-bytes", server.runs.held_limit, 1U << 20U, std::uint64_t {1} << 40U);
+    reader.read_number("memory-limit-bytes", server.runs.memory_limit, 1U << 20U, std::uint64_t {1} << 40U);
     reader.read("retry-after", server.runs.retry_after, 1ms, 10min);
     reader.read("cost-per-running", server.fleet.cost_per_running, 0ms, 10s);
     reader.read("domain-change-weight", server.fleet.domain_change_weight, 0, 1'000);
@@ -181,8 +184,10 @@
         read_gateway_routing(*routing, server, findings);
     std::uint64_t memory_megabytes = 0;
     reader.read_number("memory-megabytes", memory_megabytes, 0, s_largest_count);
-    if (memory_megabytes > 0)
+    if (memory_megabytes > 0) {
         server.runs.held_limit = static_cast<std::size_t>(memory_megabytes) * s_held_bytes_of_a_megabyte;
+        server.runs.memory_limit = static_cast<std::size_t>(memory_megabytes) * s_memory_limit_of_a_megabyte;
+    }
     if (auto const* retries = reader.member("retries"))
         read_retries(*retries, server.runs.retries, findings);
     if (auto const* admission = reader.member("admission"))
--- a/Tests/Integration/GatewayFleet.cpp
+++ b/Tests/Integration/GatewayFleet.cpp
@@ -41,6 +41,8 @@
         settings["duties"] = m_duties;
     if (m_drain_limit)
         settings["platform"]["domain-drain-limit"] = Core::format_duration(*m_drain_limit);
+    if (m_memory_megabytes)
+        settings["memory-megabytes"] = *m_memory_megabytes;
     return settings;
 }
 
--- a/Tests/Integration/GatewayFleet.h
+++ b/Tests/Integration/GatewayFleet.h
@@ -53,6 +53,9 @@
     /// Gateways that start from now on follow drains of failure domains, which hold within that time.
     void set_domain_drains(Core::Milliseconds limit) { m_drain_limit = limit; }
 
+    /// Gateways that start from now on have this much memory.
+    void set_memory_megabytes(unsigned megabytes) { m_memory_megabytes = megabytes; }
+
     [[nodiscard]] std::filesystem::path const& directory() const { return m_directory; }
     [[nodiscard]] Json const& settings_of(std::string const& name) const { return m_settings.at(name); }
     [[nodiscard]] std::uint16_t platform_port() const { return m_platform_port; }
@@ -91,6 +94,7 @@
     std::map<std::string, Json> m_settings;
     Json m_duties;
     std::optional<Core::Milliseconds> m_drain_limit;
+    std::optional<unsigned> m_memory_megabytes;
 };
 
 }
--- a/Tests/LibGateway/CallerConnectionTest.cpp
+++ b/Tests/LibGateway/CallerConnectionTest.cpp
@@ -18,15 +18,18 @@
 
 class IgnoringHandler final : public CallerConnection::Handler {
 public:
-    void handle_request(std::shared_ptr<CallerConnection>, HTTP::RequestHead, std::string, Core::MonotonicTime) override
+    void handle_request(std::shared_ptr<CallerConnection>, HTTP::RequestHead, RequestBody, Core::MonotonicTime) override
     {
     }
+    [[nodiscard]] bool admit_body(CallerConnection&, HTTP::RequestHead const&, std::size_t) override { return true; }
+    [[nodiscard]] MemoryAccount& memory() override { return m_memory; }
     [[nodiscard]] CallerConnection::Limits const& limits() const override { return m_limits; }
     [[nodiscard]] bool is_draining() const override { return false; }
     void note_bad_request(HTTP::RequestProblem) override { }
 
 private:
     CallerConnection::Limits m_limits;
+    MemoryAccount m_memory;
 };
 
 }
@@ -36,6 +39,7 @@
 {
     constexpr std::size_t window = 256U << 10U;
     constexpr std::size_t total = 16U << 20U;
+    IgnoringHandler handler;
     boost::asio::io_context loop;
     tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     tcp::socket caller(loop, tcp::v4());
@@ -44,7 +48,6 @@
     auto accepted = acceptor.accept();
     accepted.set_option(boost::asio::socket_base::send_buffer_size(4'096));
     accepted.non_blocking(true);
-    IgnoringHandler handler;
     auto const connection = std::make_shared<CallerConnection>(std::move(accepted), handler);
 
     std::string const chunk_text(8U << 10U, 'x');
--- a/Tests/LibGateway/OverloadTest.cpp
+++ b/Tests/LibGateway/OverloadTest.cpp
@@ -193,7 +193,7 @@
         head.fields.add("Granitefield-Remaining-Ms", std::to_string(static_cast<int>(kind.patience.count())));
         head.fields.add("Granitefield-Prompt-Parts",
             Core::concat(kind.name, subject, ":", shared_tokens, ",own", ++m_requests, ":", own_tokens));
-        auto routed = route_request(std::move(head), "", m_table, {}, at(now));
+        auto routed = route_request(std::move(head), {}, m_table, {}, at(now));
         return std::get<RoutedRequest>(std::move(routed));
     }
 
--- a/Tests/LibGateway/PauseRulesTest.cpp
+++ b/Tests/LibGateway/PauseRulesTest.cpp
@@ -66,7 +66,7 @@
         head.target = "/" + kind + "/x";
         head.fields.add("Host", "host.test");
         head.fields.add("Granitefield-Prompt-Parts", parts);
-        return std::get<RoutedRequest>(route_request(std::move(head), "", m_table, Dialect(), s_now));
+        return std::get<RoutedRequest>(route_request(std::move(head), {}, m_table, Dialect(), s_now));
     }
 
     /// Lets the fleet observe streams that pause this long during a long prefill.
--- a/Tests/LibSettings/DaemonSettingsTest.cpp
+++ b/Tests/LibSettings/DaemonSettingsTest.cpp
@@ -88,6 +88,7 @@
     std::map<std::string, std::string> const regions {{"a", "north"}, {"b", "south"}};
     EXPECT_EQ(settings.gateway.server.fleet.regions, regions);
     EXPECT_EQ(settings.gateway.server.runs.held_limit, 30U << 20U);
+    EXPECT_EQ(settings.gateway.server.runs.memory_limit, 60U << 20U);
     EXPECT_EQ(settings.gateway.platform.drain_limit, 5s);
     // A template gives null where the platform has no such field; the own domain's region is known all the same.
     std::map<std::string, std::string> const own {{"a", "north"}};
