LibGateway: Count a cut response before its connection closes

The gateway closed the connection first and counted afterwards, so whoever saw the end of the connection could read the metrics and the log without it. Operators and tests that join both saw a cut without a cause.

--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -752,8 +752,8 @@
 
 void RequestForwarder::abort_response(std::string_view reason)
 {
-    m_caller->abort_response();
     finish(Outcome::Cut, 0, reason);
+    m_caller->abort_response();
 }
 
 void RequestForwarder::finish(Outcome outcome, int status, std::string_view reason)
