LibGateway: Let the confirmation of lists go on after an unexpected failure, and log an odd entry once

The thread that confirms lists is newer than the guard of repeated tasks, and read entries of any size. It has the guard and the limits of the other readers now, and logs an entry that can't be read once. GatewayMemoryTest shares the reading of a process's memory.

--- a/Libraries/LibGateway/ListConfirmer.h
+++ b/Libraries/LibGateway/ListConfirmer.h
@@ -5,7 +5,9 @@
 #include <LibGateway/ListConfirmation.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
+#include <LibObserve/UnexpectedFailures.h>
 #include <LibPlatform/Objects.h>
+#include <LibPlatform/UnreadableNames.h>
 
 #include <exception>
 #include <functional>
@@ -36,6 +38,7 @@
         , m_servers(servers)
         , m_store(store)
         , m_log(log)
+        , m_unexpected("confirm", log, metrics)
         , m_calls(metrics.counter("granitefield_store_calls_total", {{"call", "confirm"}, {"kind", m_settings.kind}}))
     {
     }
@@ -44,7 +47,11 @@
     void run()
     {
         while (m_confirmation.wait_for_request()) {
-            confirm();
+            try {
+                confirm();
+            } catch (std::exception const& error) {
+                m_unexpected.note(error);
+            }
             m_confirmation.pause(s_min_interval);
         }
     }
@@ -73,13 +80,15 @@
     }
 
 private:
-    void add_server(Platform::Object const& object, ListConfirmation::Result& result) const
+    void add_server(Platform::Object const& object, ListConfirmation::Result& result)
     {
         try {
             auto server = m_settings.read_server(object);
             result.served.push_back({std::move(server.service), std::move(server.software_version)});
         } catch (std::exception const& error) {
             // No gateway sends requests to a server whose entry it cannot read.
+            if (!m_unreadable.add(object.name))
+                return;
             m_log.write(
                 Observe::LogEvent("list-entry-unreadable").add("instance", object.name).add("reason", error.what()));
         }
@@ -95,6 +104,8 @@
     Entry::SharedServers const& m_servers;
     Store& m_store;
     Observe::EventLog& m_log;
+    Observe::UnexpectedFailures m_unexpected;
+    Platform::UnreadableNames m_unreadable;
     Observe::Counter& m_calls;
 };
 
--- a/Services/GraniteFieldD/GatewayDaemon.cpp
+++ b/Services/GraniteFieldD/GatewayDaemon.cpp
@@ -189,7 +189,7 @@
     ListConfirmationDuty(Entry::PlatformSettings const& platform, Gateway::ListConfirmation& confirmation,
         Entry::SharedServers const& servers, Observe::EventLog& log, Observe::MetricRegistry& metrics)
         : m_confirmation(confirmation)
-        , m_store(platform.address, platform.call_timeout)
+        , m_store(platform.address, platform.call_timeout, {.max_bytes = Platform::s_max_entry_bytes})
         , m_confirmer({std::string(Platform::servers_kind()),
                           [](auto const& object) { return Platform::decode_server(object, Core::monotonic_now()); }},
               confirmation, servers, m_store, log, metrics)
--- a/Tests/Integration/GatewayMemoryTest.cpp
+++ b/Tests/Integration/GatewayMemoryTest.cpp
@@ -1,11 +1,11 @@
 // Guards against a gateway that is killed for its memory: bodies of open requests were neither counted nor bounded.
 #include "FakeBackend.h"
 #include "GatewayFleet.h"
+#include "ProcessMemory.h"
 
 #include <LibCore/Text.h>
 
 #include <algorithm>
-#include <fstream>
 #include <future>
 #include <optional>
 #include <thread>
@@ -78,13 +78,7 @@
     /// Returns the largest resident size of the process until now.
     [[nodiscard]] static std::size_t peak_megabytes(Gateway const& gateway)
     {
-        std::ifstream status(Core::concat("/proc/", gateway.process->id(), "/status"));
-        for (std::string word; status >> word;) {
-            std::size_t kilobytes = 0;
-            if (word == "VmHWM:" && status >> kilobytes)
-                return kilobytes >> 10U;
-        }
-        return 0;
+        return peak_memory(gateway.process->id()) >> 20U;
     }
 
     std::optional<FakeBackend> m_backend;
