LibGateway: Keep a reserve of descriptors that callers can't take

Callers that connected and sent nothing could take every descriptor of a gateway. It went on running, but the balancer's probe wasn't accepted, no server, peer or store could be connected to, and each failed accept() was logged, 40 times a second.

Callers' connections are now accepted up to the limit of descriptors (RLIMIT_NOFILE) less a reserve of 256, or of half the limit where that is small. Further ones wait in the listener's queue until one closes. accept-failed is logged once until a connection is accepted.

DescriptorsTest, a real gateway with 64 descriptors and 100 idle callers: StaysReadyWhileIdleCallersTakeAll failed before (the probe got no answer within 10 s) and passes now; AnswersKnownCallersAndRecoversAfterIdleOnesTookAll passed before and now (five runs of both, and three after the last change to the test). GatewayProcessTest (16) and StartTest (12) pass, one run each. Not covered: requests in flight that take all descriptors, each with a connection to its server.

--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -6,6 +6,10 @@
 
 #include <algorithm>
 #include <future>
+#include <limits>
+#include <utility>
+
+#include <sys/resource.h>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -26,6 +30,8 @@
 /// Time until a request that found no memory may find some: bodies are released as servers take or answer requests.
 constexpr Core::Milliseconds s_memory_retry_after {500};
 constexpr Core::Milliseconds s_memory_retry_spread {1'000};
+/// Descriptors that callers can't take, for servers, the store, peers, probes and operators; half of them all at most.
+constexpr std::size_t s_reserved_descriptors = 256;
 /// Time reserved at the end of a drain, so that the last answers are sent before the process is killed.
 constexpr Core::Milliseconds s_drain_reserve {400};
 /// Multiple of its class's first-token target within which an answer that is not a stream is expected.
@@ -53,6 +59,16 @@
     return weights;
 }
 
+/// Number of callers' connections that leave the reserve of descriptors.
+std::size_t max_connections()
+{
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<std::size_t>::max();
+    std::size_t const descriptors = limit.rlim_cur;
+    return descriptors - std::min(s_reserved_descriptors, descriptors / 2);
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(Core::Address const& address)
 {
     return {boost::asio::ip::make_address(address.host()), address.port()};
@@ -156,6 +172,7 @@
     , m_readiness_handler(std::make_unique<ReadinessHandler>(*this))
     , m_caller_acceptor(make_acceptor(m_loop, m_settings.callers, m_settings.listen))
     , m_readiness_acceptor(make_acceptor(m_loop, m_settings.readiness, m_settings.listen))
+    , m_max_connections(max_connections())
     , m_timer(m_loop)
 {
     m_context.apply_server_list = [this] { apply_server_list(); };
@@ -176,16 +193,16 @@
 
 void GatewayServer::accept(Acceptor& acceptor, CallerConnection::Handler& handler)
 {
+    bool const is_for_callers = &acceptor == &m_caller_acceptor;
+    if (is_for_callers && m_connections.size() >= m_max_connections)
+        return accept_later(acceptor, handler, "the descriptors for callers are used up");
     acceptor.async_accept([this, &acceptor, &handler](auto const& error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted)
             return;
-        if (error) {
-            // Most likely out of file descriptors. Retry after a pause to avoid a busy loop.
-            m_log.write(Observe::LogEvent("accept-failed").add("reason", error.message()));
-            auto pause = std::make_shared<boost::asio::steady_timer>(m_loop, s_tick_interval);
-            pause->async_wait([this, &acceptor, &handler, pause](auto const&) { accept(acceptor, handler); });
-            return;
-        }
+        // Most likely out of file descriptors.
+        if (error)
+            return accept_later(acceptor, handler, error.message());
+        m_is_accept_failure_logged = false;
         auto connection = std::make_shared<CallerConnection>(std::move(socket), handler);
         m_connections.push_back(connection);
         connection->start();
@@ -193,6 +210,15 @@
     });
 }
 
+void GatewayServer::accept_later(Acceptor& acceptor, CallerConnection::Handler& handler, std::string const& reason)
+{
+    if (!std::exchange(m_is_accept_failure_logged, true))
+        m_log.write(Observe::LogEvent("accept-failed").add("reason", reason));
+    // The pause avoids a busy loop.
+    auto pause = std::make_shared<boost::asio::steady_timer>(m_loop, s_tick_interval);
+    pause->async_wait([this, &acceptor, &handler, pause](auto const&) { accept(acceptor, handler); });
+}
+
 MemoryGuard::Rank GatewayServer::rank_of(HTTP::RequestHead const& head) const
 {
     auto const read = route_request(head, {}, m_table, m_settings.dialect, Core::monotonic_now());
--- a/Libraries/LibGateway/GatewayServer.h
+++ b/Libraries/LibGateway/GatewayServer.h
@@ -84,6 +84,8 @@
     using Acceptor = boost::asio::ip::tcp::acceptor;
 
     void accept(Acceptor&, CallerConnection::Handler&);
+    /// Accepts again after a pause.
+    void accept_later(Acceptor&, CallerConnection::Handler&, std::string const& reason);
     void start_run(std::shared_ptr<CallerConnection>, HTTP::RequestHead, RequestBody, Core::MonotonicTime received);
     /// Whether there is memory for this many more bytes of a request's body. If not, the request is refused.
     [[nodiscard]] bool admit_body(CallerConnection&, HTTP::RequestHead const&, std::size_t bytes);
@@ -145,6 +147,8 @@
     std::unique_ptr<ReadinessHandler> m_readiness_handler;
     Acceptor m_caller_acceptor;
     Acceptor m_readiness_acceptor;
+    std::size_t m_max_connections;
+    bool m_is_accept_failure_logged {false};
     boost::asio::steady_timer m_timer;
     std::list<std::shared_ptr<CallerConnection>> m_connections;
     std::list<std::unique_ptr<RequestForwarder>> m_runs;
