platform, LibHTTP: Encode the names of objects in paths and queries

Another writer chooses the names of its objects. A page of a list that ended at a name such as "a&b" or "a#b" was followed by the wrong page, and the list counted as whole (shown: 2 objects of 3); "a b" made each try fail. The keeper of streams removes unused objects of its kind by name: "../config/main" led to the configuration (shown with the stand-in).

Names are percent-encoded, and libcurl leaves the path as it is. ObjectPaths.LeadToNoOtherObjectWhateverItsName is red before by its texts.

--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -99,6 +99,7 @@
 
     curl_easy_reset(handle);
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.list());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -252,6 +252,14 @@
     EXPECT_EQ(named.listing.last_name, "b");
 }
 
+TEST(ObjectPaths, LeadToNoOtherObjectWhateverItsName)
+{
+    EXPECT_EQ(object_path("kind", "i-1.a_b~c"), "/objects/kind/i-1.a_b~c");
+    EXPECT_EQ(object_path("kind", "../config/main"), "/objects/kind/..%2Fconfig%2Fmain");
+    EXPECT_EQ(object_path("kind", "a b?c#\xff"), "/objects/kind/a%20b%3Fc%23%FF");
+    EXPECT_EQ(list_path("kind", "a&b=c"), "/objects/kind?after_rev=a%26b%3Dc");
+}
+
 TEST(DecodeServer, LimitsAColdTimeBeyondAnyNumber)
 {
     auto spec = server_spec();
