platform, LibPlatform: Apply the changes of a watch in their order, also those that can't be read

Changes that could not be read were collected apart and applied behind all others, so that a server whose odd entry was repaired in the same answer was lost until its next change (shown: 1 server known of 2, in both orders), and a drain that was taken back and set again did not hold. Such answers are likely, since a watch pauses after each.

They stand among the others now. With that, an answer that holds nothing else is followed by the pause as well (shown before: 316 watches in 3 s for one odd object that is rewritten every 8 ms, 5 for a sound one), and an odd object no longer lets a watch claim a revision at once. The bound on the size of an object is one on its name and its spec, which are all that is read: a sound server with a status of 20 kB was lost.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -207,7 +207,7 @@
             auto const is_dated = event.kind == EventKind::Changed && event.object.version.value() > 0;
             proven = std::max(proven, is_dated ? StoreRevision(event.object.version.value()) : answer.revision);
         }
-        return answer.unreadable.empty() ? proven : answer.revision;
+        return proven;
     }
 
     void follow_once()
--- a/Libraries/LibPlatform/Objects.h
+++ b/Libraries/LibPlatform/Objects.h
@@ -28,7 +28,7 @@
     ObjectVersion version;
     /// Parts that can't be parsed are discarded values.
     Json spec;
-    /// Why a part of the spec can't be parsed; empty if there is none.
+    /// Why the object or a part of its spec can't be read; empty if all of it can.
     std::string problem {};
 };
 
@@ -42,12 +42,11 @@
     /// Empty where not even that can be read.
     std::string name;
     std::string reason;
-    EventKind kind {EventKind::Changed};
 };
 
 /// Whose specs a reader uses. Those of others are not parsed, so that they take no memory.
 struct ObjectFilter {
-    /// Size of an object's text beyond which it is unreadable.
+    /// Size of a name, and of a spec's text, beyond which the object is unreadable.
     std::size_t max_bytes {std::numeric_limits<std::size_t>::max()};
     /// The only name of interest; empty for all names. Objects of other names have no spec.
     std::string name {};
@@ -72,8 +71,8 @@
 struct WatchAnswer {
     /// To go on from.
     StoreRevision revision;
+    /// In the order of the changes, those of objects that can't be read among them.
     std::vector<StoreEvent> events;
-    std::vector<UnreadableObject> unreadable;
 };
 
 /// When a backend server started, as it says itself: it tells its lives apart, and is never compared with a clock.
--- a/Tests/platform/ConfigurationSinkTest.cpp
+++ b/Tests/platform/ConfigurationSinkTest.cpp
@@ -60,12 +60,10 @@
     m_sink.take_listing({StoreRevision(2), {}, {{std::string(configuration_name()), "no revision"}}, {}});
     EXPECT_TRUE(m_table.is_outdated());
     WatchAnswer answer;
-    answer.unreadable = {{"another", "no revision"}};
-    answer.events = {{EventKind::Changed, configuration(4)}};
+    answer.events = {{EventKind::Changed, {"another", {}, {}, "no revision"}}, {EventKind::Changed, configuration(4)}};
     m_sink.take_events(answer);
     EXPECT_FALSE(m_table.is_outdated());
-    answer.unreadable = {{std::string(configuration_name()), "no revision"}};
-    answer.events.clear();
+    answer.events = {{EventKind::Changed, {std::string(configuration_name()), {}, {}, "no revision"}}};
     m_sink.take_events(answer);
     EXPECT_TRUE(m_table.is_outdated());
 }
--- a/Tests/platform/DecodersTest.cpp
+++ b/Tests/platform/DecodersTest.cpp
@@ -240,6 +240,9 @@
             {{{"metadata", {{"name", "a"}}}, {"spec", std::string(1'000, 'x')}},
                 {{"metadata", {{"name", "b"}}}, {"spec", 1}}}}}
                           .dump();
+    auto const with_status = R"({"store_revision":9,"items":[{"metadata":{"name":"a"},"spec":1,"status":")"
+        + std::string(1'000, 'x') + "\"}]}";
+    EXPECT_EQ(decode_list(with_status, {500, {}}).listing.objects.size(), 1U);
     auto const small = decode_list(text, {500, {}});
     ASSERT_EQ(small.listing.objects.size(), 1U);
     EXPECT_EQ(small.listing.objects[0].name, "b");
@@ -252,6 +255,20 @@
     EXPECT_EQ(named.listing.last_name, "b");
 }
 
+TEST(DecodeWatch, KeepsTheOrderOfChangesThatCanAndCanNotBeRead)
+{
+    auto const event = [](char const* object) { return std::string(R"({"tombstone":false,"object":)") + object + "}"; };
+    auto const answer
+        = decode_watch(R"({"store_revision":9,"events":[)" + event(R"({"metadata":{"name":"a","rev":"x"},"spec":1})")
+            + "," + event(R"({"metadata":{"name":"a","rev":8}})") + "," + event("17") + "]}");
+    ASSERT_EQ(answer.events.size(), 3U);
+    EXPECT_EQ(answer.events[0].object.name, "a");
+    EXPECT_FALSE(answer.events[0].object.problem.empty());
+    EXPECT_EQ(answer.events[1].object.name, "a");
+    EXPECT_TRUE(answer.events[1].object.problem.empty());
+    EXPECT_EQ(answer.events[2].object.name, "");
+}
+
 TEST(ObjectPaths, LeadToNoOtherObjectWhateverItsName)
 {
     EXPECT_EQ(object_path("kind", "i-1.a_b~c"), "/objects/kind/i-1.a_b~c");
