LibPlatform: Pause between lists while the history of each is gone

From the second time in a row on, the follower waits as it does after news.

Follower.PausesBetweenListsWhileTheHistoryOfEachIsGone is the regression test; the stand-in has a switch for it.

--- a/Libraries/LibPlatform/ObjectFollower.h
+++ b/Libraries/LibPlatform/ObjectFollower.h
@@ -156,6 +156,9 @@
                 m_log.write(Observe::LogEvent("store-history-gone").add("kind", m_kind));
                 must_list();
                 m_begun_listing.reset();
+                // A store whose history never reaches back to the last list would be asked without a pause.
+                if (std::exchange(m_is_history_gone, true))
+                    m_backoff.wait(m_settings.pause_after_news);
             } catch (PlatformOverRate const& error) {
                 handle_failure(error, m_settings.longest_pause_over_rate);
             } catch (PlatformUnavailable const& error) {
@@ -228,6 +231,7 @@
         answer.revision = *m_revision;
         m_sink.take_events(answer);
         m_has_news = !answer.events.empty();
+        m_is_history_gone = false;
     }
 
     [[nodiscard]] Core::Milliseconds next_wait() const
@@ -300,6 +304,8 @@
     bool m_is_answered {false};
     /// The last watch was answered with events.
     bool m_has_news {false};
+    /// No watch was answered since the history was last gone.
+    bool m_is_history_gone {false};
     unsigned m_failures_in_row {0};
     /// What was missed can't be told by a watch, nor by peers who may have missed it as well.
     bool m_must_list {false};
--- a/Tests/LibPlatform/ObjectFollowerTest.cpp
+++ b/Tests/LibPlatform/ObjectFollowerTest.cpp
@@ -179,8 +179,9 @@
 TEST_F(Follower, GoesOnAfterAnObjectThatItsSinkCannotTake)
 {
     start();
-    auto const put_spec
-        = [this](Json const& spec) { control({{"puts", {{{"kind", "config"}, {"name", "odd"}, {"spec", spec}}}}}); };
+    auto const put_spec = [this](Json const& spec) {
+        control({{"puts", {{{"kind", "config"}, {"name", "odd"}, {"spec", spec}}}}});
+    };
     put_spec({{"version", "no number"}});
     auto& failures = m_metrics.counter("granitefield_unexpected_failures_total", {{"thread", "watch config"}});
     ASSERT_TRUE(wait_until([&] { return failures.value() > 0; }));
@@ -188,6 +189,20 @@
     EXPECT_TRUE(wait_until([&] { return m_sink.has(2); }));
 }
 
+TEST_F(Follower, PausesBetweenListsWhileTheHistoryOfEachIsGone)
+{
+    m_settings.pause_after_news = 100ms;
+    start();
+    control({{"no-history", true}});
+    auto& lists = m_metrics.counter("granitefield_store_calls_total", {{"call", "list"}, {"kind", "config"}});
+    constexpr int count = 6;
+    auto const before = lists.value();
+    auto const begun = Core::monotonic_now();
+    ASSERT_TRUE(wait_until([&] { return lists.value() >= before + count; }));
+    // The first list follows at once.
+    EXPECT_GE(Core::elapsed(begun, Core::monotonic_now()), (count - 2) * m_settings.pause_after_news);
+}
+
 TEST_F(Follower, OneCallThatFailsIsNoLostStore)
 {
     start();
--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -175,7 +175,7 @@
             return no_answer();
         if (generation != m_cut_generation)
             return no_answer();
-        if (from < m_history_begin)
+        if (from < m_history_begin || m_switches.has_no_history)
             return {410, "text/plain", {}, "the history is gone\n"};
         std::vector<std::string> events;
         for (auto const& change : m_history) {
@@ -299,6 +299,7 @@
     m_switches.page_size = json.value("page-size", m_switches.page_size);
     m_switches.holds_watches = json.value("hold-watches", m_switches.holds_watches);
     m_switches.has_deaf_watches = json.value("deaf-watches", m_switches.has_deaf_watches);
+    m_switches.has_no_history = json.value("no-history", m_switches.has_no_history);
     if (json.value("forget-history", false)) {
         m_history.clear();
         m_history_begin = ++m_revision;
--- a/Tests/StandIns/PlatformServer.h
+++ b/Tests/StandIns/PlatformServer.h
@@ -23,9 +23,10 @@
 /// `POST /control` sets `outage` (`""`, `busy` = 503, `many` = 429, `reset`, `silent`; true stands for `busy`),
 /// `slow-ms`, `lose-answers` (so many writes take effect and get no answer), `late-writes-ms` (those writes are done so
 /// much later), `writes-per-second`, `reads-per-second` (0 for no limit), `page-size`, `forget-history` (watches are
-/// cut and must list again), `hold-watches` (watches hear nothing, nor do they end), `deaf-watches` (they hear nothing,
-/// and end in time with the store's revision), `puts` (objects by kind, name and spec, put after `lag-ms`; with
-/// `spec-text` in place of `spec` the answers hold that text as it is) and `removals`. `GET /control/counts`.
+/// cut and must list again), `no-history` (the history of each watch is gone), `hold-watches` (watches hear nothing,
+/// nor do they end), `deaf-watches` (they hear nothing, and end in time with the store's revision), `puts` (objects by
+/// kind, name and spec, put after `lag-ms`; with `spec-text` in place of `spec` the answers hold that text as it is)
+/// and `removals`. `GET /control/counts`.
 class PlatformServer {
 public:
     explicit PlatformServer(Core::Address const&);
@@ -62,6 +63,7 @@
         std::size_t page_size {500};
         bool holds_watches {false};
         bool has_deaf_watches {false};
+        bool has_no_history {false};
     };
 
     struct Place {
