LibCore: Bound the search for unreadable parts of a text, and keep what stands beside an odd name

After 1,000 unreadable parts the rest is discarded without a look. A member whose name can't be parsed cost the whole object; it has its name as it stands in the text now.

JsonTest: BoundsTheSearchForUnreadableParts, KeepsTheOthersBesideANameThatIsNoText.

--- a/Libraries/LibCore/Json.cpp
+++ b/Libraries/LibCore/Json.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t s_longest_message = 200;
 /// Levels down to which unreadable parts are looked for. Each level parses the text once more.
 constexpr int s_levels_of_parts = 8;
+/// Unreadable parts that are looked for. Each one costs an exception.
+constexpr int s_max_unreadable_parts = 1'000;
 
 /// Reads the structure of a JSON text: brackets, quotes and separators. Scalars are not checked.
 class JsonScanner {
@@ -134,39 +136,71 @@
                                                : replace_invalid_utf8(message.substr(0, s_longest_message)) + "...";
 }
 
+/// The name without quotes; one that can't be parsed as it stands in the text.
 std::string parse_name(std::string_view quoted)
 {
-    if (quoted.find('\\') == std::string_view::npos)
-        return std::string(quoted.substr(1, quoted.size() - 2));
-    return parse_json(quoted).get<std::string>();
+    auto const text = quoted.substr(1, quoted.size() - 2);
+    if (text.find('\\') == std::string_view::npos)
+        return std::string(text);
+    try {
+        return parse_json(quoted).get<std::string>();
+    } catch (JsonError const&) {
+        return std::string(text);
+    }
 }
 
-Json parse_parts(std::string_view text, std::string& problem, int levels)
-{
-    try {
-        return parse_json(text);
-    } catch (JsonError const& error) {
-        if (problem.empty())
-            problem = error.what();
-    }
-    auto const first = JsonScanner(text).peek();
-    bool const is_container = first == '{' || first == '[';
-    if (levels == 0 || !is_container)
-        return Json(Json::value_t::discarded);
-    try {
-        auto parts = first == '{' ? Json::object() : Json::array();
-        if (first == '{') {
-            for (auto const& member : split_json_object(text))
-                parts[member.name] = parse_parts(member.value, problem, levels - 1);
-        } else {
-            for (auto const element : split_json_array(text))
-                parts.push_back(parse_parts(element, problem, levels - 1));
+/// Parses a text in parts where it can't be parsed as a whole.
+class PartsParser {
+public:
+    [[nodiscard]] Json parse(std::string_view text, int levels)
+    {
+        if (m_unreadable_parts >= s_max_unreadable_parts)
+            return Json(Json::value_t::discarded);
+        try {
+            return parse_json(text);
+        } catch (JsonError const& error) {
+            if (m_problem.empty())
+                m_problem = error.what();
         }
-        return parts;
-    } catch (JsonError const&) {
+        auto const first = JsonScanner(text).peek();
+        if (levels == 0 || (first != '{' && first != '['))
+            return discard();
+        try {
+            return first == '{' ? parse_members(text, levels - 1) : parse_elements(text, levels - 1);
+        } catch (JsonError const&) {
+            return discard();
+        }
+    }
+
+    /// Why the first unreadable part can't be parsed.
+    [[nodiscard]] std::string const& problem() const { return m_problem; }
+
+private:
+    [[nodiscard]] Json discard()
+    {
+        ++m_unreadable_parts;
         return Json(Json::value_t::discarded);
     }
-}
+
+    [[nodiscard]] Json parse_members(std::string_view text, int levels)
+    {
+        auto members = Json::object();
+        for (auto const& member : split_json_object(text))
+            members[member.name] = parse(member.value, levels);
+        return members;
+    }
+
+    [[nodiscard]] Json parse_elements(std::string_view text, int levels)
+    {
+        auto elements = Json::array();
+        for (auto const element : split_json_array(text))
+            elements.push_back(parse(element, levels));
+        return elements;
+    }
+
+    std::string m_problem;
+    int m_unreadable_parts {0};
+};
 
 }
 
@@ -188,9 +222,9 @@
     try {
         return {parse_json(text), {}};
     } catch (JsonError const&) {
-        ReadableJson readable;
-        readable.value = parse_parts(replace_invalid_utf8(text), readable.problem, s_levels_of_parts);
-        return readable;
+        PartsParser parser;
+        auto value = parser.parse(replace_invalid_utf8(text), s_levels_of_parts);
+        return {std::move(value), parser.problem()};
     }
 }
 
--- a/Libraries/LibCore/Json.h
+++ b/Libraries/LibCore/Json.h
@@ -37,11 +37,12 @@
 struct ReadableJson {
     nlohmann::json value;
     /// Why the first unreadable part can't be parsed; empty if there is none.
-    std::string problem;
+    std::string problem {};
 };
 
 /// Parses what can be parsed: an unreadable member or element is discarded (nlohmann::json::value_t::discarded), and
-/// the rest of the text holds. Bytes that are not UTF-8 are replaced.
+/// the rest of the text holds. Bytes that are not UTF-8 are replaced. Behind a large number of unreadable parts all are
+/// discarded, so that the time is bounded.
 [[nodiscard]] ReadableJson parse_readable_json(std::string_view text);
 
 /// A member of an object, unparsed.
--- a/Tests/LibCore/JsonTest.cpp
+++ b/Tests/LibCore/JsonTest.cpp
@@ -1,6 +1,7 @@
 // Guards against texts of other writers that end a process or hide what stands beside them.
 #include <LibCore/Json.h>
 
+#include <chrono>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -59,6 +60,25 @@
     EXPECT_TRUE(parse_readable_json("{").value.is_discarded());
 }
 
+TEST(ParseReadableJson, BoundsTheSearchForUnreadableParts)
+{
+    constexpr std::size_t count = 100'000;
+    std::string text = "[";
+    for (std::size_t number = 0; number < count; ++number)
+        text += "1e400,";
+    text += "1]";
+    auto const begun = std::chrono::steady_clock::now();
+    EXPECT_EQ(parse_readable_json(text).value.size(), count + 1);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(1));
+}
+
+TEST(ParseReadableJson, KeepsTheOthersBesideANameThatIsNoText)
+{
+    auto const readable = parse_readable_json(R"({"version":3,"\ud800":1})");
+    EXPECT_EQ(readable.value["version"], 3);
+    EXPECT_FALSE(readable.problem.empty());
+}
+
 TEST(ParseReadableJson, ReplacesBytesThatAreNoText)
 {
     auto const readable = parse_readable_json("{\"a\": \"x\xff\"}");
