LibObserve: Let a crash end the process although nobody reads its last line

The handler's write would have blocked for ever on a pipe whose reader has stopped, so that a crash became a hang. It waits for room for 0.1 s at most.

--- a/Libraries/LibObserve/CrashReport.cpp
+++ b/Libraries/LibObserve/CrashReport.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <exception>
+#include <poll.h>
 #include <string>
 #include <sys/prctl.h>
 #include <unistd.h>
@@ -26,6 +27,7 @@
 constexpr std::size_t s_longest_line = 2'048;
 constexpr std::size_t s_longest_reason = 500;
 constexpr std::size_t s_thread_name_bytes = 16;
+constexpr int s_write_timeout_ms = 100;
 
 int s_descriptor = -1;
 /// Host and incarnation, as members of a line.
@@ -88,6 +90,10 @@
 void write_all(std::string_view text)
 {
     while (!text.empty()) {
+        // The reader of a pipe may have stopped reading; the process must end all the same.
+        pollfd item {s_descriptor, POLLOUT, 0};
+        if (::poll(&item, 1, s_write_timeout_ms) != 1)
+            return;
         auto const written = ::write(s_descriptor, text.data(), text.size());
         if (written <= 0)
             return;
