Services: Parse the settings that were found to be whole

A start checked one text and parsed another, which it read from the file once more, so that a writer in between ended it.

--- a/Services/GraniteFieldD/SettingsFile.cpp
+++ b/Services/GraniteFieldD/SettingsFile.cpp
@@ -34,6 +34,11 @@
 Settings::DaemonSettings SettingsFile::read()
 {
     m_text = read_text(m_path);
+    return parse();
+}
+
+Settings::DaemonSettings SettingsFile::parse() const
+{
     if (!m_text)
         throw std::runtime_error("can't read " + m_path);
     return Settings::parse_settings(*m_text);
@@ -50,7 +55,7 @@
             return std::nullopt;
         static_cast<void>(take_change());
     }
-    return read();
+    return parse();
 }
 
 bool SettingsFile::take_change()
--- a/Services/GraniteFieldD/SettingsFile.h
+++ b/Services/GraniteFieldD/SettingsFile.h
@@ -28,6 +28,8 @@
 
 private:
     [[nodiscard]] bool is_whole() const;
+    /// The settings in the text that was read last.
+    [[nodiscard]] Settings::DaemonSettings parse() const;
 
     std::string m_path;
     /// Nothing where the file could not be read.
