LibCluster: Give up a lease whose object can't be read

It gives the lease up and reads again after the usual time. Windows are still missed while the object can't be read; nobody takes such an object over.

--- a/Libraries/LibCluster/UsageReporter.h
+++ b/Libraries/LibCluster/UsageReporter.h
@@ -413,6 +413,8 @@
         if (!record) {
             m_log.write(Observe::LogEvent("duty-unreadable").add("version", object->version.value()));
             m_next_check = now + s_release_cooldown;
+            if (m_term)
+                drop_lease("the lease can't be read");
             return;
         }
         bool const is_same = m_known && m_known->version == object->version;
