LibGateway: Confirm the list of servers by a list where the store has moved on

Where the revision has risen, the list is read as well.

Confirmer.ReportsVersionsThatTheWatchHides is red before (no version served). A version that joins and leaves within that moment still leaves no trace.

--- a/Libraries/LibGateway/ListConfirmer.h
+++ b/Libraries/LibGateway/ListConfirmer.h
@@ -65,12 +65,15 @@
         ListConfirmation::Result result {m_settings.now(), list->revision, {}};
         try {
             m_calls.add();
-            auto const answer = m_store.watch(
-                m_settings.kind, Platform::StoreRevision(list->revision.value()), Core::Milliseconds(0));
+            Platform::StoreRevision const since(list->revision.value());
+            auto const answer = m_store.watch(m_settings.kind, since, Core::Milliseconds(0));
             for (auto const& event : answer.events) {
                 if (event.kind == Platform::EventKind::Changed)
                     add_server(event.object, result);
             }
+            // A watch may hide changes for a moment while it claims a later revision; a list does not.
+            if (answer.revision > since)
+                add_listed_servers(result);
         } catch (Platform::HistoryGone const& error) {
             return log_failure(error.what());
         } catch (Platform::PlatformUnavailable const& error) {
@@ -94,6 +97,13 @@
         }
     }
 
+    void add_listed_servers(ListConfirmation::Result& result)
+    {
+        m_calls.add();
+        for (auto const& object : m_store.list(m_settings.kind).objects)
+            add_server(object, result);
+    }
+
     void log_failure(std::string_view reason) const
     {
         m_log.write(Observe::LogEvent("list-unconfirmed").add("reason", reason));
--- a/Tests/LibGateway/ListConfirmerTest.cpp
+++ b/Tests/LibGateway/ListConfirmerTest.cpp
@@ -41,7 +41,14 @@
         return answer;
     }
 
+    Platform::ObjectListing list(std::string_view kind) const
+    {
+        EXPECT_EQ(kind, "servers");
+        return listing;
+    }
+
     Platform::WatchAnswer answer;
+    Platform::ObjectListing listing;
     Platform::StoreRevision asked_from;
     Outage outage {Outage::None};
     Core::MonotonicTime now {s_start};
@@ -104,6 +111,18 @@
     EXPECT_EQ(results[0].served[0], (StreamOrigin {"svc", "v2"}));
 }
 
+TEST_F(Confirmer, ReportsVersionsThatTheWatchHides)
+{
+    offer_list(7);
+    m_store.answer.revision = Platform::StoreRevision(9);
+    m_store.listing.objects.push_back({"i-2", Platform::ObjectVersion(8), {{"version", "v2"}}});
+    m_confirmer.confirm();
+    auto const results = m_confirmation.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    ASSERT_EQ(results[0].served.size(), 1U);
+    EXPECT_EQ(results[0].served[0], (StreamOrigin {"svc", "v2"}));
+}
+
 TEST_F(Confirmer, ConfirmsNothingWithoutAListOrAnAnswer)
 {
     m_confirmer.confirm();
