Meta: Fit two deliberate breaks to the code of this series, and add two

Breaks 71 and 100 named lines that changed with the accounting of memory. 107 leaves out the bound on nesting, 108 parses an object strictly.

--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -80,7 +80,7 @@
     '67|Libraries/LibPolicy/ColdShares.cpp|s/return m_ranks.rank_for(server) < senders_for(rate);/return m_ranks.rank_for(server) < 10 * senders_for(rate);/|ColdSharesTest|*KeepsTheRate*'
     '68|Libraries/LibGateway/RegionRules.cpp|s/return is_allowed_by(find(m_by_route, call.route->name)) \&\&/return/|DrainRulesTest|*ServesARouteOnly*'
     '69|Libraries/LibEntry/ServerChanges.cpp|s/if (digest_of(list) != changes.digest)/if (false)/|ServerChangesTest|*AnotherList*'
-    '71|Libraries/LibGateway/RequestForwarder.h|s/return held_bytes > settings.held_limit;/return false;/|SlowReadersTest|*CallersThatReadNothing*'
+    '71|Libraries/LibGateway/RequestForwarder.h|s/            > settings.held_limit;/            > 1000 * settings.held_limit;/|SlowReadersTest|*CallersThatReadNothing*'
     '72|Libraries/LibGateway/CallerConnection.cpp|s/> limits.idle_timeout)$/> 1000 * limits.idle_timeout)/|SlowReadersTest|*ThatIsNeverRead*'
     '73|Libraries/LibGateway/BackendFleet.cpp|s/if (view->is_drained() \&\& !is_drained)/if (false)/|DrainRulesTest|*ColdAfterADrain*'
     '74|Libraries/LibGateway/BackendFleet.cpp|s/next_send(server, now) > now;/server.record().instance.empty();/|SignalSharingTest|*KeepsALimit*'
@@ -114,10 +114,12 @@
     '102|Libraries/LibGateway/StreamOriginSharing.cpp|s/        schedule({stream});/        static_cast<void>(stream);/|StreamOriginSharingTest|*KnowsArchived*'
     '103|Libraries/LibGateway/StreamArchiveKeeper.h|s/keep_earlier(object->version, decode(object->spec), now);/m_object_version = object->version;/|StreamArchiveKeeperTest|*EarlierLives*'
     '104|Libraries/LibGateway/StreamOriginSharing.cpp|s/ \&\& !m_has_had_peers;/;/|StreamOriginSharingTest|*PeersHaveTimedOut*'
-    '100|Libraries/LibGateway/RequestForwarder.cpp|s/return serialize_request(attempt.server(), now);/return serialize_request(attempt.server(), attempt.started_at());/|AttemptRulesTest|*ConnectionTook*'
+    '100|Libraries/LibGateway/RequestForwarder.cpp|s/serialize_head(attempt.server(), now), m_request.body}/serialize_head(attempt.server(), attempt.started_at()), m_request.body}/|AttemptRulesTest|*ConnectionTook*'
     '101|Libraries/LibGateway/UnreadSends.h|s/return send.sent < time;/return send.sent < time + s_max_age;/|UnreadSendsTest|*LaterRequest*'
     '105|Libraries/LibGateway/StreamOriginSharing.cpp|s/ is_list_confirmed(lookup.started))/ true)/|StreamOriginSharingTest|*CutOff*'
     '106|Libraries/LibGateway/StreamOriginSharing.cpp|s/m_confirmed->as_of >= as_of/m_confirmed->as_of >= as_of - s_withholding_time/|StreamOriginSharingTest|*EarlierConfirmation*'
+    '107|Libraries/LibCore/Json.cpp|s/if (nests_too_deeply(text))/if (false)/|JsonTest|*DeepNesting*'
+    '108|platform/ObjectCodec.cpp|s/Core::parse_readable_json(\*spec);/Core::ReadableJson {Core::parse_json(*spec)};/|DecodersTest|*UnreadableSpecSpoils*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor_interval != 0/true/|AdmissionTest|*AdmitsSomeRequests*'
 )
 
