--- a/Tests/Integration/LeavingTest.cpp
+++ b/Tests/Integration/LeavingTest.cpp
@@ -98,7 +98,12 @@
     expect_no_new_work_after([&] {
         Json const entry {
             {"service", "llm"}, {"addr", address}, {"zone", "ba-hall-a"}, {"slots", 4}, {"state", "draining"}};
-        m_fleet.control_platform({{"puts", Json::array({{{"kind", "servers"}, {"name", "i-1"}, {"spec", entry}}})}});
+        // Another one on the same host stays: a host whose only readable server leaves does so as a whole.
+        Json const other {
+            {"service", "llm"}, {"addr", "127.0.0.1:1"}, {"zone", "ba-hall-a"}, {"slots", 4}, {"state", "ready"}};
+        m_fleet.control_platform({{"puts",
+            Json::array({{{"kind", "servers"}, {"name", "i-2"}, {"spec", other}},
+                {{"kind", "servers"}, {"name", "i-1"}, {"spec", entry}}})}});
     });
     EXPECT_TRUE(m_fleet.entry().process->is_running());
 }
