--- a/Libraries/LibGateway/StreamArchiveKeeper.h
+++ b/Libraries/LibGateway/StreamArchiveKeeper.h
@@ -45,7 +45,7 @@
     static constexpr Core::Milliseconds s_retention {60'000};
     /// Streams in an object, of 17 bytes each; far below the largest value of the store.
     static constexpr std::size_t s_max_streams = 16'384;
-    /// Size of an object's text beyond which it is none of a gateway.
+    /// Size of a spec beyond which no gateway has written it.
     static constexpr std::size_t s_max_object_bytes = 512U << 10U;
     static constexpr Core::Milliseconds s_min_backoff {250};
     static constexpr Core::Milliseconds s_max_backoff {4'000};
--- a/Libraries/LibObserve/CrashReport.cpp
+++ b/Libraries/LibObserve/CrashReport.cpp
@@ -157,7 +157,7 @@
 
 void install_crash_report(int descriptor, std::string_view host, Core::Incarnation incarnation)
 {
-    // Neither is ever destroyed: a fault may also come while the process ends.
+    // Neither is destroyed when the process ends: a fault may come then as well.
     [[maybe_unused]] static auto const* const s_stack = new Core::SignalStack;
     delete std::exchange(s_origin, new std::string(EventLog::origin_of(host, incarnation)));
     s_descriptor = descriptor;
