LibHTTP, LibGateway: Log the framing of answers and the results of crash probes

request-end and broken have framing; crash-probe has result, duration and the witnesses that wait; granitefield_gateway_crash_probes_total counts the results.

--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -41,6 +41,19 @@
         });
     }
 
+    static std::string_view to_string(Result result)
+    {
+        switch (result) {
+        case Result::Refused:
+            return "refused";
+        case Result::Accepted:
+            return "accepted";
+        case Result::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
 private:
     static Result result_of(boost::system::error_code const& error)
     {
@@ -83,7 +96,13 @@
 void CrashDetector::probe_server(std::string const& instance, Core::Address const& address, std::uint64_t life)
 {
     auto const probe = std::make_shared<Probe>(m_loop);
-    probe->start(address, [this, instance, life](Probe::Result result) {
+    probe->start(address, [this, instance, life, started = Core::monotonic_now()](Probe::Result result) {
+        m_metrics.note_crash_probe(Probe::to_string(result));
+        m_log.write(Observe::LogEvent("crash-probe")
+                        .add("server", instance)
+                        .add("result", Probe::to_string(result))
+                        .add("took_ms", Core::elapsed(started, Core::monotonic_now()))
+                        .add("witnesses", m_suspected_crashes.count_unconfirmed(life)));
         if (result == Probe::Result::Refused)
             return handle_refused_probe(instance, life, Core::monotonic_now());
         m_suspected_crashes.drop(life);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -81,6 +81,11 @@
     void note_cancelled() { m_cancelled.add(); }
     /// Records a request that was running on a backend server when that crashed.
     void note_crash_witness() { m_crash_witnesses.add(); }
+    /// Records a probe of a server after an answer broke. `result` is one of a fixed set of short names.
+    void note_crash_probe(std::string_view result)
+    {
+        m_registry.counter("granitefield_gateway_crash_probes_total", {{"result", std::string(result)}}).add();
+    }
     /// Records the success of a request that was suspected after crashes of backend servers.
     void note_crash_cleared() { m_crash_cleared.add(); }
     /// Records a request that was put in quarantine.
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -27,6 +27,12 @@
 /// it.
 constexpr int s_time_limits_per_stream = 4;
 
+/// Returns the framing of the response, or nothing before its head has arrived.
+std::string_view framing_of(BackendAttempt& attempt)
+{
+    return attempt.parser().has_head() ? to_string(attempt.parser().framing()) : "";
+}
+
 /// Size of a body from which on it is released early. Computing the digest first, which needs the body, is not worth it
 /// for smaller ones.
 constexpr std::size_t s_min_released_body = 64U << 10U;
@@ -397,6 +403,7 @@
 void RequestForwarder::end_attempt(AttemptResult result, Core::MonotonicTime now)
 {
     auto const attempt = std::exchange(m_attempt, nullptr);
+    m_framing = framing_of(*attempt);
     auto& server = attempt->server();
     switch (result) {
     case AttemptResult::Success:
@@ -527,6 +534,7 @@
     m_charges.clear();
     m_tried_servers.insert(m_attempt->server().record().instance);
     auto const head_received_at = m_attempt->head_received_at();
+    auto const framing = framing_of(*m_attempt);
     auto const sent = m_attempt->started_at();
     count_unanswered_attempt();
     m_context.crashes.note_broken_answer(
@@ -544,6 +552,7 @@
             .add("has_begun", m_has_started_response)
             .add("sent_ms_ago", Core::elapsed(sent, now))
             .add("head_ms_ago", head_received_at ? Core::elapsed(*head_received_at, now) : Core::Milliseconds(-1))
+            .add("framing", framing)
             .add("reason", reason));
     bool const can_continue
         = !m_has_started_response || (m_request.is_stream() && (m_events.last_id() || !m_first_event_at));
@@ -795,7 +804,8 @@
             .add("total_ms", std::chrono::duration_cast<Core::Milliseconds>(total))
             .add("longest_pause_ms", m_longest_pause)
             .add("pause_target_ms", m_request.request_class->token_gap_target)
-            .add("table", m_request.table->version().value()),
+            .add("table", m_request.table->version().value())
+            .add("framing", m_framing),
         is_ordinary ? Observe::LogWeight::Ordinary : Observe::LogWeight::Notable);
 }
 
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -279,6 +279,8 @@
     bool m_is_over {false};
     std::optional<Core::MonotonicTime> m_held_since;
 
+    /// Framing of the response of the last attempt that ended.
+    std::string_view m_framing;
     bool m_has_started_response {false};
     std::string m_buffered_response;
     MemoryCharge m_response_charge;
--- a/Libraries/LibGateway/SuspectedCrashes.h
+++ b/Libraries/LibGateway/SuspectedCrashes.h
@@ -35,6 +35,12 @@
 
     /// Records a refused probe and returns the witnesses that it confirms.
     [[nodiscard]] std::vector<Policy::CrashWitness> note_refused(std::uint64_t life, Core::MonotonicTime now);
+    /// Number of witnesses that wait for the result of a probe.
+    [[nodiscard]] std::size_t count_unconfirmed(std::uint64_t life) const
+    {
+        auto const found = m_unconfirmed.find(life);
+        return found == m_unconfirmed.end() ? 0 : found->second.size();
+    }
     /// Drops the witnesses after a probe that was accepted or had no result.
     void drop(std::uint64_t life) { m_unconfirmed.erase(life); }
 
--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -54,6 +54,21 @@
     bool is_broken {false};
 };
 
+std::string_view to_string(Framing framing)
+{
+    switch (framing) {
+    case Framing::NoBody:
+        return "none";
+    case Framing::ContentLength:
+        return "content-length";
+    case Framing::Chunked:
+        return "chunked";
+    case Framing::ConnectionClose:
+        return "connection-close";
+    }
+    return "unknown";
+}
+
 AnswerParser::AnswerParser(BodyRule rule)
     : m_state(std::make_unique<State>())
 {
@@ -102,6 +117,16 @@
     return sink.has_head && sink.head.status >= s_first_final_status;
 }
 
+Framing AnswerParser::framing() const
+{
+    auto const& parser = m_state->message->parser;
+    if (parser.chunked())
+        return Framing::Chunked;
+    if (parser.content_length())
+        return Framing::ContentLength;
+    return parser.need_eof() ? Framing::ConnectionClose : Framing::NoBody;
+}
+
 bool AnswerParser::is_complete() const
 {
     return !m_state->is_broken && has_head() && m_state->message->parser.is_done();
--- a/Libraries/LibHTTP/AnswerParser.h
+++ b/Libraries/LibHTTP/AnswerParser.h
@@ -21,6 +21,18 @@
     None,
 };
 
+/// What delimits the body of an answer (RFC 9112, section 6.3).
+enum class Framing {
+    /// The answer has no body, by its status or by the request's method.
+    NoBody,
+    ContentLength,
+    Chunked,
+    /// The end of the connection.
+    ConnectionClose,
+};
+
+[[nodiscard]] std::string_view to_string(Framing);
+
 /// Reads one HTTP/1.1 answer as it comes, with Boost.Beast's parser. Interim answers (1xx) are passed over.
 class AnswerParser {
 public:
@@ -36,6 +48,8 @@
     void add_end();
 
     [[nodiscard]] bool has_head() const;
+    /// Meaningful once has_head() returns true.
+    [[nodiscard]] Framing framing() const;
     [[nodiscard]] bool is_complete() const;
     /// What came is no HTTP answer.
     [[nodiscard]] bool is_broken() const;
