LibGateway: Confirm answers that the end of the connection delimits

What callers saw: a stream without length and chunks whose server crashed after a whole event ended as if it were complete, with part of its events missing.

Cause: the end of the connection counted as the end of the answer, wherever it came from. So the crash counted as a completion: it cleared the request of all crashes before it, and counted as a success for the server's health, its latencies and the usage report; nothing was retried.

Why it works: an attempt ends such an answer only once its server has accepted another connection; a crashed server refuses it, and the attempt is broken, so that all that follows from it (ledger, usage, health, latency, retries) does. Servers that end an answer well accept the connection: the tests of unframed bodies and streams pass unchanged. It costs one round trip for each such answer, none for others.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -35,7 +35,8 @@
 
 BackendAttempt::BackendAttempt(
     boost::asio::io_context& loop, std::shared_ptr<BackendView> server, HTTP::BodyRule rule, Listener& listener)
-    : m_socket(loop)
+    : m_loop(loop)
+    , m_socket(loop)
     , m_server(std::move(server))
     , m_parser(rule)
     , m_listener(&listener)
@@ -143,6 +144,23 @@
     });
 }
 
+void BackendAttempt::confirm_end()
+{
+    auto const on_result = [self = shared_from_this()](ServerProbe::Result result) {
+        if (!self->m_is_over)
+            self->handle_end_probe(result);
+    };
+    ServerProbe::start(m_loop, m_server->record().address, on_result);
+}
+
+void BackendAttempt::handle_end_probe(ServerProbe::Result result)
+{
+    if (result != ServerProbe::Result::Accepted)
+        return fail(Failure::Broken, "the connection was closed and the server does not accept another one");
+    m_parser.add_end();
+    m_listener->handle_response(*this);
+}
+
 void BackendAttempt::receive()
 {
     static thread_local std::array<char, s_read_size> s_buffer;
@@ -153,10 +171,9 @@
         return read();
     auto const self = shared_from_this();
     if (error == boost::asio::error::eof) {
-        m_parser.add_end();
-        if (!m_parser.is_complete())
-            return fail(Failure::Broken, "the connection was closed before the response was complete");
-        return m_listener->handle_response(*this);
+        if (m_parser.has_head() && m_parser.framing() == HTTP::Framing::ConnectionClose)
+            return confirm_end();
+        return fail(Failure::Broken, "the connection was closed before the response was complete");
     }
     if (error)
         return fail(Failure::Broken, error.message());
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibGateway/BackendView.h>
 #include <LibGateway/RequestBody.h>
+#include <LibGateway/ServerProbe.h>
 #include <LibHTTP/AnswerParser.h>
 
 #include <memory>
@@ -94,8 +95,13 @@
     void write();
     void read();
     void receive();
+    /// Confirms a response that only the end of the connection delimits: a crash ends the connection in the same way,
+    /// so the response is complete only if the server accepts another connection.
+    void confirm_end();
+    void handle_end_probe(ServerProbe::Result);
     void fail(Failure, std::string const& reason);
 
+    boost::asio::io_context& m_loop;
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<BackendView> m_server;
     HTTP::AnswerParser m_parser;
--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -1,71 +1,11 @@
 #include <LibGateway/CrashDetector.h>
 
-#include <memory>
-#include <utility>
+#include <LibGateway/ServerProbe.h>
 
 #include <absl/strings/str_join.h>
-#include <boost/asio/ip/address.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace GraniteField::Gateway {
 
-/// Opens a connection and closes it without sending anything.
-class CrashDetector::Probe : public std::enable_shared_from_this<Probe> {
-public:
-    enum class Result {
-        Refused,
-        Accepted,
-        /// Timeout, or another failure.
-        Unknown,
-    };
-
-    explicit Probe(boost::asio::io_context& loop)
-        : m_socket(loop)
-        , m_timer(loop, SuspectedCrashes::s_probe_timeout)
-    {
-    }
-
-    /// Calls `on_result` once, from the event loop.
-    void start(Core::Address const& address, auto on_result)
-    {
-        boost::asio::ip::tcp::endpoint const endpoint(boost::asio::ip::make_address(address.host()), address.port());
-        m_timer.async_wait([self = shared_from_this()](auto const& error) {
-            boost::system::error_code ignored;
-            if (!error)
-                self->m_socket.close(ignored);
-        });
-        m_socket.async_connect(endpoint, [self = shared_from_this(), on_result](auto const& error) {
-            self->m_timer.cancel();
-            on_result(result_of(error));
-        });
-    }
-
-    static std::string_view to_string(Result result)
-    {
-        switch (result) {
-        case Result::Refused:
-            return "refused";
-        case Result::Accepted:
-            return "accepted";
-        case Result::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
-private:
-    static Result result_of(boost::system::error_code const& error)
-    {
-        if (!error)
-            return Result::Accepted;
-        return error == boost::asio::error::connection_refused ? Result::Refused : Result::Unknown;
-    }
-
-    boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
-};
-
 CrashDetector::CrashDetector(boost::asio::io_context& loop, Observe::EventLog& log, GatewayMetrics& metrics,
     Cluster::SharedQuarantine* store_quarantine)
     : m_loop(loop)
@@ -95,15 +35,15 @@
 
 void CrashDetector::probe_server(std::string const& instance, Core::Address const& address, std::uint64_t life)
 {
-    auto const probe = std::make_shared<Probe>(m_loop);
-    probe->start(address, [this, instance, life, started = Core::monotonic_now()](Probe::Result result) {
-        m_metrics.note_crash_probe(Probe::to_string(result));
+    auto const started = Core::monotonic_now();
+    ServerProbe::start(m_loop, address, [this, instance, life, started](ServerProbe::Result result) {
+        m_metrics.note_crash_probe(to_string(result));
         m_log.write(Observe::LogEvent("crash-probe")
                         .add("server", instance)
-                        .add("result", Probe::to_string(result))
+                        .add("result", to_string(result))
                         .add("took_ms", Core::elapsed(started, Core::monotonic_now()))
                         .add("witnesses", m_suspected_crashes.count_unconfirmed(life)));
-        if (result == Probe::Result::Refused)
+        if (result == ServerProbe::Result::Refused)
             return handle_refused_probe(instance, life, Core::monotonic_now());
         m_suspected_crashes.drop(life);
     });
--- a/Libraries/LibGateway/CrashDetector.h
+++ b/Libraries/LibGateway/CrashDetector.h
@@ -32,8 +32,6 @@
     void tick(Core::MonotonicTime now);
 
 private:
-    class Probe;
-
     void probe_server(std::string const& instance, Core::Address const&, std::uint64_t life);
     void handle_refused_probe(std::string const& instance, std::uint64_t life, Core::MonotonicTime now);
     void count_witness(std::string_view instance, Policy::CrashWitness const&, Core::MonotonicTime now);
--- a/Libraries/LibGateway/SuspectedCrashes.h
+++ b/Libraries/LibGateway/SuspectedCrashes.h
@@ -16,9 +16,6 @@
 /// connection while it is listed and not leaving. No I/O and no clock.
 class SuspectedCrashes {
 public:
-    /// Time limit of a probe. A server accepts or refuses within a round trip; without either the crash stays
-    /// unconfirmed.
-    static constexpr Core::Milliseconds s_probe_timeout {500};
     /// Time after the refusal in which further broken answers count towards the same crash: a busy gateway reads some
     /// connections late.
     static constexpr Core::Milliseconds s_late_break_window {1'000};
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -3,6 +3,7 @@
 #include "GatewayGroup.h"
 
 #include <LibCore/Text.h>
+#include <LibHTTP/AnswerParser.h>
 
 #include <algorithm>
 #include <atomic>
@@ -47,15 +48,17 @@
             std::this_thread::sleep_for(m_read_delay.load());
             if (m_error_period > 0 && m_is_deadly(text) && m_deadly_arrivals++ % m_error_period == 0)
                 return connection.write(answer_to(text, 500, "failed"));
-            connection.write(stream_head_to(text));
+            bool const is_chunked = m_framing == HTTP::Framing::Chunked;
+            auto const framed = [is_chunked](std::string const& part) { return is_chunked ? chunk(part) : part; };
+            connection.write(is_chunked ? stream_head_to(text) : open_head_to(text));
             if (m_is_deadly(text)) {
                 auto const last = static_cast<unsigned>(std::stoul(field_of(text, "Last-Event-ID").value_or("0")));
                 if (m_first_events == FirstEvents::BeforeCrashes)
-                    connection.write(chunk(event(last + 1)));
+                    connection.write(framed(event(last + 1)));
                 std::this_thread::sleep_for(m_crash_delay);
                 return m_backends[number]->crash();
             }
-            connection.write(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+            connection.write(framed(event(1)) + framed(event(2)) + (is_chunked ? "0\r\n\r\n" : ""));
         });
     }
 
@@ -120,6 +123,8 @@
         BeforeCrashes,
     };
     std::atomic<FirstEvents> m_first_events {FirstEvents::Never};
+    /// What delimits the answers of engines: chunks, or the end of the connection.
+    std::atomic<HTTP::Framing> m_framing {HTTP::Framing::Chunked};
     /// Time for which engines read a prompt.
     std::atomic<Core::Milliseconds> m_read_delay {Core::Milliseconds(0)};
     /// Engines answer every so many deadly requests with an error in place of a crash; 0 for none.
--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -76,6 +76,20 @@
     EXPECT_LE(arrivals("deadly") - before, s_max_late_sends);
 }
 
+TEST_F(CrashRules, DoesNotClearARequestByAnUnframedAnswerThatACrashEnded)
+{
+    m_framing = HTTP::Framing::ConnectionClose;
+    m_first_events = FirstEvents::BeforeCrashes;
+    crash_three_engines_and_wait();
+    auto const before = arrivals("deadly");
+    constexpr int request_count = 40;
+    for (int count = 0; count < request_count; ++count)
+        static_cast<void>(send("deadly"));
+    EXPECT_LE(arrivals("deadly") - before, s_max_late_sends);
+    restart_engines();
+    EXPECT_TRUE(send("harmless").is_whole);
+}
+
 // Answers also break without a crash: they are reset or spoiled, and the server continues.
 TEST_F(CrashRules, DoesNotCountBrokenAnswersOfARunningServer)
 {
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -317,6 +317,12 @@
         "\r\nGranitefield-Answer: sig-1\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
 }
 
+std::string open_head_to(std::string const& request)
+{
+    return Core::concat("HTTP/1.1 200 OK\r\nGranitefield-Request: ",
+        field_of(request, "Granitefield-Request").value_or(""), "\r\nGranitefield-Answer: sig-1\r\n\r\n");
+}
+
 std::string stream_head_to(std::string const& request)
 {
     return Core::concat(
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -111,6 +111,8 @@
 
 /// Returns a complete response with the fields of a backend server.
 [[nodiscard]] std::string answer_to(std::string const& request, int status, std::string const& body);
+/// Returns the head of an answer whose body ends with the connection.
+[[nodiscard]] std::string open_head_to(std::string const& request);
 /// Return the head of a chunked event stream, one chunk, and one event.
 [[nodiscard]] std::string stream_head_to(std::string const& request);
 [[nodiscard]] std::string chunk(std::string const& text);
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -13,13 +13,6 @@
 
 namespace {
 
-/// Returns the head of an answer whose body ends with the connection.
-std::string open_head_to(std::string const& request)
-{
-    return Core::concat("HTTP/1.1 200 OK\r\nGranitefield-Request: ",
-        field_of(request, "Granitefield-Request").value_or(""), "\r\nGranitefield-Answer: sig-1\r\n\r\n");
-}
-
 constexpr std::size_t s_block_bytes = 64U << 10U;
 
 enum class Cut {
@@ -98,6 +91,21 @@
         }
     }
 
+    /// Adds two servers of which the one that is asked first crashes behind an unframed answer that begins with the
+    /// text, and the other one answers well.
+    void add_crashing_and_good(std::string const& begun, std::function<std::string(std::string const&)> answer_well)
+    {
+        for (std::size_t number = 0; number < 2; ++number) {
+            add_backend(Core::concat("i-", number), [=, this](auto& connection, auto const& text, auto) {
+                if (m_asked++ > 0)
+                    return connection.write(answer_well(text));
+                connection.write(open_head_to(text) + begun);
+                m_backends[number]->crash();
+            });
+        }
+        start();
+    }
+
     /// Adds two servers of which the one that is asked first answers with `write_bad`, and the other one well.
     void add_bad_and_good(std::function<void(FakeConnection&, std::string const&)> write_bad)
     {
@@ -144,6 +152,30 @@
     EXPECT_EQ(answer.body, event(1) + event(2));
 }
 
+TEST_F(ResponseFraming, ContinuesAnUnframedStreamWhoseServerCrashes)
+{
+    add_crashing_and_good(event(1), [](auto const& text) { return open_head_to(text) + event(2) + event(3); });
+    auto const answer = answer_of(request("POST", "/resumable/", "", "ask"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+}
+
+TEST_F(ResponseFraming, RepeatsAnUnframedBodyWhoseServerCrashes)
+{
+    add_crashing_and_good("who", [](auto const& text) { return answer_to(text, 200, "whole body"); });
+    auto const answer = answer_of(request("GET", "/safe/"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, "whole body");
+}
+
+TEST_F(ResponseFraming, DoesNotEndAnUnframedStreamWhoseServerCrashes)
+{
+    add_crashing_and_good(event(1), [](auto const& text) { return open_head_to(text) + event(2); });
+    auto const answer = answer_of(request("POST", "/stream/", "", "ask"));
+    EXPECT_FALSE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1));
+}
+
 TEST_F(ResponseFraming, ContinuesAStreamThatEndsInsideAnEvent)
 {
     add_bad_and_good([](auto& connection, auto const& text) {
