LibGateway: Count crashes of servers that were restarted before their probe

What callers saw: a request that crashes servers whose supervisor starts them again at once went on to every server, as if it were harmless.

Cause: a broken answer counted only if a new connection was refused. The new run of the server accepts it, and all witnesses were dropped; an unframed answer that the crash ended even counted as a completion.

Why it works: the address tells what the probe cannot. A server that accepts the connection remains a suspect for 3 s, the contact time; its witnesses count once the list shows a server at its address that was listed later, the address answers 421 for another run, or another gateway has reported its crash. An unframed answer clears its request only after that time, with the time of its end, so that it does not clear later crashes.

--- a/Libraries/LibGateway/BackendFleet.cpp
+++ b/Libraries/LibGateway/BackendFleet.cpp
@@ -55,7 +55,7 @@
         if (is_new_run)
             view->set_unlisted(now);
         if (view == nullptr || is_new_run) {
-            view = std::make_shared<BackendView>(record, spread_of(record.instance));
+            view = std::make_shared<BackendView>(record, spread_of(record.instance), now);
             view->prefixes().set_capacity(m_services[record.service].memory_tokens);
             view->set_drained(m_drains.failure_domains.contains(record.failure_domain));
             if (m_leaving_facts.find(view->id()) != nullptr)
@@ -220,6 +220,13 @@
     }
 }
 
+bool BackendFleet::has_newer_server_at(std::uint64_t place, Core::MonotonicTime listed_since) const
+{
+    return std::ranges::any_of(m_servers, [&](auto const& item) {
+        return item.second->listed_since() > listed_since && item.second->life().address == place;
+    });
+}
+
 void BackendFleet::add_silent_servers(std::set<std::string>& instances) const
 {
     for (auto const& [instance, view] : m_servers) {
--- a/Libraries/LibGateway/BackendFleet.h
+++ b/Libraries/LibGateway/BackendFleet.h
@@ -94,6 +94,8 @@
 
     /// Adds the instances at the given places (hashes of addresses).
     void add_servers_at(std::span<std::uint64_t const> places, std::set<std::string>& instances) const;
+    /// Whether a server at that place (hash of its address) was first listed after that time.
+    [[nodiscard]] bool has_newer_server_at(std::uint64_t place, Core::MonotonicTime listed_since) const;
     /// Adds the instances of servers that are silent.
     void add_silent_servers(std::set<std::string>& instances) const;
 
--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -95,10 +95,11 @@
 public:
     /// `spread`, from 0 to 1, differs between gateways. It sets which part of the spread is added to the time for which
     /// this gateway avoids the server.
-    explicit BackendView(Entry::ServerEntry record, double spread = 0)
+    explicit BackendView(Entry::ServerEntry record, double spread = 0, Core::MonotonicTime listed_since = {})
         : m_record(std::move(record))
         , m_id(id_of(m_record))
         , m_spread(spread)
+        , m_listed_since(listed_since)
     {
     }
 
@@ -133,6 +134,8 @@
     /// cold before its entry says so.
     void expect_cold_until(Core::MonotonicTime time) { m_cold_until = std::max(m_cold_until, time); }
 
+    /// Time at which this run was first listed.
+    [[nodiscard]] Core::MonotonicTime listed_since() const { return m_listed_since; }
     [[nodiscard]] bool is_listed() const { return m_is_listed; }
     void set_listed() { m_is_listed = true; }
     void set_unlisted(Core::MonotonicTime now)
@@ -278,6 +281,7 @@
     Entry::ServerEntry m_record;
     std::uint64_t m_id;
     double m_spread;
+    Core::MonotonicTime m_listed_since;
     bool m_is_listed {true};
     Core::MonotonicTime m_unlisted_since;
     bool m_is_drained {false};
--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -6,9 +6,10 @@
 
 namespace GraniteField::Gateway {
 
-CrashDetector::CrashDetector(boost::asio::io_context& loop, Observe::EventLog& log, GatewayMetrics& metrics,
-    Cluster::SharedQuarantine* store_quarantine)
+CrashDetector::CrashDetector(boost::asio::io_context& loop, BackendFleet const& fleet, Observe::EventLog& log,
+    GatewayMetrics& metrics, Cluster::SharedQuarantine* store_quarantine)
     : m_loop(loop)
+    , m_fleet(fleet)
     , m_log(log)
     , m_metrics(metrics)
     , m_store_quarantine(store_quarantine)
@@ -21,38 +22,71 @@
     // A leaving server ends with its open streams, which is no crash.
     if (!server.accepts_new_requests())
         return;
-    auto const& instance = server.record().instance;
     Policy::CrashWitness const witness {identity.request, server.life(), exposure, now, identity.parts};
-    switch (m_suspected_crashes.add(witness, now)) {
+    switch (m_suspected_crashes.add(witness, server.listed_since(), now)) {
     case SuspectedCrashes::Step::ProbeServer:
-        return probe_server(instance, server.record().address, witness.server.incarnation);
+        return probe_server(server.record().address, witness.server.incarnation);
     case SuspectedCrashes::Step::Count:
-        return count_witness(instance, witness, now);
+        return count_witness(witness, now);
     case SuspectedCrashes::Step::AwaitProbe:
         return;
     }
 }
 
-void CrashDetector::probe_server(std::string const& instance, Core::Address const& address, std::uint64_t life)
+void CrashDetector::note_ended_answer(BackendView const& server, Policy::CrashIdentity const& identity,
+    Policy::Exposure exposure, Core::MonotonicTime now)
+{
+    // The address of a leaving server may soon be another one's.
+    if (!server.accepts_new_requests()) {
+        m_ledger.note_success(identity, now);
+        return;
+    }
+    Policy::CrashWitness const witness {identity.request, server.life(), exposure, now, identity.parts};
+    m_suspected_crashes.add_ended(witness, server.listed_since());
+}
+
+void CrashDetector::note_replaced(BackendView const& server, Core::MonotonicTime now)
+{
+    if (m_suspected_crashes.count_requests(server.id()) > 0)
+        confirm_crash(server.id(), now);
+}
+
+void CrashDetector::probe_server(Core::Address const& address, std::uint64_t life)
 {
     auto const started = Core::monotonic_now();
-    ServerProbe::start(m_loop, address, [this, instance, life, started](ServerProbe::Result result) {
+    ServerProbe::start(m_loop, address, [this, life, started](ServerProbe::Result result) {
         m_metrics.note_crash_probe(to_string(result));
         m_log.write(Observe::LogEvent("crash-probe")
-                        .add("server", instance)
+                        .add("server", instance_of(life))
                         .add("result", to_string(result))
                         .add("took_ms", Core::elapsed(started, Core::monotonic_now()))
-                        .add("witnesses", m_suspected_crashes.count_unconfirmed(life)));
+                        .add("witnesses", m_suspected_crashes.count_requests(life)));
         if (result == ServerProbe::Result::Refused)
-            return handle_refused_probe(instance, life, Core::monotonic_now());
-        m_suspected_crashes.drop(life);
+            return confirm_crash(life, Core::monotonic_now());
+        m_suspected_crashes.note_not_refused(life);
     });
 }
 
-void CrashDetector::handle_refused_probe(std::string const& instance, std::uint64_t life, Core::MonotonicTime now)
+void CrashDetector::confirm_crash(std::uint64_t life, Core::MonotonicTime now)
+{
+    for (auto const& witness : m_suspected_crashes.confirm(life, now))
+        count_witness(witness, now);
+}
+
+void CrashDetector::judge_suspects(Core::MonotonicTime now)
+{
+    for (auto const& [life, listed_since] : m_suspected_crashes.servers()) {
+        if (m_fleet.has_newer_server_at(life.address, listed_since) || m_ledger.has_crash_of(life.incarnation))
+            confirm_crash(life.incarnation, now);
+    }
+    for (auto const& ended : m_suspected_crashes.take_ended(now))
+        m_ledger.note_success({ended.digest, ended.parts}, ended.crashed, now);
+}
+
+std::string CrashDetector::instance_of(std::uint64_t life) const
 {
-    for (auto const& witness : m_suspected_crashes.note_refused(life, now))
-        count_witness(instance, witness, now);
+    auto const server = m_fleet.find(life);
+    return server ? server->record().instance : std::string();
 }
 
 namespace {
@@ -64,14 +98,13 @@
 
 }
 
-void CrashDetector::count_witness(
-    std::string_view instance, Policy::CrashWitness const& witness, Core::MonotonicTime now)
+void CrashDetector::count_witness(Policy::CrashWitness const& witness, Core::MonotonicTime now)
 {
     m_ledger.note_crash(witness, now);
     m_metrics.note_crash_witness();
     m_log.write(Observe::LogEvent("crash-witness")
                     .add("digest", witness.digest.to_string())
-                    .add("server", instance)
+                    .add("server", instance_of(witness.server.incarnation))
                     .add("had_just_begun", witness.exposure == Policy::Exposure::Fresh)
                     .add("ms_ago", Core::elapsed(witness.crashed, now))
                     .add("parts", absl::StrJoin(witness.parts, ",", append_digest))
@@ -81,6 +114,7 @@
 void CrashDetector::tick(Core::MonotonicTime now)
 {
     import_stored(now);
+    judge_suspects(now);
     m_ledger.tick(now);
     for (auto const& conclusion : m_ledger.take_conclusions()) {
         log(conclusion);
--- a/Libraries/LibGateway/GatewayServer.cpp
+++ b/Libraries/LibGateway/GatewayServer.cpp
@@ -160,7 +160,7 @@
     , m_memory(log, registry)
     , m_metrics(registry)
     , m_fleet(m_settings.fleet, log)
-    , m_crashes(m_loop, log, m_metrics, quarantine)
+    , m_crashes(m_loop, m_fleet, log, m_metrics, quarantine)
     , m_duty_sharing(usage == nullptr ? std::nullopt : std::optional<DutySharing>(*usage))
     , m_streams(archive, confirmation)
     , m_load(m_loop, m_settings.load_address, m_fleet, CrashSharing(m_crashes.ledger()),
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -513,6 +513,8 @@
     auto const status = m_attempt->parser().head().status;
     auto const retry_after = std::string(m_attempt->parser().head().fields.value_or("Retry-After", ""));
     m_tried_servers.insert(m_attempt->server().record().instance);
+    if (status == Status::s_misdirected)
+        m_context.crashes.note_replaced(m_attempt->server(), now);
     end_attempt(result_of_error(now), now);
     m_context.log.write(Observe::LogEvent("refused-by-server")
                             .add("request", m_request.id)
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -226,7 +226,7 @@
     void count_usage(Core::MonotonicTime started_at);
     /// Clears the parts of the prompt of crashes once a server has been writing for long enough.
     void note_progress(BackendAttempt&, Core::MonotonicTime now);
-    /// Clears the request of crashes: a server ran it to completion.
+    /// Clears the request of crashes: the server of the current attempt ran it to completion.
     void note_completed(Core::MonotonicTime now);
     /// Counts a sent attempt that ended without a complete response. A plain service may have lost only its response;
     /// whether a stream without an event ran is unknown.
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -133,8 +133,8 @@
             attempt.cancel();
             return handle_broken_attempt("the stream ended in the middle of an event", now);
         }
-        end_attempt(AttemptResult::Success, now);
         note_completed(now);
+        end_attempt(AttemptResult::Success, now);
         m_caller->finish_response();
         return finish(Outcome::Done, attempt.parser().head().status, "answered");
     }
@@ -189,7 +189,10 @@
 
 void RequestForwarder::note_completed(Core::MonotonicTime now)
 {
-    m_context.crashes.ledger().note_success(crash_identity(m_request, m_context.dialect), now);
+    auto const identity = crash_identity(m_request, m_context.dialect);
+    if (m_attempt->parser().framing() == HTTP::Framing::ConnectionClose)
+        return m_context.crashes.note_ended_answer(m_attempt->server(), identity, exposure(now), now);
+    m_context.crashes.ledger().note_success(identity, now);
 }
 
 bool RequestForwarder::must_hide_response(HTTP::AnswerHead const& head) const
--- a/Libraries/LibGateway/SuspectedCrashes.h
+++ b/Libraries/LibGateway/SuspectedCrashes.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashFacts.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -10,15 +11,28 @@
 
 namespace GraniteField::Gateway {
 
-/// Keeps broken answers until a probe shows whether their server has crashed. Connections also break on a reset in the
-/// network, on packet loss, when a server spoils an answer or closes with unread input, and when this process was
-/// suspended; in all of these cases the server accepts a new connection. A server has crashed only if it refuses the
-/// connection while it is listed and not leaving. No I/O and no clock.
+/// Keeps requests whose server may have crashed until it is known whether it has. Connections also break on a reset in
+/// the network, on packet loss, when a server spoils an answer or closes with unread input, and when this process was
+/// suspended; in all of these cases the server accepts a new connection. A server has crashed if it refuses the
+/// connection while it is listed and not leaving, or if another run of a server has taken its address. No I/O and no
+/// clock.
 class SuspectedCrashes {
 public:
-    /// Time after the refusal in which further broken answers count towards the same crash: a busy gateway reads some
-    /// connections late.
+    /// Time after the crash in which further broken answers count towards it: a busy gateway reads some connections
+    /// late.
     static constexpr Core::Milliseconds s_late_break_window {1'000};
+    /// Time for which a server that accepts connections remains a suspect: a supervisor may have restarted it before
+    /// the probe, and its new entry takes until then to arrive in the list of servers.
+    static constexpr Core::Milliseconds s_replacement_window {3'000};
+    /// Memory limit.
+    static constexpr std::size_t s_max_requests_per_server = 256;
+
+    /// A server that may have crashed.
+    struct Server {
+        Policy::ServerIncarnation life;
+        /// Time at which the server was first listed.
+        Core::MonotonicTime listed_since;
+    };
 
     enum class Step {
         /// Probe the server with a connection and report the result.
@@ -28,22 +42,34 @@
         /// The server has crashed; the witness counts.
         Count,
     };
-    [[nodiscard]] Step add(Policy::CrashWitness const&, Core::MonotonicTime now);
-
-    /// Records a refused probe and returns the witnesses that it confirms.
-    [[nodiscard]] std::vector<Policy::CrashWitness> note_refused(std::uint64_t life, Core::MonotonicTime now);
-    /// Number of witnesses that wait for the result of a probe.
-    [[nodiscard]] std::size_t count_unconfirmed(std::uint64_t life) const
-    {
-        auto const found = m_unconfirmed.find(life);
-        return found == m_unconfirmed.end() ? 0 : found->second.size();
-    }
-    /// Drops the witnesses after a probe that was accepted or had no result.
-    void drop(std::uint64_t life) { m_unconfirmed.erase(life); }
+    /// Adds a request whose answer broke.
+    [[nodiscard]] Step add(Policy::CrashWitness const&, Core::MonotonicTime listed_since, Core::MonotonicTime now);
+    /// Adds a request whose answer ended as it would in a crash, at a server that accepts connections.
+    void add_ended(Policy::CrashWitness const&, Core::MonotonicTime listed_since);
+
+    /// Records the crash of the server and returns the witnesses that it confirms.
+    [[nodiscard]] std::vector<Policy::CrashWitness> confirm(std::uint64_t life, Core::MonotonicTime now);
+    /// Records a probe that was accepted or had no result.
+    void note_not_refused(std::uint64_t life);
+
+    [[nodiscard]] std::vector<Server> servers() const;
+    /// Number of requests that were at the server, while it is a suspect.
+    [[nodiscard]] std::size_t count_requests(std::uint64_t life) const;
+    /// Drops servers that have not crashed within the window. Returns the requests whose answers have ended there.
+    [[nodiscard]] std::vector<Policy::CrashWitness> take_ended(Core::MonotonicTime now);
 
 private:
-    absl::flat_hash_map<std::uint64_t, std::vector<Policy::CrashWitness>> m_unconfirmed;
-    /// Time of the refusal by server run, kept for s_late_break_window.
+    struct Suspect {
+        Server server;
+        bool is_probed {false};
+        std::vector<Policy::CrashWitness> broken;
+        std::vector<Policy::CrashWitness> ended;
+    };
+
+    [[nodiscard]] Suspect& suspect(Policy::CrashWitness const&, Core::MonotonicTime listed_since);
+
+    absl::flat_hash_map<std::uint64_t, Suspect> m_suspects;
+    /// Time of the confirmation by server run, kept for s_late_break_window.
     absl::flat_hash_map<std::uint64_t, Core::MonotonicTime> m_crashed;
 };
 
--- a/Libraries/LibPolicy/CrashLedger.cpp
+++ b/Libraries/LibPolicy/CrashLedger.cpp
@@ -108,29 +108,36 @@
         schedule_report(m_pending_witnesses, witness, now);
 }
 
-bool CrashLedger::note_success(CrashIdentity const& identity, Core::MonotonicTime now)
+bool CrashLedger::has_crash_of(std::uint64_t incarnation) const
 {
-    bool const had_evidence = clear_subject(identity.request, now);
-    return clear_parts(identity, now) || had_evidence;
+    return std::ranges::any_of(
+        m_crashes, [incarnation](auto const& item) { return item.second.server.incarnation == incarnation; });
+}
+
+bool CrashLedger::note_success(CrashIdentity const& identity, Core::MonotonicTime completed, Core::MonotonicTime now)
+{
+    bool const had_evidence = clear_subject(identity.request, completed, now);
+    return clear_parts(identity, completed, now) || had_evidence;
 }
 
 void CrashLedger::note_progress(CrashIdentity const& identity, Core::MonotonicTime now)
 {
-    clear_parts(identity, now);
+    clear_parts(identity, now, now);
 }
 
-bool CrashLedger::clear_parts(CrashIdentity const& identity, Core::MonotonicTime now)
+bool CrashLedger::clear_parts(CrashIdentity const& identity, Core::MonotonicTime completed, Core::MonotonicTime now)
 {
     bool had_evidence = false;
     for (std::size_t index = 0; index < std::min(identity.parts.size(), CrashIdentity::s_max_parts); ++index)
-        had_evidence = clear_subject(identity.parts[index], now) || had_evidence;
+        had_evidence = clear_subject(identity.parts[index], completed, now) || had_evidence;
     return had_evidence;
 }
 
-bool CrashLedger::clear_subject(Core::RequestDigest const& subject, Core::MonotonicTime now)
+bool CrashLedger::clear_subject(
+    Core::RequestDigest const& subject, Core::MonotonicTime completed, Core::MonotonicTime now)
 {
     bool const has_evidence = m_crashes_of.contains(subject) || m_quarantined.contains(subject);
-    add_clearance({subject, now}, CrashConclusion::Source::Here);
+    add_clearance({subject, completed}, CrashConclusion::Source::Here);
     if (has_evidence)
         report_success(subject, now);
     return has_evidence;
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -131,9 +131,15 @@
     };
     /// Records a crash that this gateway observed.
     void note_crash(CrashWitness const&, Core::MonotonicTime now);
+    /// Whether this or another gateway has observed the crash of that run of a server.
+    [[nodiscard]] bool has_crash_of(std::uint64_t incarnation) const;
     /// Records the completion of a request. Returns whether any crash was recorded for it or it was quarantined. Call
     /// this for every request: one that completed before a crash did not cause it.
-    bool note_success(CrashIdentity const&, Core::MonotonicTime now);
+    bool note_success(CrashIdentity const& identity, Core::MonotonicTime now)
+    {
+        return note_success(identity, now, now);
+    }
+    bool note_success(CrashIdentity const&, Core::MonotonicTime completed, Core::MonotonicTime now);
     /// Records that a server has been writing the answer to a request for longer than a crashing part allows. Clears
     /// its parts like a completion, but not the request itself.
     void note_progress(CrashIdentity const&, Core::MonotonicTime now);
@@ -222,8 +228,8 @@
     CrashNumber find_or_add_crash(ServerIncarnation const&, Core::MonotonicTime crashed);
     bool add_clearance(DigestEvent const&, CrashConclusion::Source);
     /// Records that the subject has not crashed a server. Returns whether there was evidence against it.
-    bool clear_subject(Core::RequestDigest const&, Core::MonotonicTime now);
-    bool clear_parts(CrashIdentity const&, Core::MonotonicTime now);
+    bool clear_subject(Core::RequestDigest const&, Core::MonotonicTime completed, Core::MonotonicTime now);
+    bool clear_parts(CrashIdentity const&, Core::MonotonicTime completed, Core::MonotonicTime now);
     /// Whether the clearance of a subject with evidence or in quarantine is worth a log line.
     [[nodiscard]] bool is_notable_clearance(Core::RequestDigest const&) const;
     bool add_quarantine(DigestEvent const&, CrashConclusion::Source, Core::MonotonicTime now);
--- a/Tests/LibGateway/CrashFixture.h
+++ b/Tests/LibGateway/CrashFixture.h
@@ -56,12 +56,21 @@
                 if (m_first_events == FirstEvents::BeforeCrashes)
                     connection.write(framed(event(last + 1)));
                 std::this_thread::sleep_for(m_crash_delay);
-                return m_backends[number]->crash();
+                return crash(number);
             }
             connection.write(framed(event(1)) + framed(event(2)) + (is_chunked ? "0\r\n\r\n" : ""));
         });
     }
 
+    /// Ends the run of an engine with a deadly request, and its connection.
+    void crash(std::size_t number)
+    {
+        if (m_supervision == Supervision::RestartAfterPause)
+            return m_backends[number]->crash();
+        std::lock_guard const lock(m_mutex);
+        m_restarted.push_back(number);
+    }
+
     /// Sends the request to the gateways in turn.
     RawCaller::Answer send(std::string const& body, std::string const& fields = "")
     {
@@ -75,20 +84,23 @@
     /// Restarts the engines whose restart is due. Their entries get a later start, which identifies the new run.
     void restart_engines()
     {
-        bool has_restarted = false;
-        for (auto const& backend : m_backends) {
-            auto const crashed = backend->crashed();
+        std::unique_lock lock(m_mutex);
+        auto restarted = std::exchange(m_restarted, {});
+        lock.unlock();
+        for (std::size_t number = 0; number < m_backends.size(); ++number) {
+            auto const crashed = m_backends[number]->crashed();
             if (!crashed || Core::elapsed(*crashed, Core::monotonic_now()) < s_restart_delay)
                 continue;
-            backend->restart();
-            auto const entry
-                = std::ranges::find(m_servers_list.servers, backend->entry().instance, &Entry::ServerEntry::instance);
-            if (entry == m_servers_list.servers.end())
-                continue;
-            entry->born += std::chrono::seconds(1);
-            has_restarted = true;
+            m_backends[number]->restart();
+            restarted.push_back(number);
+        }
+        for (auto const number : restarted) {
+            auto const entry = std::ranges::find(
+                m_servers_list.servers, m_backends[number]->entry().instance, &Entry::ServerEntry::instance);
+            if (entry != m_servers_list.servers.end())
+                entry->born += std::chrono::seconds(1);
         }
-        if (!has_restarted)
+        if (restarted.empty())
             return;
         publish_servers();
         wake_all();
@@ -117,6 +129,16 @@
         return arrivals([body](auto const& text) { return body_of(text) == body; });
     }
 
+    /// What becomes of engines that crash.
+    enum class Supervision {
+        RestartAfterPause,
+        /// A new run accepts connections before anybody notices the end of the old one.
+        RestartAtOnce,
+    };
+    std::atomic<Supervision> m_supervision {Supervision::RestartAfterPause};
+    std::mutex m_mutex;
+    /// Engines that were restarted at once and are not listed as new runs yet.
+    std::vector<std::size_t> m_restarted;
     /// Whether engines write an event before they crash.
     enum class FirstEvents {
         Never,
--- a/Tests/LibGateway/CrashRulesTest.cpp
+++ b/Tests/LibGateway/CrashRulesTest.cpp
@@ -31,6 +31,19 @@
     {
     }
 
+    /// Crashes three engines and sends the deadly request on, which reaches only a few more.
+    void expect_few_late_sends()
+    {
+        crash_three_engines_and_wait();
+        auto const before = arrivals("deadly");
+        constexpr int request_count = 40;
+        for (int count = 0; count < request_count; ++count)
+            static_cast<void>(send("deadly"));
+        EXPECT_LE(arrivals("deadly") - before, s_max_late_sends);
+        restart_engines();
+        EXPECT_TRUE(send("harmless").is_whole);
+    }
+
     /// Sends the deadly request until the gateways have had their time to learn of three crashes.
     void crash_three_engines_and_wait()
     {
@@ -80,14 +93,21 @@
 {
     m_framing = HTTP::Framing::ConnectionClose;
     m_first_events = FirstEvents::BeforeCrashes;
-    crash_three_engines_and_wait();
-    auto const before = arrivals("deadly");
-    constexpr int request_count = 40;
-    for (int count = 0; count < request_count; ++count)
-        static_cast<void>(send("deadly"));
-    EXPECT_LE(arrivals("deadly") - before, s_max_late_sends);
-    restart_engines();
-    EXPECT_TRUE(send("harmless").is_whole);
+    expect_few_late_sends();
+}
+
+TEST_F(CrashRules, CountsTheCrashOfAServerThatRestartedBeforeItsProbe)
+{
+    m_supervision = Supervision::RestartAtOnce;
+    expect_few_late_sends();
+}
+
+TEST_F(CrashRules, DoesNotClearARequestByAnUnframedAnswerOfAServerThatRestartedBeforeItsProbe)
+{
+    m_supervision = Supervision::RestartAtOnce;
+    m_framing = HTTP::Framing::ConnectionClose;
+    m_first_events = FirstEvents::BeforeCrashes;
+    expect_few_late_sends();
 }
 
 // Answers also break without a crash: they are reset or spoiled, and the server continues.
--- a/Tests/Soak/BudgetBackend.h
+++ b/Tests/Soak/BudgetBackend.h
@@ -6,6 +6,7 @@
 #include "StatedSignals.h"
 
 #include <LibCore/Text.h>
+#include <LibHTTP/AnswerParser.h>
 
 #include <atomic>
 #include <functional>
@@ -35,6 +36,16 @@
     static constexpr char const* s_deadly_request = "deadly-request";
     static constexpr char const* s_deadly_part = "dead";
 
+    /// When a deadly request crashes its server.
+    enum class CrashMoment {
+        /// While the server reads the request.
+        BeforeHead,
+        AfterHead,
+        AfterEvent,
+        /// More than a second into the answer.
+        Late,
+    };
+
     enum class Mood {
         Well,
         LosesAnswers,
@@ -56,6 +67,9 @@
     BudgetBackend& operator=(BudgetBackend const&) = delete;
 
     void set_mood(Mood mood) { m_mood = mood; }
+    void set_crash_moment(CrashMoment moment) { m_crash_moment = moment; }
+    /// Sets what delimits answers: chunks or a length, or the end of the connection.
+    void set_framed(bool value) { m_is_framed = value; }
     /// Reads no request until then.
     void stall_until(Core::MonotonicTime time) { m_stalled_until = time; }
     void crash() { m_backend.crash(); }
@@ -86,6 +100,8 @@
     static constexpr Core::Milliseconds s_event_interval {25};
     static constexpr Core::Milliseconds s_stall_check {5};
     static constexpr unsigned s_events = 10;
+    /// Beyond the time for which a request counts as having just begun.
+    static constexpr Core::Milliseconds s_late_crash {1'200};
 
     struct Run {
         std::string instance;
@@ -138,18 +154,48 @@
         if (mood == Mood::Fails)
             return connection.write(
                 Core::concat("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n", head, "\r\n"));
+        if (crashes_at(CrashMoment::BeforeHead, request))
+            return;
         if (request.find("-stream/") == std::string::npos)
-            return connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head, "Content-Length: 4\r\n\r\nfine"));
-        connection.write(Core::concat(
-            "HTTP/1.1 200 OK\r\n", head, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
-        if (ends_server(request))
-            return crash();
+            return write_plain(connection, request, head);
+        write_stream(connection, request, Core::concat(head, "Content-Type: text/event-stream\r\n"), id);
+    }
+
+    void write_plain(FakeConnection& connection, std::string const& request, std::string const& head)
+    {
+        std::string_view const body = "fine";
+        auto const length = m_is_framed ? Core::concat("Content-Length: ", body.size(), "\r\n") : std::string();
+        connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head, length, "\r\n"));
+        if (crashes_at(CrashMoment::AfterHead, request))
+            return;
+        connection.write(body.substr(0, 2));
+        if (crashes_at(CrashMoment::AfterEvent, request) || crashes_at(CrashMoment::Late, request))
+            return;
+        connection.write(body.substr(2));
+    }
+
+    void write_stream(
+        FakeConnection& connection, std::string const& request, std::string const& head, std::string const& id)
+    {
+        bool const is_framed = m_is_framed;
+        auto const* const framing = is_framed ? "Transfer-Encoding: chunked\r\n" : "";
+        connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head, framing, "\r\n"));
+        if (crashes_at(CrashMoment::AfterHead, request))
+            return;
+        bool const is_late_crash = is_lethal(request) && m_crash_moment == CrashMoment::Late;
+        auto const begin = Core::monotonic_now();
         auto const last = std::stoul(field_of(request, "Last-Event-Id").value_or("0"));
-        for (auto event = static_cast<unsigned>(last) + 1; event <= s_events; ++event) {
-            connection.write(chunk(Core::concat("id: ", event, "\ndata: ", id, "\n\n")));
+        for (auto event = static_cast<unsigned>(last) + 1; event <= s_events || is_late_crash; ++event) {
+            auto const text = Core::concat("id: ", event, "\ndata: ", id, "\n\n");
+            connection.write(is_framed ? chunk(text) : text);
+            if (crashes_at(CrashMoment::AfterEvent, request))
+                return;
+            if (Core::elapsed(begin, Core::monotonic_now()) > s_late_crash && crashes_at(CrashMoment::Late, request))
+                return;
             std::this_thread::sleep_for(s_event_interval);
         }
-        connection.write("0\r\n\r\n");
+        if (is_framed)
+            connection.write("0\r\n\r\n");
     }
 
     void note_arrival(std::string const& id, std::string const& request)
@@ -162,7 +208,7 @@
         if (!is_in_touch)
             return;
         if (is_deadly_request(request))
-            m_judges.requests.note_arrival(s_deadly_request, now);
+            m_judges.requests.note_arrival(subject_of(request), now);
         if (has_deadly_part(request))
             m_judges.parts.note_arrival(s_deadly_part, now);
     }
@@ -176,19 +222,30 @@
         return field_of(request, "X-Prompt-Prefix").value_or("").find(s_deadly_part) != std::string::npos;
     }
 
-    /// Notes the crash that the request causes; whether it causes one.
-    [[nodiscard]] bool ends_server(std::string const& request)
+    [[nodiscard]] static bool is_lethal(std::string const& request)
     {
-        auto const now = Core::monotonic_now();
-        bool const is_deadly = is_deadly_request(request);
-        bool const has_part = has_deadly_part(request);
+        return is_deadly_request(request) || has_deadly_part(request);
+    }
+    /// Deadly requests differ by their target.
+    [[nodiscard]] static std::string subject_of(std::string const& request)
+    {
+        return Core::concat(s_deadly_request, " ", request.substr(0, request.find(" HTTP/")));
+    }
+
+    /// Crashes the server if the request does so at this moment; whether it does.
+    [[nodiscard]] bool crashes_at(CrashMoment moment, std::string const& request)
+    {
+        if (!is_lethal(request) || m_crash_moment != moment)
+            return false;
         if (crashed())
-            return is_deadly || has_part;
-        if (is_deadly)
-            m_judges.requests.note_crash(s_deadly_request, now);
-        if (has_part)
+            return true;
+        auto const now = Core::monotonic_now();
+        if (is_deadly_request(request))
+            m_judges.requests.note_crash(subject_of(request), now);
+        if (has_deadly_part(request))
             m_judges.parts.note_crash(s_deadly_part, now);
-        return is_deadly || has_part;
+        crash();
+        return true;
     }
 
     std::string m_name;
@@ -198,6 +255,8 @@
     unsigned m_life {0};
     Run m_run;
     std::atomic<Mood> m_mood {Mood::Well};
+    std::atomic<CrashMoment> m_crash_moment {CrashMoment::AfterHead};
+    std::atomic<bool> m_is_framed {true};
     std::atomic<Core::MonotonicTime> m_stalled_until {Core::MonotonicTime()};
     FakeBackend m_backend;
 };
--- a/Tests/Soak/BudgetSoak.cpp
+++ b/Tests/Soak/BudgetSoak.cpp
@@ -41,8 +41,9 @@
     unsigned share;
 };
 
-/// Index of the kind of which deadly requests are.
-constexpr std::size_t s_deadly_kind = 2;
+/// Indices of the kinds of which deadly requests are.
+constexpr std::size_t s_deadly_stream_kind = 2;
+constexpr std::size_t s_deadly_plain_kind = 4;
 /// As both deployments have them; the limits in time are those of the sheets.
 constexpr std::array s_kinds {Kind {"case", "/case-stream/", "stream", BudgetSoak::s_engine_service, 2, true,
                                   Core::Milliseconds(12'000), Core::Milliseconds(2'500), 24},
@@ -308,8 +309,27 @@
         server->stall_until(Core::monotonic_now() + length);
 }
 
-void BudgetSoak::send_deadly_requests(Core::Milliseconds length)
+BudgetSoak::DeadlyRequests BudgetSoak::draw_deadly_requests()
 {
+    using Moment = BudgetBackend::CrashMoment;
+    constexpr std::array moments {Moment::BeforeHead, Moment::AfterHead, Moment::AfterEvent, Moment::Late};
+    constexpr std::array periods {2U, 4U, 16U};
+    DeadlyRequests drawn;
+    drawn.moment = moments.at(m_random() % moments.size());
+    drawn.is_framed = m_random() % 2 == 0;
+    drawn.are_plain = m_random() % 4 == 0;
+    drawn.period = periods.at(m_random() % periods.size());
+    return drawn;
+}
+
+void BudgetSoak::send_deadly_requests(DeadlyRequests const& deadly, Core::Milliseconds length)
+{
+    for (auto const& server : m_servers) {
+        server->set_crash_moment(deadly.moment);
+        server->set_framed(deadly.is_framed);
+    }
+    m_are_deadly_requests_plain = deadly.are_plain;
+    m_deadly_period = deadly.period;
     m_sends_deadly_requests = true;
     m_faults.begin("deadly requests", Core::monotonic_now() + length, [this] { m_sends_deadly_requests = false; });
 }
@@ -370,7 +390,7 @@
     case 8:
         return trouble_store();
     case 9:
-        return send_deadly_requests(draw_time(3'000, 9'000));
+        return send_deadly_requests(draw_deadly_requests(), draw_time(3'000, 9'000));
     case 10:
         return send_deadly_parts(draw_time(3'000, 9'000));
     default:
@@ -433,7 +453,8 @@
         auto const& kind = draw_kind(random);
         bool const is_stream = std::string_view(kind.kind) == "stream";
         // The same target, body and prompt each time, so that it is one request that comes again.
-        bool const is_deadly = &kind == &s_kinds[s_deadly_kind] && m_sends_deadly_requests && random() % 4 == 0;
+        auto const& deadly_kind = s_kinds.at(m_are_deadly_requests_plain ? s_deadly_plain_kind : s_deadly_stream_kind);
+        bool const is_deadly = &kind == &deadly_kind && m_sends_deadly_requests && random() % m_deadly_period == 0;
         bool const has_deadly_part = kind.resumable && m_sends_deadly_parts && random() % 4 == 0;
         auto const id = Core::concat(gateway_name(gateway), "-", caller, "-", number++);
         auto const body = is_deadly ? std::string(BudgetBackend::s_deadly_request) : Core::concat("body ", id);
--- a/Tests/Soak/BudgetSoak.h
+++ b/Tests/Soak/BudgetSoak.h
@@ -36,6 +36,15 @@
     static constexpr Shape s_hrubec_pay {4, 9, 3, 54};
     static constexpr Shape s_pwani_charts {5, 9, 4, 56};
 
+    /// How deadly requests crash servers, and how often they come.
+    struct DeadlyRequests {
+        BudgetBackend::CrashMoment moment {BudgetBackend::CrashMoment::AfterHead};
+        bool is_framed {true};
+        bool are_plain {false};
+        /// One of so many requests of their kind is deadly.
+        unsigned period {4};
+    };
+
     struct Options {
         unsigned seed {1};
         Core::Milliseconds length {20'000};
@@ -78,7 +87,7 @@
     /// One gateway after the other is killed and started again at once, with that pause between two.
     void kill_gateways_in_turn(Core::Milliseconds pause, Core::Milliseconds length);
     /// Callers send one request, or requests with one part, that crash each server that begins them.
-    void send_deadly_requests(Core::Milliseconds);
+    void send_deadly_requests(DeadlyRequests const&, Core::Milliseconds);
     void send_deadly_parts(Core::Milliseconds);
 
     static constexpr char const* s_engine_service = "engines";
@@ -112,6 +121,7 @@
     void trouble_store();
     [[nodiscard]] Core::Milliseconds draw_time(unsigned least_ms, unsigned most_ms);
     [[nodiscard]] Core::Milliseconds draw_restart_delay();
+    [[nodiscard]] DeadlyRequests draw_deadly_requests();
     [[nodiscard]] BudgetBackend& draw_server();
     [[nodiscard]] std::vector<BudgetBackend*> servers_of(std::string const& service);
     /// Disturbs a gateway until a drawn time has passed.
@@ -133,6 +143,8 @@
     /// How many times their usual rate callers send at.
     std::atomic<unsigned> m_rate_factor {1};
     std::atomic<bool> m_sends_deadly_requests {false};
+    std::atomic<bool> m_are_deadly_requests_plain {false};
+    std::atomic<unsigned> m_deadly_period {1};
     std::atomic<bool> m_sends_deadly_parts {false};
     std::atomic<bool> m_should_stop {false};
     std::mutex m_mutex;
--- a/Tests/Soak/budget_soak.cpp
+++ b/Tests/Soak/budget_soak.cpp
@@ -12,6 +12,22 @@
 
 using namespace GraniteField;
 
+namespace {
+
+std::optional<Testing::BudgetBackend::CrashMoment> moment_of(std::string const& name)
+{
+    using Moment = Testing::BudgetBackend::CrashMoment;
+    if (name == "before-head")
+        return Moment::BeforeHead;
+    if (name == "after-head")
+        return Moment::AfterHead;
+    if (name == "after-event")
+        return Moment::AfterEvent;
+    return name == "late" ? std::optional(Moment::Late) : std::nullopt;
+}
+
+}
+
 int main(int argument_count, char** arguments)
 {
     using Soak = Testing::BudgetSoak;
@@ -31,6 +47,14 @@
     TCLAP::ValueArg<std::string> deadly("", "deadly",
         "Crash servers that restart at once by requests or by parts instead of drawn faults.", false, "", "KIND",
         command_line);
+    TCLAP::ValueArg<std::string> moment("", "moment",
+        "When deadly requests crash a server: before-head, after-head, after-event or late.", false, "after-head",
+        "MOMENT", command_line);
+    TCLAP::SwitchArg unframed("", "unframed", "Delimit answers by the end of the connection.", command_line);
+    TCLAP::SwitchArg plain("", "plain", "Send deadly requests to the plain service.", command_line);
+    TCLAP::ValueArg<unsigned> period(
+        "", "period", "One of so many requests of their kind is deadly.", false, 4, "N", command_line);
+    TCLAP::SwitchArg delayed("", "delayed", "Restart half of the crashed servers after up to 2.5 s.", command_line);
     TCLAP::ValueArg<std::string> kills(
         "", "kills", "Kill one gateway after the other in a script, with that pause.", false, "", "TIME", command_line);
     command_line.parse(argument_count, arguments);
@@ -41,6 +65,13 @@
         std::cerr << "budget-soak: a duration is written such as 8s\n";
         return 2;
     }
+    auto const crash_moment = moment_of(moment.getValue());
+    if (!crash_moment) {
+        std::cerr << "budget-soak: unknown moment " << moment.getValue() << '\n';
+        return 2;
+    }
+    Soak::DeadlyRequests const deadly_requests {
+        *crash_moment, !unframed.getValue(), plain.getValue(), std::max(1U, period.getValue())};
     bool has_failed = false;
     for (unsigned number = 0; number < count.getValue(); ++number) {
         Soak::Options options;
@@ -51,14 +82,14 @@
             options.shape.gateways = gateways.getValue();
         options.callers = callers.getValue();
         options.processor_share = share.getValue();
-        options.has_immediate_restarts = deadly.isSet();
+        options.has_immediate_restarts = deadly.isSet() && !delayed.getValue();
         Soak soak(options);
         auto const script = [&] {
             soak.pass(std::chrono::seconds(3));
             if (stall.isSet())
                 soak.stall_service(Soak::s_plain_service, *stalled);
             if (deadly.getValue() == "requests")
-                soak.send_deadly_requests(*duration);
+                soak.send_deadly_requests(deadly_requests, *duration);
             if (deadly.getValue() == "parts")
                 soak.send_deadly_parts(*duration);
             if (kills.isSet())
