LibPolicy: Count each crash of a request in full

What callers saw: a request that crashes its servers before they answer, or more than a second into the answer, reached up to eight servers after the contact time that follows its third crash.

Cause: such a crash counted one point in place of two, so that six crashes were needed, and up to ten beside crashes of other causes.

Why it works: harmless requests at a crashed server are told apart by the lead that a conclusion needs, not by the weight.

--- a/Libraries/LibPolicy/CrashLedger.cpp
+++ b/Libraries/LibPolicy/CrashLedger.cpp
@@ -375,7 +375,7 @@
         bool const is_recent_success = succeeded_recently_before(digest, *crash);
         if (is_new_moment || (!is_part && !is_recent_success))
             evidence.points += std::exchange(points_of_moment, 0U);
-        auto const points = static_cast<unsigned>(presence.exposure);
+        auto const points = is_part ? static_cast<unsigned>(presence.exposure) : s_points_of_request;
         // Many requests share a part, so that it is at all servers which crash at once for another reason.
         bool const adds_up = is_part && !is_recent_success;
         points_of_moment = adds_up ? std::min(points_of_moment + points, s_max_points_of_moment)
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -66,8 +66,11 @@
     /// The same if all crashes belong to one moment. By then most copies of the request at running servers have
     /// completed, which clears it.
     static constexpr Core::Milliseconds s_single_moment_settling_time {1'500};
-    /// Points needed for a quarantine. A crash counts 2 if the request had just started there, else 1.
+    /// Points needed for a quarantine.
     static constexpr unsigned s_points_to_quarantine = 6;
+    /// Points of a request for a crash. Servers also crash before they answer and long after, so its exposure does not
+    /// matter; for a part, a crash counts 2 if a request with it had just started there, else 1.
+    static constexpr unsigned s_points_of_request = 2;
     /// The same for a part that is followed by other shared parts: one of these may be the cause.
     static constexpr unsigned s_points_to_quarantine_outer_part = 12;
     /// The same for a part that was cleared shortly before.
--- a/Tests/Experiments/crashing_requests.cpp
+++ b/Tests/Experiments/crashing_requests.cpp
@@ -53,6 +53,17 @@
     compare("broken host", {.broken_hosts = 1});
     compare("three broken hosts", {.broken_hosts = 3});
     compare("deadly, broken host", {.crashing_requests = 1, .broken_hosts = 1});
+    CrashScenario before_head {.crashing_requests = 1, .arrivals_per_second = 0.3};
+    before_head.has_head = false;
+    compare("before the head, seldom", before_head);
+    before_head.spontaneous_crashes_per_second = 0.5;
+    compare("before the head, seldom, own crashes", before_head);
+    CrashScenario late {.crashing_requests = 1, .arrivals_per_second = 0.3};
+    late.least_crash_delay = Milliseconds(1'100);
+    late.most_crash_delay = Milliseconds(1'900);
+    compare("late, seldom", late);
+    late.spontaneous_crashes_per_second = 0.5;
+    compare("late, seldom, own crashes", late);
     compare("a part", {.crashing_parts = 1});
     compare("a part, seldom", {.crashing_parts = 1, .part_arrivals_per_second = 0.3});
     compare("a part, few others", {.crashing_parts = 1, .harmless_per_second = 2});
--- a/Tests/LibPolicy/CrashLedgerTest.cpp
+++ b/Tests/LibPolicy/CrashLedgerTest.cpp
@@ -279,6 +279,28 @@
     }
 }
 
+TEST(CrashSimulations, LimitsLateSendsOfRequestsThatCrashBeforeTheirAnswerOrLateInIt)
+{
+    for (double const rate : {3.0, 0.3}) {
+        for (double const other_crashes : {0.0, 0.5}) {
+            Testing::CrashScenario early {.crashing_requests = 1, .arrivals_per_second = rate};
+            early.spontaneous_crashes_per_second = other_crashes;
+            early.has_head = false;
+            Testing::CrashScenario late = early;
+            late.has_head = true;
+            late.least_crash_delay = 1'100ms;
+            late.most_crash_delay = 1'900ms;
+            for (unsigned seed = 1; seed <= 20; ++seed) {
+                for (auto const& scenario : {early, late}) {
+                    auto const outcome = Testing::CrashSimulation<Testing::LedgerStrategy>(scenario, seed).simulate();
+                    EXPECT_EQ(outcome.quarantined_harmless, 0) << rate << ' ' << other_crashes << ' ' << seed;
+                    EXPECT_LE(outcome.late_sends, 3) << rate << ' ' << other_crashes << ' ' << seed;
+                }
+            }
+        }
+    }
+}
+
 // Without a quarantine one such request crashes a server 0.5 times per second for as long as it is sent. With the
 // ledger 979 of 1,000 other requests are served (20 seeds) and servers crash 5.4 times per minute, including the first
 // crashes.
--- a/Tests/LibPolicy/CrashSimulation.h
+++ b/Tests/LibPolicy/CrashSimulation.h
@@ -127,6 +127,11 @@
     double arrivals_per_second {3};
     /// Number of copies that arrive at once.
     int copies {1};
+    /// Time from the start of a deadly request to the crash.
+    Core::Milliseconds least_crash_delay {20};
+    Core::Milliseconds most_crash_delay {100};
+    /// Whether servers start to answer deadly requests before they crash.
+    bool has_head {true};
     /// Number of prompt parts that crash every server that starts a request with them, and arrivals per second of
     /// requests with each, no two of which are equal.
     int crashing_parts {0};
@@ -209,6 +214,7 @@
     };
     struct Run {
         Request request;
+        /// Arrival of the head of the answer.
         Time start;
         Time end;
         bool is_proven {false};
@@ -232,6 +238,10 @@
     {
         return Milliseconds(std::uniform_int_distribution<int>(from, to)(m_generator));
     }
+    Milliseconds draw_time(Milliseconds from, Milliseconds to)
+    {
+        return draw_time(static_cast<int>(from.count()), static_cast<int>(to.count()));
+    }
     int draw_number(int largest) { return std::uniform_int_distribution<int>(0, largest)(m_generator); }
     bool occurs(double rate) { return draw(0, 1) < rate * std::chrono::duration<double>(s_step).count(); }
 
@@ -312,8 +322,10 @@
         if (request.crashing)
             count_send(*request.crashing);
         auto const start = m_now + draw_time(20, 150);
-        auto const duration = request.crashing ? draw_time(20, 100) : draw_time(300, 2'000);
-        server->runs.push_back({request, start, start + duration});
+        auto const duration = request.crashing ? draw_time(m_scenario.least_crash_delay, m_scenario.most_crash_delay)
+                                               : draw_time(300, 2'000);
+        bool const has_head = m_scenario.has_head || !request.crashing;
+        server->runs.push_back({request, has_head ? start : Time::max(), start + duration});
     }
 
     Server* choose(Core::RequestDigest const& digest)
