LibGateway: Probe a server again while it neither accepts nor refuses

Cause: a probe was one connection with 0.5 s for its answer. Where the network lost the packet, or the host was slow to refuse, the result was unknown and all witnesses of a crash were dropped; the kernel sends a lost packet again after 1 s only.

A stall of this process is read well before and after (ReadARefusalAfterAStallOfThisProcess).

Why it works: up to six connections in 3 s, the contact time; the first that is accepted or refused decides.

--- a/Libraries/LibGateway/ServerProbe.h
+++ b/Libraries/LibGateway/ServerProbe.h
@@ -13,7 +13,8 @@
 
 namespace GraniteField::Gateway {
 
-/// Finds out whether a server still runs, by a connection that is closed without sending anything.
+/// Finds out whether a server still runs, by a connection that is closed without sending anything. Connects anew while
+/// there is no answer: the network may have lost a packet.
 class ServerProbe : public std::enable_shared_from_this<ServerProbe> {
 public:
     enum class Result {
@@ -21,26 +22,33 @@
         Accepted,
         /// The server's host refused the connection: no process listens at the address.
         Refused,
-        /// Timeout, or another failure.
+        /// Neither within the time limit.
         Unknown,
     };
     using Handler = std::function<void(Result)>;
 
-    /// Time limit of a probe. A server accepts or refuses within a round trip.
-    static constexpr Core::Milliseconds s_timeout {500};
+    /// Timeout of one connection. A server accepts or refuses it within a round trip.
+    static constexpr Core::Milliseconds s_connect_timeout {500};
+    /// Number of connections until the result is unknown.
+    static constexpr unsigned s_max_connects = 6;
 
     /// Connects, and calls the handler once from the event loop.
     static void start(boost::asio::io_context&, Core::Address const&, Handler);
 
 private:
-    ServerProbe(boost::asio::io_context&, Handler);
+    ServerProbe(boost::asio::io_context&, Core::Address const&, Handler);
 
-    void connect(Core::Address const&);
-    [[nodiscard]] static Result result_of(boost::system::error_code const&);
+    void connect();
+    void handle_connected(boost::system::error_code const&);
+    void handle_timeout();
+    void finish(Result);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::ip::tcp::endpoint m_endpoint;
     Handler m_on_result;
+    unsigned m_connects {0};
+    bool m_is_over {false};
 };
 
 [[nodiscard]] std::string_view to_string(ServerProbe::Result);
