Tests/Soak: Draw when and how deadly requests crash servers

budget-soak crashed servers in one way: a chunked head, then the crash.

LimitSendsOfARequestWhoseUnframedAnswersEndInCrashes is the measured case with both shapes and real gateways.

--- a/Tests/Soak/BudgetSoak.cpp
+++ b/Tests/Soak/BudgetSoak.cpp
@@ -79,6 +79,7 @@
 BudgetSoak::BudgetSoak(Options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_crash_random(options.seed)
     , m_judges {RepeatedSendJudge({s_ratio, options.shape.slack, s_window}),
           CrashSendJudge(s_crashes_of_request, s_contact_time), CrashSendJudge(s_crashes_of_part, s_contact_time),
           SignalJudges(s_contact_time), {}}
@@ -314,15 +315,17 @@
     using Moment = BudgetBackend::CrashMoment;
     constexpr std::array moments {Moment::BeforeHead, Moment::AfterHead, Moment::AfterEvent, Moment::Late};
     constexpr std::array periods {2U, 4U, 16U};
+    if (m_options.deadly)
+        return *m_options.deadly;
     DeadlyRequests drawn;
-    drawn.moment = moments.at(m_random() % moments.size());
-    drawn.is_framed = m_random() % 2 == 0;
-    drawn.are_plain = m_random() % 4 == 0;
-    drawn.period = periods.at(m_random() % periods.size());
+    drawn.moment = moments.at(m_crash_random() % moments.size());
+    drawn.is_framed = m_crash_random() % 2 == 0;
+    drawn.are_plain = m_crash_random() % 4 == 0;
+    drawn.period = periods.at(m_crash_random() % periods.size());
     return drawn;
 }
 
-void BudgetSoak::send_deadly_requests(DeadlyRequests const& deadly, Core::Milliseconds length)
+std::string BudgetSoak::set_crashes(DeadlyRequests const& deadly)
 {
     for (auto const& server : m_servers) {
         server->set_crash_moment(deadly.moment);
@@ -330,14 +333,25 @@
     }
     m_are_deadly_requests_plain = deadly.are_plain;
     m_deadly_period = deadly.period;
+    constexpr std::array moments {"before the head", "after the head", "after an event", "late"};
+    return Core::concat(deadly.are_plain ? "plain, " : "", moments.at(static_cast<std::size_t>(deadly.moment)),
+        deadly.is_framed ? "" : ", unframed");
+}
+
+void BudgetSoak::send_deadly_requests(DeadlyRequests const& deadly, Core::Milliseconds length)
+{
+    auto const kind = set_crashes(deadly);
     m_sends_deadly_requests = true;
-    m_faults.begin("deadly requests", Core::monotonic_now() + length, [this] { m_sends_deadly_requests = false; });
+    m_faults.begin(Core::concat("deadly requests (", kind, ")"), Core::monotonic_now() + length,
+        [this] { m_sends_deadly_requests = false; });
 }
 
-void BudgetSoak::send_deadly_parts(Core::Milliseconds length)
+void BudgetSoak::send_deadly_parts(DeadlyRequests const& deadly, Core::Milliseconds length)
 {
+    auto const kind = set_crashes(deadly);
     m_sends_deadly_parts = true;
-    m_faults.begin("deadly parts", Core::monotonic_now() + length, [this] { m_sends_deadly_parts = false; });
+    m_faults.begin(Core::concat("deadly parts (", kind, ")"), Core::monotonic_now() + length,
+        [this] { m_sends_deadly_parts = false; });
 }
 
 void BudgetSoak::begin_backoff()
@@ -392,7 +406,7 @@
     case 9:
         return send_deadly_requests(draw_deadly_requests(), draw_time(3'000, 9'000));
     case 10:
-        return send_deadly_parts(draw_time(3'000, 9'000));
+        return send_deadly_parts(draw_deadly_requests(), draw_time(3'000, 9'000));
     default:
         m_rate_factor = 2 + m_random() % 4;
         return m_faults.begin("burst", until(1'000, 4'000), [this] { m_rate_factor = 1; });
--- a/Tests/Soak/BudgetSoak.h
+++ b/Tests/Soak/BudgetSoak.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -56,6 +57,8 @@
         double processor_share {0.19};
         /// Whether each server that crashes is started again at once, as by a supervisor.
         bool has_immediate_restarts {false};
+        /// How deadly requests and parts crash servers; drawn anew for each series of them if not set.
+        std::optional<DeadlyRequests> deadly {};
         /// Whether faults are drawn. Without, only a script disturbs.
         bool has_faults {true};
     };
@@ -88,7 +91,7 @@
     void kill_gateways_in_turn(Core::Milliseconds pause, Core::Milliseconds length);
     /// Callers send one request, or requests with one part, that crash each server that begins them.
     void send_deadly_requests(DeadlyRequests const&, Core::Milliseconds);
-    void send_deadly_parts(Core::Milliseconds);
+    void send_deadly_parts(DeadlyRequests const&, Core::Milliseconds);
 
     static constexpr char const* s_engine_service = "engines";
     static constexpr char const* s_plain_service = "payments";
@@ -122,6 +125,8 @@
     [[nodiscard]] Core::Milliseconds draw_time(unsigned least_ms, unsigned most_ms);
     [[nodiscard]] Core::Milliseconds draw_restart_delay();
     [[nodiscard]] DeadlyRequests draw_deadly_requests();
+    /// Sets how deadly requests crash servers; returns it in words.
+    std::string set_crashes(DeadlyRequests const&);
     [[nodiscard]] BudgetBackend& draw_server();
     [[nodiscard]] std::vector<BudgetBackend*> servers_of(std::string const& service);
     /// Disturbs a gateway until a drawn time has passed.
@@ -132,6 +137,8 @@
 
     Options m_options;
     std::mt19937 m_random;
+    /// Apart from the other draws, so that a seed draws the same faults whether or not the crashes are set.
+    std::mt19937 m_crash_random;
     BudgetJudges m_judges;
     ContactBook m_contact;
     GatewayFleet m_fleet;
--- a/Tests/Soak/BudgetSoakTest.cpp
+++ b/Tests/Soak/BudgetSoakTest.cpp
@@ -24,12 +24,32 @@
     options.seed = 5;
     options.shape = GetParam();
     options.length = 15s;
+    options.deadly = BudgetSoak::DeadlyRequests {};
     auto const report = BudgetSoak(options).run();
     for (auto const& problem : report.problems)
         ADD_FAILURE() << problem;
     EXPECT_GT(report.peaks.at(BudgetSoak::s_engine_service).repeats, 0U);
 }
 
+TEST_P(BudgetSoakSeeds, LimitSendsOfARequestWhoseUnframedAnswersEndInCrashes)
+{
+    BudgetSoak::Options options;
+    options.seed = 501;
+    options.shape = GetParam();
+    options.has_immediate_restarts = true;
+    BudgetSoak soak(options);
+    BudgetSoak::DeadlyRequests deadly;
+    deadly.moment = BudgetBackend::CrashMoment::AfterEvent;
+    deadly.is_framed = false;
+    auto const report = soak.run([&] {
+        soak.send_deadly_requests(deadly, 12s);
+        soak.pass(12s);
+    });
+    for (auto const& problem : report.problems)
+        ADD_FAILURE() << problem;
+    EXPECT_EQ(report.crashing_subjects, 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     HrubecPayAndPwaniCharts, BudgetSoakSeeds, ::testing::Values(BudgetSoak::s_hrubec_pay, BudgetSoak::s_pwani_charts));
 
--- a/Tests/Soak/budget_soak.cpp
+++ b/Tests/Soak/budget_soak.cpp
@@ -82,6 +82,8 @@
             options.shape.gateways = gateways.getValue();
         options.callers = callers.getValue();
         options.processor_share = share.getValue();
+        if (moment.isSet())
+            options.deadly = deadly_requests;
         options.has_immediate_restarts = deadly.isSet() && !delayed.getValue();
         Soak soak(options);
         auto const script = [&] {
@@ -91,7 +93,7 @@
             if (deadly.getValue() == "requests")
                 soak.send_deadly_requests(deadly_requests, *duration);
             if (deadly.getValue() == "parts")
-                soak.send_deadly_parts(*duration);
+                soak.send_deadly_parts(deadly_requests, *duration);
             if (kills.isSet())
                 soak.kill_gateways_in_turn(*pause, std::max(*stalled, *duration));
             else
