LibGateway: Blame only answers that ended with the crash

The time of the crash is that of the last answer it ended, or the one that another gateway observed; what ended more than a second before is a completion, and a break is dropped. Suspects are judged when they are added and when the list or the ledger changes, not at each tick; the hash of a server's address is kept.

--- a/Libraries/LibGateway/BackendView.h
+++ b/Libraries/LibGateway/BackendView.h
@@ -98,13 +98,18 @@
     explicit BackendView(Entry::ServerEntry record, double spread = 0, Core::MonotonicTime listed_since = {})
         : m_record(std::move(record))
         , m_id(id_of(m_record))
+        , m_life(life_of(m_record, m_id))
         , m_spread(spread)
         , m_listed_since(listed_since)
     {
     }
 
     [[nodiscard]] Entry::ServerEntry const& record() const { return m_record; }
-    void set_record(Entry::ServerEntry record) { m_record = std::move(record); }
+    void set_record(Entry::ServerEntry record)
+    {
+        m_record = std::move(record);
+        m_life = life_of(m_record, m_id);
+    }
 
     /// Whether the server is in the newest list and not leaving, neither by the list nor by its own statement.
     [[nodiscard]] bool is_serving() const
@@ -164,10 +169,7 @@
     [[nodiscard]] PrefixCacheModel const& prefixes() const { return m_prefixes; }
 
     /// Identity of this run in the crash reports of the gateways.
-    [[nodiscard]] Policy::ServerIncarnation life() const
-    {
-        return {m_id, Core::hash_bytes(m_record.address.to_string()), Core::hash_bytes(m_record.service)};
-    }
+    [[nodiscard]] Policy::ServerIncarnation const& life() const { return m_life; }
 
     /// Adds the load of an attempt that starts.
     void begin_attempt(ServerLoad const& load) { m_own_load += load; }
@@ -256,6 +258,11 @@
         return Core::hash_bytes(record.instance, static_cast<std::uint64_t>(record.born.time_since_epoch().count()));
     }
 
+    static Policy::ServerIncarnation life_of(Entry::ServerEntry const& record, std::uint64_t id)
+    {
+        return {id, Core::hash_bytes(record.address.to_string()), Core::hash_bytes(record.service)};
+    }
+
     /// Weight of the newest attempt in the failure rate.
     static constexpr double s_newest_attempt_weight = 0.25;
     /// Number of consecutive failures from which the server is avoided for a while.
@@ -280,6 +287,7 @@
 
     Entry::ServerEntry m_record;
     std::uint64_t m_id;
+    Policy::ServerIncarnation m_life;
     double m_spread;
     Core::MonotonicTime m_listed_since;
     bool m_is_listed {true};
--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -25,30 +25,32 @@
     Policy::CrashWitness const witness {identity.request, server.life(), exposure, now, identity.parts};
     switch (m_suspected_crashes.add(witness, server.listed_since(), now)) {
     case SuspectedCrashes::Step::ProbeServer:
-        return probe_server(server.record().address, witness.server.incarnation);
+        probe_server(server.record().address, witness.server.incarnation);
+        break;
     case SuspectedCrashes::Step::Count:
         return count_witness(witness, now);
     case SuspectedCrashes::Step::AwaitProbe:
-        return;
+        break;
     }
+    judge_suspect({witness.server, server.listed_since()}, now);
 }
 
 void CrashDetector::note_ended_answer(BackendView const& server, Policy::CrashIdentity const& identity,
     Policy::Exposure exposure, Core::MonotonicTime now)
 {
-    // The address of a leaving server may soon be another one's.
-    if (!server.accepts_new_requests()) {
-        m_ledger.note_success(identity, now);
-        return;
-    }
     Policy::CrashWitness const witness {identity.request, server.life(), exposure, now, identity.parts};
-    m_suspected_crashes.add_ended(witness, server.listed_since());
+    // The address of a leaving server may soon be another one's.
+    bool const is_suspect
+        = server.accepts_new_requests() && m_suspected_crashes.add_ended(witness, server.listed_since());
+    if (is_suspect)
+        return judge_suspect({witness.server, server.listed_since()}, now);
+    m_ledger.note_success(identity, now);
 }
 
 void CrashDetector::note_replaced(BackendView const& server, Core::MonotonicTime now)
 {
     if (m_suspected_crashes.count_requests(server.id()) > 0)
-        confirm_crash(server.id(), now);
+        confirm_crash(server.id(), std::nullopt, now);
 }
 
 void CrashDetector::probe_server(Core::Address const& address, std::uint64_t life)
@@ -62,27 +64,39 @@
                         .add("took_ms", Core::elapsed(started, Core::monotonic_now()))
                         .add("witnesses", m_suspected_crashes.count_requests(life)));
         if (result == ServerProbe::Result::Refused)
-            return confirm_crash(life, Core::monotonic_now());
+            return confirm_crash(life, std::nullopt, Core::monotonic_now());
         m_suspected_crashes.note_not_refused(life);
     });
 }
 
-void CrashDetector::confirm_crash(std::uint64_t life, Core::MonotonicTime now)
+void CrashDetector::confirm_crash(
+    std::uint64_t life, std::optional<Core::MonotonicTime> crashed, Core::MonotonicTime now)
 {
-    for (auto const& witness : m_suspected_crashes.confirm(life, now))
+    auto const crash = m_suspected_crashes.confirm(life, crashed, now);
+    for (auto const& completed : crash.completed)
+        m_ledger.note_success({completed.digest, completed.parts}, completed.crashed, now);
+    for (auto const& witness : crash.witnesses)
         count_witness(witness, now);
 }
 
 void CrashDetector::judge_suspects(Core::MonotonicTime now)
 {
-    for (auto const& [life, listed_since] : m_suspected_crashes.servers()) {
-        if (m_fleet.has_newer_server_at(life.address, listed_since) || m_ledger.has_crash_of(life.incarnation))
-            confirm_crash(life.incarnation, now);
+    auto const evidence = std::pair(m_fleet.list_revision(), m_ledger.recorded_crashes());
+    if (std::exchange(m_judged_by, evidence) != evidence) {
+        for (auto const& server : m_suspected_crashes.servers())
+            judge_suspect(server, now);
     }
     for (auto const& ended : m_suspected_crashes.take_ended(now))
         m_ledger.note_success({ended.digest, ended.parts}, ended.crashed, now);
 }
 
+void CrashDetector::judge_suspect(SuspectedCrashes::Server const& server, Core::MonotonicTime now)
+{
+    auto const crashed = m_ledger.crash_time_of(server.life.incarnation);
+    if (crashed || m_fleet.has_newer_server_at(server.life.address, server.listed_since))
+        confirm_crash(server.life.incarnation, crashed, now);
+}
+
 std::string CrashDetector::instance_of(std::uint64_t life) const
 {
     auto const server = m_fleet.find(life);
--- a/Libraries/LibGateway/CrashDetector.h
+++ b/Libraries/LibGateway/CrashDetector.h
@@ -7,8 +7,9 @@
 #include <LibObserve/EventLog.h>
 #include <LibPolicy/CrashLedger.h>
 
+#include <optional>
 #include <string>
-#include <string_view>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 
@@ -38,10 +39,11 @@
 
 private:
     void probe_server(Core::Address const&, std::uint64_t life);
-    /// Counts the crash of a suspected server.
-    void confirm_crash(std::uint64_t life, Core::MonotonicTime now);
+    /// Counts the crash of a suspected server. The time of the crash is nullopt if nobody else has observed it.
+    void confirm_crash(std::uint64_t life, std::optional<Core::MonotonicTime> crashed, Core::MonotonicTime now);
     /// Looks for evidence that suspected servers which accept connections have crashed and were restarted.
     void judge_suspects(Core::MonotonicTime now);
+    void judge_suspect(SuspectedCrashes::Server const&, Core::MonotonicTime now);
     void count_witness(Policy::CrashWitness const&, Core::MonotonicTime now);
     /// Returns the instance of the server run, if it is still known.
     [[nodiscard]] std::string instance_of(std::uint64_t life) const;
@@ -58,6 +60,8 @@
     Cluster::SharedQuarantine* m_store_quarantine;
     Policy::CrashLedger m_ledger;
     SuspectedCrashes m_suspected_crashes;
+    /// List of servers and number of recorded crashes by which the suspects were judged last.
+    std::pair<Entry::ListRevision, std::uint64_t> m_judged_by;
 };
 
 }
--- a/Libraries/LibGateway/SuspectedCrashes.cpp
+++ b/Libraries/LibGateway/SuspectedCrashes.cpp
@@ -28,22 +28,36 @@
     return std::exchange(server.is_probed, true) ? Step::AwaitProbe : Step::ProbeServer;
 }
 
-void SuspectedCrashes::add_ended(Policy::CrashWitness const& witness, Core::MonotonicTime listed_since)
+bool SuspectedCrashes::add_ended(Policy::CrashWitness const& witness, Core::MonotonicTime listed_since)
 {
     auto& server = suspect(witness, listed_since);
-    if (server.ended.size() < s_max_requests_per_server)
-        server.ended.push_back(witness);
+    if (server.ended.size() >= s_max_requests_per_server)
+        return false;
+    server.ended.push_back(witness);
+    return true;
 }
 
-std::vector<Policy::CrashWitness> SuspectedCrashes::confirm(std::uint64_t life, Core::MonotonicTime now)
+SuspectedCrashes::Crash SuspectedCrashes::confirm(
+    std::uint64_t life, std::optional<Core::MonotonicTime> crashed, Core::MonotonicTime now)
 {
     m_crashed[life] = now;
     auto const found = m_suspects.extract(life);
     if (found.empty())
         return {};
-    auto witnesses = std::move(found.mapped().broken);
-    std::ranges::move(found.mapped().ended, std::back_inserter(witnesses));
-    return witnesses;
+    auto& suspect = found.mapped();
+    auto time = crashed.value_or(Core::MonotonicTime());
+    for (auto const* witnesses : {&suspect.broken, &suspect.ended}) {
+        for (auto const& witness : *witnesses)
+            time = std::max(time, witness.crashed);
+    }
+    auto const is_earlier
+        = [time](auto const& witness) { return Core::elapsed(witness.crashed, time) > s_late_break_window; };
+    Crash crash;
+    // The server outlived breaks that are earlier.
+    std::ranges::remove_copy_if(suspect.broken, std::back_inserter(crash.witnesses), is_earlier);
+    std::ranges::partition_copy(
+        suspect.ended, std::back_inserter(crash.completed), std::back_inserter(crash.witnesses), is_earlier);
+    return crash;
 }
 
 void SuspectedCrashes::note_not_refused(std::uint64_t life)
--- a/Libraries/LibGateway/SuspectedCrashes.h
+++ b/Libraries/LibGateway/SuspectedCrashes.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -44,11 +45,19 @@
     };
     /// Adds a request whose answer broke.
     [[nodiscard]] Step add(Policy::CrashWitness const&, Core::MonotonicTime listed_since, Core::MonotonicTime now);
-    /// Adds a request whose answer ended as it would in a crash, at a server that accepts connections.
-    void add_ended(Policy::CrashWitness const&, Core::MonotonicTime listed_since);
+    /// Adds a request whose answer ended as it would in a crash, at a server that accepts connections. Returns false if
+    /// there are too many.
+    [[nodiscard]] bool add_ended(Policy::CrashWitness const&, Core::MonotonicTime listed_since);
 
-    /// Records the crash of the server and returns the witnesses that it confirms.
-    [[nodiscard]] std::vector<Policy::CrashWitness> confirm(std::uint64_t life, Core::MonotonicTime now);
+    /// The requests that were at a server before it crashed.
+    struct Crash {
+        std::vector<Policy::CrashWitness> witnesses;
+        /// Answers that ended too long before the crash to have been ended by it.
+        std::vector<Policy::CrashWitness> completed;
+    };
+    /// Records the crash of the server. Its time, unless known, is that of the last broken or ended answer.
+    [[nodiscard]] Crash confirm(
+        std::uint64_t life, std::optional<Core::MonotonicTime> crashed, Core::MonotonicTime now);
     /// Records a probe that was accepted or had no result.
     void note_not_refused(std::uint64_t life);
 
--- a/Libraries/LibPolicy/CrashLedger.cpp
+++ b/Libraries/LibPolicy/CrashLedger.cpp
@@ -108,10 +108,11 @@
         schedule_report(m_pending_witnesses, witness, now);
 }
 
-bool CrashLedger::has_crash_of(std::uint64_t incarnation) const
+std::optional<Core::MonotonicTime> CrashLedger::crash_time_of(std::uint64_t incarnation) const
 {
-    return std::ranges::any_of(
+    auto const found = std::ranges::find_if(
         m_crashes, [incarnation](auto const& item) { return item.second.server.incarnation == incarnation; });
+    return found == m_crashes.end() ? std::nullopt : std::optional(found->second.time);
 }
 
 bool CrashLedger::note_success(CrashIdentity const& identity, Core::MonotonicTime completed, Core::MonotonicTime now)
--- a/Libraries/LibPolicy/CrashLedger.h
+++ b/Libraries/LibPolicy/CrashLedger.h
@@ -134,8 +134,10 @@
     };
     /// Records a crash that this gateway observed.
     void note_crash(CrashWitness const&, Core::MonotonicTime now);
-    /// Whether this or another gateway has observed the crash of that run of a server.
-    [[nodiscard]] bool has_crash_of(std::uint64_t incarnation) const;
+    /// Returns the time of the crash of that run of a server, if this or another gateway has observed it.
+    [[nodiscard]] std::optional<Core::MonotonicTime> crash_time_of(std::uint64_t incarnation) const;
+    /// Number of crashes that were ever recorded.
+    [[nodiscard]] std::uint64_t recorded_crashes() const { return m_next_crash; }
     /// Records the completion of a request. Returns whether any crash was recorded for it or it was quarantined. Call
     /// this for every request: one that completed before a crash did not cause it.
     bool note_success(CrashIdentity const& identity, Core::MonotonicTime now)
