--- a/Meta/deliberate-breaks.sh
+++ b/Meta/deliberate-breaks.sh
@@ -120,6 +120,11 @@
     '106|Libraries/LibGateway/StreamOriginSharing.cpp|s/m_confirmed->as_of >= as_of/m_confirmed->as_of >= as_of - s_withholding_time/|StreamOriginSharingTest|*EarlierConfirmation*'
     '107|Libraries/LibCore/Json.cpp|s/if (nests_too_deeply(text))/if (false)/|JsonTest|*DeepNesting*'
     '108|platform/ObjectCodec.cpp|s/Core::parse_readable_json(\*spec);/Core::ReadableJson {Core::parse_json(*spec)};/|DecodersTest|*UnreadableSpecSpoils*'
+    '109|Libraries/LibGateway/BackendAttempt.cpp|s/return confirm_end();/return handle_end_probe(ServerProbe::Result::Accepted);/|ResponseFramingTest|*UnframedStreamWhoseServerCrashes*'
+    '110|Libraries/LibGateway/CrashDetector.cpp|s/if (crashed .. m_fleet.has_newer_server_at.*/if (crashed)/|CrashRulesTest|*CountsTheCrashOfAServerThatRestarted*'
+    '111|Libraries/LibPolicy/CrashLedger.cpp|s/is_part ? static_cast<unsigned>(presence.exposure) : s_points_of_request/static_cast<unsigned>(presence.exposure)/|CrashLedgerTest|*BeforeTheirAnswer*'
+    '112|Libraries/LibGateway/ServerProbe.cpp|s/m_connects >= s_max_connects/m_connects > 0/|ServerProbeTest|*LaterConnection*'
+    '113|Libraries/LibGateway/SuspectedCrashes.cpp|s/Core::elapsed(witness.crashed, time) > s_late_break_window/time < witness.crashed/|SuspectedCrashesTest|*DoesNotBlame*'
     '50|Libraries/LibPolicy/Admission.cpp|s/\+\+rank.closed_count % s_floor_interval != 0/true/|AdmissionTest|*AdmitsSomeRequests*'
 )
 
--- a/Tests/Soak/BudgetBackend.h
+++ b/Tests/Soak/BudgetBackend.h
@@ -154,47 +154,51 @@
         if (mood == Mood::Fails)
             return connection.write(
                 Core::concat("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n", head, "\r\n"));
-        if (crashes_at(CrashMoment::BeforeHead, request))
-            return;
+        CrashMoment const moment = m_crash_moment;
+        bool const is_deadly = is_lethal(request);
+        if (is_deadly && moment == CrashMoment::BeforeHead)
+            return crash_by(request, instance);
         if (request.find("-stream/") == std::string::npos)
-            return write_plain(connection, request, head);
-        write_stream(connection, request, Core::concat(head, "Content-Type: text/event-stream\r\n"), id);
+            write_plain(connection, head, is_deadly ? std::optional(moment) : std::nullopt);
+        else
+            write_stream(connection, request, Core::concat(head, "Content-Type: text/event-stream\r\n"),
+                is_deadly ? std::optional(moment) : std::nullopt);
+        if (is_deadly)
+            crash_by(request, instance);
     }
 
-    void write_plain(FakeConnection& connection, std::string const& request, std::string const& head)
+    /// Writes a plain answer up to the moment of the crash, if there is one.
+    void write_plain(FakeConnection& connection, std::string const& head, std::optional<CrashMoment> crash) const
     {
         std::string_view const body = "fine";
         auto const length = m_is_framed ? Core::concat("Content-Length: ", body.size(), "\r\n") : std::string();
         connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head, length, "\r\n"));
-        if (crashes_at(CrashMoment::AfterHead, request))
-            return;
-        connection.write(body.substr(0, 2));
-        if (crashes_at(CrashMoment::AfterEvent, request) || crashes_at(CrashMoment::Late, request))
+        if (crash == CrashMoment::AfterHead)
             return;
-        connection.write(body.substr(2));
+        connection.write(crash ? body.substr(0, 2) : body);
     }
 
-    void write_stream(
-        FakeConnection& connection, std::string const& request, std::string const& head, std::string const& id)
+    /// The same for a stream.
+    void write_stream(FakeConnection& connection, std::string const& request, std::string const& head,
+        std::optional<CrashMoment> crash) const
     {
         bool const is_framed = m_is_framed;
         auto const* const framing = is_framed ? "Transfer-Encoding: chunked\r\n" : "";
         connection.write(Core::concat("HTTP/1.1 200 OK\r\n", head, framing, "\r\n"));
-        if (crashes_at(CrashMoment::AfterHead, request))
+        if (crash == CrashMoment::AfterHead)
             return;
-        bool const is_late_crash = is_lethal(request) && m_crash_moment == CrashMoment::Late;
-        auto const begin = Core::monotonic_now();
-        auto const last = std::stoul(field_of(request, "Last-Event-Id").value_or("0"));
-        for (auto event = static_cast<unsigned>(last) + 1; event <= s_events || is_late_crash; ++event) {
+        auto const id = field_of(request, "X-Request-Id").value_or("");
+        auto const late = Core::monotonic_now() + s_late_crash;
+        auto event = std::stoul(field_of(request, "Last-Event-Id").value_or("0")) + 1;
+        auto const is_whole = [&] { return crash ? Core::monotonic_now() > late : event > s_events; };
+        for (; !is_whole(); ++event) {
             auto const text = Core::concat("id: ", event, "\ndata: ", id, "\n\n");
             connection.write(is_framed ? chunk(text) : text);
-            if (crashes_at(CrashMoment::AfterEvent, request))
-                return;
-            if (Core::elapsed(begin, Core::monotonic_now()) > s_late_crash && crashes_at(CrashMoment::Late, request))
+            if (crash == CrashMoment::AfterEvent)
                 return;
             std::this_thread::sleep_for(s_event_interval);
         }
-        if (is_framed)
+        if (is_framed && !crash)
             connection.write("0\r\n\r\n");
     }
 
@@ -232,20 +236,17 @@
         return Core::concat(s_deadly_request, " ", request.substr(0, request.find(" HTTP/")));
     }
 
-    /// Crashes the server if the request does so at this moment; whether it does.
-    [[nodiscard]] bool crashes_at(CrashMoment moment, std::string const& request)
+    /// Crashes the run that the request was sent to, if it has not ended.
+    void crash_by(std::string const& request, std::string const& instance)
     {
-        if (!is_lethal(request) || m_crash_moment != moment)
-            return false;
-        if (crashed())
-            return true;
+        if (crashed() || run().instance != instance)
+            return;
         auto const now = Core::monotonic_now();
         if (is_deadly_request(request))
             m_judges.requests.note_crash(subject_of(request), now);
         if (has_deadly_part(request))
             m_judges.parts.note_crash(s_deadly_part, now);
         crash();
-        return true;
     }
 
     std::string m_name;
