LibGateway: Copy ended answers without a subrange

clang-tidy's front end can't read the subrange that std::ranges::stable_partition returns with this version of the standard library. No change of behaviour.

--- a/Libraries/LibGateway/SuspectedCrashes.cpp
+++ b/Libraries/LibGateway/SuspectedCrashes.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/SuspectedCrashes.h>
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -89,9 +88,8 @@
     for (auto& [life, suspect] : m_suspects) {
         if (!suspect.is_probed)
             std::erase_if(suspect.broken, is_old);
-        auto const old = std::ranges::stable_partition(suspect.ended, std::not_fn(is_old));
-        std::ranges::move(old, std::back_inserter(ended));
-        suspect.ended.erase(old.begin(), old.end());
+        std::ranges::copy_if(suspect.ended, std::back_inserter(ended), is_old);
+        std::erase_if(suspect.ended, is_old);
     }
     absl::erase_if(
         m_suspects, [](auto const& item) { return item.second.broken.empty() && item.second.ended.empty(); });
