--- a/Libraries/LibGateway/CrashDetector.h
+++ b/Libraries/LibGateway/CrashDetector.h
@@ -39,9 +39,9 @@
 
 private:
     void probe_server(Core::Address const&, std::uint64_t life);
-    /// Counts the crash of a suspected server. The time of the crash is nullopt if nobody else has observed it.
+    /// Counts the crash of a suspected server. `crashed` is nullopt if no other gateway has reported it.
     void confirm_crash(std::uint64_t life, std::optional<Core::MonotonicTime> crashed, Core::MonotonicTime now);
-    /// Looks for evidence that suspected servers which accept connections have crashed and were restarted.
+    /// Looks for evidence that suspected servers have crashed although they accept connections.
     void judge_suspects(Core::MonotonicTime now);
     void judge_suspect(SuspectedCrashes::Server const&, Core::MonotonicTime now);
     void count_witness(Policy::CrashWitness const&, Core::MonotonicTime now);
--- a/Libraries/LibGateway/ServerProbe.cpp
+++ b/Libraries/LibGateway/ServerProbe.cpp
@@ -51,7 +51,7 @@
         return finish(Result::Accepted);
     if (error == boost::asio::error::connection_refused)
         return finish(Result::Refused);
-    // Connects anew after the timeout.
+    // The timeout starts the next connection.
 }
 
 void ServerProbe::handle_timeout()
--- a/Libraries/LibGateway/ServerProbe.h
+++ b/Libraries/LibGateway/ServerProbe.h
@@ -13,8 +13,8 @@
 
 namespace GraniteField::Gateway {
 
-/// Finds out whether a server still runs, by a connection that is closed without sending anything. Connects anew while
-/// there is no answer: the network may have lost a packet.
+/// Finds out whether a server still runs, by a connection that is closed without sending anything. Reconnects while
+/// there is no result: the network may have lost a packet.
 class ServerProbe : public std::enable_shared_from_this<ServerProbe> {
 public:
     enum class Result {
@@ -29,7 +29,7 @@
 
     /// Timeout of one connection. A server accepts or refuses it within a round trip.
     static constexpr Core::Milliseconds s_connect_timeout {500};
-    /// Number of connections until the result is unknown.
+    /// Number of connections after which the result is unknown.
     static constexpr unsigned s_max_connects = 6;
 
     /// Connects, and calls the handler once from the event loop.
--- a/Tests/Soak/BudgetSoak.h
+++ b/Tests/Soak/BudgetSoak.h
@@ -57,7 +57,7 @@
         double processor_share {0.19};
         /// Whether each server that crashes is started again at once, as by a supervisor.
         bool has_immediate_restarts {false};
-        /// How deadly requests and parts crash servers; drawn anew for each series of them if not set.
+        /// How deadly requests and parts crash servers; if not set, drawn for each series of them.
         std::optional<DeadlyRequests> deadly {};
         /// Whether faults are drawn. Without, only a script disturbs.
         bool has_faults {true};
