LibGateway: Keep the reset that a failed write takes from the socket

A server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection. The caller got that part as a complete 200.

Cause: a write to a connection that was reset fails and takes the pending error off the socket. The read that follows then returns the received bytes and an end of file, as if the server had closed in order. The probe finds the server alive, so the response that only the end of the connection delimits counts as complete. The event loop runs the write handler before the read handler, so this is the rule while an upload waits to be written, not a race.

The attempt keeps the error of a failed write and reports it in place of the end of file. broken_pipe is left out: the kernel returns it only where the server had ended its side in order before the connection was reset, so everything that it sent has arrived. Responses with a length or chunks do not depend on it.

--- a/Libraries/LibGateway/BackendAttempt.cpp
+++ b/Libraries/LibGateway/BackendAttempt.cpp
@@ -121,11 +121,13 @@
                 });
             return;
         }
-        // A server may respond and close before it has read the whole request; its response is valid.
-        if (error && m_written > 0)
-            break;
-        if (error)
+        if (error && m_written == 0)
             return fail(Failure::NotSent, error.message());
+        // A server may respond and close before it has read the whole request, so reading goes on.
+        if (error) {
+            m_write_error = error;
+            break;
+        }
     }
     m_request = {};
     m_written = std::max<std::size_t>(m_written, 1);
@@ -161,6 +163,15 @@
     m_listener->handle_response(*this);
 }
 
+BackendAttempt::Error BackendAttempt::end_error(Error const& read_error) const
+{
+    bool const is_masked = read_error == boost::asio::error::eof && m_write_error;
+    // A write fails with broken_pipe only if the server had ended its side in order.
+    if (!is_masked || m_write_error == boost::asio::error::broken_pipe)
+        return read_error;
+    return m_write_error;
+}
+
 void BackendAttempt::receive()
 {
     static thread_local std::array<char, s_read_size> s_buffer;
@@ -170,6 +181,7 @@
     if (error == boost::asio::error::would_block)
         return read();
     auto const self = shared_from_this();
+    error = end_error(error);
     if (error == boost::asio::error::eof) {
         if (m_parser.has_head() && m_parser.framing() == HTTP::Framing::ConnectionClose)
             return confirm_end();
--- a/Libraries/LibGateway/BackendAttempt.h
+++ b/Libraries/LibGateway/BackendAttempt.h
@@ -95,6 +95,9 @@
     void write();
     void read();
     void receive();
+    /// Returns the error that ended the connection. A failed write takes the pending error, such as a reset, from the
+    /// socket, and the next read then reports an orderly end.
+    [[nodiscard]] Error end_error(Error const& read_error) const;
     /// Confirms a response that only the end of the connection delimits: a crash ends the connection in the same way,
     /// so the response is complete only if the server accepts another connection.
     void confirm_end();
@@ -108,6 +111,8 @@
     Listener* m_listener;
     OutgoingRequest m_request;
     std::size_t m_written {0};
+    /// Error of the write that ended the sending of the request early.
+    Error m_write_error;
     std::string m_input;
     ServerLoad m_load;
     Core::MonotonicTime m_started_at;
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -21,6 +21,7 @@
 
 constexpr int s_timeout_ms = 10'000;
 constexpr std::size_t s_buffer_size = 64U << 10U;
+constexpr int s_small_receive_buffer = 4U << 10U;
 
 sockaddr_in loopback(std::uint16_t port)
 {
@@ -31,12 +32,15 @@
     return address;
 }
 
-/// Listens on this port, or on one chosen by the kernel if it is 0.
-int listen_on_loopback(int backlog, std::uint16_t& port)
+/// Listens on this port, or on one chosen by the kernel if it is 0. `receive_buffer` is the size of the receive buffer
+/// of accepted connections in bytes; 0 for the default.
+int listen_on_loopback(int backlog, std::uint16_t& port, int receive_buffer = 0)
 {
     int const listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int const yes = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    if (receive_buffer > 0)
+        ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     auto address = loopback(port);
     socklen_t size = sizeof(address);
     if (::bind(listener, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(listener, backlog) != 0)
@@ -104,11 +108,30 @@
     }
 }
 
+std::optional<std::string> FakeConnection::read_head()
+{
+    static constexpr std::string_view s_head_end = "\r\n\r\n";
+    auto end = m_input.find(s_head_end);
+    for (; end == std::string::npos; end = m_input.find(s_head_end)) {
+        if (!read_some(m_descriptor, m_input))
+            return std::nullopt;
+    }
+    auto const size = end + s_head_end.size();
+    auto head = m_input.substr(0, size);
+    m_input.erase(0, size);
+    return head;
+}
+
 void FakeConnection::write(std::string_view text) const
 {
     write_all(m_descriptor, text);
 }
 
+void FakeConnection::finish_writing() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
 bool FakeConnection::wait_until_closed(Core::Milliseconds timeout) const
 {
     auto const end = Core::monotonic_now() + timeout;
@@ -134,9 +157,10 @@
     static_cast<void>(::connect(m_descriptor, &unspecified, sizeof(unspecified)));
 }
 
-FakeBackend::FakeBackend(std::string instance, Script script)
+FakeBackend::FakeBackend(std::string instance, Script script, Reading reading)
     : m_instance(std::move(instance))
     , m_script(std::move(script))
+    , m_reading(reading)
 {
     start_accepting(0);
 }
@@ -144,7 +168,7 @@
 void FakeBackend::start_accepting(std::uint16_t port)
 {
     m_port = port;
-    m_listener = listen_on_loopback(64, m_port);
+    m_listener = listen_on_loopback(64, m_port, m_reading == Reading::HeadOnly ? s_small_receive_buffer : 0);
     m_acceptor = std::thread([this] { accept_connections(); });
 }
 
@@ -205,7 +229,8 @@
         *thread = std::thread([this, descriptor, index, thread] {
             {
                 FakeConnection connection(descriptor);
-                if (auto const request = connection.read_request()) {
+                bool const reads_head_only = m_reading == Reading::HeadOnly;
+                if (auto const request = reads_head_only ? connection.read_head() : connection.read_request()) {
                     {
                         std::lock_guard const request_lock(m_mutex);
                         m_requests.push_back(*request);
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -29,9 +29,13 @@
 
     /// Returns the next complete request, head and body, or nullopt if the connection ends first.
     [[nodiscard]] std::optional<std::string> read_request();
+    /// Returns the head of the next request, or nullopt if the connection ends first.
+    [[nodiscard]] std::optional<std::string> read_head();
     void write(std::string_view) const;
     /// Waits until the peer closes or resets the connection; returns whether it did so within the timeout.
     [[nodiscard]] bool wait_until_closed(Core::Milliseconds timeout = Core::Milliseconds(5'000)) const;
+    /// Ends the sent data in order; the peer can still send.
+    void finish_writing() const;
     /// Closes the connection with a reset.
     void reset();
 
@@ -46,13 +50,20 @@
     /// Handles one connection, where `index` counts accepted connections from 0. Runs on its own thread.
     using Script = std::function<void(FakeConnection&, std::string const& request, std::size_t index)>;
 
-    explicit FakeBackend(std::string instance, Script script);
+    /// What is read of a request before the script is called.
+    enum class Reading {
+        WholeRequest,
+        /// Only the head. Small receive buffers keep a large body from being sent completely.
+        HeadOnly,
+    };
+
+    explicit FakeBackend(std::string instance, Script script, Reading reading = Reading::WholeRequest);
     ~FakeBackend();
     FakeBackend(FakeBackend const&) = delete;
     FakeBackend& operator=(FakeBackend const&) = delete;
 
     [[nodiscard]] Entry::ServerEntry entry(std::string service = "svc") const;
-    /// Returns the requests that were received completely.
+    /// Returns the requests that were read, without their bodies if only heads are read.
     [[nodiscard]] std::vector<std::string> requests() const;
     [[nodiscard]] std::size_t count() const { return requests().size(); }
 
@@ -71,6 +82,7 @@
 
     std::string m_instance;
     Script m_script;
+    Reading m_reading;
     std::uint16_t m_port {0};
     int m_listener {-1};
     mutable std::mutex m_mutex;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -53,9 +53,10 @@
         set(Table::SheetName::Routes, name, cells);
     }
 
-    FakeBackend& add_backend(std::string const& instance, FakeBackend::Script script)
+    FakeBackend& add_backend(std::string const& instance, FakeBackend::Script script,
+        FakeBackend::Reading reading = FakeBackend::Reading::WholeRequest)
     {
-        m_backends.push_back(std::make_unique<FakeBackend>(instance, std::move(script)));
+        m_backends.push_back(std::make_unique<FakeBackend>(instance, std::move(script), reading));
         m_servers_list.servers.push_back(m_backends.back()->entry());
         return *m_backends.back();
     }
