LibHTTP: Reject answers whose status is of no class

A server in trouble answered with the status 000, and callers got what followed.

Cause: every status below 200 counted as one of an interim answer. So 000, 001 and 099 were passed over, and a 200 behind them on the connection was delivered. A body without end behind such a head was kept whole, since nothing takes a body before the head of the final answer is there. 600 to 999 were passed on as errors of the server, by the gateway as by the readers with libcurl, which itself refuses statuses below 100.

The status line is now refused unless the status has three digits and is from 100 to 599 (RFC 9110, section 15): by AnswerParser when Boost.Beast has read the line, so nothing behind it is kept, and by HeadLines, which makes HttpClient and the side process's EngineClient end the transfer. Reason phrases do not matter.

Before: ResponseFraming.RejectsInvalidStatuses had 200 with the body behind 000, 001 and 099 instead of a repetition, and 600 and 999 at requests that cannot be repeated; the body behind 000 was read to the 8 MB that the test sends (bound: less). HttpClient returned and EngineClient passed on 600 and 999; AnswerParser took all five. The other statuses of the samples (0, 20, 2000, 0200, -20, +20, 2x0) were refused before. Now all pass.

--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/AnswerParser.h>
 
 #include <LibHTTP/BeastParser.h>
+#include <LibHTTP/Status.h>
 
 #include <limits>
 #include <optional>
@@ -11,14 +12,17 @@
 namespace {
 
 constexpr std::uint32_t s_largest_head_bytes = 64U << 10U;
-constexpr int s_first_final_status = 200;
 
 struct Sink {
     AnswerHead head;
     std::string body;
     bool has_head {false};
 
-    void take_start(int status, int) { head.status = status; }
+    bool take_start(int status, int)
+    {
+        head.status = status;
+        return Status::is_valid(status);
+    }
     void take_field(std::string_view name, std::string_view value)
     {
         if (!has_head)
@@ -89,7 +93,7 @@
         taken += count;
         if (error && error != boost::beast::http::error::need_more)
             m_state->is_broken = true;
-        bool const is_interim = message.parser.is_done() && message.sink.head.status < s_first_final_status;
+        bool const is_interim = message.parser.is_done() && Status::is_interim(message.sink.head.status);
         if (is_interim)
             m_state->message.emplace(m_state->rule);
         if (error || count == 0)
@@ -114,7 +118,7 @@
 bool AnswerParser::has_head() const
 {
     auto const& sink = m_state->message->sink;
-    return sink.has_head && sink.head.status >= s_first_final_status;
+    return sink.has_head && !Status::is_interim(sink.head.status);
 }
 
 Framing AnswerParser::framing() const
--- a/Libraries/LibHTTP/BeastParser.h
+++ b/Libraries/LibHTTP/BeastParser.h
@@ -10,8 +10,8 @@
 namespace GraniteField::HTTP {
 
 /// Boost.Beast's parser for a request or an answer, which hands what it reads to a sink. A sink has
-/// `take_start(method, target, version)` for requests or `take_start(status, version)` for answers,
-/// `take_field(name, value)`, `take_head()` (false refuses the message) and `take_body(text)`.
+/// `take_start(method, target, version)` for requests or `take_start(status, version)` for answers (false refuses the
+/// answer), `take_field(name, value)`, `take_head()` (false refuses the message) and `take_body(text)`.
 template <bool is_request, typename Sink>
 class BeastParser final : public boost::beast::http::basic_parser<is_request> {
 public:
@@ -36,8 +36,10 @@
 
     void on_response_impl(int status, Text, int version, [[maybe_unused]] Error& error) override
     {
-        if constexpr (!is_request)
-            m_sink.take_start(status, version);
+        if constexpr (!is_request) {
+            if (!m_sink.take_start(status, version))
+                error = boost::beast::http::error::bad_status;
+        }
     }
 
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error&) override
--- a/Libraries/LibHTTP/HeadLines.cpp
+++ b/Libraries/LibHTTP/HeadLines.cpp
@@ -1,31 +1,52 @@
 #include <LibHTTP/HeadLines.h>
 
 #include <LibCore/Text.h>
+#include <LibHTTP/Status.h>
+
+#include <charconv>
+#include <optional>
 
 namespace GraniteField::HTTP {
 
 namespace {
 
 constexpr std::string_view s_version = "HTTP/";
+constexpr std::size_t s_status_digits = 3;
+/// What follows the status. Like libcurl, accepts a line without the space before the reason phrase.
+constexpr std::string_view s_status_ends = " \r\n";
 
-/// Whether the status line has a status of the class 1xx.
-bool is_interim(std::string_view status_line)
+/// Returns the status of a status line, or nullopt if it has none (RFC 9112, section 4).
+std::optional<int> status_of(std::string_view line)
 {
-    auto const space = status_line.find(' ');
-    return space != std::string_view::npos && status_line.substr(space + 1).starts_with('1');
+    auto const space = line.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    auto const rest = line.substr(space + 1);
+    int status = 0;
+    auto const read = std::from_chars(rest.data(), rest.data() + rest.size(), status);
+    auto const digits = static_cast<std::size_t>(read.ptr - rest.data());
+    bool const has_end = digits == rest.size() || s_status_ends.find(rest[digits]) != std::string_view::npos;
+    if (digits != s_status_digits || !has_end || !Status::is_valid(status))
+        return std::nullopt;
+    return status;
+}
+
 }
 
+void HeadLines::read_status_line(std::string_view line)
+{
+    auto const status = status_of(line);
+    m_fields.clear();
+    m_is_invalid = !status;
+    m_is_interim = status && Status::is_interim(*status);
 }
 
 void HeadLines::add(std::string_view line)
 {
-    if (m_is_complete)
-        return;
-    if (line.starts_with(s_version)) {
-        m_fields.clear();
-        m_is_interim = is_interim(line);
+    if (m_is_complete || m_is_invalid)
         return;
-    }
+    if (line.starts_with(s_version))
+        return read_status_line(line);
     // As libcurl does, which also ends a head at a bare line feed.
     if (line.starts_with('\r') || line.starts_with('\n')) {
         m_is_complete = !m_is_interim;
--- a/Libraries/LibHTTP/HeadLines.h
+++ b/Libraries/LibHTTP/HeadLines.h
@@ -12,15 +12,20 @@
 public:
     void add(std::string_view line);
 
+    /// Whether a line is invalid. What follows it is not read.
+    [[nodiscard]] bool is_invalid() const { return m_is_invalid; }
     /// Whether the head of the final answer has ended. Interim answers (1xx) have heads of their own.
     [[nodiscard]] bool is_complete() const { return m_is_complete; }
     /// Fields of the final head, without those of interim answers and trailers.
     [[nodiscard]] Headers const& fields() const { return m_fields; }
 
 private:
+    void read_status_line(std::string_view);
+
     Headers m_fields;
     bool m_is_interim {false};
     bool m_is_complete {false};
+    bool m_is_invalid {false};
 };
 
 }
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -38,8 +38,9 @@
 
 std::size_t take_header(char* data, std::size_t size, std::size_t count, void* user)
 {
-    static_cast<HeadLines*>(user)->add({data, size * count});
-    return size * count;
+    auto& head = *static_cast<HeadLines*>(user);
+    head.add({data, size * count});
+    return head.is_invalid() ? 0 : size * count;
 }
 
 int check_abort(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
@@ -131,6 +132,9 @@
         throw BodyTooLarge(Core::concat(request.method, " ", request.url, ": the body is larger than ",
                                request.largest_body, " bytes"),
             Effect::Possible);
+    if (head.is_invalid())
+        throw RequestFailed(
+            Core::concat(request.method, " ", request.url, ": the answer's head is invalid"), Effect::Possible);
     if (code != CURLE_OK)
         throw RequestFailed(
             Core::concat(request.method, " ", request.url, ": ", curl_easy_strerror(code)), effect_of(code));
--- a/Libraries/LibSide/RunningCall.cpp
+++ b/Libraries/LibSide/RunningCall.cpp
@@ -79,6 +79,8 @@
     auto& call = *static_cast<RunningCall*>(user);
     bool const was_complete = call.m_head.is_complete();
     call.m_head.add({data, size * count});
+    if (call.m_head.is_invalid())
+        return 0;
     if (!was_complete && call.m_head.is_complete())
         call.read_head();
     return size * count;
@@ -184,6 +186,10 @@
         end.message = "the backend server takes no connection";
         return end;
     }
+    if (m_head.is_invalid()) {
+        end.message = "the backend server's answer has an invalid head";
+        return end;
+    }
     if (code != CURLE_OK) {
         end.message = curl_easy_strerror(code);
         return end;
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -4,11 +4,14 @@
 
 #include <LibCore/Text.h>
 
+#include <AnswerSamples.h>
 #include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
 
+#include <absl/strings/str_replace.h>
+
 namespace GraniteField::Testing {
 
 namespace {
@@ -60,6 +63,39 @@
         start();
     }
 
+    /// Answers the first send of each request with these bytes, and the next one well. Neither a request that can be
+    /// repeated nor one that cannot may be answered with them.
+    void expect_rejected(std::vector<InvalidAnswer> const& answers)
+    {
+        m_settings.runs.retries.ratio = s_retries_per_request;
+        for (auto const* name : {"i-1", "i-2"}) {
+            add_backend(name, [this](auto& connection, auto const& text, auto) {
+                if (next_send(field_of(text, "Granitefield-Request").value_or("")) > 0)
+                    return write_rest_of_stream(connection, text);
+                connection.write(m_invalid_answer);
+            });
+        }
+        start();
+        for (auto const& invalid : answers) {
+            SCOPED_TRACE(invalid.name);
+            // Signed as an answer of a backend server.
+            m_invalid_answer
+                = absl::StrReplaceAll(invalid.text, {{"\r\n\r\n", "\r\nGranitefield-Answer: sig-1\r\n\r\n"}});
+            auto const repeated = answer_to_next("/safe/");
+            EXPECT_EQ(repeated.status, 200);
+            EXPECT_EQ(repeated.body, event(1) + event(2) + event(3));
+            EXPECT_EQ(answer_to_next("/plain/").status, 502);
+        }
+    }
+
+    /// Returns the answer to a request with an id and a body of its own.
+    RawCaller::Answer answer_to_next(std::string const& target)
+    {
+        auto const body = Core::concat("ask ", ++m_count);
+        return answer_of(Core::concat("POST ", target, " HTTP/1.1\r\nHost: host.test\r\nGranitefield-Request: r-",
+            m_count, "\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+    }
+
     static void write_rest_of_stream(FakeConnection& connection, std::string const& text)
     {
         auto const last = std::stoul(field_of(text, "Last-Event-ID").value_or("0"));
@@ -83,10 +119,7 @@
             m_is_last_cut = false;
             for (m_length = 0; !m_is_last_cut; ++m_length) {
                 SCOPED_TRACE(Core::concat("head ", m_head_kind.load(), ", ", m_length.load(), " bytes"));
-                auto const body = Core::concat("ask ", ++m_count);
-                judge(
-                    answer_of(Core::concat("POST ", target, " HTTP/1.1\r\nHost: host.test\r\nGranitefield-Request: r-",
-                        m_count, "\r\nContent-Length: ", body.size(), "\r\n\r\n", body)));
+                judge(answer_to_next(target));
             }
         }
     }
@@ -119,6 +152,7 @@
         start();
     }
 
+    std::string m_invalid_answer;
     std::mutex m_mutex;
     std::map<std::string, std::size_t> m_sends;
     unsigned m_count {0};
@@ -210,6 +244,23 @@
     EXPECT_LT(m_taken, s_endless_bytes);
 }
 
+TEST_F(ResponseFraming, RetriesAfterABodyWithoutEndBehindAnInvalidStatus)
+{
+    add_bad_and_good([this](auto& connection, auto const&) {
+        connection.write("HTTP/1.1 000 X\r\nGranitefield-Answer: sig-1\r\n\r\n");
+        m_taken = write_without_end(connection, std::string(s_block_bytes, 'x'));
+    });
+    auto const answer = answer_of(request("POST", "/resumable/", "", "ask"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+    EXPECT_LT(m_taken, s_endless_bytes);
+}
+
+TEST_F(ResponseFraming, RejectsInvalidStatuses)
+{
+    expect_rejected(answers_with_invalid_statuses());
+}
+
 TEST_F(ResponseFraming, ContinuesAStreamWhoseChunkHeaderNeverEnds)
 {
     add_bad_and_good([this](auto& connection, auto const& text) {
--- a/Tests/LibHTTP/AnswerParserTest.cpp
+++ b/Tests/LibHTTP/AnswerParserTest.cpp
@@ -26,6 +26,25 @@
     return parser.is_complete();
 }
 
+/// Reads an answer as a whole and byte by byte, which must break it before its head is complete.
+void expect_broken(std::vector<Testing::InvalidAnswer> const& answers)
+{
+    for (auto const& answer : answers) {
+        for (std::size_t const piece_size : {std::size_t(1), answer.text.size()}) {
+            AnswerParser parser(BodyRule::Normal);
+            std::string input;
+            for (std::size_t start = 0; start < answer.text.size(); start += piece_size) {
+                input += answer.text.substr(start, piece_size);
+                input.erase(0, parser.add(input));
+            }
+            parser.add_end();
+            EXPECT_TRUE(parser.is_broken()) << answer.name;
+            EXPECT_FALSE(parser.has_head()) << answer.name;
+            EXPECT_EQ(parser.take_body(), "") << answer.name;
+        }
+    }
+}
+
 }
 
 TEST(AnswerParser, DoesNotTakeAnAnswerForWholeThatIsCutAtAnyByte)
@@ -52,4 +71,9 @@
     }
 }
 
+TEST(AnswerParser, RejectsInvalidStatuses)
+{
+    expect_broken(Testing::answers_with_invalid_statuses());
+}
+
 }
--- a/Tests/LibHTTP/AnswerSamples.h
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -58,4 +58,26 @@
     };
 }
 
+/// Bytes of a server that are no valid answer, although they look like one.
+struct InvalidAnswer {
+    std::string name;
+    std::string text;
+};
+
+inline constexpr std::string_view s_valid_answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+
+/// Answers whose status is not of three digits from 100 to 599 (RFC 9110, section 15).
+[[nodiscard]] inline std::vector<InvalidAnswer> answers_with_invalid_statuses()
+{
+    std::vector<InvalidAnswer> answers;
+    for (std::string const status :
+        {"000", "001", "099", "600", "999", "0", "20", "2000", "0200", "-20", "+20", "2x0"}) {
+        auto const start = "HTTP/1.1 " + status + " X\r\n";
+        answers.push_back({status, start + "Content-Length: 4\r\n\r\nbody"});
+        answers.push_back(
+            {status + " as an interim answer", start + "Content-Length: 0\r\n\r\n" + std::string(s_valid_answer)});
+    }
+    return answers;
+}
+
 }
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -70,6 +70,23 @@
         }
     }
 
+    /// Checks that no such answer is returned, whether its connection ends or not.
+    void expect_failure(std::vector<Testing::InvalidAnswer> const& answers)
+    {
+        for (auto const& invalid : answers) {
+            for (bool const is_closed : {true, false}) {
+                Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+                    connection.write(invalid.text);
+                    if (!is_closed)
+                        static_cast<void>(connection.wait_until_closed());
+                });
+                m_client.emplace();
+                EXPECT_FALSE(answer_to("GET", server)) << invalid.name;
+                m_client.emplace();
+            }
+        }
+    }
+
     std::optional<HttpClient> m_client {std::in_place};
 };
 
@@ -119,4 +136,9 @@
     EXPECT_LT(sent, Testing::s_endless_bytes);
 }
 
+TEST_F(HttpClientAnswers, FailWithInvalidStatuses)
+{
+    expect_failure(Testing::answers_with_invalid_statuses());
+}
+
 }
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -101,6 +101,20 @@
         m_client.reset();
     }
 
+    /// Checks that such answers break their calls, and that nothing of them is passed on.
+    void expect_broken(std::vector<Testing::InvalidAnswer> const& answers)
+    {
+        for (auto const& invalid : answers) {
+            Testing::FakeBackend const server(
+                "i-1", [&](auto& connection, auto const&, auto) { connection.write(invalid.text); });
+            connect(server);
+            auto const answer = answer_to("GET");
+            EXPECT_EQ(answer.end, CallEnd::Broken) << invalid.name;
+            EXPECT_EQ(answer.body, "") << invalid.name;
+            m_client.reset();
+        }
+    }
+
     Core::WakeEvent m_wake;
     std::unique_ptr<EngineClient> m_client;
     std::uint64_t m_count {0};
@@ -149,4 +163,9 @@
     m_client.reset();
 }
 
+TEST_F(EngineClientCalls, AreBrokenByInvalidStatuses)
+{
+    expect_broken(Testing::answers_with_invalid_statuses());
+}
+
 }
