LibHTTP: Reject invalid field lines in answers that libcurl reads

A server in trouble answered with a head in which the name of a field held a blank or a control byte. The readers with libcurl took it as an answer: the store's client returned it with that line among its fields, the side process passed on its body. A line such as "Content-Length : 2" does not frame the body for libcurl, so the body was not the one that the server stated.

Cause: libcurl looks only at the names that it knows, and HeadLines took what stood before the first colon for a name.

HeadLines now refuses a head with a line whose name is no token (RFC 9112, section 5.1), a folded line among them, and expects one status line at its start, so a line inside a head can't begin a new one. Nothing behind such a line is read.

Before: HttpClient returned and EngineClient passed on answers with a blank, tab, control byte, DEL, parenthesis or byte above 127 in a name, an empty name and a folded line: 22 of 32 samples each. Of seven samples with a misspelled framing field HttpClient returned all when their connection ended, and EngineClient passed on the body of all. libcurl refused lines without a colon, with NUL or CR, and a blank at the start of the first line.

Already handled: AnswerParser, by which the gateway reads the answers of backend servers, refused all of them.

--- a/Libraries/LibHTTP/HeadLines.h
+++ b/Libraries/LibHTTP/HeadLines.h
@@ -21,8 +21,10 @@
 
 private:
     void read_status_line(std::string_view);
+    void read_field_line(std::string_view);
 
     Headers m_fields;
+    bool m_expects_status_line {true};
     bool m_is_interim {false};
     bool m_is_complete {false};
     bool m_is_invalid {false};
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -261,6 +261,11 @@
     expect_rejected(answers_with_invalid_statuses());
 }
 
+TEST_F(ResponseFraming, RejectsInvalidFieldLines)
+{
+    expect_rejected(answers_with_invalid_fields());
+}
+
 TEST_F(ResponseFraming, ContinuesAStreamWhoseChunkHeaderNeverEnds)
 {
     add_bad_and_good([this](auto& connection, auto const& text) {
--- a/Tests/LibHTTP/AnswerParserTest.cpp
+++ b/Tests/LibHTTP/AnswerParserTest.cpp
@@ -76,4 +76,9 @@
     expect_broken(Testing::answers_with_invalid_statuses());
 }
 
+TEST(AnswerParser, RejectsInvalidFieldLines)
+{
+    expect_broken(Testing::answers_with_invalid_fields());
+}
+
 }
--- a/Tests/LibHTTP/AnswerSamples.h
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -80,4 +80,22 @@
     return answers;
 }
 
+/// Answers that have a line in their head that is no field line (RFC 9112, section 5.1).
+[[nodiscard]] inline std::vector<InvalidAnswer> answers_with_invalid_fields()
+{
+    using namespace std::string_literals;
+    std::vector<InvalidAnswer> answers;
+    auto const ok = "HTTP/1.1 200 OK\r\n"s;
+    for (auto const& line : {"X Y: 1"s, "X\tY: 1"s, "X : 1"s, "X\t: 1"s, " X: 1"s, "\tX: 1"s, "X\x01: 1"s, "\x1fX: 1"s,
+             "X\x7f: 1"s, "X\0Y: 1"s, "X\rY: 1"s, "X\xc3\xa4: 1"s, "X(Y): 1"s, ": 1"s, "X"s, "HTTP/1.1 200 OK"s}) {
+        answers.push_back({"first " + line, ok + line + "\r\nContent-Length: 4\r\n\r\nbody"});
+        answers.push_back({"last " + line, ok + "Content-Length: 4\r\n" + line + "\r\n\r\nbody"});
+    }
+    for (auto const& name : {"Content-Length "s, "Content-Length\t"s, "Content-Length\x01"s, "Content Length"s})
+        answers.push_back({name, ok + name + ": 2\r\n\r\nbody"});
+    for (auto const& name : {"Transfer-Encoding "s, "Transfer-Encoding\x01"s, "Transfer Encoding"s})
+        answers.push_back({name, ok + name + ": chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"});
+    return answers;
+}
+
 }
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -141,4 +141,9 @@
     expect_failure(Testing::answers_with_invalid_statuses());
 }
 
+TEST_F(HttpClientAnswers, FailWithInvalidFieldLines)
+{
+    expect_failure(Testing::answers_with_invalid_fields());
+}
+
 }
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -168,4 +168,9 @@
     expect_broken(Testing::answers_with_invalid_statuses());
 }
 
+TEST_F(EngineClientCalls, AreBrokenByInvalidFieldLines)
+{
+    expect_broken(Testing::answers_with_invalid_fields());
+}
+
 }
