LibHTTP: Reject answers with an unknown transfer coding

A server whose answer named a transfer coding such as gzip, or gzip under chunks, got its coded bytes delivered as a complete body.

Cause: Transfer-Encoding concerns one connection and is not passed on, and Boost.Beast takes a coding that it does not know for none: the body then ends by Content-Length or with the connection, with chunk headers in it where chunks were not the last coding. So callers had coded bytes without the name of their coding.

AnswerParser now refuses a head with a Transfer-Encoding other than one "chunked". The requests announce no other coding with TE, so no server may use one (RFC 9112, section 7); "identity", which RFC 7230 took out, is refused as well.

Before: ResponseFraming.RejectsUnknownTransferCodings had 200 with coded bytes for all ten samples, at repeatable requests and others; AnswerParser took all ten. Now all pass. Already handled: libcurl refuses unknown codings or decodes them, and the tests of HttpClient and EngineClient with these samples passed before.

--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -13,6 +13,15 @@
 
 constexpr std::uint32_t s_largest_head_bytes = 64U << 10U;
 
+/// Whether the body has no transfer coding other than chunks. Requests announce no other one with TE, and the field is
+/// not passed on, so that a caller could not decode such a body.
+bool has_known_coding(FieldList const& fields)
+{
+    constexpr std::string_view name = "Transfer-Encoding";
+    auto const count = fields.count(name);
+    return count == 0 || (count == 1 && is_same_name(fields.value_or(name, ""), "chunked"));
+}
+
 struct Sink {
     AnswerHead head;
     std::string body;
@@ -30,8 +39,8 @@
     }
     bool take_head()
     {
-        has_head = true;
-        return true;
+        has_head = has_known_coding(head.fields);
+        return has_head;
     }
     void take_body(std::string_view text) { body += text; }
 };
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -266,6 +266,11 @@
     expect_rejected(answers_with_invalid_fields());
 }
 
+TEST_F(ResponseFraming, RejectsUnknownTransferCodings)
+{
+    expect_rejected(answers_with_unknown_codings());
+}
+
 TEST_F(ResponseFraming, ContinuesAStreamWhoseChunkHeaderNeverEnds)
 {
     add_bad_and_good([this](auto& connection, auto const& text) {
--- a/Tests/LibHTTP/AnswerParserTest.cpp
+++ b/Tests/LibHTTP/AnswerParserTest.cpp
@@ -81,4 +81,9 @@
     expect_broken(Testing::answers_with_invalid_fields());
 }
 
+TEST(AnswerParser, RejectsUnknownTransferCodings)
+{
+    expect_broken(Testing::answers_with_unknown_codings());
+}
+
 }
--- a/Tests/LibHTTP/AnswerSamples.h
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -98,4 +98,18 @@
     return answers;
 }
 
+/// Answers whose body has a transfer coding other than chunks, of which no request has said that it is accepted.
+[[nodiscard]] inline std::vector<InvalidAnswer> answers_with_unknown_codings()
+{
+    std::vector<InvalidAnswer> answers;
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    std::string const chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (std::string const coding :
+        {"xyz", "xyz, chunked", "chunked, xyz", "gzip", "gzip, chunked", "xchunked", "\"chunked\"", "chunked;a=b"})
+        answers.push_back({coding, ok + "Transfer-Encoding: " + coding + "\r\n" + chunks});
+    answers.push_back({"two fields", ok + "Transfer-Encoding: xyz\r\nTransfer-Encoding: chunked\r\n" + chunks});
+    answers.push_back({"with a length", ok + "Transfer-Encoding: xyz\r\nContent-Length: 4\r\n\r\nbody"});
+    return answers;
+}
+
 }
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -146,4 +146,9 @@
     expect_failure(Testing::answers_with_invalid_fields());
 }
 
+TEST_F(HttpClientAnswers, FailWithUnknownTransferCodings)
+{
+    expect_failure(Testing::answers_with_unknown_codings());
+}
+
 }
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -173,4 +173,9 @@
     expect_broken(Testing::answers_with_invalid_fields());
 }
 
+TEST_F(EngineClientCalls, AreBrokenByUnknownTransferCodings)
+{
+    expect_broken(Testing::answers_with_unknown_codings());
+}
+
 }
