LibHTTP: Limit the interim answers before an answer

A server that sends interim answers (1xx) without end kept its request, and the gateway's thread, busy until the request's time limit.

Cause: each head has a limit of its own, and an interim answer begins a new one, so nothing but the time limit of the request bounded them together. Each interim answer also counted as a sign of life of the server.

AnswerParser now refuses an answer once the interim answers before it are larger than one head may be, 64 KiB. They have no body, so that is some 2,500 of the shortest; a server that sends one a second stays far below it.

Before: ResponseFraming.RetriesAfterInterimAnswersWithoutEnd read all 8 MB that the test sends (bound: less), now it breaks off and repeats the request. Already handled: libcurl limits the heads of one transfer together; the tests of HttpClient and EngineClient passed before and stay.

--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -57,6 +57,7 @@
 
     Sink sink;
     BeastParser<false, Sink> parser;
+    std::size_t size {0};
 };
 
 }
@@ -64,6 +65,8 @@
 struct AnswerParser::State {
     BodyRule rule {BodyRule::Normal};
     std::optional<Message> message;
+    /// Size of the interim answers so far.
+    std::size_t interim_bytes {0};
     bool is_broken {false};
 };
 
@@ -100,11 +103,17 @@
         auto const rest = text.substr(taken);
         auto const count = message.parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         taken += count;
+        message.size += count;
         if (error && error != boost::beast::http::error::need_more)
             m_state->is_broken = true;
         bool const is_interim = message.parser.is_done() && Status::is_interim(message.sink.head.status);
-        if (is_interim)
+        if (is_interim) {
+            m_state->interim_bytes += message.size;
             m_state->message.emplace(m_state->rule);
+        }
+        // Each head has a limit of its own; without this one, a server could send interim answers forever.
+        if (m_state->interim_bytes > s_largest_head_bytes)
+            m_state->is_broken = true;
         if (error || count == 0)
             break;
     }
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -256,6 +256,17 @@
     EXPECT_LT(m_taken, s_endless_bytes);
 }
 
+TEST_F(ResponseFraming, RetriesAfterInterimAnswersWithoutEnd)
+{
+    add_bad_and_good([this](auto& connection, auto const&) {
+        m_taken = write_without_end(connection, interim_answers(s_block_bytes));
+    });
+    auto const answer = answer_of(request("POST", "/resumable/", "", "ask"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+    EXPECT_LT(m_taken, s_endless_bytes);
+}
+
 TEST_F(ResponseFraming, RejectsInvalidStatuses)
 {
     expect_rejected(answers_with_invalid_statuses());
--- a/Tests/LibHTTP/AnswerSamples.h
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -66,6 +66,15 @@
 
 inline constexpr std::string_view s_valid_answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
+/// Interim answers of at least this size together.
+[[nodiscard]] inline std::string interim_answers(std::size_t size)
+{
+    std::string text;
+    while (text.size() < size)
+        text += "HTTP/1.1 100 Continue\r\n\r\n";
+    return text;
+}
+
 /// Answers whose status is not of three digits from 100 to 599 (RFC 9110, section 15).
 [[nodiscard]] inline std::vector<InvalidAnswer> answers_with_invalid_statuses()
 {
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -136,6 +136,16 @@
     EXPECT_LT(sent, Testing::s_endless_bytes);
 }
 
+TEST_F(HttpClientAnswers, FailBehindInterimAnswersWithoutEnd)
+{
+    std::atomic<std::size_t> sent {0};
+    Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+        sent = Testing::write_without_end(connection, Testing::interim_answers(s_field_bytes));
+    });
+    EXPECT_FALSE(answer_to("GET", server));
+    EXPECT_LT(sent, Testing::s_endless_bytes);
+}
+
 TEST_F(HttpClientAnswers, FailWithInvalidStatuses)
 {
     expect_failure(Testing::answers_with_invalid_statuses());
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -163,6 +163,18 @@
     m_client.reset();
 }
 
+TEST_F(EngineClientCalls, AreBrokenByInterimAnswersWithoutEnd)
+{
+    std::atomic<std::size_t> sent {0};
+    Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+        sent = Testing::write_without_end(connection, Testing::interim_answers(s_field_bytes));
+    });
+    connect(server);
+    EXPECT_EQ(answer_to("GET").end, CallEnd::Broken);
+    EXPECT_LT(sent, Testing::s_endless_bytes);
+    m_client.reset();
+}
+
 TEST_F(EngineClientCalls, AreBrokenByInvalidStatuses)
 {
     expect_broken(Testing::answers_with_invalid_statuses());
