LibHTTP: End an aborted request to the store at once

A stopping gateway that had answered its last request lived on for up to 1.3 s. The kernel went on accepting connections for it, so callers that connected late in a planned stop waited that long and got no answer. Beside a long stream the process ended 8.4 to 9.4 s after SIGTERM, later than its grace period of 8 s.

Cause: abort() took effect when libcurl next called its progress callback, once a second while a request waits for its answer. The gateway aborts its watches of the store, one after the other, only when its requests are over.

HttpClient now runs its transfers on a multi handle of its own, as curl_easy_perform() does inside, and abort() wakes the wait with curl_multi_wakeup(). The time limits and kept connections stay those of libcurl.

Already handled: a stopping gateway cuts no request that it has passed on.

--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -13,12 +13,24 @@
 namespace GraniteField::HTTP {
 
 struct HttpClient::State {
-    CURL* handle {nullptr};
+    State();
+    ~State();
+    State(State const&) = delete;
+    State& operator=(State const&) = delete;
+
+    /// Runs the transfer that the handle is set up for, until it ends or the client is aborted.
+    [[nodiscard]] CURLcode perform() const;
+
+    CURL* handle;
+    /// Has only this handle. Unlike curl_easy_perform(), its wait can be ended from another thread.
+    CURLM* multi;
     std::atomic<bool> is_aborted {false};
 };
 
 namespace {
 
+constexpr int s_poll_milliseconds = 1000;
+
 /// A body that is being received.
 struct BodyReader {
     std::string& body;
@@ -43,11 +55,6 @@
     return head.is_invalid() ? 0 : size * count;
 }
 
-int check_abort(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
-{
-    return static_cast<std::atomic<bool>*>(user)->load() ? 1 : 0;
-}
-
 /// Makes closing the socket reset its connection.
 int set_reset(void*, curl_socket_t socket, curlsocktype)
 {
@@ -70,22 +77,44 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
-HttpClient::HttpClient()
-    : m_state(std::make_unique<State>())
+HttpClient::State::State()
+    : handle(curl_easy_init())
+    , multi(curl_multi_init())
 {
-    m_state->handle = curl_easy_init();
-    if (m_state->handle == nullptr)
+    if (handle == nullptr || multi == nullptr)
         throw std::bad_alloc();
 }
 
-HttpClient::~HttpClient()
+HttpClient::State::~State()
 {
-    curl_easy_cleanup(m_state->handle);
+    curl_easy_cleanup(handle);
+    curl_multi_cleanup(multi);
 }
 
+CURLcode HttpClient::State::perform() const
+{
+    curl_multi_add_handle(multi, handle);
+    int running = 0;
+    while (!is_aborted && curl_multi_perform(multi, &running) == CURLM_OK && running > 0)
+        curl_multi_poll(multi, nullptr, 0, s_poll_milliseconds, nullptr);
+    int left = 0;
+    auto const* message = curl_multi_info_read(multi, &left);
+    auto const code = message == nullptr ? CURLE_ABORTED_BY_CALLBACK : message->data.result;
+    curl_multi_remove_handle(multi, handle);
+    return code;
+}
+
+HttpClient::HttpClient()
+    : m_state(std::make_unique<State>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
 void HttpClient::abort()
 {
     m_state->is_aborted = true;
+    curl_multi_wakeup(m_state->multi);
 }
 
 ClientResponse HttpClient::send(ClientRequest const& request)
@@ -112,9 +141,6 @@
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, take_header);
     HeadLines head;
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &head);
-    curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-    curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, check_abort);
-    curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_state->is_aborted);
     // On a connection that was kept and has died libcurl would send a request again by itself.
     bool const is_read = request.method == "GET" || request.method == "HEAD";
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, is_read ? 0L : 1L);
@@ -127,7 +153,7 @@
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
     }
 
-    auto const code = curl_easy_perform(handle);
+    auto const code = m_state->perform();
     if (reader.is_too_large)
         throw BodyTooLarge(Core::concat(request.method, " ", request.url, ": the body is larger than ",
                                request.largest_body, " bytes"),
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -81,7 +81,7 @@
     /// Throws RequestFailed when no whole answer came, and BodyTooLarge where its body is the reason.
     [[nodiscard]] ClientResponse send(ClientRequest const&);
 
-    /// Makes the running and every later send() fail soon. May be called from any thread.
+    /// Makes the running and every later send() fail at once. May be called from any thread.
     void abort();
 
 private:
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include <LibHTTP/HttpClient.h>
 
 #include <atomic>
+#include <future>
 #include <optional>
 
 #include <gtest/gtest.h>
@@ -17,6 +18,9 @@
 using Testing::AnswerSample;
 
 constexpr std::size_t s_field_bytes = 64U << 10U;
+/// Part of the time that is left to a daemon whose requests have ended.
+constexpr Core::Milliseconds s_abort_limit {200};
+constexpr int s_aborts = 5;
 
 enum class Cut {
     Close,
@@ -161,4 +165,27 @@
     expect_failure(Testing::answers_with_unknown_codings());
 }
 
+TEST_F(HttpClientAnswers, AreNotWaitedForAfterAnAbort)
+{
+    for (int round = 0; round < s_aborts; ++round) {
+        std::promise<void> received;
+        Testing::FakeBackend const server("i-1", [&](auto& connection, auto const&, auto) {
+            connection.write(Testing::s_valid_answer);
+            if (!connection.read_request())
+                return;
+            received.set_value();
+            static_cast<void>(connection.wait_until_closed());
+        });
+        m_client.emplace();
+        // On a new connection, timers of libcurl would end a wait early.
+        ASSERT_TRUE(answer_to("GET", server));
+        auto answer = std::async(std::launch::async, [&] { return answer_to("GET", server); });
+        received.get_future().wait();
+        auto const aborted = Core::monotonic_now();
+        m_client->abort();
+        EXPECT_FALSE(answer.get());
+        EXPECT_LE(Core::elapsed(aborted, Core::monotonic_now()), s_abort_limit);
+    }
+}
+
 }
