LibGateway: Do not cut responses that are larger than the buffer

Callers saw an incomplete response, also to requests that can't be repeated.

Cause: such a response is forwarded from the moment at which it exceeds the buffer. When more of it arrived, handle_response() took the started response for a stream that a second server was asked to resume, found that this was no stream, and gave the sound attempt up ("the backend server did not resume the stream").

The forwarder now remembers that it forwards the body of the current attempt, and goes on with it. No other server can continue such a body, so a silence of the server does not end the attempt, as it would for a repeatable request.

--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -404,6 +404,7 @@
 {
     auto const attempt = std::exchange(m_attempt, nullptr);
     m_framing = framing_of(*attempt);
+    m_is_forwarding_body = false;
     auto& server = attempt->server();
     switch (result) {
     case AttemptResult::Success:
@@ -628,7 +629,8 @@
         attempt->cancel();
         return handle_failure(*attempt, BackendAttempt::Failure::NotSent, "connect timed out");
     }
-    if (m_request.is_repeatable() && m_attempt->is_sent() && is_stalled(now))
+    // Another server can't continue a body of which a part was forwarded.
+    if (m_request.is_repeatable() && m_attempt->is_sent() && !m_is_forwarding_body && is_stalled(now))
         return replace_stalled_attempt(now);
     if (m_attempt->is_paused() && m_caller->pending_bytes() <= caller_window() / 2)
         m_attempt->resume();
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -282,6 +282,8 @@
     /// Framing of the response of the last attempt that ended.
     std::string_view m_framing;
     bool m_has_started_response {false};
+    /// Whether the response of the current attempt is forwarded as it arrives, rather than as a stream of events.
+    bool m_is_forwarding_body {false};
     std::string m_buffered_response;
     MemoryCharge m_response_charge;
     HTTP::EventFramer m_events;
--- a/Libraries/LibGateway/RequestForwarderResponses.cpp
+++ b/Libraries/LibGateway/RequestForwarderResponses.cpp
@@ -58,7 +58,7 @@
     }
     if (m_request.is_stream() && Status::is_success(head.status))
         return forward_stream(attempt);
-    if (m_has_started_response) {
+    if (m_has_started_response && !m_is_forwarding_body) {
         // A resumed stream must be answered by another stream.
         attempt.cancel();
         return handle_broken_attempt("the backend server did not resume the stream", now);
@@ -167,6 +167,7 @@
     if (m_buffered_response.size() <= buffer_limit && !m_has_started_response)
         return;
     if (!m_has_started_response) {
+        m_is_forwarding_body = true;
         start_response(attempt.parser().head());
         m_context.metrics.note_first_byte(
             m_request.tier, std::chrono::duration_cast<Core::Microseconds>(now - m_request.received));
--- a/Tests/LibGateway/ResponseFramingTest.cpp
+++ b/Tests/LibGateway/ResponseFramingTest.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <tuple>
 
 #include <absl/strings/str_replace.h>
 
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::size_t s_block_bytes = 64U << 10U;
+/// More than the gateway buffers of a response before it begins to forward it.
+constexpr std::size_t s_large_body_bytes = 3U << 20U;
 
 enum class Cut {
     Close,
@@ -176,6 +179,55 @@
     EXPECT_EQ(answer.body, "whole body");
 }
 
+TEST_F(ResponseFraming, DeliversABodyThatIsLargerThanTheBuffer)
+{
+    auto const body = std::string(s_large_body_bytes, 'x');
+    std::string framing;
+    std::string framed_body;
+    int status = 0;
+    add_backend("i-1", [&](auto& connection, auto const& text, auto) {
+        connection.write(Core::concat("HTTP/1.1 ", status, " X\r\nGranitefield-Answer: sig-1\r\nGranitefield-Request: ",
+            field_of(text, "Granitefield-Request").value_or(""), "\r\n", framing, "\r\n", framed_body));
+    });
+    start();
+    std::vector<std::pair<std::string, std::string>> const framings {
+        {Core::concat("Content-Length: ", body.size(), "\r\n"), body},
+        {"Transfer-Encoding: chunked\r\n", chunk(body) + "0\r\n\r\n"}, {"", body}};
+    for (auto const& next : framings) {
+        std::tie(framing, framed_body) = next;
+        // An error of a server may be as large, also as the answer to a request for a stream.
+        for (auto const& [target, expected] : {std::pair("/plain/", 200), {"/plain/", 404}, {"/stream/", 404}}) {
+            status = expected;
+            auto const answer = answer_to_next(target);
+            EXPECT_EQ(answer.status, expected) << framing;
+            EXPECT_TRUE(answer.is_whole) << target << ", " << expected << ", " << framing;
+            EXPECT_EQ(answer.body.size(), body.size()) << framing;
+        }
+    }
+}
+
+TEST_F(ResponseFraming, WaitsForTheRestOfABodyOfWhichAPartWasForwarded)
+{
+    m_settings.runs.stall_min_target_share = 0.1;
+    for (auto const* name : {"i-1", "i-2"}) {
+        add_backend(name, [this](auto& connection, auto const& text, auto) {
+            bool const is_first = m_asked++ == 0;
+            auto const answer = answer_to(text, 200, std::string(s_large_body_bytes, is_first ? 'x' : 'y'));
+            auto const part = answer.size() * 2 / 3;
+            connection.write(std::string_view(answer).substr(0, part));
+            // Five times as long as a silent server is waited for.
+            if (is_first)
+                std::this_thread::sleep_for(Core::Milliseconds(500));
+            connection.write(std::string_view(answer).substr(part));
+        });
+    }
+    start();
+    auto const answer = answer_of(request("GET", "/safe/"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, std::string(s_large_body_bytes, 'x'));
+    EXPECT_EQ(m_asked, 1);
+}
+
 TEST_F(ResponseFraming, DeliversAStreamThatEndsWithTheConnection)
 {
     add_backend("i-1",
