LibGateway: Reset a response without a length when the gateway ends

A caller of HTTP/1.0 gets a response beyond the buffer without length or chunks, so it takes an orderly end of the connection for the end of the response. When the gateway ended meanwhile, the caller got the part that had been sent as complete.

Cause: only abort_response() asked for a reset. The kernel closes the connections of a process that is killed in order, and so do Boost.Asio's sockets that are destroyed open, which also undo such a wish.

start_response() now asks for the reset as soon as a response is delimited by the end of the connection only, and start_closing() takes that back once everything was written. CallerConnection closes its socket itself.

Already handled: a response that its server cuts in any framing, by its end or a reset behind the whole upload, is complete for no caller (AreNotCompleteInAnyFraming, DoNotEndInOrderForACallerWithoutChunks).

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -47,6 +47,12 @@
 {
 }
 
+CallerConnection::~CallerConnection()
+{
+    // Boost.Asio's sockets turn a reset into an orderly close if they are destroyed open.
+    close();
+}
+
 void CallerConnection::start()
 {
     Error ignored;
@@ -206,8 +212,11 @@
     if (m_is_closed)
         return;
     m_is_chunked = m_minor_version > 0;
-    if (!m_is_chunked)
+    if (!m_is_chunked) {
         m_caller_keeps_open = false;
+        // The caller takes an orderly close for the end of the response, also that of a process that ends.
+        set_close_mode(CloseMode::Reset);
+    }
     append_head(status, fields);
     if (m_is_chunked)
         m_output += "Transfer-Encoding: chunked\r\n";
@@ -238,17 +247,19 @@
     write();
 }
 
+void CallerConnection::set_close_mode(CloseMode mode)
+{
+    Error ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(mode == CloseMode::Reset, 0), ignored);
+}
+
 void CallerConnection::abort_response()
 {
     if (m_is_closed)
         return;
     m_on_disconnect = nullptr;
-    // Resets the connection, since a caller without chunked encoding would take an orderly close for a complete
-    // response.
-    if (!m_is_chunked) {
-        Error ignored;
-        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    }
+    if (!m_is_chunked)
+        set_close_mode(CloseMode::Reset);
     close();
 }
 
@@ -330,6 +341,7 @@
     m_closing_since = Core::monotonic_now();
     m_parser.reset();
     m_body_charge.reset();
+    set_close_mode(CloseMode::Orderly);
     Error ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_input = {};
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -51,6 +51,10 @@
     };
 
     CallerConnection(boost::asio::ip::tcp::socket, Handler&);
+    /// Closes the connection.
+    ~CallerConnection();
+    CallerConnection(CallerConnection const&) = delete;
+    CallerConnection& operator=(CallerConnection const&) = delete;
 
     /// Starts to read requests.
     void start();
@@ -95,6 +99,13 @@
         Closing,
     };
 
+    /// What the caller sees when the socket is closed, by this process or with its end.
+    enum class CloseMode {
+        Orderly,
+        /// Discards what has not been sent. For responses that are delimited by the end of the connection only.
+        Reset,
+    };
+
     using Error = boost::system::error_code;
 
     void read();
@@ -114,6 +125,7 @@
     /// Releases the output that was written.
     void drop_written();
     void append_head(int status, HTTP::FieldList const&);
+    void set_close_mode(CloseMode);
     void start_closing();
     void close();
     [[nodiscard]] bool keeps_connection_open() const;
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -458,6 +458,15 @@
     return std::string_view(m_input).starts_with(text);
 }
 
+bool RawCaller::ends_in_order() const
+{
+    std::array<char, s_buffer_size> buffer {};
+    ssize_t count = 1;
+    while (count > 0)
+        count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    return count == 0;
+}
+
 bool RawCaller::is_closed_by_peer()
 {
     pollfd item {m_descriptor, POLLIN, 0};
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -160,6 +160,8 @@
     [[nodiscard]] bool read_body_bytes(std::size_t count);
     /// Waits for the first bytes and returns whether they equal the text; false if the connection ends first.
     [[nodiscard]] bool has_received(std::string_view);
+    /// Reads to the end of the connection; returns whether the peer ended it in order, rather than with a reset.
+    [[nodiscard]] bool ends_in_order() const;
     /// Waits until the peer closes the connection; false at the timeout.
     [[nodiscard]] bool is_closed_by_peer();
     void close();
