--- a/Tests/LibGateway/EarlyResponseTest.cpp
+++ b/Tests/LibGateway/EarlyResponseTest.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// More than the socket buffers of both sides hold, so that the server responds during the upload.
-constexpr std::size_t s_upload_bytes = 3'500'000;
 /// More than the gateway buffers of a response before it begins to forward it.
 constexpr std::size_t s_large_part_bytes = 2U << 20U;
 constexpr int s_rounds = 20;
@@ -51,7 +49,7 @@
         }
     }
 
-    std::string const m_body = std::string(s_upload_bytes, 'b');
+    std::string const m_body = std::string(s_large_upload_bytes, 'b');
     int m_round {0};
 };
 
--- a/Tests/LibGateway/FakeBackend.cpp
+++ b/Tests/LibGateway/FakeBackend.cpp
@@ -365,16 +365,24 @@
     return Core::concat("id: ", id, "\ndata: token-", id, "\n\n");
 }
 
-std::size_t write_without_end(FakeConnection& connection, std::string const& block)
+std::size_t write_without_end(FakeConnection& connection, std::string const& block, std::size_t limit)
 {
     std::size_t sum = 0;
-    while (sum < s_endless_bytes && !connection.wait_until_closed(Core::Milliseconds(1))) {
+    while (sum < limit && !connection.wait_until_closed(Core::Milliseconds(1))) {
         connection.write(block);
         sum += block.size();
     }
     return sum;
 }
 
+FakeBackend::Script reset_behind_a_part()
+{
+    return [](auto& connection, auto const&, auto) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\npart");
+        connection.reset();
+    };
+}
+
 std::string refusal_to(std::string const& request, int status)
 {
     return Core::concat("HTTP/1.1 ", status,
--- a/Tests/LibGateway/FakeBackend.h
+++ b/Tests/LibGateway/FakeBackend.h
@@ -131,8 +131,14 @@
 [[nodiscard]] std::string event(unsigned id);
 /// More than any reader keeps of one event, or of a head.
 inline constexpr std::size_t s_endless_bytes = 8U << 20U;
-/// Writes the block until the peer closes the connection or has taken the bytes above; returns how much it took.
-[[nodiscard]] std::size_t write_without_end(FakeConnection&, std::string const& block);
+/// Writes the block until the peer closes the connection or has taken these bytes; returns how much it took.
+[[nodiscard]] std::size_t write_without_end(
+    FakeConnection&, std::string const& block, std::size_t limit = s_endless_bytes);
+
+/// More than the socket buffers on the way to a server hold that reads only the head of a request.
+inline constexpr std::size_t s_large_upload_bytes = 3'500'000;
+/// Answers with the beginning of a body without a length, and resets the connection.
+[[nodiscard]] FakeBackend::Script reset_behind_a_part();
 
 /// Returns the response of a backend server that did not run the request.
 [[nodiscard]] std::string refusal_to(std::string const& request, int status);
--- a/Tests/LibHTTP/HttpClientTest.cpp
+++ b/Tests/LibHTTP/HttpClientTest.cpp
@@ -21,6 +21,7 @@
 /// Part of the time that is left to a daemon whose requests have ended.
 constexpr Core::Milliseconds s_abort_limit {200};
 constexpr int s_aborts = 5;
+constexpr int s_uploads = 20;
 
 enum class Cut {
     Close,
@@ -165,6 +166,18 @@
     expect_failure(Testing::answers_with_unknown_codings());
 }
 
+TEST_F(HttpClientAnswers, FailWhenTheirConnectionIsResetDuringTheUpload)
+{
+    Testing::FakeBackend const server("i-1", Testing::reset_behind_a_part(), Testing::FakeBackend::Reading::HeadOnly);
+    for (int round = 0; round < s_uploads; ++round) {
+        ClientRequest upload;
+        upload.method = "PUT";
+        upload.url = Core::concat("http://", server.entry().address.to_string(), "/");
+        upload.body = std::string(Testing::s_large_upload_bytes, 'b');
+        EXPECT_THROW(static_cast<void>(m_client->send(upload)), RequestFailed);
+    }
+}
+
 TEST_F(HttpClientAnswers, AreNotWaitedForAfterAnAbort)
 {
     for (int round = 0; round < s_aborts; ++round) {
--- a/Tests/LibSide/EngineClientTest.cpp
+++ b/Tests/LibSide/EngineClientTest.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view s_earlier_type = "text/earlier";
 
 constexpr std::size_t s_field_bytes = 64U << 10U;
+constexpr int s_uploads = 20;
 
 enum class Cut {
     Close,
@@ -44,9 +45,10 @@
         m_client = std::make_unique<EngineClient>(settings, m_wake);
     }
 
-    Answer answer_to(std::string const& method)
+    Answer answer_to(std::string const& method, std::string const& body = "")
     {
         EngineCall call;
+        call.body = body;
         call.key = {{1, ++m_count}, Core::AttemptNumber(1)};
         call.method = method;
         call.path = "/";
@@ -175,6 +177,15 @@
     m_client.reset();
 }
 
+TEST_F(EngineClientCalls, AreBrokenWhenTheirConnectionIsResetDuringTheUpload)
+{
+    Testing::FakeBackend const server("i-1", Testing::reset_behind_a_part(), Testing::FakeBackend::Reading::HeadOnly);
+    connect(server);
+    for (int round = 0; round < s_uploads; ++round)
+        EXPECT_EQ(answer_to("POST", std::string(Testing::s_large_upload_bytes, 'b')).end, CallEnd::Broken);
+    m_client.reset();
+}
+
 TEST_F(EngineClientCalls, AreBrokenByInvalidStatuses)
 {
     expect_broken(Testing::answers_with_invalid_statuses());
