--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -214,7 +214,7 @@
     m_is_chunked = m_minor_version > 0;
     if (!m_is_chunked) {
         m_caller_keeps_open = false;
-        // The caller takes an orderly close for the end of the response, also that of a process that ends.
+        // Only the close ends this response, so an early exit of this process must not close the socket in order.
         set_close_mode(CloseMode::Reset);
     }
     append_head(status, fields);
--- a/Libraries/LibHTTP/AnswerParser.cpp
+++ b/Libraries/LibHTTP/AnswerParser.cpp
@@ -111,7 +111,7 @@
             m_state->interim_bytes += message.size;
             m_state->message.emplace(m_state->rule);
         }
-        // Each head has a limit of its own; without this one, a server could send interim answers forever.
+        // The parser limits each head, but not the number of interim answers.
         if (m_state->interim_bytes > s_largest_head_bytes)
             m_state->is_broken = true;
         if (error || count == 0)
