Tests: Add sound answers that look odd to the samples

A reason phrase with a tab, a colon, a number and bytes above 127, a field name of every mark that a token may hold, a transfer coding in capitals and the status 599 are valid. AnswerParser, HttpClient and EngineClient take them whole and refuse them cut at any byte, as the other samples. Two lines use Core::concat, for the linter.

--- a/Tests/LibHTTP/AnswerSamples.h
+++ b/Tests/LibHTTP/AnswerSamples.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/Text.h>
+
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -51,6 +53,10 @@
         {"204", "DELETE", "HTTP/1.1 204 No Content\r\nX-Last: 1\r\n\r\n", ""},
         {"304", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\nX-Last: 1\r\n\r\n", ""},
         {"no reason", "GET", "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\n", "body"},
+        {"odd reason", "GET", "HTTP/1.1 200 \t: 099 (?) \xc3\xa4\r\nContent-Length: 4\r\n\r\n", "body"},
+        {"odd name", "GET", ok + "x!#$%&'*+-.^_`|~9: 1\r\nContent-Length: 4\r\n\r\n", "body"},
+        {"coding in capitals", "GET", ok + "TRANSFER-ENCODING: Chunked\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+        {"last status", "GET", "HTTP/1.1 599 X\r\nContent-Length: 4\r\n\r\n", "body"},
         {"error", "POST", "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\nX-Last: 1\r\n\r\n", ""},
         {"interim", "POST", interim + ok + "Content-Length: 0\r\n\r\n", ""},
         {"interim with a length", "POST", hints + ok + "X-Last: 1\r\n\r\n", "body", true},
@@ -98,7 +104,7 @@
     for (auto const& line : {"X Y: 1"s, "X\tY: 1"s, "X : 1"s, "X\t: 1"s, " X: 1"s, "\tX: 1"s, "X\x01: 1"s, "\x1fX: 1"s,
              "X\x7f: 1"s, "X\0Y: 1"s, "X\rY: 1"s, "X\xc3\xa4: 1"s, "X(Y): 1"s, ": 1"s, "X"s, "HTTP/1.1 200 OK"s}) {
         answers.push_back({"first " + line, ok + line + "\r\nContent-Length: 4\r\n\r\nbody"});
-        answers.push_back({"last " + line, ok + "Content-Length: 4\r\n" + line + "\r\n\r\nbody"});
+        answers.push_back({"last " + line, Core::concat(ok, "Content-Length: 4\r\n", line, "\r\n\r\nbody")});
     }
     for (auto const& name : {"Content-Length "s, "Content-Length\t"s, "Content-Length\x01"s, "Content Length"s})
         answers.push_back({name, ok + name + ": 2\r\n\r\nbody"});
@@ -115,7 +121,7 @@
     std::string const chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
     for (std::string const coding :
         {"xyz", "xyz, chunked", "chunked, xyz", "gzip", "gzip, chunked", "xchunked", "\"chunked\"", "chunked;a=b"})
-        answers.push_back({coding, ok + "Transfer-Encoding: " + coding + "\r\n" + chunks});
+        answers.push_back({coding, Core::concat(ok, "Transfer-Encoding: ", coding, "\r\n", chunks)});
     answers.push_back({"two fields", ok + "Transfer-Encoding: xyz\r\nTransfer-Encoding: chunked\r\n" + chunks});
     answers.push_back({"with a length", ok + "Transfer-Encoding: xyz\r\nContent-Length: 4\r\n\r\nbody"});
     return answers;
