Tests: Let the server of endless answers own them, and name two bounds of a planned stop

The script referred to a variable of its test, which a failed wait would have left too early. The comments on the grace period and the time of a loss say from when each is counted.

--- a/Tests/Integration/GatewayMemoryTest.cpp
+++ b/Tests/Integration/GatewayMemoryTest.cpp
@@ -114,7 +114,7 @@
     /// Starts a gateway whose backend server answers with endless bytes where a path names them, and else well.
     Gateway start_with_endless_answers(std::vector<EndlessAnswer> const& answers)
     {
-        m_backend.emplace("i-1", [&](auto& connection, auto const& request, auto index) {
+        m_backend.emplace("i-1", [this, answers](auto& connection, auto const& request, auto index) {
             for (auto const& answer : answers) {
                 if (request.find(Core::concat("/", answer.name, " HTTP/1.1")) == std::string::npos)
                     continue;
@@ -125,9 +125,8 @@
             }
             good()(connection, request, index);
         });
-        auto plain = route("r-1", "/plain/", "unsafe");
-        auto stream = route("r-2", "/stream/", "stream");
-        put("config", "main", configuration(1, Json::array({plain, stream})));
+        put("config", "main",
+            configuration(1, Json::array({route("r-1", "/plain/", "unsafe"), route("r-2", "/stream/", "stream")})));
         put_server(*m_backend);
         set_memory_megabytes(s_memory_megabytes);
         auto gateway = start("g-1");
--- a/Tests/Integration/PlannedStopTest.cpp
+++ b/Tests/Integration/PlannedStopTest.cpp
@@ -17,14 +17,14 @@
 
 namespace {
 
-/// The grace period of the platform, and the time after a request's last byte within which a connection may end without
-/// an answer.
+/// Time from the signal within which the platform expects a gateway to end.
 constexpr Core::Milliseconds s_grace {8'000};
+/// Time after the last byte of a request within which its connection may end without an answer.
 constexpr Core::Milliseconds s_loss_slack {200};
 constexpr Core::Milliseconds s_plain_time {100};
 constexpr Core::Milliseconds s_pause_between_events {200};
 constexpr unsigned s_events = 3;
-/// Longer than a gateway has until it ends.
+/// Duration of a stream that outlives the grace period.
 constexpr Core::Milliseconds s_long_time {15'000};
 constexpr unsigned s_callers = 16;
 constexpr Core::Milliseconds s_pause_between_requests {20};
--- a/Tests/LibGateway/CutResponseTest.cpp
+++ b/Tests/LibGateway/CutResponseTest.cpp
@@ -45,7 +45,7 @@
             connection.reset();
     }
 
-    /// Returns a caller that can't tell a response without a length from its connection's end in order.
+    /// Returns an HTTP/1.0 caller, for which only the end of the connection delimits a response without a length.
     [[nodiscard]] std::unique_ptr<RawCaller> call_without_chunks() const
     {
         return call("GET /plain/ HTTP/1.0\r\nHost: host.test\r\nGranitefield-Request: r-1\r\n\r\n");
